workspace: core types, platform messages and the document's shape

Cause: every slice needs the same clock, ids, verdicts and platform messages before it can be built alone. Conclusion: slices can be built side by side on these types.

--- /dev/null
+++ b/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the first command lands.
+
+fn main() {}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The shell around the decision library.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! Fleet capacity and maintenance decisions, free of input and output.
+//!
+//! Each module is a part that can be embedded by itself: a plain state machine that takes the time,
+//! its inputs and a random generator as arguments and returns what should be done. Sockets, timers
+//! and the platform's client live in `wasabiloft-node`.
+
+pub mod clock;
+pub mod document;
+pub mod id;
+pub mod platform;
+pub mod verdict;
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for what the system serves and uses.
