node, cli, standins: a thin whole path for requests

Change: an entry node with hyper and axum, fixed slots at each endpoint, a verdict on each answer; the stand-in platform (table, VMs, workers, faults), endpoints that count executions, a fault-injecting proxy, an open-loop load generator; the commands apply, check, dev, get, list; the documents of both deployments.

--- /dev/null
+++ b/cli/src/dev.rs
@@ -0,0 +1,253 @@
+//! The command `dev`.
+
+use std::ffi::OsString;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use serde::Serialize;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use wasabiloft::id;
+use wasabiloft_node::documents;
+use wasabiloft_node::node;
+use wasabiloft_node::settings;
+use wasabiloft_standins::deployment;
+use wasabiloft_standins::load;
+use wasabiloft_standins::platform;
+
+use crate::util;
+
+const USAGE: &str = "\
+Runs a whole deployment in one process: the stand-in platform, entry nodes with real sockets, endpoints,
+workers and a little load.
+
+Usage:
+    wasabiloft dev [--run-s N] [--seed N] [--json] DIR
+
+DIR holds deployment.toml and the folder services. Ctrl-C stops it gracefully. The last line is a JSON
+object. Ends with 0 only if every promise that was checked held.
+
+Options:
+    --run-s N     Stop after N seconds.
+    --seed N      Seed of the load and of the stand-ins; 1 if not given.
+    --json        Print only the JSON object.
+    -h, --help    Show this text.
+";
+
+/// Requests of each kind, a second.
+const RATE_PER_S: f64 = 20.0;
+/// How often the start looks whether the nodes are ready, in milliseconds.
+const READY_POLL_MS: u64 = 50;
+
+struct Args {
+    dir: PathBuf,
+    run_s: Option<u64>,
+    seed: u64,
+    json: bool,
+}
+
+/// The last line of a run.
+#[derive(Debug, Serialize)]
+struct Summary {
+    requests_total: u64,
+    answered_total: u64,
+    refused_not_run_total: u64,
+    may_have_run_total: u64,
+    no_answer_total: u64,
+    executed_twice_total: u64,
+    ran_though_refused_total: u64,
+    never_ran_total: u64,
+    foreign_answers_total: u64,
+    requests_cut_total: u64,
+    vms_maintained_total: u64,
+}
+
+pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    let Some(args) = parse(argv)? else {
+        print!("{USAGE}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let summary = util::block_on(dev(&args))?;
+    let line = serde_json::to_string(&summary).map_err(util::Error::failed)?;
+    println!("{line}");
+    Ok(if held(&summary) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn parse(argv: &[OsString]) -> Result<Option<Args>, util::Error> {
+    use lexopt::prelude::*;
+
+    let mut dir = None;
+    let mut run_s = None;
+    let mut seed = 1;
+    let mut json = false;
+    let mut parser = util::parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("run-s") => run_s = Some(parser.value()?.parse()?),
+            Long("seed") => seed = parser.value()?.parse()?,
+            Long("json") => json = true,
+            Value(value) if dir.is_none() => dir = Some(PathBuf::from(value)),
+            Short('h') | Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let dir = dir.ok_or_else(|| util::Error::usage(USAGE))?;
+    Ok(Some(Args {
+        dir,
+        run_s,
+        seed,
+        json,
+    }))
+}
+
+fn held(summary: &Summary) -> bool {
+    let broken = summary.executed_twice_total
+        + summary.ran_though_refused_total
+        + summary.never_ran_total
+        + summary.foreign_answers_total
+        + summary.requests_cut_total;
+    broken == 0
+}
+
+async fn dev(args: &Args) -> Result<Summary, util::Error> {
+    let deployment = deployment::read(&args.dir).map_err(util::Error::failed)?;
+    let documents = deployment::read_documents(&args.dir).map_err(util::Error::failed)?;
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let platform = platform::Platform::start(any, &deployment, args.seed)
+        .await
+        .map_err(util::Error::failed)?;
+    let nodes = start_nodes(&deployment, platform.address()).await?;
+    put_documents(platform.address(), &documents).await?;
+    wait_until_ready(&nodes).await;
+    let entries: Vec<_> = nodes.iter().map(node::Node::address).collect();
+    say(
+        args,
+        &format!(
+            "{}: {} entry nodes at {entries:?}",
+            deployment.name,
+            entries.len()
+        ),
+    );
+    let streams = streams(&documents);
+    let stop_load = CancellationToken::new();
+    let load = tokio::spawn(load::run(entries, streams, args.seed, stop_load.clone()));
+    wait_for_end(args.run_s).await;
+    say(args, "stopping");
+    stop_load.cancel();
+    let answers = load.await.map_err(util::Error::failed)?;
+    for node in nodes {
+        node.stop().await;
+    }
+    let breaches = answers.check(&platform.tally().executions());
+    let report = platform.report();
+    platform.stop().await;
+    Ok(summary(&answers, &breaches, &report))
+}
+
+fn say(args: &Args, line: &str) {
+    if !args.json {
+        println!("{line}");
+    }
+}
+
+async fn start_nodes(
+    deployment: &deployment::Deployment,
+    platform: SocketAddr,
+) -> Result<Vec<node::Node>, util::Error> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(util::Error::failed)?;
+    let mut nodes = Vec::new();
+    for index in 0..deployment.entry_nodes {
+        let place = index as usize % deployment.data_centres.len();
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let settings = settings::Settings {
+            name: id::Node::from(format!("entry-{}", index + 1)),
+            data_centre: deployment.data_centres[place].name.clone(),
+            listen: any,
+            peer_listen: any,
+            platform,
+            tls: None,
+            peers: Vec::new(),
+        };
+        let node = node::Node::start(settings, metrics.clone()).await;
+        nodes.push(node.map_err(util::Error::failed)?);
+    }
+    Ok(nodes)
+}
+
+async fn put_documents(
+    platform: SocketAddr,
+    documents: &[(String, wasabiloft::document::Document)],
+) -> Result<(), util::Error> {
+    let client = wasabiloft_node::platform::Client::new(platform);
+    for (text, document) in documents {
+        match documents::write(&client, &document.service, 0, text).await {
+            documents::Edit::Written(_) => {}
+            other => {
+                let message = format!("document of {} not written: {other:?}", document.service);
+                return Err(util::Error::failed(message));
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn wait_until_ready(nodes: &[node::Node]) {
+    while !nodes.iter().all(node::Node::is_ready) {
+        time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+    }
+}
+
+async fn wait_for_end(run_s: Option<u64>) {
+    let limit = async {
+        match run_s {
+            Some(run_s) => time::sleep(Duration::from_secs(run_s)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = limit => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+fn streams(documents: &[(String, wasabiloft::document::Document)]) -> Vec<load::Stream> {
+    let mut streams = Vec::new();
+    for (_, document) in documents {
+        for kind in &document.kinds {
+            streams.push(load::Stream::of(document, kind, RATE_PER_S));
+        }
+    }
+    streams
+}
+
+fn summary(
+    answers: &load::Answers,
+    breaches: &load::Breaches,
+    report: &platform::Report,
+) -> Summary {
+    let ran = answers.total(|tally| tally.ran_total);
+    let not_run = answers.total(|tally| tally.not_run_total);
+    let may_have_run = answers.total(|tally| tally.may_have_run_total);
+    Summary {
+        requests_total: answers.total(|tally| tally.sent_total),
+        answered_total: ran + not_run + may_have_run,
+        refused_not_run_total: not_run,
+        may_have_run_total: may_have_run,
+        no_answer_total: answers.total(|tally| tally.no_answer_total),
+        executed_twice_total: breaches.executed_twice_total,
+        ran_though_refused_total: breaches.ran_though_refused_total,
+        never_ran_total: breaches.never_ran_total,
+        foreign_answers_total: breaches.foreign_answers_total,
+        requests_cut_total: report.endpoints.cut_total,
+        vms_maintained_total: report.reboots_total,
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,58 @@
-//! Placeholder until the first command lands.
+//! `wasabiloft`: the operators' command. Each command is a file of its own.
 
-fn main() {}
+mod apply;
+mod check;
+mod dev;
+mod get;
+mod list;
+mod util;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Edits the documents of services and shows what the fleet does.
+
+Usage:
+    wasabiloft COMMAND [ARGS]
+    wasabiloft COMMAND --help
+
+Commands:
+    apply    Puts documents in force.
+    check    Says what is wrong with documents, without a server.
+    dev      Runs a whole deployment in one process.
+    get      Shows a document.
+    list     Lists the documents.
+";
+
+fn main() -> ExitCode {
+    let argv: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let outcome = match argv.split_first() {
+        Some((command, rest)) => run(&command.to_string_lossy(), rest),
+        None => Err(util::Error::usage(USAGE)),
+    };
+    match outcome {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(command: &str, argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    match command {
+        "apply" => apply::run(argv),
+        "check" => check::run(argv),
+        "dev" => dev::run(argv),
+        "get" => get::run(argv),
+        "list" => list::run(argv),
+        "-h" | "--help" | "help" => {
+            print!("{USAGE}");
+            Ok(ExitCode::SUCCESS)
+        }
+        other => Err(util::Error::usage(&format!(
+            "wasabiloft: no command '{other}'; see wasabiloft --help"
+        ))),
+    }
+}
--- /dev/null
+++ b/cli/src/util.rs
@@ -0,0 +1,135 @@
+//! What the commands share: errors, arguments and calls to an entry node.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use snafu::Snafu;
+use wasabiloft_standins::client;
+
+/// Environment variable that names the entry node if `--node` doesn't.
+const NODE_VARIABLE: &str = "WASABILOFT_NODE";
+/// Exit code of a command that was called wrongly.
+const EXIT_USAGE: u8 = 2;
+/// Exit code of a command that failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Why a command ended early.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The call is wrong.
+    #[snafu(display("{message}"))]
+    Usage {
+        /// What is wrong, or the usage text.
+        message: String,
+    },
+    /// The command failed.
+    #[snafu(display("wasabiloft: {message}"))]
+    Failed {
+        /// Why.
+        message: String,
+    },
+}
+
+impl Error {
+    /// A wrong call.
+    pub fn usage(message: &str) -> Self {
+        Self::Usage {
+            message: message.to_owned(),
+        }
+    }
+
+    /// A failure, in the words of its cause.
+    pub fn failed<E>(cause: E) -> Self
+    where
+        E: ToString,
+    {
+        Self::Failed {
+            message: cause.to_string(),
+        }
+    }
+
+    /// The process's exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage { .. } => EXIT_USAGE,
+            Self::Failed { .. } => EXIT_FAILED,
+        }
+    }
+}
+
+impl From<lexopt::Error> for Error {
+    fn from(error: lexopt::Error) -> Self {
+        Self::usage(&format!("wasabiloft: {error}; see --help"))
+    }
+}
+
+/// A parser of a command's arguments.
+pub fn parser(argv: &[OsString]) -> lexopt::Parser {
+    lexopt::Parser::from_args(argv.iter().cloned())
+}
+
+/// The entry node to call: the option's value, or else the environment's.
+///
+/// # Errors
+///
+/// If neither is given, or it is no address.
+pub fn node_address(option: Option<&str>) -> Result<SocketAddr, Error> {
+    let variable = std::env::var(NODE_VARIABLE).ok();
+    let text = option.or(variable.as_deref()).ok_or_else(|| {
+        Error::usage(&format!(
+            "wasabiloft: name an entry node with --node IP:PORT or {NODE_VARIABLE}"
+        ))
+    })?;
+    let parsed = text.parse();
+    parsed.map_err(|_| Error::usage(&format!("wasabiloft: '{text}' is not IP:PORT")))
+}
+
+/// Runs an asynchronous command to its end.
+///
+/// # Errors
+///
+/// Those of the command, or if no runtime can be made.
+pub fn block_on<F, T>(command: F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    let runtime = tokio::runtime::Runtime::new().map_err(Error::failed)?;
+    runtime.block_on(command)
+}
+
+/// Calls an entry node.
+///
+/// # Errors
+///
+/// If no whole answer comes.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    if_match: Option<u64>,
+    body: String,
+) -> Result<Response<Bytes>, Error> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    if let Some(version) = if_match {
+        request = request.header(http::header::IF_MATCH, format!("\"{version}\""));
+    }
+    let request = request.body(Full::from(body)).map_err(Error::failed)?;
+    let client = client::Client::default();
+    client.send(address, request).await.map_err(Error::failed)
+}
+
+/// The text of an answer.
+pub fn text(response: &Response<Bytes>) -> String {
+    String::from_utf8_lossy(response.body()).into_owned()
+}
+
+/// The version in an answer's `ETag`.
+pub fn version(response: &Response<Bytes>) -> Option<u64> {
+    let tag = response.headers().get(http::header::ETAG)?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok()
+}
--- /dev/null
+++ b/cli/tests/test_check.rs
@@ -0,0 +1,23 @@
+use crate::workdir;
+use crate::workdir::Workdir;
+
+#[test]
+fn accepts_the_examples() {
+    let work = Workdir::new();
+    work.create("ok.toml", &workdir::example("cadenas/services/reservations.toml"));
+    let output = work.run(&["check", "ok.toml"]);
+    assert!(output.status.success(), "{output:?}");
+    assert_eq!(workdir::stdout(&output), "");
+}
+
+#[test]
+fn names_file_and_unknown_key() {
+    let work = Workdir::new();
+    let text = workdir::example("cadenas/services/reservations.toml");
+    work.create("bad.toml", &text.replace("min_runners", "min_runner"));
+    let output = work.run(&["check", "bad.toml"]);
+    assert_eq!(output.status.code(), Some(1));
+    let printed = workdir::stdout(&output);
+    assert!(printed.contains("bad.toml"), "{printed}");
+    assert!(printed.contains("min_runner"), "{printed}");
+}
--- /dev/null
+++ b/cli/tests/tests.rs
@@ -0,0 +1,5 @@
+//! Runs the real `wasabiloft` in a fresh work folder, a module for each command.
+
+mod test_check;
+mod test_dev;
+mod workdir;
--- /dev/null
+++ b/node/src/admin.rs
@@ -0,0 +1,98 @@
+//! Operators' calls: documents and status.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing;
+use serde::Serialize;
+use wasabiloft::document;
+use wasabiloft::id;
+
+use crate::documents;
+use crate::node;
+
+/// The operators' routes, below `/-`.
+pub fn router() -> Router<Arc<node::Shared>> {
+    Router::new()
+        .route("/documents", routing::get(list))
+        .route("/documents/{service}", routing::get(get).put(put))
+}
+
+/// A line of the list of documents.
+#[derive(Debug, Serialize)]
+struct Listed {
+    service: id::Service,
+    team: id::Team,
+    version: u64,
+}
+
+async fn list(State(shared): State<Arc<node::Shared>>) -> Json<Vec<Listed>> {
+    let view = shared.view.borrow();
+    let mut listed: Vec<_> = view
+        .documents
+        .values()
+        .map(|accepted| Listed {
+            service: accepted.document.service.clone(),
+            team: accepted.document.team.clone(),
+            version: accepted.version,
+        })
+        .collect();
+    listed.sort_by(|a, b| a.service.cmp(&b.service));
+    Json(listed)
+}
+
+async fn get(
+    State(shared): State<Arc<node::Shared>>,
+    Path(service): Path<id::Service>,
+) -> Response {
+    match shared.view.borrow().documents.get(&service) {
+        Some(accepted) => {
+            let tag = format!("\"{}\"", accepted.version);
+            ([(header::ETAG, tag)], accepted.text.clone()).into_response()
+        }
+        None => (StatusCode::NOT_FOUND, "no such service\n").into_response(),
+    }
+}
+
+async fn put(
+    State(shared): State<Arc<node::Shared>>,
+    Path(service): Path<id::Service>,
+    headers: HeaderMap,
+    text: String,
+) -> Response {
+    let document = match document::parse(&text) {
+        Ok(document) => document,
+        Err(error) => return (StatusCode::BAD_REQUEST, format!("{error}\n")).into_response(),
+    };
+    if document.service != service {
+        let message = format!("the document is of service {}\n", document.service);
+        return (StatusCode::BAD_REQUEST, message).into_response();
+    }
+    let Some(read_version) = read_version(&headers) else {
+        let message = "If-Match must carry the version that was read, or \"0\"\n";
+        return (StatusCode::PRECONDITION_REQUIRED, message).into_response();
+    };
+    match documents::write(&shared.platform, &service, read_version, &text).await {
+        documents::Edit::Written(version) => {
+            ([(header::ETAG, format!("\"{version}\""))], "written\n").into_response()
+        }
+        documents::Edit::Raced(version) => {
+            let message =
+                format!("the document is at version {version} by now; nothing was changed\n");
+            (StatusCode::PRECONDITION_FAILED, message).into_response()
+        }
+        documents::Edit::Unknown => {
+            let message = "the platform gave no answer; read the document to see if it changed\n";
+            (StatusCode::GATEWAY_TIMEOUT, message).into_response()
+        }
+    }
+}
+
+fn read_version(headers: &HeaderMap) -> Option<u64> {
+    let tag = headers.get(header::IF_MATCH)?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok()
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,1 +1,13 @@
-//! The shell around the decision library.
+//! The shell around the decision library: sockets, timers and the platform's client of an entry node.
+//!
+//! [`node::Node`] is a whole entry node in one value; `wasabiloftd` runs one, `wasabiloft dev` runs several.
+
+pub mod admin;
+pub mod documents;
+pub mod front;
+pub mod log;
+pub mod node;
+pub mod platform;
+pub mod settings;
+pub mod upstream;
+pub mod view;
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,50 @@
+//! `standin`: the stand-ins as processes of their own.
+
+mod load_command;
+mod platform_command;
+mod proxy_command;
+mod util;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Stand-ins for what the system serves and uses.
+
+Usage:
+    standin COMMAND [ARGS]
+    standin COMMAND --help
+
+Commands:
+    load        Sends a deployment's load to entry nodes, and checks the answers.
+    platform    Runs a deployment's platform, with endpoints and workers.
+    proxy       Runs a fault-injecting TCP proxy.
+";
+
+fn main() -> ExitCode {
+    let argv: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let outcome = match argv.split_first() {
+        Some((command, rest)) => run(&command.to_string_lossy(), rest),
+        None => Err(USAGE.to_owned()),
+    };
+    match outcome {
+        Ok(code) => code,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: &str, argv: &[OsString]) -> Result<ExitCode, String> {
+    match command {
+        "load" => load_command::run(argv),
+        "platform" => platform_command::run(argv),
+        "proxy" => proxy_command::run(argv),
+        "-h" | "--help" => {
+            print!("{USAGE}");
+            Ok(ExitCode::SUCCESS)
+        }
+        other => Err(format!("standin: no command '{other}'; see standin --help")),
+    }
+}
