--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -3,7 +3,7 @@
 
 #[test]
 fn accepts_the_examples() {
-    let work = Workdir::new();
+    let work = Workdir::create_empty();
     work.create(
         "ok.toml",
         &workdir::example("cadenas/services/reservations.toml"),
@@ -15,7 +15,7 @@
 
 #[test]
 fn names_file_and_unknown_key() {
-    let work = Workdir::new();
+    let work = Workdir::create_empty();
     let text = workdir::example("cadenas/services/reservations.toml");
     work.create("bad.toml", &text.replace("min_runners", "min_runner"));
     let output = work.run(&["check", "bad.toml"]);
--- a/cli/tests/test_dev.rs
+++ b/cli/tests/test_dev.rs
@@ -3,7 +3,7 @@
 
 #[test]
 fn serves_the_example_and_keeps_the_promises() {
-    let work = Workdir::new();
+    let work = Workdir::create_empty();
     let dir = workdir::repository("examples/cadenas");
     let dir = dir.to_str().expect("the path is text");
     let output = work.run(&["dev", "--run-s", "2", "--json", dir]);
--- a/cli/tests/workdir.rs
+++ b/cli/tests/workdir.rs
@@ -13,7 +13,7 @@
 
 impl Workdir {
     /// Makes an empty folder.
-    pub fn new() -> Self {
+    pub fn create_empty() -> Self {
         let dir = tempfile::tempdir().expect("a folder can be made");
         Self { dir }
     }
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the decision library, a module for each slice.
+
+mod test_document;
