--- /dev/null
+++ b/src/journal/group.rs
@@ -0,0 +1,87 @@
+//! Which transactions can be joined, and how.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::Record;
+use crate::id;
+use crate::platform;
+
+/// The rows that a transaction touches.
+pub(super) fn rows(txn: &platform::Txn) -> usize {
+    keys(txn).len()
+}
+
+fn keys(txn: &platform::Txn) -> BTreeSet<&id::Key> {
+    let checks = txn.checks.iter().map(|check| &check.key);
+    let writes = txn.writes.iter().map(|write| &write.key);
+    checks.chain(writes).collect()
+}
+
+/// Tells how many of the transactions, from the first on, can be joined.
+///
+/// Two of them may check a row at the same version, but none may touch a row that another writes.
+pub(super) fn prefix<'a, I>(txns: I) -> usize
+where
+    I: Iterator<Item = &'a platform::Txn>,
+{
+    let mut checked: BTreeMap<&id::Key, u64> = BTreeMap::new();
+    let mut written: BTreeSet<&id::Key> = BTreeSet::new();
+    let mut count = 0;
+    for txn in txns {
+        let touches_written = keys(txn).iter().any(|key| written.contains(key));
+        let writes_checked = txn
+            .writes
+            .iter()
+            .any(|write| checked.contains_key(&write.key));
+        let contradicts = txn.checks.iter().any(|check| {
+            checked
+                .get(&check.key)
+                .is_some_and(|version| *version != check.version)
+        });
+        if touches_written || writes_checked || contradicts {
+            break;
+        }
+        checked.extend(txn.checks.iter().map(|check| (&check.key, check.version)));
+        written.extend(txn.writes.iter().map(|write| &write.key));
+        let all: BTreeSet<&&id::Key> = checked.keys().chain(written.iter()).collect();
+        if all.len() > super::ROWS_MAX {
+            break;
+        }
+        count += 1;
+    }
+    count
+}
+
+/// Joins transactions into one that checks and writes the journal row first.
+pub(super) fn join(
+    key: &id::Key,
+    version: u64,
+    group: u64,
+    members: &[&platform::Txn],
+) -> platform::Txn {
+    let mut checks = vec![platform::Check {
+        key: key.clone(),
+        version,
+    }];
+    let record = serde_json::json!(Record { group }).to_string();
+    let mut writes = vec![platform::Write {
+        key: key.clone(),
+        value: Some(record),
+    }];
+    for member in members {
+        for check in &member.checks {
+            if !checks.contains(check) {
+                checks.push(check.clone());
+            }
+        }
+        writes.extend(member.writes.iter().cloned());
+    }
+    platform::Txn { checks, writes }
+}
+
+/// Tells whether a refusal of the group is a refusal of this member.
+pub(super) fn is_refused(txn: &platform::Txn, refused: &platform::Refused) -> bool {
+    let mut checks = txn.checks.iter();
+    checks.any(|check| check.key == refused.key && check.version != refused.version)
+}
--- /dev/null
+++ b/src/journal/mod.rs
@@ -0,0 +1,539 @@
+//! The journal of one incarnation of a node: ordered transactions, group commit and settled outcomes.
+//!
+//! Every transaction that a node sends checks the version of the node's own journal row and writes that row.
+//! So of all copies of a transaction at most one commits, and a later transaction shuts out an earlier one whose
+//! reply was lost. A [`Writer`] has one transaction in progress at a time; what waits meanwhile is joined.
+//!
+//! A commit also renews the node's duty leases, see [`crate::lease`].
+
+pub mod breaker;
+mod group;
+pub mod pacing;
+
+use std::collections::VecDeque;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
+use snafu::Snafu;
+
+use crate::clock;
+use crate::id;
+use crate::platform;
+use crate::roster;
+
+slotmap::new_key_type! {
+    /// Names a submitted transaction until it is settled.
+    pub struct Token;
+}
+
+/// Names one request to the table; replies to older requests are ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(u64);
+
+/// The content of a journal row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The number of the newest group of transactions that committed.
+    pub group: u64,
+}
+
+/// The settled outcome of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// It happened; the new versions are in the order of its writes.
+    Committed(platform::Committed),
+    /// It happened, but the reply was lost: the new versions have to be read.
+    CommittedUnseen,
+    /// One of its checks failed; it did not happen and never will.
+    Refused(platform::Refused),
+}
+
+/// A transaction whose outcome is now known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settlement {
+    /// The transaction.
+    pub token: Token,
+    /// Its outcome.
+    pub settled: Settled,
+}
+
+/// A request to be sent to the table at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Run a transaction and answer with [`Reply::Outcome`].
+    Transact {
+        /// Names the request.
+        attempt: Attempt,
+        /// The transaction.
+        txn: platform::Txn,
+    },
+    /// Read the journal row and answer with [`Reply::Row`].
+    Read {
+        /// Names the request.
+        attempt: Attempt,
+        /// The row's key.
+        key: id::Key,
+    },
+}
+
+/// The table's reply to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The outcome of a transaction; a time-out or a broken connection is [`platform::Outcome::Unknown`].
+    Outcome(platform::Outcome),
+    /// The row that was read; `None` if it is absent.
+    Row(Option<platform::Row>),
+    /// The read failed or timed out.
+    ReadFailed,
+}
+
+/// A transaction that can't be submitted.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The transaction has more rows than fit beside the journal row.
+    #[snafu(display("the transaction touches {rows} rows, more than {}", ROWS_MAX))]
+    TooManyRows {
+        /// Its rows.
+        rows: usize,
+    },
+    /// Another process writes this incarnation's journal.
+    #[snafu(display("another process writes the journal {key}"))]
+    Fenced {
+        /// The journal row.
+        key: id::Key,
+    },
+}
+
+/// The most rows of one submitted transaction; one row is the journal's own.
+pub const ROWS_MAX: usize = platform::TXN_ROWS_MAX - 1;
+
+/// What a writer has done since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Requests sent, reads included.
+    pub requests: u64,
+    /// Groups that committed.
+    pub commits: u64,
+    /// Submitted transactions that committed.
+    pub transactions: u64,
+    /// Submitted transactions that were refused.
+    pub refusals: u64,
+    /// Replies that were lost.
+    pub unknowns: u64,
+    /// Groups that were found committed after a lost reply.
+    pub unseen_commits: u64,
+    /// Transactions sent only to shut out an earlier one.
+    pub fences: u64,
+    /// Groups sent again because one member was refused.
+    pub regroups: u64,
+}
+
+/// What the writer does next with its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Send the group's transaction.
+    Send,
+    /// Move only the journal row, to shut out copies of the group's transaction.
+    Fence,
+    /// Read the journal row.
+    Read,
+}
+
+/// A group of transactions on its way.
+#[derive(Debug)]
+struct Group {
+    number: u64,
+    members: Vec<Token>,
+    step: Step,
+    /// The request that waits for its reply.
+    in_flight: Option<Attempt>,
+    /// When the first copy was sent.
+    first_sent_at: Option<clock::Instant>,
+    /// True if a copy of the transaction was sent and its outcome is unknown.
+    in_doubt: bool,
+    /// True if a copy of a fence was sent and its outcome is unknown.
+    fence_in_doubt: bool,
+    /// The refusal that a fence has to make final.
+    refusal: Option<platform::Refused>,
+}
+
+impl Group {
+    fn new(number: u64, members: Vec<Token>) -> Self {
+        Self {
+            number,
+            members,
+            step: Step::Send,
+            in_flight: None,
+            first_sent_at: None,
+            in_doubt: false,
+            fence_in_doubt: false,
+            refusal: None,
+        }
+    }
+}
+
+/// Orders, joins and settles the transactions of one incarnation of a node.
+#[derive(Debug)]
+pub struct Writer {
+    key: id::Key,
+    version: u64,
+    entries: SlotMap<Token, platform::Txn>,
+    waiting: VecDeque<Token>,
+    group: Option<Group>,
+    next_group: u64,
+    next_attempt: u64,
+    renewal_wanted: bool,
+    fenced: bool,
+    proven_at: Option<clock::Instant>,
+    pacer: pacing::Pacer,
+    breaker: breaker::Breaker,
+    counters: Counters,
+}
+
+impl Writer {
+    /// Makes the writer of a new incarnation, whose journal row is still absent.
+    ///
+    /// The first transaction is one of its own that only creates the row. So a late duplicate of it does no harm
+    /// when the row has been deleted after the node's end.
+    pub fn new(node: &roster::NodeId, now: clock::Instant) -> Self {
+        Self {
+            key: key(node),
+            version: 0,
+            entries: SlotMap::with_key(),
+            waiting: VecDeque::new(),
+            group: Some(Group::new(1, Vec::new())),
+            next_group: 3,
+            next_attempt: 1,
+            renewal_wanted: false,
+            fenced: false,
+            proven_at: None,
+            pacer: pacing::Pacer::new(pacing::WRITES_PER_S_MAX, now),
+            breaker: breaker::Breaker::default(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Shares the write budget of the system among `nodes` nodes.
+    pub fn set_roster_size(&mut self, nodes: usize) {
+        self.pacer.set_sharers(nodes);
+        self.breaker.set_sharers(nodes);
+    }
+
+    /// Queues a transaction; its outcome comes as a [`Settlement`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooManyRows`] if it touches more than [`ROWS_MAX`] rows; [`Error::Fenced`] if this incarnation
+    /// can't write any more.
+    pub fn submit(&mut self, txn: platform::Txn) -> Result<Token, Error> {
+        let rows = group::rows(&txn);
+        if rows > ROWS_MAX {
+            return TooManyRowsSnafu { rows }.fail();
+        }
+        if self.fenced {
+            return FencedSnafu {
+                key: self.key.clone(),
+            }
+            .fail();
+        }
+        let token = self.entries.insert(txn);
+        self.waiting.push_back(token);
+        Ok(token)
+    }
+
+    /// Takes back a transaction of which no copy was ever sent; false if it is too late for that.
+    pub fn withdraw(&mut self, token: Token) -> bool {
+        let Some(position) = self.waiting.iter().position(|waiting| *waiting == token) else {
+            return false;
+        };
+        self.waiting.remove(position);
+        self.entries.remove(token);
+        true
+    }
+
+    /// Asks for a commit soon, with or without transactions, so that the leases are renewed.
+    ///
+    /// A group that is on its way renews them already.
+    pub fn want_renewal(&mut self) {
+        self.renewal_wanted |= self.group.is_none();
+    }
+
+    /// The moment before the newest committed transaction was sent; the node's leases count from it.
+    pub fn proven_at(&self) -> Option<clock::Instant> {
+        self.proven_at
+    }
+
+    /// The version of the journal row, as far as known.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Transactions that are not settled.
+    pub fn pending(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True while the table does not answer.
+    pub fn in_outage(&self) -> bool {
+        self.breaker.is_open()
+    }
+
+    /// True if another process wrote this incarnation's row; the node has to start a new incarnation.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// What the writer has done since its start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The next moment at which [`Writer::poll`] may return a request; `None` while it waits for a reply or for work.
+    pub fn wake_at(&self, now: clock::Instant) -> Option<clock::Instant> {
+        if self.fenced {
+            return None;
+        }
+        match &self.group {
+            Some(group) if group.in_flight.is_some() => None,
+            Some(_) => Some(self.ready_at(now)),
+            None if self.has_work() => Some(self.ready_at(now)),
+            None => None,
+        }
+    }
+
+    /// Returns the request to send now, if any.
+    pub fn poll(&mut self, now: clock::Instant) -> Option<Request> {
+        if self.fenced || now < self.ready_at(now) {
+            return None;
+        }
+        if self.group.is_none() && self.has_work() {
+            self.form_group();
+        }
+        let attempt = Attempt(self.next_attempt);
+        let group = self.group.as_mut()?;
+        if group.in_flight.is_some() {
+            return None;
+        }
+        group.in_flight = Some(attempt);
+        self.next_attempt += 1;
+        self.counters.requests += 1;
+        let request = match group.step {
+            Step::Read => Request::Read {
+                attempt,
+                key: self.key.clone(),
+            },
+            Step::Fence => {
+                self.counters.fences += 1;
+                let txn = group::join(&self.key, self.version, group.number + 1, &[]);
+                Request::Transact { attempt, txn }
+            }
+            Step::Send => {
+                group.first_sent_at.get_or_insert(now);
+                let members: Vec<&platform::Txn> = group
+                    .members
+                    .iter()
+                    .filter_map(|token| self.entries.get(*token))
+                    .collect();
+                let txn = group::join(&self.key, self.version, group.number, &members);
+                Request::Transact { attempt, txn }
+            }
+        };
+        if matches!(request, Request::Transact { .. }) {
+            self.pacer.take(now);
+        }
+        Some(request)
+    }
+
+    /// Takes the table's reply to a request and returns the transactions that it settles.
+    pub fn on_reply<R>(
+        &mut self,
+        now: clock::Instant,
+        rng: &mut R,
+        attempt: Attempt,
+        reply: Reply,
+    ) -> Vec<Settlement>
+    where
+        R: Rng,
+    {
+        let Some(mut group) = self.group.take_if(|group| group.in_flight == Some(attempt)) else {
+            return Vec::new();
+        };
+        group.in_flight = None;
+        match reply {
+            Reply::Outcome(platform::Outcome::Unknown) => {
+                self.counters.unknowns += 1;
+                match group.step {
+                    Step::Fence => group.fence_in_doubt = true,
+                    Step::Send | Step::Read => group.in_doubt = true,
+                }
+                self.retry_later(now, rng, group)
+            }
+            Reply::ReadFailed => self.retry_later(now, rng, group),
+            Reply::Outcome(platform::Outcome::Committed(committed)) => {
+                self.on_answer(now, rng);
+                self.on_committed(group, &committed)
+            }
+            Reply::Outcome(platform::Outcome::Refused(refused)) => {
+                self.on_answer(now, rng);
+                self.on_refused(group, refused)
+            }
+            Reply::Row(row) => {
+                self.on_answer(now, rng);
+                self.on_row(group, row)
+            }
+        }
+    }
+
+    fn has_work(&self) -> bool {
+        self.renewal_wanted || !self.waiting.is_empty()
+    }
+
+    fn ready_at(&self, now: clock::Instant) -> clock::Instant {
+        self.breaker.ready_at().max(self.pacer.ready_at(now))
+    }
+
+    fn form_group(&mut self) {
+        let count = group::prefix(
+            self.waiting
+                .iter()
+                .filter_map(|token| self.entries.get(*token)),
+        );
+        let members = self.waiting.drain(..count).collect();
+        self.renewal_wanted = false;
+        self.group = Some(Group::new(self.next_group, members));
+        // The number in between is the fence's.
+        self.next_group += 2;
+    }
+
+    fn on_answer<R>(&mut self, now: clock::Instant, rng: &mut R)
+    where
+        R: Rng,
+    {
+        if self.breaker.on_success() {
+            self.pacer.restart(now, rng);
+        }
+    }
+
+    fn retry_later<R>(&mut self, now: clock::Instant, rng: &mut R, group: Group) -> Vec<Settlement>
+    where
+        R: Rng,
+    {
+        self.breaker.on_failure(now, rng);
+        self.group = Some(group);
+        Vec::new()
+    }
+
+    fn on_committed(&mut self, group: Group, committed: &platform::Committed) -> Vec<Settlement> {
+        let Some(version) = committed.versions.first() else {
+            return self.read_back(group);
+        };
+        self.version = *version;
+        match group.step {
+            Step::Fence => self.finish_refused(group),
+            Step::Send | Step::Read => self.finish_committed(group, Some(&committed.versions[1..])),
+        }
+    }
+
+    fn on_refused(&mut self, mut group: Group, refused: platform::Refused) -> Vec<Settlement> {
+        if refused.key != self.key {
+            group.refusal = Some(refused);
+            if group.in_doubt {
+                group.step = Step::Fence;
+                self.group = Some(group);
+                return Vec::new();
+            }
+            return self.finish_refused(group);
+        }
+        if group.in_doubt && !group.fence_in_doubt {
+            self.version = refused.version;
+            return self.finish_committed(group, None);
+        }
+        self.read_back(group)
+    }
+
+    fn on_row(&mut self, group: Group, row: Option<platform::Row>) -> Vec<Settlement> {
+        let record = row
+            .as_ref()
+            .and_then(|row| serde_json::from_str::<Record>(&row.value).ok());
+        let (Some(row), Some(record)) = (row, record) else {
+            return self.fence_off(group);
+        };
+        if record.group == group.number {
+            self.version = row.version;
+            return self.finish_committed(group, None);
+        }
+        if record.group == group.number + 1 {
+            self.version = row.version;
+            return self.finish_refused(group);
+        }
+        self.fence_off(group)
+    }
+
+    fn read_back(&mut self, mut group: Group) -> Vec<Settlement> {
+        group.step = Step::Read;
+        self.group = Some(group);
+        Vec::new()
+    }
+
+    /// Gives up writing: another process uses this incarnation, and its transactions stay unsettled.
+    fn fence_off(&mut self, group: Group) -> Vec<Settlement> {
+        self.fenced = true;
+        self.group = Some(group);
+        Vec::new()
+    }
+
+    fn finish_committed(&mut self, group: Group, versions: Option<&[u64]>) -> Vec<Settlement> {
+        self.counters.commits += 1;
+        self.counters.unseen_commits += u64::from(versions.is_none());
+        self.proven_at = self.proven_at.max(group.first_sent_at);
+        let mut settlements = Vec::new();
+        let mut offset = 0;
+        for token in group.members {
+            let Some(txn) = self.entries.remove(token) else {
+                continue;
+            };
+            let end = offset + txn.writes.len();
+            let settled = match versions.and_then(|versions| versions.get(offset..end)) {
+                Some(versions) => Settled::Committed(platform::Committed {
+                    versions: versions.to_vec(),
+                }),
+                None => Settled::CommittedUnseen,
+            };
+            offset = end;
+            settlements.push(Settlement { token, settled });
+            self.counters.transactions += 1;
+        }
+        settlements
+    }
+
+    /// Settles the members that the refusal names and sends the others again.
+    fn finish_refused(&mut self, group: Group) -> Vec<Settlement> {
+        let mut settlements = Vec::new();
+        let mut others = Vec::new();
+        for token in group.members {
+            let refused = self.entries.get(token).zip(group.refusal.as_ref());
+            let refused = refused.filter(|(txn, refused)| group::is_refused(txn, refused));
+            let Some((_, refused)) = refused else {
+                others.push(token);
+                continue;
+            };
+            let settled = Settled::Refused(refused.clone());
+            settlements.push(Settlement { token, settled });
+            self.entries.remove(token);
+            self.counters.refusals += 1;
+        }
+        if !others.is_empty() {
+            self.counters.regroups += 1;
+        }
+        for token in others.into_iter().rev() {
+            self.waiting.push_front(token);
+        }
+        settlements
+    }
+}
+
+/// The key of a node's journal row.
+pub fn key(node: &roster::NodeId) -> id::Key {
+    id::Key::from(format!("journal/{}/{}", node.node, node.incarnation))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,8 @@
 pub mod clock;
 pub mod document;
 pub mod id;
+pub mod journal;
+pub mod lease;
 pub mod platform;
+pub mod roster;
 pub mod verdict;
