document: every problem at once, with line and what is allowed

Cause: a document was read by serde, which stops at the first error, knows no bounds and lets a budget pass that the capacity can't meet. Change: a reader over toml's spanned tables collects all problems; bounds, duplicates, budgets, services and pools claimed twice; 'check' prints FILE:LINE, 'diff' shows fields that differ, 'apply' refuses a wrong file before it calls a node. Before: one error a run, no line in our words. Conclusion: a team sees all that is wrong with its document before it leaves its desk.

--- a/cli/src/apply.rs
+++ b/cli/src/apply.rs
@@ -1,15 +1,12 @@
 //! The command `apply`.
 
 use std::ffi::OsString;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use http::{Method, StatusCode};
-use wasabiloft::document;
-
 use crate::util;
+use http::{Method, StatusCode};
 
 const USAGE: &str = "\
 Puts documents in force.
@@ -34,8 +31,7 @@
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
     let Some(args) = parse(argv)? else {
-        print!("{USAGE}");
-        return Ok(ExitCode::SUCCESS);
+        return Ok(util::help(USAGE));
     };
     if args.files.is_empty() {
         return Err(util::Error::usage(USAGE));
@@ -76,22 +72,22 @@
     file: &Path,
     if_version: Option<u64>,
 ) -> Result<u64, util::Error> {
-    let named = |error: String| util::Error::failed(format!("{}: {error}", file.display()));
-    let text = fs::read_to_string(file).map_err(|error| named(error.to_string()))?;
-    let document = document::parse(&text).map_err(|error| named(error.to_string()))?;
-    let path = format!("/-/documents/{}", document.service);
+    let (text, document) = util::read_document(file)?;
     let read_version = match if_version {
         Some(version) => version,
-        None => current_version(address, &path).await?,
+        None => {
+            let in_force = util::document_in_force(address, &document.service).await?;
+            in_force.map_or(0, |(version, _)| version)
+        }
     };
+    let path = format!("/-/documents/{}", document.service);
     let response = util::call(address, Method::PUT, &path, Some(read_version), text).await?;
     match (response.status(), util::version(&response)) {
         (StatusCode::OK, Some(version)) => Ok(version),
-        _ => Err(named(util::text(&response).trim().to_owned())),
+        _ => {
+            let answer = util::text(&response);
+            let message = format!("{}: {}", file.display(), answer.trim());
+            Err(util::Error::failed(message))
+        }
     }
 }
-
-async fn current_version(address: SocketAddr, path: &str) -> Result<u64, util::Error> {
-    let response = util::call(address, Method::GET, path, None, String::new()).await?;
-    Ok(util::version(&response).unwrap_or(0))
-}
--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -67,8 +67,7 @@
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
     let Some(args) = parse(argv)? else {
-        print!("{USAGE}");
-        return Ok(ExitCode::SUCCESS);
+        return Ok(util::help(USAGE));
     };
     let summary = util::block_on(dev(&args))?;
     let line = serde_json::to_string(&summary).map_err(util::Error::failed)?;
--- /dev/null
+++ b/cli/src/diff.rs
@@ -0,0 +1,71 @@
+//! The command `diff`.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use wasabiloft::document::changes;
+
+use crate::util;
+
+const USAGE: &str = "\
+Shows what differs between a file and the document in force, field by field.
+
+Usage:
+    wasabiloft diff [--node IP:PORT] [--json] FILE
+
+Ends with 0 if nothing differs, else with 1.
+
+Options:
+    --node IP:PORT    The entry node to ask; else WASABILOFT_NODE.
+    --json            Print JSON.
+    -h, --help        Show this text.
+";
+
+pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    use lexopt::prelude::*;
+
+    let mut node = None;
+    let mut json = false;
+    let mut file = None;
+    let mut parser = util::parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("node") => node = Some(parser.value()?.string()?),
+            Long("json") => json = true,
+            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
+            Short('h') | Long("help") => return Ok(util::help(USAGE)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or_else(|| util::Error::usage(USAGE))?;
+    let (_, new) = util::read_document(&file)?;
+    let address = util::node_address(node.as_deref())?;
+    let in_force = util::block_on(util::document_in_force(address, &new.service))?;
+    let changes = match &in_force {
+        Some((_, old)) => changes::between(old, &new),
+        None => changes::added(&new),
+    };
+    if json {
+        println!("{}", util::to_json(&changes)?);
+    } else {
+        print_changes(&changes);
+    }
+    Ok(match changes.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
+/// Prints changes, a line each.
+pub fn print_changes(changes: &[changes::Change]) {
+    for change in changes {
+        let field = &change.field;
+        match (&change.old, &change.new) {
+            (Some(old), Some(new)) => println!("~ {field}: {old} -> {new}"),
+            (Some(old), None) => println!("- {field}: {old}"),
+            (None, Some(new)) => println!("+ {field}: {new}"),
+            (None, None) => {}
+        }
+    }
+}
--- a/cli/src/get.rs
+++ b/cli/src/get.rs
@@ -28,10 +28,7 @@
         match arg {
             Long("node") => node = Some(parser.value()?.string()?),
             Value(name) if service.is_none() => service = Some(name.string()?),
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(ExitCode::SUCCESS);
-            }
+            Short('h') | Long("help") => return Ok(util::help(USAGE)),
             other => return Err(other.unexpected().into()),
         }
     }
--- a/cli/src/list.rs
+++ b/cli/src/list.rs
@@ -37,10 +37,7 @@
         match arg {
             Long("node") => node = Some(parser.value()?.string()?),
             Long("json") => json = true,
-            Short('h') | Long("help") => {
-                print!("{USAGE}");
-                return Ok(ExitCode::SUCCESS);
-            }
+            Short('h') | Long("help") => return Ok(util::help(USAGE)),
             other => return Err(other.unexpected().into()),
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod dev;
+mod diff;
 mod get;
 mod list;
 mod util;
@@ -21,6 +22,7 @@
     apply    Puts documents in force.
     check    Says what is wrong with documents, without a server.
     dev      Runs a whole deployment in one process.
+    diff     Shows what differs between a file and the document in force.
     get      Shows a document.
     list     Lists the documents.
 ";
@@ -45,6 +47,7 @@
         "apply" => apply::run(argv),
         "check" => check::run(argv),
         "dev" => dev::run(argv),
+        "diff" => diff::run(argv),
         "get" => get::run(argv),
         "list" => list::run(argv),
         "-h" | "--help" | "help" => {
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -1,12 +1,18 @@
 //! What the commands share: errors, arguments and calls to an entry node.
 
 use std::ffi::OsString;
+use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
 
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
+use serde::Serialize;
 use snafu::Snafu;
+use wasabiloft::document;
+use wasabiloft::id;
 use wasabiloft_standins::client;
 
 /// Environment variable that names the entry node if `--node` doesn't.
@@ -133,3 +139,74 @@
     let tag = response.headers().get(http::header::ETAG)?.to_str().ok()?;
     tag.trim_matches('"').parse().ok()
 }
+
+/// Shows a command's usage text, as asked for.
+pub fn help(usage: &str) -> ExitCode {
+    print!("{usage}");
+    ExitCode::SUCCESS
+}
+
+/// Reads a file.
+///
+/// # Errors
+///
+/// If it can't be read as text.
+pub fn read_file(path: &Path) -> Result<String, Error> {
+    let text = fs::read_to_string(path);
+    text.map_err(|error| Error::failed(format!("{}: {error}", path.display())))
+}
+
+/// Reads a document from a file, with its text.
+///
+/// # Errors
+///
+/// If the file can't be read, or with all that is wrong with the document, a line each.
+pub fn read_document(path: &Path) -> Result<(String, document::Document), Error> {
+    let text = read_file(path)?;
+    match document::check(&text) {
+        Ok(document) => Ok((text, document)),
+        Err(problems) => {
+            let lines: Vec<_> = problems
+                .iter()
+                .map(|problem| format!("{}:{problem}", path.display()))
+                .collect();
+            Err(Error::failed(format!(
+                "nothing was changed\n{}",
+                lines.join("\n")
+            )))
+        }
+    }
+}
+
+/// The document of a service as it is in force, with its version; `None` if there is none.
+///
+/// # Errors
+///
+/// If the node gives no answer, or one of another shape.
+pub async fn document_in_force(
+    address: SocketAddr,
+    service: &id::Service,
+) -> Result<Option<(u64, document::Document)>, Error> {
+    let path = format!("/-/documents/{service}");
+    let response = call(address, Method::GET, &path, None, String::new()).await?;
+    match (response.status(), version(&response)) {
+        (StatusCode::NOT_FOUND, _) => Ok(None),
+        (StatusCode::OK, Some(version)) => {
+            let document = document::parse(&text(&response)).map_err(Error::failed)?;
+            Ok(Some((version, document)))
+        }
+        _ => Err(Error::failed(text(&response).trim())),
+    }
+}
+
+/// Writes a value as one line of JSON.
+///
+/// # Errors
+///
+/// If it can't be written so.
+pub fn to_json<T>(value: &T) -> Result<String, Error>
+where
+    T: Serialize,
+{
+    serde_json::to_string(value).map_err(Error::failed)
+}
--- a/src/document.rs
+++ b/src/document/mod.rs
@@ -1,10 +1,17 @@
 //! A team's document: what one service needs, its availability budget and the maintenance it tolerates.
 
+pub mod changes;
+mod check;
+mod reader;
+
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::id;
 
+pub use check::{Problem, check, check_together};
+
 /// One service's document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -37,23 +44,11 @@
     /// Runners that the pool should have.
     pub runners: u32,
     /// Requests that one runner works on at once.
-    #[serde(default = "Capacity::default_slots")]
     pub slots_per_runner: u32,
     /// Connections that one runner accepts, over all entry VMs.
-    #[serde(default = "Capacity::default_connections")]
     pub connections_per_runner: u32,
 }
 
-impl Capacity {
-    fn default_slots() -> u32 {
-        8
-    }
-
-    fn default_connections() -> u32 {
-        64
-    }
-}
-
 /// The availability budget of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,9 +98,23 @@
 
 /// Who goes first among the kinds within their shares.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    FromStr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum Urgency {
     /// Can wait.
     Batch,
@@ -135,22 +144,12 @@
     /// The deadline of a request that names none, in milliseconds from its arrival.
     pub deadline_ms: u64,
     /// Its weight in the service's fair shares.
-    #[serde(default = "Kind::default_share")]
     pub share: u32,
     /// The largest body, in KiB.
-    #[serde(default = "Kind::default_body_max_kib")]
     pub body_max_kib: u64,
 }
 
 impl Kind {
-    fn default_share() -> u32 {
-        1
-    }
-
-    fn default_body_max_kib() -> u64 {
-        256
-    }
-
     /// Tells whether the kind covers a request, by method and by path below the service's prefix.
     pub fn matches(&self, method: &str, path: &str) -> bool {
         if self.method != method {
@@ -163,22 +162,24 @@
     }
 }
 
-/// A document that can't be read.
+/// A document that can't be accepted.
 #[derive(Debug, Snafu)]
-pub enum Error {
-    /// Not TOML, or not this shape.
-    #[snafu(display("{source}"))]
-    Syntax {
-        /// What the TOML reader says.
-        source: toml::de::Error,
-    },
+#[snafu(display("{}", listed(problems)))]
+pub struct Error {
+    /// All that is wrong with it, by line.
+    pub problems: Vec<Problem>,
+}
+
+fn listed(problems: &[Problem]) -> String {
+    let lines: Vec<_> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n")
 }
 
 /// Reads a document from its TOML text.
 ///
 /// # Errors
 ///
-/// [`Error::Syntax`] if the text is not TOML or a field is missing, unknown or of the wrong type.
+/// All problems that [`check()`] finds.
 pub fn parse(text: &str) -> Result<Document, Error> {
-    toml::from_str(text).map_err(|source| Error::Syntax { source })
+    check(text).map_err(|problems| Error { problems })
 }
