admission, slots, routing: decisions of the request path

Cause: nothing shared a runner's 8 slots between entry nodes, and nothing kept one kind's flood from the others. Change: admission queues by kind with weighted shares, slots as tokens with one owner, endpoint choice with ejection of outliers, and dispatch, which puts the three together for a shell.

--- /dev/null
+++ b/src/dispatch/service.rs
@@ -0,0 +1,385 @@
+//! The state machine of one service on one entry VM.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+
+use crate::admission;
+use crate::clock;
+use crate::dispatch::{Arrival, Ending, Input, Output, Runner, Settings};
+use crate::id;
+use crate::routing;
+use crate::slots;
+use crate::verdict;
+
+/// Weight of the newest reading in the smoothed demand, at each tick.
+const DEMAND_GAIN: f64 = 0.1;
+
+/// A request that waits for a slot.
+#[derive(Clone, Debug)]
+struct Queued {
+    kind: admission::KindIndex,
+    idempotent: bool,
+    retry_after: Option<id::Vm>,
+}
+
+/// A request that holds a slot.
+#[derive(Debug)]
+struct Running {
+    kind: admission::KindIndex,
+    token: slots::Token,
+    endpoint: routing::EndpointKey,
+    started_at: clock::Instant,
+}
+
+/// A kind's smoothed demand, in slots.
+#[derive(Clone, Copy, Debug, Default)]
+struct Smoothed {
+    need: f64,
+    used: f64,
+}
+
+/// What one call of [`Service::handle`] works with.
+struct Turn<'a, R> {
+    now: clock::Instant,
+    rng: &'a mut R,
+    outputs: &'a mut Vec<Output>,
+}
+
+/// One service on one entry VM.
+#[derive(Debug)]
+pub struct Service {
+    settings: Settings,
+    controller: admission::Controller,
+    ledger: slots::Ledger,
+    router: routing::Router,
+    queued: HashMap<admission::RequestId, Queued>,
+    running: HashMap<admission::RequestId, Running>,
+    demand: Vec<Smoothed>,
+    told_waiting: u32,
+    admitted: Vec<admission::Output>,
+    sent: Vec<slots::Output>,
+}
+
+impl Service {
+    /// Makes a service with these kinds that knows no runner yet.
+    pub fn new(me: slots::Member, kinds: &[admission::KindSpec], settings: Settings) -> Self {
+        let ledger_settings = slots::Settings {
+            weights: kinds.iter().map(|kind| kind.share).collect(),
+            longest_request_ms: settings.longest_request_ms,
+            passing: settings.passing,
+        };
+        Self {
+            settings,
+            controller: admission::Controller::new(kinds),
+            ledger: slots::Ledger::new(me, ledger_settings),
+            router: routing::Router::new(),
+            queued: HashMap::new(),
+            running: HashMap::new(),
+            demand: vec![Smoothed::default(); kinds.len()],
+            told_waiting: 0,
+            admitted: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Takes an input and appends what should be done.
+    pub fn handle<R>(
+        &mut self,
+        now: clock::Instant,
+        input: Input,
+        rng: &mut R,
+        outputs: &mut Vec<Output>,
+    ) where
+        R: Rng,
+    {
+        let mut turn = Turn { now, rng, outputs };
+        let turn = &mut turn;
+        match input {
+            Input::Arrive(arrival) => self.arrive(arrival, turn),
+            Input::Cancel(request) => self.cancel(request, turn),
+            Input::Finish { request, ending } => self.finish(request, ending, turn),
+            Input::Runners(runners) => self.list(&runners, turn),
+            Input::Roster(roster) => self.change_slots(slots::Input::Roster(roster), turn),
+            Input::Lapsed(member) => self.change_slots(slots::Input::Lapsed(member), turn),
+            Input::Serving { until } => self.change_slots(slots::Input::Serving { until }, turn),
+            Input::Message { from, message } => {
+                self.change_slots(slots::Input::Message { from, message }, turn);
+            }
+            Input::Tick => self.tick(turn),
+        }
+        self.send(turn);
+    }
+
+    /// Admission, for reading its state.
+    pub fn controller(&self) -> &admission::Controller {
+        &self.controller
+    }
+
+    /// The slots, for reading their state.
+    pub fn ledger(&self) -> &slots::Ledger {
+        &self.ledger
+    }
+
+    /// Routing, for reading its state.
+    pub fn router(&self) -> &routing::Router {
+        &self.router
+    }
+
+    /// Requests in progress at a VM from this node.
+    pub fn in_flight(&self, vm: &id::Vm) -> u32 {
+        self.router.in_flight(vm)
+    }
+
+    fn arrive<R>(&mut self, arrival: Arrival, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        if self.controller.slots().total == 0 {
+            turn.outputs.push(Output::Refuse {
+                request: arrival.request,
+                reason: verdict::Reason::NoEndpoint,
+            });
+            return;
+        }
+        let input = admission::Input::Arrive(admission::Arrival {
+            request: arrival.request,
+            kind: arrival.kind,
+            deadline: arrival.deadline,
+            retry: arrival.retry_after.is_some(),
+        });
+        let queued = Queued {
+            kind: arrival.kind,
+            idempotent: arrival.idempotent,
+            retry_after: arrival.retry_after,
+        };
+        self.queued.insert(arrival.request, queued);
+        self.admit(input, turn);
+    }
+
+    fn cancel<R>(&mut self, request: admission::RequestId, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        if let Some(queued) = self.queued.remove(&request) {
+            self.admit(admission::Input::Cancel(request, queued.kind), turn);
+        }
+    }
+
+    fn finish<R>(&mut self, request: admission::RequestId, ending: Ending, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let Some(running) = self.running.remove(&request) else {
+            return;
+        };
+        let busy_ms = turn.now.since_ms(running.started_at);
+        let mean_ms = self.controller.service_time(running.kind).mean_ms();
+        let outcome = match ending {
+            Ending::Answered => routing::Outcome::Answered {
+                slowness: busy_ms.max(1) as f64 / mean_ms.max(1.0),
+            },
+            Ending::Failed => routing::Outcome::Failed,
+            Ending::TimedOut => routing::Outcome::TimedOut,
+            Ending::Refused => routing::Outcome::Refused,
+            Ending::Abandoned => routing::Outcome::Abandoned,
+        };
+        self.router.finish(turn.now, running.endpoint, outcome);
+        self.ledger.release(running.token);
+        let input = admission::Input::Finish {
+            kind: running.kind,
+            busy_ms,
+            whole: ending == Ending::Answered,
+        };
+        self.admit(input, turn);
+        let waiting = slots::Input::Waiting(self.waiting());
+        self.change_slots(waiting, turn);
+    }
+
+    fn list<R>(&mut self, runners: &[Runner], turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let endpoints: Vec<routing::EndpointSpec> = runners
+            .iter()
+            .map(|runner| routing::EndpointSpec {
+                vm: runner.vm.clone(),
+                leaving: runner.leaving,
+            })
+            .collect();
+        self.router.list(&endpoints);
+        let specs = runners
+            .iter()
+            .map(|runner| slots::RunnerSpec {
+                vm: runner.vm.clone(),
+                slots: runner.slots,
+            })
+            .collect();
+        self.change_slots(slots::Input::Runners(specs), turn);
+    }
+
+    fn tick<R>(&mut self, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        self.admit(admission::Input::Tick, turn);
+        let elsewhere = self.ledger.used_elsewhere_milli(turn.now);
+        self.admit(admission::Input::Elsewhere(elsewhere), turn);
+        let demand = self.smooth_demand();
+        self.change_slots(slots::Input::Demand(demand), turn);
+        self.change_slots(slots::Input::Tick, turn);
+    }
+
+    /// Feeds the ledger, then tells admission which slots there are.
+    fn change_slots<R>(&mut self, input: slots::Input, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        self.ledger.handle(turn.now, input, &mut self.sent);
+        self.admit(admission::Input::Slots(self.slots()), turn);
+    }
+
+    /// Counts the slots of healthy endpoints.
+    fn slots(&self) -> admission::Slots {
+        let mut slots = admission::Slots::default();
+        for key in self.ledger.runners() {
+            let vm = self.ledger.vm(key);
+            if !vm.is_some_and(|vm| self.router.is_healthy(vm)) {
+                continue;
+            }
+            slots.free += self.ledger.free_of(key);
+            slots.held += self.ledger.held_of(key);
+            slots.total += self.ledger.slots_of(key);
+        }
+        let headroom = slots.total * self.settings.headroom_milli / 1_000;
+        slots.headroom = self.ledger.part_of(headroom);
+        slots
+    }
+
+    fn waiting(&self) -> u32 {
+        self.controller.waiting_within_share()
+    }
+
+    /// Moves the smoothed demand on by one tick.
+    fn smooth_demand(&mut self) -> slots::Demand {
+        let total = self.ledger.total() as usize;
+        let mut demand = slots::Demand::default();
+        for (index, smoothed) in self.demand.iter_mut().enumerate() {
+            let kind = admission::KindIndex::from(index);
+            let used = f64::from(self.controller.running(kind));
+            let queued = self.controller.queued(kind).min(total) as f64;
+            smoothed.used += DEMAND_GAIN * (used - smoothed.used);
+            smoothed.need += DEMAND_GAIN * (used + queued - smoothed.need);
+            demand.used_milli.push((smoothed.used * 1_000.0) as u32);
+            demand.need_milli.push((smoothed.need * 1_000.0) as u32);
+        }
+        demand
+    }
+
+    /// Feeds admission, and carries out at once what it decides, so that no slot is counted twice.
+    fn admit<R>(&mut self, input: admission::Input, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let mut admitted = std::mem::take(&mut self.admitted);
+        self.controller.handle(turn.now, input, &mut admitted);
+        for output in admitted.drain(..) {
+            match output {
+                admission::Output::Start { request, .. } => self.start(request, turn),
+                admission::Output::Refuse {
+                    request, reason, ..
+                } => {
+                    self.queued.remove(&request);
+                    turn.outputs.push(Output::Refuse { request, reason });
+                }
+            }
+        }
+        self.admitted = admitted;
+    }
+
+    /// Tells the ledger how many requests within their shares wait, and hands out its messages.
+    fn send<R>(&mut self, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let waiting = self.waiting();
+        if waiting != self.told_waiting {
+            self.told_waiting = waiting;
+            self.change_slots(slots::Input::Waiting(waiting), turn);
+        }
+        for slots::Output::Send { to, message } in self.sent.drain(..) {
+            turn.outputs.push(Output::Send { to, message });
+        }
+    }
+
+    fn start<R>(&mut self, request: admission::RequestId, turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let Some(queued) = self.queued.remove(&request) else {
+            return;
+        };
+        let kind = queued.kind;
+        let Some((token, endpoint, vm)) = self.place(&queued, turn) else {
+            self.controller.undo_start(kind);
+            turn.outputs.push(Output::Refuse {
+                request,
+                reason: verdict::Reason::NoEndpoint,
+            });
+            return;
+        };
+        let started_at = turn.now;
+        let running = Running {
+            kind,
+            token,
+            endpoint,
+            started_at,
+        };
+        self.running.insert(request, running);
+        turn.outputs.push(Output::Start { request, vm });
+    }
+
+    /// Picks an endpoint and takes one of its tokens.
+    fn place<R>(
+        &mut self,
+        queued: &Queued,
+        turn: &mut Turn<'_, R>,
+    ) -> Option<(slots::Token, routing::EndpointKey, id::Vm)>
+    where
+        R: Rng,
+    {
+        let now = turn.now;
+        let probe = match queued.idempotent {
+            true => routing::Probe::Allowed,
+            false => routing::Probe::Forbidden,
+        };
+        let mut candidates = self.candidates();
+        let others = |vm: &id::Vm| Some(vm) != queued.retry_after.as_ref();
+        if candidates
+            .iter()
+            .any(|vm| others(vm) && self.router.is_healthy(vm))
+        {
+            candidates.retain(others);
+        }
+        let endpoint = self.router.choose(now, &candidates, probe, turn.rng)?;
+        let vm = self.router.vm(endpoint)?.clone();
+        let token = self
+            .ledger
+            .key(&vm)
+            .and_then(|key| self.ledger.take(now, key));
+        if token.is_none() {
+            let outcome = routing::Outcome::Abandoned;
+            self.router.finish(now, endpoint, outcome);
+        }
+        Some((token?, endpoint, vm))
+    }
+
+    /// VMs of which this node has a free token.
+    fn candidates(&self) -> Vec<id::Vm> {
+        let runners = self.ledger.runners();
+        runners
+            .filter(|key| self.ledger.free_of(*key) > 0)
+            .filter_map(|key| self.ledger.vm(key).cloned())
+            .collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,12 @@
 //! its inputs and a random generator as arguments and returns what should be done. Sockets, timers
 //! and the platform's client live in `wasabiloft-node`.
 
+pub mod admission;
 pub mod clock;
+pub mod dispatch;
 pub mod document;
 pub mod id;
 pub mod platform;
+pub mod routing;
+pub mod slots;
 pub mod verdict;
