--- a/tests/test_slots.rs
+++ b/tests/test_slots.rs
@@ -1,7 +1,6 @@
 //! Slots: a runner's limit holds through roster changes, pauses and a faulty network, and lost tokens return.
 
 use proptest::prelude::*;
-use proptest::test_runner;
 use wasabiloft::{id, slots};
 
 use crate::fake_slots::{Action, Protection, World};
@@ -34,12 +33,7 @@
 }
 
 proptest! {
-    #![proptest_config(test_runner::Config {
-        cases: 60,
-        rng_seed: test_runner::RngSeed::Fixed(4),
-        failure_persistence: None,
-        ..test_runner::Config::default()
-    })]
+    #![proptest_config(crate::fixed_seed(60))]
 
     #[test]
     fn no_slot_is_used_twice_and_lost_tokens_return(
