--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,15 @@
 //! its inputs and a random generator as arguments and returns what should be done. Sockets, timers
 //! and the platform's client live in `wasabiloft-node`.
 
+pub mod admission;
 pub mod clock;
+pub mod dispatch;
 pub mod document;
 pub mod id;
 pub mod journal;
 pub mod lease;
 pub mod platform;
 pub mod roster;
+pub mod routing;
+pub mod slots;
 pub mod verdict;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the decision library, one module a slice.
 
+mod fake_slots;
 mod fake_table;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
 
