cli: keys and report

Cause: the links between nodes need keys and certificates, and measurements are JSON lines that nobody reads as such. Change: 'keys' makes an authority and a certificate a node with rcgen, never replacing a file; 'report' draws fields of JSON lines as an SVG plot.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,7 +5,10 @@
 mod dev;
 mod diff;
 mod get;
+mod keys;
 mod list;
+mod plot;
+mod report;
 mod util;
 
 use std::ffi::OsString;
@@ -24,7 +27,9 @@
     dev      Runs a whole deployment in one process.
     diff     Shows what differs between a file and the document in force.
     get      Shows a document.
+    keys     Makes the keys and certificates of entry nodes.
     list     Lists the documents.
+    report   Draws measurements as an SVG plot.
 ";
 
 fn main() -> ExitCode {
@@ -49,7 +54,9 @@
         "dev" => dev::run(argv),
         "diff" => diff::run(argv),
         "get" => get::run(argv),
+        "keys" => keys::run(argv),
         "list" => list::run(argv),
+        "report" => report::run(argv),
         "-h" | "--help" | "help" => {
             print!("{USAGE}");
             Ok(ExitCode::SUCCESS)
--- a/cli/tests/tests.rs
+++ b/cli/tests/tests.rs
@@ -2,4 +2,6 @@
 
 mod test_check;
 mod test_dev;
+mod test_keys;
+mod test_report;
 mod workdir;
--- a/cli/tests/workdir.rs
+++ b/cli/tests/workdir.rs
@@ -18,6 +18,11 @@
         Self { dir }
     }
 
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        self.dir.path()
+    }
+
     /// Writes a file into it.
     pub fn create(&self, name: &str, text: &str) {
         let path = self.dir.path().join(name);
