standins: path measurement and a UDP proxy

Cause: what an entry node adds to a request was not measured, and the links between nodes run over UDP, which the TCP proxy can't disturb. Change: 'standin path' sends the same requests straight and through a node, by turns; a UDP proxy drops, doubles, delays, reorders, and silences open flows; an endpoint answers at once when the request takes no time.

--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -210,6 +210,7 @@
     let mode = *shared.mode.borrow();
     let service = Duration::from_micros(service_us);
     match mode {
+        Mode::Normal if service.is_zero() => {}
         Mode::Normal => time::sleep(service).await,
         Mode::Slow => time::sleep(service * SLOW_FACTOR).await,
         Mode::FailFast => return Ok(failed()),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod server;
 pub mod table;
 pub mod tally;
+pub mod udp_proxy;
 pub mod vms;
 pub mod worker;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! `standin`: the stand-ins as processes of their own.
 
 mod load_command;
+mod path_command;
 mod platform_command;
 mod proxy_command;
 mod util;
@@ -17,6 +18,7 @@
 
 Commands:
     load        Sends a deployment's load to entry nodes, and checks the answers.
+    path        Measures what an entry node adds to a request.
     platform    Runs a deployment's platform, with endpoints and workers.
     proxy       Runs a fault-injecting TCP proxy.
 ";
@@ -39,6 +41,7 @@
 fn run(command: &str, argv: &[OsString]) -> Result<ExitCode, String> {
     match command {
         "load" => load_command::run(argv),
+        "path" => path_command::run(argv),
         "platform" => platform_command::run(argv),
         "proxy" => proxy_command::run(argv),
         "-h" | "--help" => {
