--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -4,7 +4,10 @@
 #[test]
 fn accepts_the_examples() {
     let work = Workdir::new();
-    work.create("ok.toml", &workdir::example("cadenas/services/reservations.toml"));
+    work.create(
+        "ok.toml",
+        &workdir::example("cadenas/services/reservations.toml"),
+    );
     let output = work.run(&["check", "ok.toml"]);
     assert!(output.status.success(), "{output:?}");
     assert_eq!(workdir::stdout(&output), "");
--- /dev/null
+++ b/src/control/outbox.rs
@@ -0,0 +1,219 @@
+//! What the control part does by itself as time passes.
+
+use super::{Control, LEASES_POLL_MS, Output, Owner, PUSH_EVERY_MS, REPLACE_AFTER_MS, Spread, reads};
+use crate::clock;
+use crate::config;
+use crate::id;
+use crate::journal;
+use crate::lease;
+use crate::peers;
+use crate::roster;
+
+impl Control {
+    pub(super) fn tick(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
+        self.peers.set_table_answers(!self.table_is_out(now));
+        self.poll_head(now);
+        self.poll_leases(now);
+        self.poll_roster(now);
+        self.push(now, outputs);
+        self.fetch(now, outputs);
+        for node in self.peers.due(now) {
+            let asks = self.peers.asks();
+            self.send_heartbeat(now, &node, asks, outputs);
+        }
+    }
+
+    /// Sends what the journal and the reads have ready.
+    pub(super) fn flush(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
+        if self.editor.poll().is_some() {
+            self.reads.want(reads::Purpose::HeadForEdit);
+        }
+        match self.writer.poll(now) {
+            Some(journal::Request::Transact { attempt, txn }) => {
+                outputs.push(Output::Transact { attempt, txn });
+            }
+            Some(journal::Request::Read { attempt, key }) => {
+                self.reads.want(reads::Purpose::Journal(attempt, key));
+            }
+            None => {}
+        }
+        while let Some((id, read)) = self.reads.poll(now) {
+            outputs.push(Output::Read { id, read });
+        }
+    }
+
+    pub(super) fn send_heartbeat(
+        &mut self,
+        now: clock::Instant,
+        to: &roster::NodeId,
+        asks: bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        let deltas = match self.spread {
+            Spread::Piggyback => self.deltas_for(to),
+            Spread::Push | Spread::Announce => None,
+        };
+        self.send_deltas(now, to, asks, deltas, outputs);
+    }
+
+    fn send_deltas(
+        &mut self,
+        now: clock::Instant,
+        to: &roster::NodeId,
+        asks: bool,
+        deltas: Option<config::Deltas>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let state = peers::State {
+            head: self.replica.head(),
+            roster_head: self.replica.roster().head,
+            journal_version: self.writer.version(),
+        };
+        let heartbeat = self.peers.heartbeat(now, to, state, asks, deltas);
+        let message = peers::Message::Heartbeat(heartbeat);
+        outputs.push(Output::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    /// The changes made here that a peer is not known to have.
+    fn deltas_for(&self, to: &roster::NodeId) -> Option<config::Deltas> {
+        let fresh = self.fresh.as_ref()?;
+        let hearing = self
+            .peers
+            .hearing(to)
+            .filter(|hearing| hearing.stamp.is_some());
+        let head = hearing.map_or(fresh.after, |hearing| hearing.head);
+        (head < fresh.head).then(|| self.replica.deltas_after(head))
+    }
+
+    /// Sends the changes made here to the members that lack them, now and again until a majority has them.
+    pub(super) fn push(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
+        let Some(fresh) = &self.fresh else { return };
+        if self.peers.is_acknowledged(fresh.head, self.replica.head()) && !self.pushed_at.is_empty()
+        {
+            self.fresh = None;
+            return;
+        }
+        if self.spread != Spread::Push {
+            self.pushed_at.entry(self.me.id.clone()).or_insert(now);
+            return;
+        }
+        for (node, deltas) in self.unpushed(now) {
+            self.pushed_at.insert(node.clone(), now);
+            self.send_deltas(now, &node, true, Some(deltas), outputs);
+        }
+        self.pushed_at.entry(self.me.id.clone()).or_insert(now);
+    }
+
+    /// The members that lack changes made here and were not sent them lately.
+    fn unpushed(&self, now: clock::Instant) -> Vec<(roster::NodeId, config::Deltas)> {
+        let mut unpushed = Vec::new();
+        for member in &self.replica.roster().members {
+            let pushed_at = self.pushed_at.get(&member.id);
+            let lately =
+                pushed_at.is_some_and(|pushed_at| now.since_ms(*pushed_at) < PUSH_EVERY_MS);
+            if member.id == self.me.id || lately {
+                continue;
+            }
+            if let Some(deltas) = self.deltas_for(&member.id) {
+                unpushed.push((member.id.clone(), deltas));
+            }
+        }
+        unpushed
+    }
+
+    /// Asks the peer that is ahead for what is missing here.
+    fn fetch(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
+        if self.spread == Spread::Announce && self.replica.is_loaded() && !self.table_is_out(now) {
+            return;
+        }
+        let after = self.replica.head();
+        let Some((node, _)) = self.peers.ahead(now, after) else {
+            return;
+        };
+        if self
+            .fetched_at
+            .is_some_and(|fetched_at| now.since_ms(fetched_at) < PUSH_EVERY_MS)
+        {
+            return;
+        }
+        self.fetched_at = Some(now);
+        let message = peers::Message::Fetch {
+            from: self.me.id.clone(),
+            after,
+        };
+        outputs.push(Output::Send {
+            to: node.clone(),
+            message,
+        });
+    }
+
+    fn poll_head(&mut self, now: clock::Instant) {
+        let due = self
+            .head_read_at
+            .is_none_or(|read_at| now.since_ms(read_at) >= config::HEAD_POLL_MS);
+        if due {
+            self.head_read_at = Some(now);
+            self.reads.want(reads::Purpose::Head);
+        }
+    }
+
+    fn poll_leases(&mut self, now: clock::Instant) {
+        let polled_at = self.leases_polled_at;
+        if polled_at.is_some_and(|polled_at| now.since_ms(polled_at) < LEASES_POLL_MS) {
+            return;
+        }
+        self.leases_polled_at = Some(now);
+        let mut live = self.peers.live(now);
+        if self.leaving {
+            live.retain(|node| *node != self.me.id);
+        }
+        for action in self.leases.poll(now, &live) {
+            match action {
+                lease::Action::Renew => self.writer.want_renewal(),
+                lease::Action::ReadRows => self.reads.want(reads::Purpose::Duties),
+                lease::Action::ReadJournal(node) => self.reads.want(reads::Purpose::Holder(node)),
+                lease::Action::Change { duty, txn } => match self.writer.submit(txn.clone()) {
+                    Ok(token) => drop(self.owners.insert(token, Owner::Duty(duty, txn))),
+                    Err(_) => self.leases.on_submit_failed(&duty),
+                },
+            }
+        }
+    }
+
+    fn poll_roster(&mut self, now: clock::Instant) {
+        let change = self.roster_change(now);
+        self.editor.want_roster_change(change);
+    }
+
+    /// The change of the roster that this node should make now.
+    fn roster_change(&self, now: clock::Instant) -> Option<roster::Change> {
+        let roster = self.replica.roster();
+        let too_early = now < self.roster_wait_until || !self.replica.is_loaded();
+        if too_early || self.table_is_out(now) {
+            return None;
+        }
+        let silent = self.peers.silent_by_majority(now);
+        let change = roster::plan(roster, &self.me, self.leaving, &self.gone, &silent)?;
+        let allowed = match &change {
+            roster::Change::Join(member) => {
+                let replaces = roster.members.iter().any(|other| {
+                    other.id.node == member.id.node || other.address == member.address
+                });
+                !replaces || now.since_ms(self.started_at) >= REPLACE_AFTER_MS
+            }
+            roster::Change::Remove(_, roster::Reason::Left) => self.leases.held(now).is_empty(),
+            roster::Change::Remove(..) => self.is_roster_keeper(now),
+        };
+        allowed.then_some(change)
+    }
+
+    /// True for one live member, so that few race to remove a node.
+    fn is_roster_keeper(&self, now: clock::Instant) -> bool {
+        let live = self.peers.live(now);
+        let keeper = lease::spread::winner(&id::Duty::new(roster::KEY), live.iter());
+        keeper == Some(&self.me.id)
+    }
+}
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -107,6 +107,7 @@
     /// The end of the newest gap between two leases; rows that were read before it prove nothing.
     lapsed_at: clock::Instant,
     watches: watch::Watches,
+    spread_after_ms: u64,
 }
 
 impl Leases {
@@ -119,6 +120,7 @@
             proven_at: None,
             lapsed_at: now,
             watches: watch::Watches::default(),
+            spread_after_ms: SPREAD_AFTER_MS,
         }
     }
 
@@ -177,9 +179,17 @@
         self.proven_at = self.proven_at.max(Some(proven_at));
     }
 
-    /// Starts all watches afresh, since no row could move while the table was out.
-    pub fn on_outage_end(&mut self, now: clock::Instant) {
-        self.watches.restart(now);
+    /// Notes that the table answered a request that was sent at `sent_at`.
+    ///
+    /// A row counts as unchanged only up to the newest answer; after a time without any, all watches start afresh,
+    /// since no holder could renew.
+    pub fn on_table_answer(&mut self, now: clock::Instant, sent_at: clock::Instant) {
+        self.watches.on_table_answer(now, sent_at);
+    }
+
+    /// Hands all duties over as soon as possible, as this node is leaving.
+    pub fn leave(&mut self) {
+        self.spread_after_ms = 0;
     }
 
     /// Takes the outcome of a [`Action::Change`], after [`Leases::on_commit`] if it committed.
@@ -212,6 +222,13 @@
         }
     }
 
+    /// Gives up a change that the journal did not take.
+    pub fn on_submit_failed(&mut self, duty: &id::Duty) {
+        if let Some(entry) = self.entries.get_mut(duty) {
+            entry.changing = false;
+        }
+    }
+
     /// The right to act for a duty, if this node holds it now.
     pub fn grant(&self, now: clock::Instant, duty: &id::Duty) -> Option<Grant> {
         let entry = self.entries.get(duty)?;
@@ -347,7 +364,7 @@
             entry.better = Some((winner.clone(), now));
         }
         let (_, since) = entry.better.as_ref()?;
-        if now.since_ms(*since) < SPREAD_AFTER_MS {
+        if now.since_ms(*since) < self.spread_after_ms {
             return None;
         }
         let grant = granted?;
--- a/src/lease/watch.rs
+++ b/src/lease/watch.rs
@@ -13,6 +13,9 @@
 /// Time between two reads of one holder's journal row.
 const ASK_EVERY_MS: u64 = 1_000;
 
+/// After this long without an answer of the table a holder may not have been able to renew.
+const ANSWER_GAP_MS: u64 = 2_500;
+
 /// What a watch says of a holder.
 #[derive(Debug)]
 pub(super) enum Judgement {
@@ -39,6 +42,8 @@
 pub(super) struct Watches {
     by_node: BTreeMap<roster::NodeId, Watch>,
     asked: BTreeMap<roster::NodeId, clock::Instant>,
+    /// When the newest request was sent that the table answered.
+    answered_at: clock::Instant,
 }
 
 impl Watches {
@@ -72,10 +77,13 @@
         }
     }
 
-    pub(super) fn restart(&mut self, now: clock::Instant) {
-        for watch in self.by_node.values_mut() {
-            watch.since = now;
+    pub(super) fn on_table_answer(&mut self, now: clock::Instant, sent_at: clock::Instant) {
+        if sent_at.since_ms(self.answered_at) > ANSWER_GAP_MS {
+            for watch in self.by_node.values_mut() {
+                watch.since = now;
+            }
         }
+        self.answered_at = self.answered_at.max(sent_at);
     }
 
     pub(super) fn judge(&mut self, now: clock::Instant, row: &Row) -> Judgement {
@@ -87,7 +95,7 @@
             self.asked.insert(row.holder.clone(), now);
             return Judgement::Ask;
         };
-        if now.since_ms(watch.since) >= row.lease_ms + WATCH_MARGIN_MS {
+        if self.answered_at.since_ms(watch.since) >= row.lease_ms + WATCH_MARGIN_MS {
             let key = journal::key(&row.holder);
             return Judgement::Lapsed(platform::Check {
                 key,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,13 @@
 //! and the platform's client live in `wasabiloft-node`.
 
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod document;
 pub mod id;
 pub mod journal;
 pub mod lease;
+pub mod peers;
 pub mod platform;
 pub mod roster;
 pub mod verdict;
--- a/tests/test_lease.rs
+++ b/tests/test_lease.rs
@@ -33,7 +33,6 @@
     pending: BTreeMap<journal::Token, (id::Duty, platform::Txn)>,
     /// An effect that was decided before a pause and leaves after it.
     in_hand: Option<lease::Grant>,
-    was_out: bool,
 }
 
 impl Node {
@@ -59,7 +58,6 @@
             replaced: false,
             pending: BTreeMap::new(),
             in_hand: None,
-            was_out: false,
         }
     }
 
@@ -140,10 +138,9 @@
         let now = node.now(self.real);
         let is_out = (self.link.faults.outage_ms.0..self.link.faults.outage_ms.1)
             .contains(&self.real.as_ms());
-        if node.was_out && !is_out {
-            node.leases.on_outage_end(now);
+        if !is_out && self.real.as_ms().is_multiple_of(1_000) {
+            node.leases.on_table_answer(now, now);
         }
-        node.was_out = is_out;
         for action in node.leases.poll(now, live) {
             match action {
                 lease::Action::Renew => node.writer.want_renewal(),
