--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision library, one module a slice.
 
 mod fake_table;
+mod test_document;
 mod test_journal;
 mod test_lease;
 
