config, peers, roster, control: accepted configuration on every serving node

Cause: an accepted change must be in force on every serving node within 7 s and never go back, whatever is cut.

Change: `config::Replica` applies only greater heads, from the table or from peers; a node serves only on the fresh word of the table or of a majority, dated by echoes on its own clock. `config::edit` joins edits into one conditional transaction on the head and accepts them once a majority has them. The roster changes by one node at a time after a majority has the head; a process that is proven ended counts as having it, else nodes that all restart at once could never join again (found by the randomised test). `control` wires the parts; `standins::control` runs many of them over a simulated network.

--- a/src/control/inbox.rs
+++ b/src/control/inbox.rs
@@ -51,7 +51,7 @@
         }
         self.leases
             .on_journal(now, &heartbeat.from, heartbeat.journal_version);
-        self.accept();
+        self.accept(now);
         if heartbeat.asks {
             self.send_heartbeat(now, &heartbeat.from, false, outputs);
         }
@@ -153,7 +153,7 @@
             reads::Purpose::Head => self.on_head(sent_at, rows.first()),
             reads::Purpose::HeadForEdit => {
                 self.on_head(sent_at, rows.first());
-                self.go_on_with_edit();
+                self.go_on_with_edit(now);
             }
             reads::Purpose::Changed { head, key } => self.replica.on_row(head, &key, rows.first()),
             reads::Purpose::Roster { head } => {
@@ -188,9 +188,9 @@
     }
 
     /// Starts the transaction of the waiting edits, once the head that was read for them is applied.
-    fn go_on_with_edit(&mut self) {
+    fn go_on_with_edit(&mut self, now: clock::Instant) {
         let head = self.replica.head();
-        let acknowledged = self.peers.is_acknowledged(head, head);
+        let acknowledged = self.peers.is_acknowledged(now, head, head);
         let action = self.editor.on_fresh_head(&self.replica, acknowledged);
         if let Some(config::edit::Action::Submit(txn)) = action {
             match self.writer.submit(txn) {
@@ -206,17 +206,18 @@
             return;
         }
         self.applied = self.replica.head();
+        self.was_member |= self.replica.roster().contains(&self.me.id);
         self.peers
             .set_roster(now, &mut self.rng, self.replica.roster());
         self.share_budgets();
-        self.accept();
+        self.accept(now);
         outputs.push(Output::Applied(self.applied));
     }
 
-    fn accept(&mut self) {
+    pub(super) fn accept(&mut self, now: clock::Instant) {
         let own_head = self.replica.head();
         let peers = &self.peers;
         self.editor
-            .accept(|head| peers.is_acknowledged(head, own_head));
+            .accept(|head| peers.is_acknowledged(now, head, own_head));
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,8 +32,6 @@
 const SHARERS_MIN: usize = 8;
 /// Time between two tries to bring changes to the same peer.
 const PUSH_EVERY_MS: u64 = 500;
-/// A node that replaces its earlier incarnation waits until that one's word no longer counts anywhere.
-const REPLACE_AFTER_MS: u64 = config::FRESH_MS + 1_000;
 /// The longest random wait after a first refused change of the roster.
 const ROSTER_BACKOFF_FIRST_MS: u64 = 200;
 /// The longest random wait after many refused changes of the roster.
@@ -136,6 +134,7 @@
     pushed_at: BTreeMap<roster::NodeId, clock::Instant>,
     fetched_at: Option<clock::Instant>,
     applied: u64,
+    was_member: bool,
 }
 
 impl Control {
@@ -162,6 +161,7 @@
             pushed_at: BTreeMap::new(),
             fetched_at: None,
             applied: 0,
+            was_member: false,
             me,
         };
         control.share_budgets();
@@ -179,10 +179,18 @@
     }
 
     /// Sets the nodes whose VM the platform's list no longer has.
-    pub fn set_gone(&mut self, gone: Vec<id::Node>) {
+    pub fn set_gone(&mut self, now: clock::Instant, gone: Vec<id::Node>) {
+        self.peers.set_gone(now, &gone);
         self.gone = gone;
     }
 
+    /// Names nodes to ask for the configuration before the roster is known, as when the table is out.
+    pub fn set_seeds(&mut self, seeds: &[roster::Member]) {
+        for seed in seeds.iter().filter(|seed| seed.id != self.me.id) {
+            self.peers.meet(self.started_at, &seed.id);
+        }
+    }
+
     /// Hands over all duties and then leaves the roster; see [`Control::has_left`].
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -253,13 +261,22 @@
         self.reads.counters()
     }
 
-    /// True if this incarnation can't write any more and has to be replaced by a new one.
-    pub fn is_fenced(&self) -> bool {
-        self.writer.is_fenced()
+    /// True if a newer process has this node's name or journal; this one has to end.
+    pub fn is_superseded(&self) -> bool {
+        self.writer.is_fenced() || (self.was_member && self.predecessor().is_some())
+    }
+
+    /// The other incarnation that the roster lists under this node's name.
+    fn predecessor(&self) -> Option<roster::Incarnation> {
+        let member = self.replica.roster().named(&self.me.id.node)?;
+        Some(member.id.incarnation).filter(|incarnation| *incarnation != self.me.id.incarnation)
     }
 
     /// Whether this node may take requests.
     pub fn standing(&self, now: clock::Instant) -> config::Standing {
+        if self.is_superseded() {
+            return config::Standing::Isolated;
+        }
         self.replica.standing(now, &self.peers)
     }
 
--- a/src/control/outbox.rs
+++ b/src/control/outbox.rs
@@ -1,6 +1,6 @@
 //! What the control part does by itself as time passes.
 
-use super::{Control, LEASES_POLL_MS, Output, Owner, PUSH_EVERY_MS, REPLACE_AFTER_MS, Spread, reads};
+use super::{Control, LEASES_POLL_MS, Output, Owner, PUSH_EVERY_MS, Spread, reads};
 use crate::clock;
 use crate::config;
 use crate::id;
@@ -64,7 +64,9 @@
         deltas: Option<config::Deltas>,
         outputs: &mut Vec<Output>,
     ) {
+        let supersedes = self.predecessor().filter(|_| !self.was_member);
         let state = peers::State {
+            supersedes,
             head: self.replica.head(),
             roster_head: self.replica.roster().head,
             journal_version: self.writer.version(),
@@ -91,7 +93,10 @@
     /// Sends the changes made here to the members that lack them, now and again until a majority has them.
     pub(super) fn push(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
         let Some(fresh) = &self.fresh else { return };
-        if self.peers.is_acknowledged(fresh.head, self.replica.head()) && !self.pushed_at.is_empty()
+        if self
+            .peers
+            .is_acknowledged(now, fresh.head, self.replica.head())
+            && !self.pushed_at.is_empty()
         {
             self.fresh = None;
             return;
@@ -192,7 +197,7 @@
     fn roster_change(&self, now: clock::Instant) -> Option<roster::Change> {
         let roster = self.replica.roster();
         let too_early = now < self.roster_wait_until || !self.replica.is_loaded();
-        if too_early || self.table_is_out(now) {
+        if too_early || self.table_is_out(now) || self.is_superseded() {
             return None;
         }
         let silent = self.peers.silent_by_majority(now);
@@ -202,7 +207,7 @@
                 let replaces = roster.members.iter().any(|other| {
                     other.id.node == member.id.node || other.address == member.address
                 });
-                !replaces || now.since_ms(self.started_at) >= REPLACE_AFTER_MS
+                !replaces || now.since_ms(self.started_at) >= peers::ENDED_AFTER_MS
             }
             roster::Change::Remove(_, roster::Reason::Left) => self.leases.held(now).is_empty(),
             roster::Change::Remove(..) => self.is_roster_keeper(now),
--- a/src/peers/hearing.rs
+++ b/src/peers/hearing.rs
@@ -2,16 +2,21 @@
 
 use super::Heartbeat;
 use crate::clock;
+use crate::roster;
 
 /// What a peer's heartbeats have told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hearing {
+    /// When the peer became known.
+    pub met_at: clock::Instant,
     /// When the newest heartbeat arrived; when the peer became known, if none has.
     pub heard_at: clock::Instant,
     /// The peer's newest stamp, on its clock.
     pub stamp: Option<clock::Instant>,
     /// The newest own stamp that the peer has echoed: it had `head` at that moment or later.
     pub confirmed_at: Option<clock::Instant>,
+    /// The peer's earlier incarnation, if the roster still lists it.
+    pub supersedes: Option<roster::Incarnation>,
     /// The greatest head that the peer has told.
     pub head: u64,
     /// The head of the peer's roster.
@@ -29,9 +34,11 @@
 impl Hearing {
     pub(super) fn new(now: clock::Instant, due_at: clock::Instant) -> Self {
         Self {
+            met_at: now,
             heard_at: now,
             stamp: None,
             confirmed_at: None,
+            supersedes: None,
             head: 0,
             roster_head: 0,
             journal_version: 0,
@@ -50,6 +57,7 @@
         self.stamp = Some(heartbeat.stamp);
         let echo = heartbeat.echo.filter(|echo| *echo <= self.stamped_at);
         self.confirmed_at = self.confirmed_at.max(echo);
+        self.supersedes = heartbeat.supersedes;
         self.head = self.head.max(heartbeat.head);
         self.roster_head = heartbeat.roster_head;
         self.journal_version = self.journal_version.max(heartbeat.journal_version);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::config;
+use crate::id;
 use crate::roster;
 
 pub use hearing::Hearing;
@@ -27,6 +28,8 @@
 const LIVE_INTERVALS: u64 = 3;
 /// Time without a heartbeat after which a peer is reported as silent.
 pub const SILENT_MS: u64 = 30_000;
+/// A process that has ended counts as heard by nobody after this time.
+pub const ENDED_AFTER_MS: u64 = config::FRESH_MS + 1_000;
 /// Time after which a node outside the roster is forgotten.
 const FORGET_MS: u64 = 60_000;
 
@@ -41,6 +44,8 @@
     pub echo: Option<clock::Instant>,
     /// True if the sender asks for a heartbeat at once.
     pub asks: bool,
+    /// The sender's earlier incarnation, if the roster still lists it: that process has ended.
+    pub supersedes: Option<roster::Incarnation>,
     /// The head that the sender has applied.
     pub head: u64,
     /// The head of the sender's roster.
@@ -72,6 +77,8 @@
 /// What this node tells of itself in its heartbeats.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct State {
+    /// Its earlier incarnation, if the roster still lists it.
+    pub supersedes: Option<roster::Incarnation>,
     /// The head that it has applied.
     pub head: u64,
     /// The head of its roster.
@@ -90,6 +97,8 @@
     table_answers: bool,
     hearings: BTreeMap<roster::NodeId, Hearing>,
     started_at: clock::Instant,
+    /// Nodes without a VM, and since when that is known.
+    gone: BTreeMap<id::Node, clock::Instant>,
 }
 
 impl Peers {
@@ -103,6 +112,7 @@
             table_answers: true,
             hearings: BTreeMap::new(),
             started_at: now,
+            gone: BTreeMap::new(),
         }
     }
 
@@ -127,6 +137,13 @@
         }
     }
 
+    /// Makes a node known, so that it gets heartbeats for a while even if it is in no roster.
+    pub fn meet(&mut self, now: clock::Instant, node: &roster::NodeId) {
+        self.hearings
+            .entry(node.clone())
+            .or_insert_with(|| Hearing::new(now, now));
+    }
+
     /// Says whether the table answers this node; if not, heartbeats are quicker and ask for answers.
     pub fn set_table_answers(&mut self, answers: bool) {
         self.table_answers = answers;
@@ -183,6 +200,7 @@
             stamp: hearing.stamped_at,
             echo: hearing.stamp,
             asks,
+            supersedes: state.supersedes,
             head: state.head,
             roster_head: state.roster_head,
             journal_version: state.journal_version,
@@ -242,19 +260,40 @@
         moments.get(self.majority.checked_sub(1)?).copied()
     }
 
-    /// Tells whether a majority of the roster has applied a head; `own_head` is this node's.
-    pub fn is_acknowledged(&self, head: u64, own_head: u64) -> bool {
+    /// Tells whether a majority of the roster has applied a head or has ended; `own_head` is this node's.
+    ///
+    /// A node that has ended long ago is in no majority that another node still counts on.
+    pub fn is_acknowledged(&self, now: clock::Instant, head: u64, own_head: u64) -> bool {
         let has = |node: &&roster::NodeId| {
             if **node == self.me {
                 return own_head >= head;
             }
-            self.hearings
-                .get(*node)
-                .is_some_and(|hearing| hearing.head >= head)
+            let hearing = self.hearings.get(*node);
+            hearing.is_some_and(|hearing| hearing.head >= head) || self.has_ended(now, node)
         };
         self.members.iter().filter(has).count() >= self.majority
     }
 
+    /// Sets the nodes whose VM the platform's list no longer has.
+    pub fn set_gone(&mut self, now: clock::Instant, gone: &[id::Node]) {
+        self.gone.retain(|node, _| gone.contains(node));
+        for node in gone {
+            self.gone.entry(node.clone()).or_insert(now);
+        }
+    }
+
+    /// Tells whether a member's process is known to have ended so long ago that its word counts nowhere.
+    fn has_ended(&self, now: clock::Instant, member: &roster::NodeId) -> bool {
+        let gone_at = self.gone.get(&member.node).copied();
+        let own = (member.node == self.me.node).then_some(self.started_at);
+        let superseded = self.hearings.iter().find(|(node, hearing)| {
+            node.node == member.node && hearing.supersedes == Some(member.incarnation)
+        });
+        let ended_at = [gone_at, own, superseded.map(|(_, hearing)| hearing.met_at)];
+        let mut ended_at = ended_at.into_iter().flatten();
+        ended_at.any(|ended_at| now.since_ms(ended_at) >= ENDED_AFTER_MS)
+    }
+
     /// The peer that told the greatest head, if that is above `head`.
     pub fn ahead(&self, now: clock::Instant, head: u64) -> Option<(&roster::NodeId, u64)> {
         let within_ms = LIVE_INTERVALS * self.interval_ms();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! They speak the same HTTP as the real ones would, and every fault can be switched on and off.
 
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod endpoint;
 pub mod faults;
--- /dev/null
+++ b/tests/test_config.rs
@@ -0,0 +1,223 @@
+//! Accepted changes are in force on every serving node and never go back.
+
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use wasabiloft::clock;
+use wasabiloft::config::edit;
+use wasabiloft::control as decisions;
+use wasabiloft::id;
+use wasabiloft_standins::control;
+
+const NODES: usize = 5;
+const SERVICE: &str = "chains";
+
+fn options(seed: u64) -> control::Options {
+    control::Options {
+        nodes: NODES,
+        seed,
+        duties: 4,
+        spread: decisions::Spread::Push,
+    }
+}
+
+/// A world whose nodes are all in the roster.
+fn started(seed: u64) -> control::World {
+    let mut world = control::World::new(options(seed));
+    world.run_for(20_000).expect("nothing is broken");
+    world
+}
+
+fn service(number: usize) -> id::Service {
+    id::Service::from(format!("{SERVICE}-{number}"))
+}
+
+/// The version of a document at a node; 0 if it has none.
+fn version(world: &control::World, node: control::NodeIndex, service: &id::Service) -> u64 {
+    let documents = world.control(node).replica().documents();
+    documents.get(service).map_or(0, |version| version.head)
+}
+
+/// Lets something happen to some node or to the table.
+fn disturb(world: &mut control::World, rng: &mut SmallRng) {
+    let running = world.running();
+    let node = running[rng.random_range(0..running.len())];
+    match rng.random_range(0..8) {
+        0 => world.cut(node, rng.random_range(0..3), rng.random()),
+        1 => world.cut(node, 0, true),
+        2 => world.pause(node, rng.random_range(100..15_000)),
+        3 => world.faults.table_out = !world.faults.table_out,
+        4 => {
+            world.faults.messages_lost = rng.random_range(0..30);
+            world.faults.messages_late = rng.random_range(0..10);
+        }
+        5 => {
+            world.faults.replies_lost = rng.random_range(0..20);
+            world.faults.requests_lost = rng.random_range(0..20);
+            world.faults.requests_slow = rng.random_range(0..20);
+        }
+        6 => {
+            let name = world.name(node);
+            world.kill(node);
+            world.start(name);
+        }
+        _ => {
+            let other = running[rng.random_range(0..running.len())];
+            for node in [node, other] {
+                let service = service(rng.random_range(0..3));
+                let if_match = version(world, node, &service);
+                world.edit(node, &service, if_match, "text");
+            }
+        }
+    }
+}
+
+fn heal(world: &mut control::World) {
+    world.faults = control::Faults::default();
+    for node in world.running() {
+        world.cut(node, 0, true);
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::fixed_seed(24))]
+
+    #[test]
+    fn accepted_changes_are_in_force_through_faults(seed in any::<u64>()) {
+        let mut world = started(seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..60 {
+            disturb(&mut world, &mut rng);
+            let ms = rng.random_range(100..4_000);
+            prop_assert_eq!(world.run_for(ms), Ok(()));
+        }
+        heal(&mut world);
+        prop_assert_eq!(world.run_for(90_000), Ok(()));
+        let head = world.table_head();
+        for node in world.running() {
+            prop_assert!(world.serves(node), "{}", world.name(node));
+            prop_assert_eq!(world.control(node).replica().head(), head);
+            let me = world.control(node).me().id.clone();
+            prop_assert!(world.control(node).replica().roster().contains(&me));
+        }
+        let running = world.running();
+        for made in world.edits().iter().filter(|made| running.contains(&made.node)) {
+            let settled = matches!(made.status, edit::Status::Accepted(_) | edit::Status::Raced(_));
+            prop_assert!(settled, "{:?}", made);
+        }
+    }
+
+    #[test]
+    fn of_racing_operators_one_is_told_so(seed in any::<u64>()) {
+        let mut world = started(seed);
+        let service = service(0);
+        for node in world.running() {
+            world.edit(node, &service, 0, "text");
+        }
+        prop_assert_eq!(world.run_for(5_000), Ok(()));
+        let count = |want: fn(&edit::Status) -> bool| {
+            world.edits().iter().filter(|made| want(&made.status)).count()
+        };
+        prop_assert_eq!(count(|status| matches!(status, edit::Status::Accepted(_))), 1);
+        prop_assert_eq!(count(|status| matches!(status, edit::Status::Raced(_))), NODES - 1);
+    }
+}
+
+#[test]
+fn a_node_that_hears_neither_table_nor_majority_stops_serving() {
+    let mut world = started(1);
+    let node = world.running()[0];
+    world.cut(node, 1, false);
+    world.run_for(5_000).expect("nothing is broken");
+    assert!(!world.serves(node));
+    world.cut(node, 0, false);
+    world.run_for(5_000).expect("nothing is broken");
+    assert!(world.serves(node));
+}
+
+#[test]
+fn without_the_rule_of_freshness_a_cut_node_serves_what_is_outdated() {
+    let mut world = started(1);
+    world.assumes_fresh = true;
+    let nodes = world.running();
+    world.cut(nodes[0], 1, false);
+    world.edit(nodes[1], &service(0), 0, "text");
+    let breach = world
+        .run_for(20_000)
+        .expect_err("the cut node lacks the change");
+    assert!(matches!(breach, control::Breach::Outdated { .. }));
+}
+
+#[test]
+fn a_minority_with_the_table_commits_but_accepts_nothing() {
+    let mut world = started(2);
+    let nodes = world.running();
+    for node in &nodes[..2] {
+        world.cut(*node, 1, true);
+    }
+    for node in &nodes[2..] {
+        world.cut(*node, 0, false);
+    }
+    world.edit(nodes[0], &service(0), 0, "text");
+    world.run_for(20_000).expect("nothing is broken");
+    assert!(matches!(
+        world.edits()[0].status,
+        edit::Status::Committed(_)
+    ));
+    // The other side hears a majority and serves on.
+    assert!(nodes.iter().all(|node| world.serves(*node)));
+    heal(&mut world);
+    world.run_for(20_000).expect("nothing is broken");
+    assert!(matches!(world.edits()[0].status, edit::Status::Accepted(_)));
+}
+
+#[test]
+fn nodes_that_all_restart_at_once_form_a_roster_again() {
+    let mut world = started(5);
+    let nodes = world.running();
+    world.edit(nodes[0], &service(0), 0, "text");
+    world.run_for(5_000).expect("nothing is broken");
+    for node in nodes {
+        world.kill(node);
+        world.start(world.name(node));
+    }
+    world.run_for(clock::MINUTE_MS).expect("nothing is broken");
+    for node in world.running() {
+        let me = world.control(node).me().id.clone();
+        assert!(world.control(node).replica().roster().contains(&me));
+        assert!(version(&world, node, &service(0)) > 0);
+    }
+}
+
+#[test]
+fn an_edit_in_an_outage_is_not_run() {
+    let mut world = started(3);
+    world.faults.table_out = true;
+    world.run_for(5_000).expect("nothing is broken");
+    let node = world.running()[0];
+    world.edit(node, &service(0), 0, "text");
+    world.run_for(60_000).expect("nothing is broken");
+    assert_eq!(world.edits()[0].status, edit::Status::Queued);
+    assert!(world.running().iter().all(|node| world.serves(*node)));
+}
+
+#[test]
+fn a_node_that_starts_in_an_outage_serves_what_its_peers_tell() {
+    let mut world = started(4);
+    let first = world.running()[0];
+    world.edit(first, &service(0), 0, "text");
+    world.run_for(5_000).expect("nothing is broken");
+    world.faults.table_out = true;
+    let node = world.start(NODES);
+    let members = world.control(first).replica().roster().members.clone();
+    world.control_mut(node).set_seeds(&members);
+    world.run_for(10_000).expect("nothing is broken");
+    assert!(world.serves(node));
+    assert!(version(&world, node, &service(0)) > 0);
+    world.faults.table_out = false;
+    world.run_for(clock::MINUTE_MS).expect("nothing is broken");
+    assert_eq!(
+        world.control(first).replica().roster().members.len(),
+        NODES + 1
+    );
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of the decision library, one module a slice.
 
 mod fake_table;
+mod test_config;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_peers;
+mod test_roster;
 
 use proptest::test_runner::{Config, RngSeed};
 
