--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 //! its inputs and a random generator as arguments and returns what should be done. Sockets, timers
 //! and the platform's client live in `wasabiloft-node`.
 
+pub mod admission;
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod dispatch;
 pub mod document;
 pub mod id;
 pub mod journal;
@@ -14,4 +16,6 @@
 pub mod peers;
 pub mod platform;
 pub mod roster;
+pub mod routing;
+pub mod slots;
 pub mod verdict;
--- a/standins/src/control/mod.rs
+++ b/standins/src/control/mod.rs
@@ -4,7 +4,7 @@
 //! is checked at every tick, see [`Breach`]. Everything follows from the seed.
 
 mod checks;
-mod wire;
+pub mod wire;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision library, one module a slice.
 
+mod fake_slots;
 mod fake_table;
 mod test_config;
 mod test_document;
@@ -7,6 +8,7 @@
 mod test_lease;
 mod test_peers;
 mod test_roster;
+mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
 
