--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,14 @@
 
 pub mod admission;
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod dispatch;
 pub mod document;
 pub mod id;
 pub mod journal;
 pub mod lease;
+pub mod peers;
 pub mod platform;
 pub mod roster;
 pub mod routing;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,9 +2,12 @@
 
 mod fake_slots;
 mod fake_table;
+mod test_config;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_peers;
+mod test_roster;
 mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
