--- /dev/null
+++ b/cli/tests/processes.rs
@@ -0,0 +1,230 @@
+//! A deployment of real processes: eight `wasabiloftd`, each behind a proxy for its callers and one for the
+//! platform, and the stand-in platform in the test's own process.
+
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use rustix::process;
+use tokio::time;
+use wasabiloft_standins::client;
+use wasabiloft_standins::deployment;
+use wasabiloft_standins::platform;
+use wasabiloft_standins::proxy;
+
+use crate::workdir;
+use crate::workdir::Workdir;
+
+/// How long a state is waited for before the test gives up, in seconds.
+const WAIT_MAX_S: u64 = 60;
+/// How often a state is looked at while it is waited for, in milliseconds.
+const LOOK_MS: u64 = 50;
+
+/// One entry node: its process and its proxies.
+pub struct Node {
+    child: Child,
+    /// Where callers reach it, through a proxy.
+    pub entry: proxy::Proxy,
+    /// Its way to the platform.
+    pub to_platform: proxy::Proxy,
+    direct: SocketAddr,
+}
+
+impl Node {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: process::Signal) {
+        let id = i32::try_from(self.child.id()).expect("a process id fits");
+        let id = process::Pid::from_raw(id).expect("a process id is not zero");
+        process::kill_process(id, signal).expect("the process is ours");
+    }
+
+    /// Waits for the process to end; true if it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child
+            .wait()
+            .expect("the process can be waited for")
+            .success()
+    }
+
+    /// Where callers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.entry.address()
+    }
+
+    /// Where the process itself listens, past the proxy.
+    pub fn direct_address(&self) -> SocketAddr {
+        self.direct
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The whole deployment.
+pub struct Deployment {
+    /// The stand-in platform.
+    pub platform: platform::Platform,
+    /// The entry nodes.
+    pub nodes: Vec<Node>,
+    /// For calls of the test's own.
+    pub client: client::Client,
+    dir: PathBuf,
+    work: Workdir,
+    started: usize,
+}
+
+impl Deployment {
+    /// Starts the platform and the entry nodes of an example, puts its documents in force and waits until all
+    /// nodes are ready.
+    pub async fn start(example: &str, nodes: usize) -> Self {
+        let dir = workdir::repository("examples").join(example);
+        let file = deployment::read(&dir).expect("the example is sound");
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = platform::Platform::start(any, &file, 1).await;
+        let mut deployment = Self {
+            platform: platform.expect("a port is free"),
+            nodes: Vec::new(),
+            client: client::Client::default(),
+            dir,
+            work: Workdir::create_empty(),
+            started: 0,
+        };
+        for _ in 0..nodes {
+            let node = deployment.start_node().await;
+            deployment.nodes.push(node);
+        }
+        deployment.apply_documents();
+        deployment.wait_until_ready().await;
+        deployment
+    }
+
+    /// Starts one more entry node, with a name of its own.
+    pub async fn start_node(&mut self) -> Node {
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let made = self.work.run(&["keys", "--out", "tls", &name]);
+        assert!(made.status.success(), "{made:?}");
+        let to_platform = proxy::Proxy::start(self.platform.address()).await;
+        let to_platform = to_platform.expect("a port is free");
+        let settings = format!("{name}.toml");
+        self.work
+            .create(&settings, &settings_text(&name, to_platform.address()));
+        let mut child = Command::new(daemon())
+            .current_dir(self.work.path())
+            .args(["--config", &settings])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        let direct = first_address(&mut child);
+        let entry = proxy::Proxy::start(direct).await.expect("a port is free");
+        Node {
+            child,
+            entry,
+            to_platform,
+            direct,
+        }
+    }
+
+    /// Where callers reach the nodes.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(Node::address).collect()
+    }
+
+    /// The documents of the example, with their text.
+    pub fn documents(&self) -> Vec<(String, wasabiloft::document::Document)> {
+        deployment::read_documents(&self.dir).expect("the example is sound")
+    }
+
+    fn apply_documents(&self) {
+        let node = self.nodes[0].direct_address().to_string();
+        let paths = deployment::document_paths(&self.dir).expect("the example is sound");
+        let paths: Vec<_> = paths
+            .iter()
+            .map(|path| path.display().to_string())
+            .collect();
+        let mut args = vec!["apply", "--node", &node];
+        args.extend(paths.iter().map(String::as_str));
+        let until = Instant::now() + Duration::from_secs(WAIT_MAX_S);
+        loop {
+            let applied = self.work.run(&args);
+            if applied.status.success() {
+                return;
+            }
+            assert!(Instant::now() < until, "{applied:?}");
+        }
+    }
+
+    /// Waits until every node says that it is ready.
+    pub async fn wait_until_ready(&self) {
+        for node in &self.nodes {
+            self.wait_for_ready(node.direct_address(), true).await;
+        }
+    }
+
+    /// Waits until a node is ready, or is not.
+    pub async fn wait_for_ready(&self, address: SocketAddr, wanted: bool) {
+        let until = Instant::now() + Duration::from_secs(WAIT_MAX_S);
+        while self.is_ready(address).await != wanted {
+            assert!(Instant::now() < until, "{address}: ready is not {wanted}");
+            time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let answer = self
+            .client
+            .call(address, Method::GET, "/readyz", None::<&()>)
+            .await;
+        answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+    }
+}
+
+/// The daemon's program, which lies beside the command's.
+fn daemon() -> PathBuf {
+    let command = PathBuf::from(env!("CARGO_BIN_EXE_wasabiloft"));
+    let daemon = command.with_file_name("wasabiloftd");
+    assert!(
+        daemon.exists(),
+        "build the workspace first: cargo test --workspace"
+    );
+    daemon
+}
+
+fn settings_text(name: &str, platform: SocketAddr) -> String {
+    format!(
+        "name = \"{name}\"\n\
+         data_centre = \"santiago\"\n\
+         listen = \"127.0.0.1:0\"\n\
+         peer_listen = \"127.0.0.1:0\"\n\
+         platform = \"{platform}\"\n\
+         [tls]\n\
+         authority = \"tls/authority.pem\"\n\
+         certificate = \"tls/{name}.pem\"\n\
+         key = \"tls/{name}-key.pem\"\n"
+    )
+}
+
+/// The address that a daemon prints, past the lines of its log.
+fn first_address(child: &mut Child) -> SocketAddr {
+    let stdout = child.stdout.take().expect("the output is piped");
+    let mut lines = BufReader::new(stdout).lines();
+    let address = loop {
+        let line = lines.next().expect("the daemon prints its address");
+        let line = line.expect("the output is text");
+        if let Ok(address) = line.trim().parse() {
+            break address;
+        }
+    };
+    // The rest is read so that the daemon never waits for it.
+    std::thread::spawn(move || lines.for_each(drop));
+    address
+}
--- /dev/null
+++ b/cli/tests/test_processes.rs
@@ -0,0 +1,133 @@
+//! Eight real daemons under faults, checked from outside: what the endpoints executed against what callers were told.
+
+use rustix::process::Signal;
+use tokio_util::sync::CancellationToken;
+use wasabiloft_standins::load;
+
+use crate::processes::Deployment;
+
+/// Requests of each kind, a second.
+const RATE_PER_S: f64 = 15.0;
+/// Requests that the endpoints finish between two steps of a test.
+const REQUESTS_A_STEP: u64 = 300;
+
+fn streams(deployment: &Deployment) -> Vec<load::Stream> {
+    let mut streams = Vec::new();
+    for (_, document) in &deployment.documents() {
+        for kind in &document.kinds {
+            streams.push(load::Stream::of(document, kind, RATE_PER_S));
+        }
+    }
+    streams
+}
+
+/// Load that runs beside the steps of a test.
+struct Load {
+    stop: CancellationToken,
+    task: tokio::task::JoinHandle<load::Answers>,
+}
+
+impl Load {
+    fn start(deployment: &Deployment) -> Self {
+        let stop = CancellationToken::new();
+        let entries = deployment.entries();
+        let task = tokio::spawn(load::run(entries, streams(deployment), 1, stop.clone()));
+        Self { stop, task }
+    }
+
+    async fn end(self) -> load::Answers {
+        self.stop.cancel();
+        self.task.await.expect("the load ends by itself")
+    }
+}
+
+async fn wait_for_requests(deployment: &Deployment) {
+    let goal = deployment.platform.report().endpoints.finished_total + REQUESTS_A_STEP;
+    while deployment.platform.report().endpoints.finished_total < goal {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+fn assert_promises(deployment: &Deployment, answers: &load::Answers) {
+    let breaches = answers.check(&deployment.platform.tally().executions());
+    assert!(breaches.is_clean(), "{breaches:?}");
+    let report = deployment.platform.report();
+    assert_eq!(report.endpoints.over_slots_total, 0, "{report:?}");
+    assert_eq!(report.endpoints.over_connections_total, 0, "{report:?}");
+    assert!(answers.total(|tally| tally.ran_total) > REQUESTS_A_STEP);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_stay_true_while_a_node_is_killed_and_another_paused() {
+    let mut deployment = Deployment::start("cadenas", 8).await;
+    let load = Load::start(&deployment);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[7].signal(Signal::KILL);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[6].signal(Signal::STOP);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[6].signal(Signal::CONT);
+    wait_for_requests(&deployment).await;
+    let answers = load.end().await;
+    assert_promises(&deployment, &answers);
+    assert!(
+        !deployment.nodes[7].wait(),
+        "the killed node can't end well"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_a_node_cuts_no_request() {
+    let mut deployment = Deployment::start("cadenas", 8).await;
+    let load = Load::start(&deployment);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[0].signal(Signal::TERM);
+    let mut stopping = deployment.nodes.remove(0);
+    let ended = tokio::task::spawn_blocking(move || (stopping.wait(), stopping)).await;
+    let (ended_well, _stopped) = ended.expect("the wait ends");
+    assert!(ended_well, "the node must end with success");
+    wait_for_requests(&deployment).await;
+    let answers = load.end().await;
+    assert_promises(&deployment, &answers);
+    assert_eq!(answers.total(|tally| tally.may_have_run_total), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_stay_true_while_connections_go_silent_and_break() {
+    let deployment = Deployment::start("cadenas", 8).await;
+    let load = Load::start(&deployment);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[2].entry.silence_open();
+    deployment.nodes[3].to_platform.silence_open();
+    wait_for_requests(&deployment).await;
+    let cut = wasabiloft_standins::proxy::Fault {
+        cut: true,
+        ..Default::default()
+    };
+    deployment.nodes[4].entry.set(cut);
+    wait_for_requests(&deployment).await;
+    deployment.nodes[4].entry.set(Default::default());
+    wait_for_requests(&deployment).await;
+    let answers = load.end().await;
+    assert_promises(&deployment, &answers);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_on_while_the_store_is_out() {
+    let deployment = Deployment::start("cadenas", 8).await;
+    let load = Load::start(&deployment);
+    wait_for_requests(&deployment).await;
+    deployment
+        .platform
+        .set_faults(wasabiloft_standins::faults::Faults {
+            store_outage: true,
+            ..Default::default()
+        });
+    for _ in 0..8 {
+        wait_for_requests(&deployment).await;
+    }
+    deployment.platform.set_faults(Default::default());
+    wait_for_requests(&deployment).await;
+    let answers = load.end().await;
+    assert_promises(&deployment, &answers);
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -15,6 +15,8 @@
     wasabiloftd --config FILE
     wasabiloftd --check --config FILE
 
+The first line that it prints is the address for callers and operators.
+
 Options:
     -c, --config FILE    The node's settings, in TOML.
     --check              Read the settings, say what is wrong with them, and end.
@@ -90,6 +92,7 @@
     let node = node::Node::start(settings, metrics)
         .await
         .map_err(|error| error.to_string())?;
+    println!("{}", node.address());
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
