--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,10 +3,14 @@
 //! [`node::Node`] is a whole entry node in one value; `wasabiloftd` runs one, `wasabiloft dev` runs several.
 
 pub mod admin;
+pub mod clock;
+pub mod control;
 pub mod documents;
+pub mod duties;
 pub mod front;
 pub mod log;
 pub mod node;
+pub mod peers;
 pub mod platform;
 pub mod settings;
 pub mod upstream;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -1,5 +1,6 @@
 //! A node's settings, read from a TOML file.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -24,9 +25,9 @@
     pub platform: SocketAddr,
     /// Keys and certificates for the links between nodes.
     pub tls: Option<Tls>,
-    /// Other nodes to ask while the platform's table is out, before the roster is known.
+    /// Other nodes, by name, to ask while the platform's table is out and the roster is not known.
     #[serde(default)]
-    pub peers: Vec<SocketAddr>,
+    pub peers: BTreeMap<id::Node, SocketAddr>,
 }
 
 /// Files of keys and certificates, in PEM.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -185,9 +185,15 @@
     }
 
     /// Names nodes to ask for the configuration before the roster is known, as when the table is out.
-    pub fn set_seeds(&mut self, seeds: &[roster::Member]) {
-        for seed in seeds.iter().filter(|seed| seed.id != self.me.id) {
-            self.peers.meet(self.started_at, &seed.id);
+    pub fn set_seeds(&mut self, seeds: &[id::Node]) {
+        for node in seeds.iter().filter(|node| **node != self.me.id.node) {
+            // The messages go by the name; the answers tell the incarnation.
+            let incarnation = roster::Incarnation::default();
+            let seed = roster::NodeId {
+                node: node.clone(),
+                incarnation,
+            };
+            self.peers.meet(self.started_at, &seed);
         }
     }
 
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -257,6 +257,13 @@
             .collect()
     }
 
+    /// The moment before which an effect of a duty that is held has to start, if no renewal comes.
+    pub fn act_before(&self, duty: &id::Duty) -> Option<clock::Instant> {
+        let row = self.entries.get(duty)?.row.as_ref()?;
+        let lease_ms = row.lease_ms.saturating_sub(SAFETY_MARGIN_MS);
+        Some(self.proven_at?.after_ms(lease_ms))
+    }
+
     /// Tells whether an effect in the name of a grant may still start; to be asked right before the effect.
     pub fn still_holds(&self, now: clock::Instant, grant: &Grant) -> bool {
         self.grant(now, &grant.duty)
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -19,7 +19,18 @@
 
 /// One start of a node's process, drawn at random.
 #[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
