--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -1,8 +1,9 @@
 //! The command `dev`.
 
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use wasabiloft_standins::load;
 use wasabiloft_standins::platform;
 
+use crate::keys;
 use crate::util;
 
 const USAGE: &str = "\
@@ -122,8 +124,9 @@
     let platform = platform::Platform::start(any, &deployment, args.seed)
         .await
         .map_err(util::Error::failed)?;
-    let nodes = start_nodes(&deployment, platform.address()).await?;
-    put_documents(platform.address(), &documents).await?;
+    let keys = tempfile::tempdir().map_err(util::Error::failed)?;
+    let nodes = start_nodes(&deployment, platform.address(), keys.path()).await?;
+    put_documents(&nodes[0], &documents).await?;
     wait_until_ready(&nodes).await;
     let entries: Vec<_> = nodes.iter().map(node::Node::address).collect();
     say(
@@ -159,22 +162,26 @@
 async fn start_nodes(
     deployment: &deployment::Deployment,
     platform: SocketAddr,
+    keys_dir: &Path,
 ) -> Result<Vec<node::Node>, util::Error> {
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(util::Error::failed)?;
+    let names = (1..=deployment.entry_nodes).map(|number| format!("entry-{number}"));
+    let names: Vec<String> = names.collect();
+    keys::make(keys_dir, &names)?;
     let mut nodes = Vec::new();
-    for index in 0..deployment.entry_nodes {
-        let place = index as usize % deployment.data_centres.len();
+    for (index, name) in names.iter().enumerate() {
+        let place = index % deployment.data_centres.len();
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let settings = settings::Settings {
-            name: id::Node::from(format!("entry-{}", index + 1)),
+            name: id::Node::new(name),
             data_centre: deployment.data_centres[place].name.clone(),
             listen: any,
             peer_listen: any,
             platform,
-            tls: None,
-            peers: Vec::new(),
+            tls: Some(keys::files(keys_dir, name)),
+            peers: BTreeMap::new(),
         };
         let node = node::Node::start(settings, metrics.clone()).await;
         nodes.push(node.map_err(util::Error::failed)?);
@@ -183,17 +190,17 @@
 }
 
 async fn put_documents(
-    platform: SocketAddr,
+    node: &node::Node,
     documents: &[(String, wasabiloft::document::Document)],
 ) -> Result<(), util::Error> {
-    let client = wasabiloft_node::platform::Client::new(platform);
-    for (text, document) in documents {
-        match documents::write(&client, &document.service, 0, text).await {
-            documents::Edit::Written(_) => {}
-            other => {
-                let message = format!("document of {} not written: {other:?}", document.service);
-                return Err(util::Error::failed(message));
-            }
+    let writes = documents
+        .iter()
+        .map(|(text, document)| node.write_document(&document.service, 0, text));
+    let edits = futures_util::future::join_all(writes).await;
+    for (edit, (_, document)) in edits.into_iter().zip(documents) {
+        if !matches!(edit, documents::Edit::Accepted(_)) {
+            let message = format!("document of {} not accepted: {edit:?}", document.service);
+            return Err(util::Error::failed(message));
         }
     }
     Ok(())
--- a/cli/src/keys.rs
+++ b/cli/src/keys.rs
@@ -11,6 +11,7 @@
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
 };
+use wasabiloft_node::settings;
 
 use crate::util;
 
@@ -54,14 +55,36 @@
     if nodes.is_empty() {
         return Err(util::Error::usage(USAGE));
     }
-    fs::create_dir_all(&out).map_err(|error| named(&out, error))?;
-    let authority = authority(&out)?;
+    make(&out, &nodes)?;
     for node in &nodes {
-        sign(&out, node, &authority)?;
+        println!("{node}: {}", key_file(&out, node).display());
     }
     Ok(ExitCode::SUCCESS)
 }
 
+/// Makes the files of some nodes, and those of the authority unless they are there already.
+pub fn make(out: &Path, nodes: &[String]) -> Result<(), util::Error> {
+    fs::create_dir_all(out).map_err(|error| named(out, error))?;
+    let authority = authority(out)?;
+    for node in nodes {
+        sign(out, node, &authority)?;
+    }
+    Ok(())
+}
+
+/// The files that a node's settings name.
+pub fn files(out: &Path, node: &str) -> settings::Tls {
+    settings::Tls {
+        authority: out.join(AUTHORITY_FILE),
+        certificate: out.join(format!("{node}.pem")),
+        key: key_file(out, node),
+    }
+}
+
+fn key_file(out: &Path, node: &str) -> PathBuf {
+    out.join(format!("{node}-key.pem"))
+}
+
 fn authority(out: &Path) -> Result<Issuer<'static, KeyPair>, util::Error> {
     let certificate_path = out.join(AUTHORITY_FILE);
     let key_path = out.join(AUTHORITY_KEY_FILE);
@@ -103,10 +126,8 @@
     let certificate = params
         .signed_by(&key, authority)
         .map_err(util::Error::failed)?;
-    let key_path = out.join(format!("{node}-key.pem"));
-    write_new(&key_path, &key.serialize_pem(), KEY_FILE_MODE)?;
+    write_new(&key_file(out, node), &key.serialize_pem(), KEY_FILE_MODE)?;
     write_new(&out.join(format!("{node}.pem")), &certificate.pem(), 0o644)?;
-    println!("{node}: {}", key_path.display());
     Ok(())
 }
 
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -50,10 +50,11 @@
     Path(service): Path<id::Service>,
 ) -> Response {
     match shared.view.borrow().documents.get(&service) {
-        Some(accepted) => {
-            let tag = format!("\"{}\"", accepted.version);
-            ([(header::ETAG, tag)], accepted.text.clone()).into_response()
-        }
+        Some(accepted) => (
+            [(header::ETAG, tag(accepted.version))],
+            accepted.text.clone(),
+        )
+            .into_response(),
         None => (StatusCode::NOT_FOUND, "no such service\n").into_response(),
     }
 }
@@ -76,22 +77,40 @@
         let message = "If-Match must carry the version that was read, or \"0\"\n";
         return (StatusCode::PRECONDITION_REQUIRED, message).into_response();
     };
-    match documents::write(&shared.platform, &service, read_version, &text).await {
-        documents::Edit::Written(version) => {
-            ([(header::ETAG, format!("\"{version}\""))], "written\n").into_response()
+    let edit = documents::write(&shared.control, &service, read_version, &text).await;
+    answer(edit)
+}
+
+fn answer(edit: documents::Edit) -> Response {
+    match edit {
+        documents::Edit::Accepted(version) => {
+            ([(header::ETAG, tag(version))], "accepted\n").into_response()
+        }
+        documents::Edit::Pending(version) => {
+            let message = "committed, and pending until a majority of the nodes has it\n";
+            let headers = [(header::ETAG, tag(version))];
+            (StatusCode::ACCEPTED, headers, message).into_response()
         }
         documents::Edit::Raced(version) => {
             let message =
                 format!("the document is at version {version} by now; nothing was changed\n");
             (StatusCode::PRECONDITION_FAILED, message).into_response()
         }
-        documents::Edit::Unknown => {
+        documents::Edit::NotRun => {
+            let message = "the platform gives no answer; nothing was changed\n";
+            (StatusCode::SERVICE_UNAVAILABLE, message).into_response()
+        }
+        documents::Edit::MayHaveRun => {
             let message = "the platform gave no answer; read the document to see if it changed\n";
             (StatusCode::GATEWAY_TIMEOUT, message).into_response()
         }
     }
 }
 
+fn tag(version: u64) -> String {
+    format!("\"{version}\"")
+}
+
 fn read_version(headers: &HeaderMap) -> Option<u64> {
     let tag = headers.get(header::IF_MATCH)?.to_str().ok()?;
     tag.trim_matches('"').parse().ok()
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time;
+use wasabiloft::config;
 use wasabiloft::document;
 use wasabiloft::id;
 use wasabiloft::verdict;
@@ -57,6 +58,7 @@
     request: Request,
     arrived_at: Instant,
 ) -> Result<Response<Bytes>, upstream::Failure> {
+    check_standing(shared)?;
     let target = find_target(shared, &request)?;
     let (parts, body) = request.into_parts();
     let limit_bytes = usize::try_from(target.kind().body_max_kib * 1024).unwrap_or(usize::MAX);
@@ -72,6 +74,19 @@
     upstream.send(slot, upstream_request, left_ms).await
 }
 
+/// Refuses while the node can't prove that its configuration is current.
+fn check_standing(shared: &node::Shared) -> Result<(), upstream::Failure> {
+    if shared.control.may_serve() {
+        return Ok(());
+    }
+    Err(not_run(match shared.control.state().standing {
+        config::Standing::Starting => verdict::Reason::NodeStarting,
+        config::Standing::Isolated | config::Standing::ServingUntil(_) => {
+            verdict::Reason::NodeIsolated
+        }
+    }))
+}
+
 fn find_target(shared: &node::Shared, request: &Request) -> Result<Target, upstream::Failure> {
     let unknown = || not_run(verdict::Reason::UnknownService);
     let path = request.uri().path();
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -15,25 +15,32 @@
 use hyper_util::server::graceful;
 use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::PrometheusHandle;
+use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::id;
 use wasabiloft::platform as messages;
+use wasabiloft::roster;
 
 use crate::admin;
+use crate::control;
 use crate::documents;
+use crate::duties;
 use crate::front;
 use crate::log;
+use crate::peers;
 use crate::platform;
 use crate::settings;
 use crate::upstream;
 use crate::view;
 
-/// How often documents and VMs are read from the platform, in milliseconds.
+/// How often the VMs are read from the platform, in milliseconds.
 const POLL_MS: u64 = 500;
+/// Messages that wait until their slice takes them.
+const INBOX_MAX: usize = 4_096;
 /// Slots of each endpoint that one of the eight entry nodes uses.
 const SLOTS_PER_ENDPOINT: usize = 1;
 
@@ -44,6 +51,10 @@
     pub settings: settings::Settings,
     /// The platform's client.
     pub platform: platform::Client,
+    /// The control part: configuration, roster, leases, transactions.
+    pub control: control::Handle,
+    /// Links to the other nodes.
+    pub links: Arc<peers::Links>,
     /// Connections to endpoints.
     pub upstream: upstream::Upstream,
     /// Documents and endpoints, as the request path sees them.
@@ -59,6 +70,9 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     tasks: JoinSet<()>,
+    control_stop: CancellationToken,
+    control_task: JoinHandle<()>,
+    links_tasks: JoinSet<()>,
 }
 
 impl Node {
@@ -73,8 +87,15 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
+        let mut links_tasks = JoinSet::new();
+        let platform = platform::Client::new(settings.platform);
+        let (links, control, driver) = start_links(&settings, &platform, &mut links_tasks)?;
+        let control_stop = CancellationToken::new();
+        let control_task = tokio::spawn(driver.run(control_stop.clone()));
         let shared = Arc::new(Shared {
-            platform: platform::Client::new(settings.platform),
+            platform,
+            control,
+            links,
             upstream: upstream::Upstream::new(SLOTS_PER_ENDPOINT),
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
@@ -84,6 +105,13 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(listener, Arc::clone(&shared)));
         tasks.spawn(poll(Arc::clone(&shared)));
+        tasks.spawn(follow(Arc::clone(&shared)));
+        tasks.spawn(duties::run(
+            shared.control.clone(),
+            shared.platform.clone(),
+            Vec::new(),
+            shared.stop.clone(),
+        ));
         log::info(
             "node",
             &format!("started name={} address={address}", shared.settings.name),
@@ -92,24 +120,49 @@
             address,
             shared,
             tasks,
+            control_stop,
+            control_task,
+            links_tasks,
         })
     }
 
+    /// Writes a document as an operator would; 0 stands for a new one.
+    pub async fn write_document(
+        &self,
+        service: &id::Service,
+        read_version: u64,
+        text: &str,
+    ) -> documents::Edit {
+        documents::write(&self.shared.control, service, read_version, text).await
+    }
+
     /// Where callers and operators reach it.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// True once it knows its documents and endpoints.
+    /// True once it knows the endpoints and its documents are current.
     pub fn is_ready(&self) -> bool {
         is_ready(&self.shared)
     }
 
+    /// The control part.
+    pub fn control(&self) -> &control::Handle {
+        &self.shared.control
+    }
+
     /// Takes no new requests, lets those in progress finish, and joins all tasks.
     pub async fn stop(mut self) {
         self.shared.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
         self.shared.upstream.stop().await;
+        // Requests have ended; now the duties and the place in the roster are given up.
+        self.control_stop.cancel();
+        if let Err(error) = self.control_task.await {
+            log::warn("node", &format!("control part failed: {error}"));
+        }
+        self.shared.links.stop().await;
+        while self.links_tasks.join_next().await.is_some() {}
         log::info(
             "node",
             &format!("stopped name={}", self.shared.settings.name),
@@ -119,7 +172,40 @@
 
 fn is_ready(shared: &Shared) -> bool {
     let view = shared.view.borrow();
-    !shared.stop.is_cancelled() && !view.endpoints.is_empty()
+    let knows = !view.endpoints.is_empty();
+    !shared.stop.is_cancelled() && knows && shared.control.may_serve()
+}
+
+fn start_links(
+    settings: &settings::Settings,
+    platform: &platform::Client,
+    tasks: &mut JoinSet<()>,
+) -> io::Result<(Arc<peers::Links>, control::Handle, control::Driver)> {
+    let socket = std::net::UdpSocket::bind(settings.peer_listen)?;
+    socket.set_nonblocking(true)?;
+    let me = member(settings, socket.local_addr()?);
+    let keys = settings.tls.as_ref().map(peers::tls::read).transpose();
+    let keys = keys.map_err(io::Error::other)?;
+    let (control, inbox) = mpsc::channel(INBOX_MAX);
+    let inboxes = peers::Inboxes { control };
+    let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
+    for (node, address) in &settings.peers {
+        links.set_address(node, *address);
+    }
+    let seeds: Vec<id::Node> = settings.peers.keys().cloned().collect();
+    let (control, driver) = control::new(me, &seeds, Arc::clone(&links), platform.clone(), inbox);
+    Ok((links, control, driver))
+}
+
+fn member(settings: &settings::Settings, address: SocketAddr) -> roster::Member {
+    roster::Member {
+        id: roster::NodeId {
+            node: settings.name.clone(),
+            incarnation: roster::Incarnation(rand::rng().random()),
+        },
+        address,
+        data_centre: settings.data_centre.clone(),
+    }
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
@@ -186,14 +272,44 @@
     }
 }
 
+/// Brings the documents in force into the view.
+async fn follow(shared: Arc<Shared>) {
+    let mut state = shared.control.watch();
+    loop {
+        let versions = Arc::clone(&state.borrow_and_update().documents);
+        shared.view.send_if_modified(|view| {
+            let documents = documents::in_force(&versions, &view.documents);
+            let same = documents.len() == view.documents.len()
+                && documents.iter().all(|(service, accepted)| {
+                    let old = view.documents.get(service);
+                    old.is_some_and(|old| Arc::ptr_eq(old, accepted))
+                });
+            if !same {
+                let endpoints = view.endpoints.clone();
+                *view = Arc::new(view::View {
+                    documents,
+                    endpoints,
+                });
+            }
+            !same
+        });
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            changed = state.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
 async fn refresh(shared: &Shared) -> Result<(), platform::Error> {
-    let documents = documents::read_all(&shared.platform).await?;
     let list = shared.platform.vms().await?;
-    let view = view::View {
-        documents,
-        endpoints: endpoints(&list),
-    };
-    shared.view.send_replace(Arc::new(view));
+    let endpoints = endpoints(&list);
+    shared.view.send_modify(|view| {
+        let documents = view.documents.clone();
+        *view = Arc::new(view::View {
+            documents,
+            endpoints,
+        });
+    });
     Ok(())
 }
 
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -19,7 +19,6 @@
 use wasabiloft::id;
 use wasabiloft::peers;
 use wasabiloft::roster;
-use wasabiloft::slots;
 
 /// Messages that may wait for one peer.
 const QUEUE_MAX: usize = 1_024;
@@ -31,8 +30,6 @@
     Hello(roster::Member),
     /// Heartbeats and configuration.
     Control(peers::Message),
-    /// Passing slots of runners.
-    Slots(slots::Message),
 }
 
 /// A message with its sender.
@@ -49,8 +46,6 @@
 pub struct Inboxes {
     /// For the control part.
     pub control: mpsc::Sender<Incoming<peers::Message>>,
-    /// For the slots.
-    pub slots: mpsc::Sender<Incoming<slots::Message>>,
 }
 
 impl Inboxes {
@@ -59,7 +54,6 @@
         let kept = match message {
             Message::Hello(_) => true,
             Message::Control(message) => self.control.try_send(Incoming { from, message }).is_ok(),
-            Message::Slots(message) => self.slots.try_send(Incoming { from, message }).is_ok(),
         };
         if !kept {
             lost("inbox-full");
@@ -136,6 +130,11 @@
         }
     }
 
+    /// Sets where a node listens, until a roster or the node itself says otherwise.
+    pub fn set_address(&self, node: &id::Node, address: SocketAddr) {
+        self.lock().addresses.insert(node.clone(), address);
+    }
+
     /// Queues a message for a node; it is lost if the node's address is unknown or its queue is full.
     pub fn send(&self, to: &id::Node, message: Message) {
         let Some(config) = &self.config else {
@@ -181,9 +180,7 @@
     }
 
     fn meet(&self, member: &roster::Member) {
-        let mut book = self.lock();
-        book.addresses
-            .insert(member.id.node.clone(), member.address);
+        self.set_address(&member.id.node, member.address);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Book> {
--- a/node/src/peers/tls.rs
+++ b/node/src/peers/tls.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     server: quinn::ServerConfig,
-    client: Arc<QuicClientConfig>,
+    client: quinn::ClientConfig,
 }
 
 impl Config {
@@ -53,8 +53,7 @@
 
     /// The dialling end; a connection that is silent for `idle_ms` is lost.
     pub fn client(&self, idle_ms: u64) -> quinn::ClientConfig {
-        let crypto: Arc<QuicClientConfig> = Arc::clone(&self.client);
-        let mut config = quinn::ClientConfig::new(crypto);
+        let mut config = self.client.clone();
         config.transport_config(transport(idle_ms));
         config
     }
@@ -105,7 +104,7 @@
     let client = QuicClientConfig::try_from(client).map_err(unusable)?;
     Ok(Config {
         server: quinn::ServerConfig::with_crypto(Arc::new(server)),
-        client: Arc::new(client),
+        client: quinn::ClientConfig::new(Arc::new(client)),
     })
 }
 
--- a/src/config/edit.rs
+++ b/src/config/edit.rs
@@ -72,6 +72,8 @@
 enum Phase {
     Idle,
     ReadingHead,
+    /// The head was read and its changes are not applied here yet.
+    Applying,
     Submitted(Batch),
 }
 
@@ -141,6 +143,11 @@
         Some(Action::ReadHead)
     }
 
+    /// True if [`Editor::on_fresh_head`] has to be called again once the newest head is applied.
+    pub fn waits_for_replica(&self) -> bool {
+        matches!(self.phase, Phase::Applying)
+    }
+
     /// Gives up a read of the head that failed.
     pub fn on_head_failed(&mut self) {
         if matches!(self.phase, Phase::ReadingHead) {
@@ -148,17 +155,18 @@
         }
     }
 
-    /// Goes on with a head that was read after [`Action::ReadHead`] and that `replica` has applied.
+    /// Goes on with a head that was read after [`Action::ReadHead`].
     ///
     /// `acknowledged` says that a majority of the roster has applied this head; only then the roster may change,
     /// so that majorities of neighbouring rosters meet.
     pub fn on_fresh_head(&mut self, replica: &Replica, acknowledged: bool) -> Option<Action> {
-        if !matches!(self.phase, Phase::ReadingHead) {
+        if !matches!(self.phase, Phase::ReadingHead | Phase::Applying) {
             return None;
         }
         self.phase = Phase::Idle;
         let (head, row_version) = replica.table_head()?;
         if replica.head() < head.head {
+            self.phase = Phase::Applying;
             return None;
         }
         let mut deltas = Deltas {
--- a/src/control/inbox.rs
+++ b/src/control/inbox.rs
@@ -2,7 +2,9 @@
 
 use rand::Rng;
 
-use super::{Control, Output, Owner, ROSTER_BACKOFF_FIRST_MS, ROSTER_BACKOFF_MAX_MS};
+use super::{
+    Control, EDIT_RETRY_MS, Output, Owner, ROSTER_BACKOFF_FIRST_MS, ROSTER_BACKOFF_MAX_MS,
+};
 use super::{ReadId, reads};
 use crate::clock;
 use crate::config;
@@ -197,6 +199,8 @@
                 Ok(token) => drop(self.owners.insert(token, Owner::Editor)),
                 Err(_) => self.editor.on_submit_failed(),
             }
+        } else {
+            self.edit_wait_until = now.after_ms(EDIT_RETRY_MS);
         }
     }
 
@@ -211,6 +215,9 @@
             .set_roster(now, &mut self.rng, self.replica.roster());
         self.share_budgets();
         self.accept(now);
+        if self.editor.waits_for_replica() {
+            self.go_on_with_edit(now);
+        }
         outputs.push(Output::Applied(self.applied));
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,6 +32,10 @@
 const SHARERS_MIN: usize = 8;
 /// Time between two tries to bring changes to the same peer.
 const PUSH_EVERY_MS: u64 = 500;
+/// Time between two tries of edits or of a change of the roster that could not go on.
+const EDIT_RETRY_MS: u64 = 150;
+/// Time between two questions for the heads of the members.
+const ASK_EVERY_MS: u64 = 250;
 /// The longest random wait after a first refused change of the roster.
 const ROSTER_BACKOFF_FIRST_MS: u64 = 200;
 /// The longest random wait after many refused changes of the roster.
@@ -133,6 +137,8 @@
     fresh: Option<config::Deltas>,
     pushed_at: BTreeMap<roster::NodeId, clock::Instant>,
     fetched_at: Option<clock::Instant>,
+    asked_at: clock::Instant,
+    edit_wait_until: clock::Instant,
     applied: u64,
     was_member: bool,
 }
@@ -160,6 +166,8 @@
             fresh: None,
             pushed_at: BTreeMap::new(),
             fetched_at: None,
+            asked_at: now,
+            edit_wait_until: now,
             applied: 0,
             was_member: false,
             me,
--- a/src/control/outbox.rs
+++ b/src/control/outbox.rs
@@ -1,6 +1,6 @@
 //! What the control part does by itself as time passes.
 
-use super::{Control, LEASES_POLL_MS, Output, Owner, PUSH_EVERY_MS, Spread, reads};
+use super::{ASK_EVERY_MS, Control, LEASES_POLL_MS, Output, Owner, PUSH_EVERY_MS, Spread, reads};
 use crate::clock;
 use crate::config;
 use crate::id;
@@ -17,6 +17,7 @@
         self.poll_roster(now);
         self.push(now, outputs);
         self.fetch(now, outputs);
+        self.ask_for_heads(now, outputs);
         for node in self.peers.due(now) {
             let asks = self.peers.asks();
             self.send_heartbeat(now, &node, asks, outputs);
@@ -25,7 +26,7 @@
 
     /// Sends what the journal and the reads have ready.
     pub(super) fn flush(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
-        if self.editor.poll().is_some() {
+        if now >= self.edit_wait_until && self.editor.poll().is_some() {
             self.reads.want(reads::Purpose::HeadForEdit);
         }
         match self.writer.poll(now) {
@@ -129,6 +130,29 @@
         unpushed
     }
 
+    /// Asks the members for their heads while a change of the roster waits for a majority.
+    fn ask_for_heads(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
+        let head = self.replica.head();
+        let waits = self.roster_change(now).is_some()
+            && !self.peers.is_acknowledged(now, head, head)
+            && now.since_ms(self.asked_at) >= ASK_EVERY_MS;
+        if !waits {
+            return;
+        }
+        self.asked_at = now;
+        let members = &self.replica.roster().members;
+        let nodes: Vec<roster::NodeId> = members.iter().map(|member| member.id.clone()).collect();
+        for node in nodes {
+            let has_it = self
+                .peers
+                .hearing(&node)
+                .is_some_and(|other| other.head >= head);
+            if node != self.me.id && !has_it {
+                self.send_heartbeat(now, &node, true, outputs);
+            }
+        }
+    }
+
     /// Asks the peer that is ahead for what is missing here.
     fn fetch(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
         if self.spread == Spread::Announce && self.replica.is_loaded() && !self.table_is_out(now) {
--- a/tests/test_config.rs
+++ b/tests/test_config.rs
@@ -222,3 +222,17 @@
         NODES + 1
     );
 }
+
+#[test]
+fn edits_while_nodes_start_are_accepted() {
+    let mut world = control::World::new(options(6));
+    world.run_for(200).expect("nothing is broken");
+    let node = world.running()[0];
+    for number in 0..5 {
+        world.edit(node, &service(number), 0, "text");
+    }
+    world.run_for(20_000).expect("nothing is broken");
+    for made in world.edits() {
+        assert!(matches!(made.status, edit::Status::Accepted(_)), "{made:?}");
+    }
+}
