--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -127,7 +127,7 @@
     let keys = tempfile::tempdir().map_err(util::Error::failed)?;
     let nodes = start_nodes(&deployment, platform.address(), keys.path()).await?;
     put_documents(&nodes[0], &documents).await?;
-    wait_until_ready(&nodes).await;
+    wait_until_ready(&nodes, documents.len()).await;
     let entries: Vec<_> = nodes.iter().map(node::Node::address).collect();
     say(
         args,
@@ -206,8 +206,9 @@
     Ok(())
 }
 
-async fn wait_until_ready(nodes: &[node::Node]) {
-    while !nodes.iter().all(node::Node::is_ready) {
+async fn wait_until_ready(nodes: &[node::Node], documents: usize) {
+    let knows_all = |node: &node::Node| node.is_ready() && node.documents_total() == documents;
+    while !nodes.iter().all(knows_all) {
         time::sleep(Duration::from_millis(READY_POLL_MS)).await;
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -146,6 +146,11 @@
         is_ready(&self.shared)
     }
 
+    /// Documents in force here.
+    pub fn documents_total(&self) -> usize {
+        self.shared.view.borrow().documents.len()
+    }
+
     /// The control part.
     pub fn control(&self) -> &control::Handle {
         &self.shared.control
