--- a/src/control/inbox.rs
+++ b/src/control/inbox.rs
@@ -2,9 +2,7 @@
 
 use rand::Rng;
 
-use super::{
-    Control, EDIT_RETRY_MS, Output, Owner, ROSTER_BACKOFF_FIRST_MS, ROSTER_BACKOFF_MAX_MS,
-};
+use super::{Control, EDIT_BACKOFF_FIRST_MS, EDIT_BACKOFF_MAX_MS, EDIT_RETRY_MS, Output, Owner};
 use super::{ReadId, reads};
 use crate::clock;
 use crate::config;
@@ -93,13 +91,13 @@
         outputs: &mut Vec<Output>,
     ) {
         let Some(deltas) = self.editor.on_settled(settled) else {
-            let doublings = self.roster_refusals.min(6);
-            let longest_ms = (ROSTER_BACKOFF_FIRST_MS << doublings).min(ROSTER_BACKOFF_MAX_MS);
-            self.roster_wait_until = now.after_ms(self.rng.random_range(0..longest_ms));
-            self.roster_refusals += 1;
+            let doublings = self.edit_refusals.min(16);
+            let longest_ms = (EDIT_BACKOFF_FIRST_MS << doublings).min(EDIT_BACKOFF_MAX_MS);
+            self.edit_wait_until = now.after_ms(self.rng.random_range(0..longest_ms));
+            self.edit_refusals += 1;
             return;
         };
-        self.roster_refusals = 0;
+        self.edit_refusals = 0;
         self.replica.on_deltas(&deltas);
         self.fresh = Some(deltas);
         self.pushed_at.clear();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -36,10 +36,10 @@
 const EDIT_RETRY_MS: u64 = 150;
 /// Time between two questions for the heads of the members.
 const ASK_EVERY_MS: u64 = 250;
-/// The longest random wait after a first refused change of the roster.
-const ROSTER_BACKOFF_FIRST_MS: u64 = 200;
-/// The longest random wait after many refused changes of the roster.
-const ROSTER_BACKOFF_MAX_MS: u64 = 10_000;
+/// The longest random wait after a first change that another node's change has overtaken.
+const EDIT_BACKOFF_FIRST_MS: u64 = 100;
+/// The longest random wait after many such changes.
+const EDIT_BACKOFF_MAX_MS: u64 = 3_000;
 
 /// How the changes made here travel to the other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -131,8 +131,7 @@
     leases_polled_at: Option<clock::Instant>,
     gone: Vec<id::Node>,
     leaving: bool,
-    roster_refusals: u32,
-    roster_wait_until: clock::Instant,
+    edit_refusals: u32,
     /// The newest changes made here that others may lack.
     fresh: Option<config::Deltas>,
     pushed_at: BTreeMap<roster::NodeId, clock::Instant>,
@@ -161,8 +160,7 @@
             leases_polled_at: None,
             gone: Vec::new(),
             leaving: false,
-            roster_refusals: 0,
-            roster_wait_until: now,
+            edit_refusals: 0,
             fresh: None,
             pushed_at: BTreeMap::new(),
             fetched_at: None,
--- a/src/control/outbox.rs
+++ b/src/control/outbox.rs
@@ -26,7 +26,9 @@
 
     /// Sends what the journal and the reads have ready.
     pub(super) fn flush(&mut self, now: clock::Instant, outputs: &mut Vec<Output>) {
-        if now >= self.edit_wait_until && self.editor.poll().is_some() {
+        // A head that is read while the journal is busy is old before the edit is sent.
+        let may_edit = now >= self.edit_wait_until && self.writer.is_ready(now);
+        if may_edit && self.editor.poll().is_some() {
             self.reads.want(reads::Purpose::HeadForEdit);
         }
         match self.writer.poll(now) {
@@ -220,7 +222,7 @@
     /// The change of the roster that this node should make now.
     fn roster_change(&self, now: clock::Instant) -> Option<roster::Change> {
         let roster = self.replica.roster();
-        let too_early = now < self.roster_wait_until || !self.replica.is_loaded();
+        let too_early = now < self.edit_wait_until || !self.replica.is_loaded();
         if too_early || self.table_is_out(now) || self.is_superseded() {
             return None;
         }
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -289,6 +289,11 @@
         self.counters
     }
 
+    /// True if a transaction that is submitted now would be sent at once.
+    pub fn is_ready(&self, now: clock::Instant) -> bool {
+        self.group.is_none() && now >= self.ready_at(now)
+    }
+
     /// The next moment at which [`Writer::poll`] may return a request; `None` while it waits for a reply or for work.
     pub fn wake_at(&self, now: clock::Instant) -> Option<clock::Instant> {
         if self.fenced {
--- a/standins/src/control/checks.rs
+++ b/standins/src/control/checks.rs
@@ -83,6 +83,7 @@
     accepted: Vec<(clock::Instant, u64)>,
     held_at: BTreeMap<id::Duty, clock::Instant>,
     longest_vacancy_ms: u64,
+    longest_outdated_ms: u64,
 }
 
 impl Checks {
@@ -115,6 +116,10 @@
         std::mem::take(&mut self.longest_vacancy_ms)
     }
 
+    pub(super) fn longest_outdated_ms(&self) -> u64 {
+        self.longest_outdated_ms
+    }
+
     /// Follows the edits that are open at a process.
     pub(super) fn on_progress(
         &mut self,
@@ -168,6 +173,9 @@
         }
         for (accepted_at, accepted) in self.accepted.iter().rev() {
             let age_ms = now.since_ms(*accepted_at);
+            if *accepted > head {
+                self.longest_outdated_ms = self.longest_outdated_ms.max(age_ms);
+            }
             if *accepted > head && age_ms > IN_FORCE_MS {
                 return Err(Breach::Outdated {
                     node: name,
--- a/standins/src/control/mod.rs
+++ b/standins/src/control/mod.rs
@@ -17,6 +17,7 @@
 use wasabiloft::config;
 use wasabiloft::control;
 use wasabiloft::id;
+use wasabiloft::lease;
 use wasabiloft::peers;
 use wasabiloft::roster;
 
@@ -194,6 +195,32 @@
         self.nodes[index.0].traffic
     }
 
+    /// The duties that a process holds now.
+    pub fn held(&self, index: NodeIndex) -> Vec<lease::Grant> {
+        let node = &self.nodes[index.0];
+        let here = self.now.after_ms(node.clock_ahead_ms);
+        node.control.leases().held(here)
+    }
+
+    /// Duties that no process holds now.
+    pub fn vacant(&self) -> usize {
+        let held: usize = self
+            .running()
+            .into_iter()
+            .map(|index| self.held(index).len())
+            .sum();
+        self.options.duties.saturating_sub(held)
+    }
+
+    /// The sum of all duties' epochs, which rises by one at each change of holder.
+    pub fn epochs(&self) -> u64 {
+        let rows = self.table.range(lease::prefix(), "", usize::MAX);
+        let rows = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str::<lease::Row>(&row.value).ok());
+        rows.map(|row| row.epoch).sum()
+    }
+
     /// The duties that the nodes share out.
     pub fn duties(&self) -> Vec<id::Duty> {
         let names = 0..self.options.duties;
@@ -250,6 +277,11 @@
         self.checks.edits()
     }
 
+    /// The longest time after its acceptance that a change was not in force on a serving node.
+    pub fn longest_outdated_ms(&self) -> u64 {
+        self.checks.longest_outdated_ms()
+    }
+
     /// The longest time that a duty was without a holder since the last call.
     pub fn take_longest_vacancy_ms(&mut self) -> u64 {
         self.checks.take_longest_vacancy_ms()
--- a/standins/src/control/wire.rs
+++ b/standins/src/control/wire.rs
@@ -10,8 +10,8 @@
 
 use super::{Event, NodeIndex, World};
 
-/// Bytes that the headers of IP, UDP and QUIC add to a message.
-pub const OVERHEAD_BYTES: u64 = 60;
+/// Bytes that the headers of IP, UDP and QUIC add to a message, and that its acknowledgement takes.
+pub const OVERHEAD_BYTES: u64 = 120;
 /// A request to the table without a reply counts as failed after this time.
 const TIMEOUT_MS: u64 = 1_500;
 
