once: at-most-once by idempotency key across entry VMs

Change: keys fall into 256 shards with one owner each in a view that is a row of the table. Claims are group-committed with the view's version as a check; in an outage a claim is granted when a majority of the view holds it, and a view is replaced only after a majority has sealed it and written down what it held. `measure keys` runs seeded worlds with faults.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod id;
 pub mod journal;
 pub mod lease;
+pub mod once;
 pub mod platform;
 pub mod roster;
 pub mod verdict;
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -86,6 +86,8 @@
     KeyMayHaveRun,
     /// The idempotency key was used for a different request.
     KeyMismatch,
+    /// An earlier attempt under the idempotency key ran; its answer is not kept.
+    KeyAlreadyRan,
     /// The key could not be claimed, and nothing was sent.
     KeyUnclaimed,
     /// The node can't prove that its configuration is current.
--- /dev/null
+++ b/tests/test_once.rs
@@ -0,0 +1,363 @@
+//! Tests of at-most-once execution: seeded worlds with faults, each guard switched off, and single rules.
+
+use proptest::prelude::*;
+use wasabiloft::clock;
+use wasabiloft::id;
+use wasabiloft::once;
+use wasabiloft::once::message;
+use wasabiloft::once::message::{Input, Message, Output};
+use wasabiloft::once::node;
+use wasabiloft::once::view;
+use wasabiloft::platform;
+use wasabiloft::verdict;
+
+use crate::fixed_seed;
+use crate::keys_world;
+
+fn plan() -> keys_world::Plan {
+    keys_world::Plan {
+        nodes: 5,
+        faulty_ms: 12_000,
+        keys_per_s: 20,
+        repeat: 0.5,
+        loss: 0.05,
+        duplicate: 0.05,
+        reply_loss: 0.05,
+        kill_every_ms: 4_000,
+        pause_every_ms: 4_000,
+        outages: vec![(4_000, 11_000)],
+        cut_nodes: Vec::new(),
+        isolated_nodes: Vec::new(),
+        settings: once::Settings::default(),
+    }
+}
+
+/// Which nodes an outage cuts, and from what.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    All,
+    FromTable,
+    FromAll,
+}
+
+/// Tells whether any of some seeds breaks an invariant.
+fn is_broken(plan: &keys_world::Plan, seeds: u64) -> bool {
+    (0..seeds).any(|seed| !keys_world::run(plan.clone(), seed).violations.is_empty())
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(24))]
+
+    #[test]
+    fn no_key_runs_twice_under_faults(
+        seed in any::<u64>(),
+        nodes in 1_usize..8,
+        loss in 0.0..0.3,
+        duplicate in 0.0..0.3,
+        reply_loss in 0.0..0.3,
+        cut in prop_oneof![Just(Cut::All), Just(Cut::FromTable), Just(Cut::FromAll)],
+    ) {
+        let mut plan = plan();
+        plan.nodes = nodes;
+        plan.loss = loss;
+        plan.duplicate = duplicate;
+        plan.reply_loss = reply_loss;
+        match cut {
+            Cut::All => {}
+            Cut::FromTable => plan.cut_nodes = (0..nodes / 2 + 1).collect(),
+            Cut::FromAll => plan.isolated_nodes = (nodes / 2 + 1..nodes).collect(),
+        }
+        let report = keys_world::run(plan, seed);
+        prop_assert_eq!(report.violations, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn first_attempts_run_through_an_outage() {
+    let mut plan = plan();
+    plan.repeat = 0.0;
+    plan.loss = 0.0;
+    plan.duplicate = 0.0;
+    plan.reply_loss = 0.0;
+    plan.kill_every_ms = 0;
+    plan.pause_every_ms = 0;
+    let report = keys_world::run(plan, 7);
+    assert!(report.outage_first > 100, "{report:?}");
+    assert_eq!(report.first_ran, report.first);
+    assert_eq!(report.outage_first_ran, report.outage_first);
+}
+
+#[test]
+fn without_doubt_a_key_runs_twice() {
+    let mut plan = plan();
+    plan.kill_every_ms = 800;
+    plan.settings.guards.doubt = false;
+    assert!(is_broken(&plan, 40));
+}
+
+#[test]
+fn without_loading_a_key_runs_twice() {
+    let mut plan = plan();
+    plan.faulty_ms = 30_000;
+    plan.outages = (1..6).map(|n| (5_000 * n, 5_000 * n + 2_500)).collect();
+    plan.kill_every_ms = 2_000;
+    plan.settings.guards.load = false;
+    assert!(is_broken(&plan, 40));
+}
+
+#[test]
+fn without_a_majority_a_key_runs_twice() {
+    let mut plan = plan();
+    plan.isolated_nodes = vec![3, 4];
+    plan.settings.guards.majority = false;
+    assert!(is_broken(&plan, 40));
+}
+
+/// One node with a table that always answers at once.
+struct Single {
+    once: node::Once,
+    now_ms: u64,
+    versions: u64,
+    view_moved: bool,
+}
+
+impl Single {
+    fn new() -> Self {
+        Self::with(once::Settings::default())
+    }
+
+    fn with(settings: once::Settings) -> Self {
+        let me = view::Member {
+            node: "entry-1".into(),
+            incarnation: 1,
+        };
+        let mut single = Self {
+            once: node::Once::new(me.clone(), settings),
+            now_ms: 0,
+            versions: 0,
+            view_moved: false,
+        };
+        single.run(Input::Roster(vec![me]));
+        for _ in 0..100 {
+            single.pass(20);
+        }
+        assert!(single.once.is_ready());
+        single
+    }
+
+    fn pass(&mut self, ms: u64) -> Vec<message::Decision> {
+        self.now_ms += ms;
+        self.run(Input::Tick)
+    }
+
+    fn ask(&mut self, number: u64, key: &str, fingerprint: u64) -> Vec<message::Decision> {
+        let key = message::Key {
+            service: "billing".into(),
+            text: key.into(),
+        };
+        let deadline = clock::Instant::from_ms(self.now_ms + 1_000);
+        let mut decisions = self.run(Input::Ask {
+            number,
+            key,
+            fingerprint,
+            deadline,
+        });
+        decisions.extend(self.pass(200));
+        decisions
+    }
+
+    fn end(&mut self, number: u64, end: message::End) {
+        self.run(Input::End { number, end });
+        self.pass(1_000);
+    }
+
+    fn run(&mut self, input: Input) -> Vec<message::Decision> {
+        let mut decisions = Vec::new();
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let now = clock::Instant::from_ms(self.now_ms);
+            for output in self.once.handle(now, input) {
+                match output {
+                    Output::Decide { decision, .. } => decisions.push(decision),
+                    Output::Transact { token, txn } => inputs.push(self.commit(token, &txn)),
+                    Output::ReadRow { key } => inputs.push(Input::Row { key, row: None }),
+                    Output::Scan {
+                        view,
+                        prefix,
+                        after,
+                        ..
+                    } => inputs.push(Input::Rows {
+                        view,
+                        prefix,
+                        after,
+                        rows: Vec::new(),
+                    }),
+                    Output::Send { message, .. } => panic!("a message left: {message:?}"),
+                }
+            }
+        }
+        decisions
+    }
+
+    fn commit(&mut self, token: u64, txn: &platform::Txn) -> Input {
+        let key = id::Key::from(view::ROW_KEY);
+        if self.view_moved && txn.checks.iter().any(|check| check.key == key) {
+            let refused = platform::Refused { key, version: 99 };
+            let outcome = platform::Outcome::Refused(refused);
+            return Input::Outcome { token, outcome };
+        }
+        let mut versions = Vec::new();
+        for write in &txn.writes {
+            self.versions += 1;
+            versions.push(write.value.as_ref().map_or(0, |_| self.versions));
+        }
+        let outcome = platform::Outcome::Committed(platform::Committed { versions });
+        Input::Outcome { token, outcome }
+    }
+}
+
+fn refusal(reason: verdict::Reason) -> message::Decision {
+    message::Decision::Refuse(verdict::Verdict::MayHaveRun, reason)
+}
+
+#[test]
+fn repeat_gets_the_first_answer() {
+    let mut single = Single::new();
+    let answer = message::Answer {
+        status: 201,
+        content_type: None,
+        body: "reserved".to_string(),
+    };
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+    single.end(1, message::End::Ran(Some(answer.clone())));
+    assert_eq!(
+        single.ask(2, "a", 9),
+        vec![message::Decision::Replay(answer)]
+    );
+}
+
+#[test]
+fn repeat_during_the_first_attempt_is_refused() {
+    let mut single = Single::new();
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+    assert_eq!(
+        single.ask(2, "a", 9),
+        vec![refusal(verdict::Reason::KeyInProgress)]
+    );
+}
+
+#[test]
+fn another_request_under_the_key_is_refused() {
+    let mut single = Single::new();
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+    assert_eq!(
+        single.ask(2, "a", 10),
+        vec![refusal(verdict::Reason::KeyMismatch)]
+    );
+}
+
+#[test]
+fn key_that_did_not_run_is_free_again() {
+    let mut single = Single::new();
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+    single.end(1, message::End::NotRun);
+    assert_eq!(single.ask(2, "a", 9), vec![message::Decision::Run]);
+}
+
+#[test]
+fn owner_of_an_old_view_grants_nothing() {
+    let mut single = Single::new();
+    single.view_moved = true;
+    assert_eq!(single.ask(1, "a", 9), Vec::new());
+    assert_eq!(
+        single.pass(1_000),
+        vec![refusal(verdict::Reason::KeyUnclaimed)]
+    );
+}
+
+#[test]
+fn without_the_view_check_the_owner_of_an_old_view_grants() {
+    let mut settings = once::Settings::default();
+    settings.guards.view_check = false;
+    let mut single = Single::with(settings);
+    single.view_moved = true;
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+}
+
+#[test]
+fn key_expires() {
+    let mut single = Single::new();
+    assert_eq!(single.ask(1, "a", 9), vec![message::Decision::Run]);
+    single.end(1, message::End::MayHaveRun);
+    assert_eq!(
+        single.ask(2, "a", 9),
+        vec![refusal(verdict::Reason::KeyMayHaveRun)]
+    );
+    single.pass(2 * clock::HOUR_MS);
+    single.pass(1_000);
+    assert_eq!(single.once.sizes().owned, 0);
+    assert_eq!(single.ask(3, "a", 9), vec![message::Decision::Run]);
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut single = Single::with(once::Settings {
+        entries_max: 3,
+        ..once::Settings::default()
+    });
+    for number in 0..3 {
+        let key = format!("k{number}");
+        assert_eq!(single.ask(number, &key, 1), vec![message::Decision::Run]);
+    }
+    assert_eq!(
+        single.ask(3, "k3", 1),
+        vec![refusal(verdict::Reason::KeyUnclaimed)]
+    );
+}
+
+#[test]
+fn sealed_view_takes_no_claims_from_memory() {
+    let member = |incarnation| view::Member {
+        node: "entry".into(),
+        incarnation,
+    };
+    let mut once = node::Once::new(member(1), once::Settings::default());
+    let view = view::View {
+        number: 4,
+        members: vec![member(1), member(2)],
+        doubtful: Vec::new(),
+    };
+    let row = platform::Row {
+        key: view::ROW_KEY.into(),
+        version: 9,
+        value: serde_json::to_string(&view).unwrap(),
+    };
+    let now = clock::Instant::ZERO;
+    once.handle(
+        now,
+        Input::Row {
+            key: view::ROW_KEY.into(),
+            row: Some(row),
+        },
+    );
+    let peer = |message| Input::Peer {
+        from: member(2),
+        message,
+    };
+    let claim = message::Claim {
+        id: message::ClaimId {
+            asker: member(2),
+            number: 1,
+        },
+        key: message::Key {
+            service: "billing".into(),
+            text: "a".into(),
+        },
+        fingerprint: 9,
+    };
+    let hold = Message::Hold { view: 4, claim };
+    let told = Message::Sealed { view: 4 };
+    let sealed = once.handle(now, peer(Message::Seal { view: 4 }));
+    assert!(matches!(&sealed[..], [Output::Send { message, .. }] if *message == told));
+    assert!(once.handle(now, peer(hold)).is_empty());
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of the decision library, one module a slice.
 
 mod fake_table;
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_once;
 
 use proptest::test_runner::{Config, RngSeed};
 
