--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,19 @@
 //! its inputs and a random generator as arguments and returns what should be done. Sockets, timers
 //! and the platform's client live in `wasabiloft-node`.
 
+pub mod admission;
 pub mod clock;
+pub mod config;
+pub mod control;
+pub mod dispatch;
 pub mod document;
 pub mod id;
 pub mod journal;
 pub mod lease;
 pub mod once;
+pub mod peers;
 pub mod platform;
 pub mod roster;
+pub mod routing;
+pub mod slots;
 pub mod verdict;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! They speak the same HTTP as the real ones would, and every fault can be switched on and off.
 
 pub mod client;
+pub mod control;
 pub mod deployment;
 pub mod endpoint;
 pub mod faults;
@@ -13,5 +14,6 @@
 pub mod server;
 pub mod table;
 pub mod tally;
+pub mod udp_proxy;
 pub mod vms;
 pub mod worker;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,12 +1,17 @@
 //! Tests of the decision library, one module a slice.
 
+mod fake_slots;
 mod fake_table;
 #[path = "../measure/src/keys_world.rs"]
 mod keys_world;
+mod test_config;
 mod test_document;
 mod test_journal;
 mod test_lease;
 mod test_once;
+mod test_peers;
+mod test_roster;
+mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
 
