--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,55 +1,50 @@
-//! `measure`: seeded measurements of the decision code, one JSON object a run.
+//! Seeded measurements of the decision code; each run prints one JSON object.
 
 mod config;
+mod keys;
+mod keys_world;
 mod lease;
 mod util;
 
-use std::process::ExitCode;
+use std::env;
+use std::error;
+use std::process;
 
-/// A command: its name, what it measures, and what runs it.
-type Command = (
-    &'static str,
-    &'static str,
-    fn(lexopt::Parser) -> Result<(), util::Error>,
-);
+const USAGE: &str = "\
+Measures the decision code; prints one JSON object a run.
 
-const COMMANDS: &[Command] = &[
-    (
-        "config",
-        "Lag and cost of configuration changes.",
-        config::run,
-    ),
-    (
-        "lease",
-        "Take-over of duties, paused holders, the end of an outage.",
-        lease::run,
-    ),
-];
+Usage:
+    measure <command> [options]
 
-fn main() -> ExitCode {
-    let mut argv = std::env::args_os().skip(1);
-    let name = argv.next().unwrap_or_default();
-    let command = COMMANDS.iter().find(|(known, _, _)| name == *known);
-    let Some((_, _, run)) = command else {
-        usage();
-        return match name.to_str() {
-            Some("--help" | "-h") => ExitCode::SUCCESS,
-            _ => ExitCode::FAILURE,
-        };
+Commands:
+    config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
+    keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    lease       Duties: time to take over, paused holders, store load at an outage's end.
+
+Run `measure <command> --help` for its options.";
+
+fn main() -> process::ExitCode {
+    let mut args = env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    let argv: Vec<_> = args.collect();
+    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
+        Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("keys") => keys::run(argv).map_err(Into::into),
+        Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("--help" | "-h") => {
+            println!("{USAGE}");
+            return process::ExitCode::SUCCESS;
+        }
+        _ => {
+            eprintln!("{USAGE}");
+            return process::ExitCode::from(2);
+        }
     };
-    match run(lexopt::Parser::from_args(argv)) {
-        Ok(()) => ExitCode::SUCCESS,
+    match done {
+        Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("measure: {error}");
-            ExitCode::FAILURE
+            process::ExitCode::FAILURE
         }
     }
 }
-
-fn usage() {
-    println!("Measures the decision code; prints one JSON object a run.\n");
-    println!("Usage:\n    measure COMMAND [OPTIONS]\n    measure COMMAND --help\n\nCommands:");
-    for (name, summary, _) in COMMANDS {
-        println!("    {name:<10}{summary}");
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod id;
 pub mod journal;
 pub mod lease;
+pub mod once;
 pub mod peers;
 pub mod platform;
 pub mod roster;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,10 +2,13 @@
 
 mod fake_slots;
 mod fake_table;
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
 mod test_config;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_once;
 mod test_peers;
 mod test_roster;
 mod test_slots;
