pool, maintenance, fleet: decisions of the fleet duty and its measurement

Change: sans-IO planner over rows vm/VM and pool/POOL; wave, headroom, proof, moves and demand as pure decisions; measure fleet with fakes of table, VMs, entry VMs and racing holders.

--- /dev/null
+++ b/src/fleet/advance.rs
@@ -0,0 +1,261 @@
+//! Carries every VM that is out of service towards the end of its stage.
+
+use crate::fleet::{Effect, Event, Output, planner};
+use crate::pool::{member, row, spec, strength};
+use crate::{clock, id, platform};
+
+/// Outputs of a stage are given again after this long, in milliseconds.
+pub const REPEAT_MS: u64 = 5 * clock::SECOND_MS;
+/// A drain that the platform does not take is not waited for when the VM has been down this long.
+pub const DOWN_MS: u64 = clock::MINUTE_MS;
+
+/// A VM whose row says that it serves is resumed when it has been drained this long.
+pub const LEFT_DRAINED_MS: u64 = 2 * clock::MINUTE_MS;
+
+impl planner::Planner {
+    /// Emits what each stage needs, and commits those that have ended.
+    pub(super) fn advance(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        let keys: Vec<member::Key> = self.machines.keys().collect();
+        for key in keys {
+            let machine = &self.machines[key];
+            if machine.pending.is_some() {
+                continue;
+            }
+            self.emit(now, key, out);
+            if let Some(row) = self.following(now, key, out) {
+                self.commit(now, vec![(key, Some(row))], Vec::new(), out);
+            }
+        }
+    }
+
+    /// Tells whether a VM in service is still drained, as by a drain that was given up and came late.
+    fn left_drained(&self, key: member::Key) -> bool {
+        let machine = &self.machines[key];
+        let state = machine.listed.as_ref().map(|vm| vm.state);
+        let down_ms = machine.member(key, self.as_of_ms).down_ms;
+        state == Some(platform::VmState::Leaving) && down_ms >= LEFT_DRAINED_MS
+    }
+
+    /// The row that follows the VM's stage, if the stage has ended.
+    fn following(
+        &mut self,
+        now: clock::Instant,
+        key: member::Key,
+        out: &mut Vec<Output>,
+    ) -> Option<row::Vm> {
+        let stage = self.machines[key].row.stage.clone();
+        match stage {
+            row::Stage::InService => self.left_drained(key).then(|| self.joining(key)),
+            row::Stage::Leaving {
+                purpose, since_ms, ..
+            } => {
+                if self.should_abandon(key, &purpose) {
+                    let vm = self.machines[key].row.vm.clone();
+                    out.push(Output::Event(Event::DrainAbandoned { vm }));
+                    return Some(self.joining(key));
+                }
+                self.tell_overdue_drain(key, since_ms, out);
+                self.drained(now, key)
+                    .then(|| self.after_drain(key, purpose, since_ms))?
+            }
+            row::Stage::Rebooting {
+                boots, began_ms, ..
+            } => {
+                self.tell_overdue_reboot(key, out);
+                self.after_reboot(key, boots, began_ms)
+            }
+            row::Stage::Joining { .. } => self.after_joining(key),
+            row::Stage::Out => {
+                let marked = self.machines[key].row.mark == Some(row::Mark::Out);
+                (!marked).then(|| self.joining(key))
+            }
+        }
+    }
+
+    /// Gives the outputs of a stage, now and again until they have shown effect.
+    fn emit(&mut self, now: clock::Instant, key: member::Key, out: &mut Vec<Output>) {
+        let intent = match self.machines[key].operation() {
+            Some(operation) => platform::Intent {
+                operation: operation.clone(),
+                duty: self.settings.duty.clone(),
+                epoch: self.epoch,
+            },
+            None => return,
+        };
+        let machine = &mut self.machines[key];
+        let sent_at = machine.progress.sent_at;
+        if sent_at.is_some_and(|sent_at| now.since_ms(sent_at) < REPEAT_MS) {
+            return;
+        }
+        machine.progress.sent_at = Some(now);
+        let vm = machine.row.vm.clone();
+        let operation = intent.operation.clone();
+        if matches!(machine.row.stage, row::Stage::Leaving { .. }) {
+            let (vm, operation) = (vm.clone(), operation.clone());
+            if !machine.progress.vacated {
+                let (vm, operation) = (vm.clone(), operation.clone());
+                out.push(Output::Vacate { vm, operation });
+            }
+            out.push(Output::Announce { vm, operation });
+        }
+        let done = machine.progress.done_as_of_ms.is_some();
+        if let (false, Some(effect)) = (done, effect(&machine.row.stage)) {
+            out.push(Output::Effect { vm, effect, intent });
+        }
+    }
+
+    /// Tells whether nothing is left on a VM that leaves.
+    fn drained(&self, now: clock::Instant, key: member::Key) -> bool {
+        let machine = &self.machines[key];
+        let member = machine.member(key, self.as_of_ms);
+        let taken = machine.progress.done_as_of_ms.is_some() || member.down_ms >= DOWN_MS;
+        let acks = &machine.progress.acks;
+        taken && machine.progress.vacated && self.senders.silent(now, acks, self.lapse_ms)
+    }
+
+    fn after_drain(
+        &mut self,
+        key: member::Key,
+        purpose: row::Purpose,
+        began_ms: u64,
+    ) -> Option<row::Vm> {
+        let mut row = self.machines[key].row.clone();
+        match purpose {
+            row::Purpose::Maintain => {
+                let boots = self.machines[key].listed.as_ref()?.boots;
+                row.stage = row::Stage::Rebooting {
+                    operation: self.operation(),
+                    boots,
+                    began_ms,
+                    since_ms: self.as_of_ms,
+                };
+            }
+            row::Purpose::Move { to } => {
+                row = self.joining(key);
+                row.pool = to;
+                row.generation += 1;
+            }
+            row::Purpose::TakeOut => row.stage = row::Stage::Out,
+        }
+        Some(row)
+    }
+
+    fn after_reboot(&mut self, key: member::Key, boots: u64, began_ms: u64) -> Option<row::Vm> {
+        let machine = &self.machines[key];
+        // More boots alone may come from a crash, with the reboot still on its way.
+        let done_as_of_ms = machine.progress.done_as_of_ms?;
+        let listed = machine.listed.as_ref()?;
+        if listed.boots <= boots || self.as_of_ms <= done_as_of_ms {
+            return None;
+        }
+        let mut row = match listed.state {
+            platform::VmState::Live => {
+                let mut row = machine.row.clone();
+                row.stage = row::Stage::InService;
+                row
+            }
+            platform::VmState::Leaving => self.joining(key),
+            platform::VmState::Rebooting | platform::VmState::Failed => return None,
+        };
+        row.maintained_ms = self.as_of_ms;
+        if row.mark == Some(row::Mark::First) {
+            row.mark = None;
+        }
+        self.learn_step(self.as_of_ms.saturating_sub(began_ms));
+        Some(row)
+    }
+
+    /// Averages what a step lasts.
+    fn learn_step(&mut self, lasted_ms: u64) {
+        let bounded_ms = lasted_ms.min(member::REBOOT_LIMIT_MS);
+        self.step_ms = (7 * self.step_ms + bounded_ms) / 8;
+    }
+
+    fn after_joining(&self, key: member::Key) -> Option<row::Vm> {
+        let machine = &self.machines[key];
+        let done_as_of_ms = machine.progress.done_as_of_ms?;
+        let mut row = machine.row.clone();
+        row.stage = row::Stage::InService;
+        (machine.live() && self.as_of_ms > done_as_of_ms).then_some(row)
+    }
+
+    /// The VM's row, told to take work again.
+    fn joining(&mut self, key: member::Key) -> row::Vm {
+        let operation = self.operation();
+        let mut row = self.machines[key].row.clone();
+        row.stage = row::Stage::Joining {
+            operation,
+            since_ms: self.as_of_ms,
+        };
+        row
+    }
+
+    /// Tells whether a drain is given up: the pool has become short, and the VM can still serve.
+    fn should_abandon(&self, key: member::Key, purpose: &row::Purpose) -> bool {
+        let machine = &self.machines[key];
+        let listed = machine.listed.as_ref().map(|vm| vm.state);
+        let serves = matches!(
+            listed,
+            Some(platform::VmState::Live | platform::VmState::Leaving)
+        );
+        let Some(pool) = self.pools.get(&machine.row.pool) else {
+            return false;
+        };
+        if !serves || *purpose == row::Purpose::TakeOut || pool.spec.role != spec::Role::Service {
+            return false;
+        }
+        let members = self.machines.iter();
+        let members: Vec<_> = members
+            .filter(|(_, other)| other.row.pool == machine.row.pool)
+            .map(|(key, other)| other.member(key, self.as_of_ms))
+            .collect();
+        let strength = strength::Strength::of(&members);
+        let coming = members.iter().filter(|member| {
+            matches!(member.row.stage, row::Stage::Joining { .. }) && member.down_ms == 0
+        });
+        strength.in_service + (coming.count() as u32) < pool.spec.min_runners
+    }
+
+    fn tell_overdue_drain(&mut self, key: member::Key, since_ms: u64, out: &mut Vec<Output>) {
+        let machine = &mut self.machines[key];
+        let pool = self.pools.get(&machine.row.pool);
+        let limit_ms = pool.map_or(u64::MAX, |pool| pool.spec.drain_limit_ms);
+        if !machine.progress.told && self.as_of_ms.saturating_sub(since_ms) > limit_ms {
+            machine.progress.told = true;
+            let vm = machine.row.vm.clone();
+            out.push(Output::Event(Event::DrainOverdue { vm }));
+        }
+    }
+
+    fn tell_overdue_reboot(&mut self, key: member::Key, out: &mut Vec<Output>) {
+        let machine = &mut self.machines[key];
+        let lost = machine
+            .member(key, self.as_of_ms)
+            .lost_in_reboot(self.as_of_ms);
+        if lost && !machine.progress.told {
+            machine.progress.told = true;
+            let vm = machine.row.vm.clone();
+            out.push(Output::Event(Event::RebootOverdue { vm }));
+        }
+    }
+
+    /// Entry VMs that have not acknowledged the drain of a VM.
+    pub fn unacknowledged(&self, vm: &id::Vm) -> Vec<id::Node> {
+        let machine = self.keys.get(vm).map(|&key| &self.machines[key]);
+        let Some(machine) = machine else {
+            return Vec::new();
+        };
+        let missing = self.senders.missing(&machine.progress.acks);
+        missing.map(|member| member.node.clone()).collect()
+    }
+}
+
+/// The effect that a stage needs.
+fn effect(stage: &row::Stage) -> Option<Effect> {
+    match stage {
+        row::Stage::InService | row::Stage::Out => None,
+        row::Stage::Leaving { .. } => Some(Effect::Drain),
+        row::Stage::Rebooting { .. } => Some(Effect::Reboot),
+        row::Stage::Joining { .. } => Some(Effect::Resume),
+    }
+}
--- /dev/null
+++ b/src/fleet/apply.rs
@@ -0,0 +1,322 @@
+//! Decides on a snapshot and commits what was decided.
+
+use std::collections::BTreeMap;
+
+use crate::fleet::{Event, Output, machine, planner, snapshot};
+use crate::maintenance::{reason, wave};
+use crate::pool::{member, moves, row, spec, strength};
+use crate::{clock, id};
+
+/// Rows that one transaction of this duty writes at most; the lease and the journal need some too.
+const ROWS_MAX: usize = 40;
+/// An account that has counted more absence is stored this often, in milliseconds.
+const STORE_MS: u64 = 5 * clock::MINUTE_MS;
+/// The row of a VM that the platform no longer lists is deleted after this long, in milliseconds.
+const GONE_MS: u64 = clock::HOUR_MS;
+/// VMs that have lately not come back from reboots, at which all waves pause.
+pub const REBOOTS_FAILING: usize = 3;
+/// How long a VM that does not come back counts for that, in milliseconds.
+const REBOOTS_FAILING_MS: u64 = clock::DAY_MS;
+
+impl planner::Planner {
+    /// Gives every pool that has VMs or documents its state and its needs.
+    pub(super) fn know_pools(&mut self) {
+        let owned = self.machines.values().map(|machine| &machine.row.pool);
+        let named = self.specs.keys();
+        let spare = std::iter::once(&self.settings.spare_pool);
+        let unknown: Vec<id::Pool> = owned
+            .chain(named)
+            .chain(spare)
+            .filter(|pool| !self.pools.contains_key(*pool))
+            .cloned()
+            .collect();
+        for pool in unknown {
+            let row = row::Pool::first(&pool);
+            self.pools.insert(pool, machine::Pool::new(row, 0));
+        }
+        let snapshot = snapshot::Snapshot::new(self);
+        let reserve = snapshot.reserve(&self.settings.spare_pool);
+        let spares = snapshot.members(&self.settings.spare_pool).len() as u32;
+        let kept = reserve.min(spares.saturating_sub(1));
+        let spare = spec::Spec::unnamed(spec::Role::Spare, kept, self.settings.spare_at_once);
+        for (pool, state) in &mut self.pools {
+            state.spec = match self.specs.get(pool) {
+                _ if *pool == self.settings.spare_pool => spare.clone(),
+                Some(spec) => spec.clone(),
+                None => spec::Spec::unnamed(spec::Role::Orphan, 0, 1),
+            };
+        }
+    }
+
+    /// Counts absence up to the newest list, and for how long pools have had a surplus.
+    pub(super) fn count_absence(&mut self) {
+        let snapshot = snapshot::Snapshot::new(self);
+        let as_of_ms = snapshot.as_of_ms;
+        let situations = snapshot.moves();
+        let counts: Vec<(id::Pool, u32, bool)> = situations
+            .iter()
+            .map(|pool| {
+                let in_service = strength::Strength::of(pool.members).in_service;
+                let missing = pool.spec.runners.saturating_sub(in_service);
+                let surplus = pool.expected(as_of_ms) > pool.target();
+                (pool.pool.clone(), missing, surplus)
+            })
+            .collect();
+        for (pool, missing, surplus) in counts {
+            let Some(pool) = self.pools.get_mut(&pool) else {
+                continue;
+            };
+            let period_ms = pool.spec.period_ms;
+            pool.row.account.advance(missing, as_of_ms, period_ms);
+            pool.surplus_since_ms = match surplus {
+                true => pool.surplus_since_ms.or(Some(as_of_ms)),
+                false => None,
+            };
+        }
+    }
+
+    /// Makes rows for VMs that the table does not know, and deletes those of VMs long gone.
+    pub(super) fn first_rows(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        let listed = self.list.vms.iter();
+        let new: Vec<row::Vm> = listed
+            .filter(|vm| !self.keys.contains_key(&vm.vm))
+            .map(row::Vm::first)
+            .collect();
+        for rows in new.chunks(ROWS_MAX) {
+            let vms = rows.iter().map(|row| (self.adopt(row), Some(row.clone())));
+            let vms = vms.collect();
+            self.commit(now, vms, Vec::new(), out);
+        }
+        let gone = |machine: &machine::Machine| {
+            let since = machine.down_since_ms;
+            let down_ms = since.map_or(0, |since| self.as_of_ms.saturating_sub(since));
+            machine.listed.is_none() && machine.pending.is_none() && down_ms >= GONE_MS
+        };
+        let machines = self.machines.iter();
+        let gone: Vec<member::Key> = machines
+            .filter(|(_, machine)| gone(machine))
+            .map(|(key, _)| key)
+            .take(ROWS_MAX)
+            .collect();
+        if !gone.is_empty() {
+            let vms = gone.into_iter().map(|key| (key, None)).collect();
+            self.commit(now, vms, Vec::new(), out);
+        }
+    }
+
+    fn adopt(&mut self, row: &row::Vm) -> member::Key {
+        let key = self.machines.insert(machine::Machine::new(row.clone(), 0));
+        self.keys.insert(row.vm.clone(), key);
+        key
+    }
+
+    /// Why no step begins in any pool.
+    pub(super) fn hindrance(&self, now: clock::Instant) -> Option<reason::Reason> {
+        let stale = |at: clock::Instant| now.since_ms(at) > planner::LIST_STALE_MS;
+        if self.list_at.is_none_or(stale) {
+            return Some(reason::Reason::ListStale);
+        }
+        if !self.senders.known() {
+            return Some(reason::Reason::RosterUnknown);
+        }
+        let mut pending = self.pending.values();
+        let slow = pending.any(|pending| now.since_ms(pending.sent_at) > planner::TXN_SLOW_MS);
+        slow.then_some(reason::Reason::TableOut)
+    }
+
+    /// Tells whether reboots fail so often that waves pause.
+    fn reboots_failing(&self) -> bool {
+        let lately = self.machines.iter().filter(|(key, machine)| {
+            let member = machine.member(*key, self.as_of_ms);
+            let row::Stage::Rebooting { since_ms, .. } = machine.row.stage else {
+                return false;
+            };
+            let age_ms = self.as_of_ms.saturating_sub(since_ms);
+            member.lost_in_reboot(self.as_of_ms) && age_ms < REBOOTS_FAILING_MS
+        });
+        lately.count() >= REBOOTS_FAILING
+    }
+
+    /// Begins the moves that are needed, one transaction a pool.
+    pub(super) fn begin_moves(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        let snapshot = snapshot::Snapshot::new(self);
+        let reserve = snapshot.reserve(&self.settings.spare_pool);
+        let situations = snapshot.moves();
+        let (moves, unmet) = moves::plan(situations, self.as_of_ms, reserve);
+        self.unmet = unmet;
+        let mut by_pool: BTreeMap<id::Pool, Vec<moves::Move>> = BTreeMap::new();
+        for planned in moves {
+            let from = planned.from.clone();
+            by_pool.entry(from).or_default().push(planned);
+        }
+        for (pool, planned) in by_pool {
+            self.begin_moves_of(now, &pool, &planned, out);
+        }
+    }
+
+    fn begin_moves_of(
+        &mut self,
+        now: clock::Instant,
+        pool: &id::Pool,
+        planned: &[moves::Move],
+        out: &mut Vec<Output>,
+    ) {
+        let mut leaving = Vec::new();
+        for planned in planned.iter().take(ROWS_MAX) {
+            let purpose = row::Purpose::Move {
+                to: planned.to.clone(),
+            };
+            leaving.push((planned.key, purpose));
+            let vm = self.machines[planned.key].row.vm.clone();
+            let cause = planned.cause;
+            out.push(Output::Event(Event::MoveBegun { vm, cause }));
+        }
+        self.leave(now, pool, leaving, out);
+    }
+
+    /// Begins the steps of waves, and takes VMs out that an operator has marked.
+    pub(super) fn begin_waves(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        let failing = self.reboots_failing();
+        let snapshot = snapshot::Snapshot::new(self);
+        let pools = self
+            .pools
+            .iter()
+            .filter(|(_, state)| state.pending.is_none());
+        let steps: Vec<(id::Pool, wave::Step, Vec<member::Key>)> = pools
+            .map(|(pool, state)| {
+                let situation = snapshot.wave(pool, state);
+                let step = match situation.next() {
+                    wave::Step::Begin(_) if failing => {
+                        wave::Step::Paused(reason::Reason::RebootsFailing)
+                    }
+                    step => step,
+                };
+                (pool.clone(), step, marked_out(&situation))
+            })
+            .collect();
+        for (pool, step, marked) in steps {
+            if marked.is_empty() {
+                self.begin_step(now, &pool, step, out);
+            } else {
+                let leaving = marked.into_iter().map(|key| (key, row::Purpose::TakeOut));
+                self.leave(now, &pool, leaving.collect(), out);
+            }
+        }
+    }
+
+    fn begin_step(
+        &mut self,
+        now: clock::Instant,
+        pool: &id::Pool,
+        step: wave::Step,
+        out: &mut Vec<Output>,
+    ) {
+        let reason = match step {
+            wave::Step::Done | wave::Step::Running => None,
+            wave::Step::Paused(reason) => Some(self.with_spares(pool, reason)),
+            wave::Step::Begin(keys) => {
+                let begun = |key: &member::Key| {
+                    let vm = self.machines[*key].row.vm.clone();
+                    Output::Event(Event::MaintenanceBegun { vm })
+                };
+                out.extend(keys.iter().take(ROWS_MAX).map(begun));
+                let leaving = keys.into_iter().map(|key| (key, row::Purpose::Maintain));
+                self.leave(now, pool, leaving.take(ROWS_MAX).collect(), out);
+                None
+            }
+        };
+        self.set_reason(pool, reason, out);
+    }
+
+    /// Commits that VMs of one pool leave service.
+    fn leave(
+        &mut self,
+        now: clock::Instant,
+        pool: &id::Pool,
+        leaving: Vec<(member::Key, row::Purpose)>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut vms = Vec::new();
+        for (key, purpose) in leaving {
+            let mut row = self.machines[key].row.clone();
+            row.stage = row::Stage::Leaving {
+                operation: self.operation(),
+                purpose,
+                since_ms: self.as_of_ms,
+            };
+            vms.push((key, Some(row)));
+        }
+        let row = self.pools[pool].row.clone();
+        self.commit(now, vms, vec![row], out);
+    }
+
+    /// Says that spares are lacking, where a spare VM would let the wave go on.
+    fn with_spares(&self, pool: &id::Pool, reason: reason::Reason) -> reason::Reason {
+        match reason {
+            reason::Reason::MinRunners | reason::Reason::DomainReserve
+                if self.unmet.contains_key(pool) =>
+            {
+                reason::Reason::SpareExhausted
+            }
+            other => other,
+        }
+    }
+
+    pub(super) fn pause_all(&mut self, reason: reason::Reason, out: &mut Vec<Output>) {
+        let pools: Vec<id::Pool> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            self.set_reason(&pool, Some(reason), out);
+        }
+    }
+
+    fn set_reason(
+        &mut self,
+        pool: &id::Pool,
+        reason: Option<reason::Reason>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(state) = self.pools.get_mut(pool) else {
+            return;
+        };
+        if state.reason == reason {
+            return;
+        }
+        state.reason = reason;
+        let pool = pool.clone();
+        out.push(Output::Event(match reason {
+            Some(reason) => Event::Paused { pool, reason },
+            None => Event::Resumed { pool },
+        }));
+    }
+
+    /// Stores accounts that have counted absence, and the service that a pool serves.
+    pub(super) fn store_accounts(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        let mut rows = Vec::new();
+        for pool in self.pools.values() {
+            let account = &pool.row.account;
+            let counted = account.absent_ms != pool.stored.absent_ms
+                || account.period_start_ms != pool.stored.period_start_ms;
+            let old = account.until_ms.saturating_sub(pool.stored.until_ms) >= STORE_MS;
+            let renamed = pool.spec.service.is_some() && pool.spec.service != pool.row.service;
+            if pool.pending.is_none() && (renamed || (counted && old)) {
+                let mut row = pool.row.clone();
+                row.service = pool.spec.service.clone().or(row.service);
+                rows.push(row);
+            }
+        }
+        for rows in rows.chunks(ROWS_MAX) {
+            self.commit(now, Vec::new(), rows.to_vec(), out);
+        }
+    }
+}
+
+/// VMs that an operator marked to be taken out and that their pool can spare.
+fn marked_out(situation: &wave::Situation<'_>) -> Vec<member::Key> {
+    let strength = strength::Strength::of(situation.members);
+    let marked = situation.members.iter().find(|member| {
+        member.may_leave()
+            && member.row.mark == Some(row::Mark::Out)
+            && situation.headroom.check(&strength, member).is_ok()
+    });
+    marked.map(|member| member.key).into_iter().collect()
+}
--- /dev/null
+++ b/src/fleet/rows.rs
@@ -0,0 +1,223 @@
+//! Rows in and transactions out: versions, outcomes, and reading again after a refusal.
+
+use std::collections::BTreeSet;
+
+use crate::fleet::{Event, Output, Token, machine, planner};
+use crate::pool::{member, row};
+use crate::{clock, id, platform};
+
+/// A transaction that is not settled.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// When it was given to the shell.
+    pub sent_at: clock::Instant,
+    /// The VMs whose rows it writes, with the new rows; `None` deletes.
+    pub vms: Vec<(member::Key, Option<row::Vm>)>,
+    /// The pools whose rows it writes, with the new rows.
+    pub pools: Vec<row::Pool>,
+}
+
+impl planner::Planner {
+    /// Takes in all rows.
+    pub(super) fn take_rows(
+        &mut self,
+        pools: &[platform::Row],
+        vms: &[platform::Row],
+        out: &mut Vec<Output>,
+    ) {
+        for stored in pools {
+            match row::read_pool(stored) {
+                Ok(row) => self.take_pool(row, stored.version),
+                Err(_) => unreadable(stored, out),
+            }
+        }
+        let known: Vec<member::Key> = self.machines.keys().collect();
+        let mut seen = BTreeSet::new();
+        for stored in vms {
+            match row::read_vm(stored) {
+                Ok(row) => {
+                    seen.insert(self.take_vm(row, stored.version));
+                }
+                Err(_) => unreadable(stored, out),
+            }
+        }
+        for key in known {
+            if !seen.contains(&key) && self.machines[key].pending.is_none() {
+                self.forget(key);
+            }
+        }
+        self.relist();
+        self.loaded = true;
+    }
+
+    fn take_pool(&mut self, row: row::Pool, version: u64) {
+        let pool = self
+            .pools
+            .entry(row.pool.clone())
+            .or_insert_with(|| machine::Pool::new(row.clone(), 0));
+        if pool.pending.is_some() || version <= pool.version {
+            return;
+        }
+        pool.version = version;
+        pool.stored = row.account;
+        pool.row = row;
+    }
+
+    fn take_vm(&mut self, row: row::Vm, version: u64) -> member::Key {
+        let Some(&key) = self.keys.get(&row.vm) else {
+            let vm = row.vm.clone();
+            let key = self.machines.insert(machine::Machine::new(row, version));
+            self.keys.insert(vm, key);
+            return key;
+        };
+        let machine = &mut self.machines[key];
+        if machine.pending.is_none() && version > machine.version {
+            machine.set_row(row, version);
+        }
+        key
+    }
+
+    pub(super) fn forget(&mut self, key: member::Key) {
+        if let Some(machine) = self.machines.remove(key) {
+            self.keys.remove(&machine.row.vm);
+        }
+    }
+
+    /// Emits a transaction that writes rows of VMs and pools on condition of their known versions.
+    pub(super) fn commit(
+        &mut self,
+        now: clock::Instant,
+        vms: Vec<(member::Key, Option<row::Vm>)>,
+        pools: Vec<row::Pool>,
+        out: &mut Vec<Output>,
+    ) {
+        self.last_token += 1;
+        let token = Token(self.last_token);
+        let mut txn = platform::Txn::default();
+        for row in &pools {
+            let pool = self
+                .pools
+                .entry(row.pool.clone())
+                .or_insert_with(|| machine::Pool::new(row.clone(), 0));
+            pool.pending = Some(token);
+            push(
+                &mut txn,
+                row::pool_key(&row.pool),
+                pool.version,
+                Some(json(row)),
+            );
+        }
+        for (key, row) in &vms {
+            let machine = &mut self.machines[*key];
+            machine.pending = Some(token);
+            let value = row.as_ref().map(json);
+            push(
+                &mut txn,
+                row::vm_key(&machine.row.vm),
+                machine.version,
+                value,
+            );
+        }
+        let sent_at = now;
+        self.pending.insert(
+            token,
+            Pending {
+                sent_at,
+                vms,
+                pools,
+            },
+        );
+        out.push(Output::Commit { token, txn });
+    }
+
+    /// Takes in a settled outcome.
+    pub(super) fn settle(
+        &mut self,
+        token: Token,
+        outcome: Result<&platform::Committed, &platform::Refused>,
+        out: &mut Vec<Output>,
+    ) {
+        let pending = self.pending.remove(&token);
+        match (pending, outcome) {
+            (Some(pending), Ok(committed)) => self.committed(pending, &committed.versions, out),
+            (Some(_), Err(_)) => {
+                out.push(Output::Event(Event::TxnRefused));
+                self.reload(out);
+            }
+            // A transaction that was forgotten at a reload has changed rows since.
+            (None, Ok(_)) => self.reload(out),
+            (None, Err(_)) => {}
+        }
+    }
+
+    fn reload(&mut self, out: &mut Vec<Output>) {
+        self.loaded = false;
+        self.pending.clear();
+        for machine in self.machines.values_mut() {
+            machine.pending = None;
+        }
+        for pool in self.pools.values_mut() {
+            pool.pending = None;
+        }
+        out.push(Output::Reload);
+    }
+
+    fn committed(&mut self, pending: Pending, versions: &[u64], out: &mut Vec<Output>) {
+        let mut versions = versions.iter().copied();
+        for row in pending.pools {
+            let version = versions.next().unwrap_or(0);
+            if let Some(pool) = self.pools.get_mut(&row.pool) {
+                pool.version = version;
+                pool.pending = None;
+                pool.stored = row.account;
+                pool.row.service = row.service;
+            }
+        }
+        for (key, row) in pending.vms {
+            let version = versions.next().unwrap_or(0);
+            let Some(row) = row else {
+                self.forget(key);
+                continue;
+            };
+            let Some(machine) = self.machines.get_mut(key) else {
+                continue;
+            };
+            machine.pending = None;
+            events(&machine.row, &row, out);
+            machine.set_row(row, version);
+            let listed = machine.listed.take();
+            machine.observe(listed.as_ref(), self.as_of_ms);
+        }
+    }
+}
+
+/// Tells what a committed change of a VM's row means.
+fn events(before: &row::Vm, after: &row::Vm, out: &mut Vec<Output>) {
+    let vm = after.vm.clone();
+    if after.maintained_ms > before.maintained_ms {
+        out.push(Output::Event(Event::Maintained { vm }));
+    } else if after.generation > before.generation {
+        out.push(Output::Event(Event::Moved { vm }));
+    }
+}
+
+fn unreadable(stored: &platform::Row, out: &mut Vec<Output>) {
+    let key = stored.key.clone();
+    out.push(Output::Event(Event::RowUnreadable { key }));
+}
+
+fn push(txn: &mut platform::Txn, key: id::Key, version: u64, value: Option<String>) {
+    let check = platform::Check {
+        key: key.clone(),
+        version,
+    };
+    txn.checks.push(check);
+    txn.writes.push(platform::Write { key, value });
+}
+
+fn json<T>(row: &T) -> String
+where
+    T: serde::Serialize,
+{
+    serde_json::to_string(row).expect("rows hold only strings and numbers")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,9 @@
 
 pub mod clock;
 pub mod document;
+pub mod fleet;
 pub mod id;
+pub mod maintenance;
 pub mod platform;
+pub mod pool;
 pub mod verdict;
--- /dev/null
+++ b/src/maintenance/proof.rs
@@ -0,0 +1,69 @@
+//! Proof that a drained VM has nothing in flight from any entry VM.
+//!
+//! Every member of the roster must acknowledge the drain. A member that left the roster counts as
+//! silent once it has had the time to notice its isolation and to finish its longest request.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{clock, id};
+
+/// One incarnation of an entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: id::Node,
+    /// Its incarnation; a new process at the same name has another one.
+    pub incarnation: u64,
+}
+
+/// Members that may still send to a VM.
+#[derive(Clone, Debug, Default)]
+pub struct Senders {
+    known_since: Option<clock::Instant>,
+    present: BTreeSet<Member>,
+    departed: BTreeMap<Member, clock::Instant>,
+}
+
+impl Senders {
+    /// Takes in the newest roster.
+    pub fn update(&mut self, now: clock::Instant, roster: &[Member]) {
+        self.known_since.get_or_insert(now);
+        let present: BTreeSet<Member> = roster.iter().cloned().collect();
+        for member in self.present.difference(&present) {
+            self.departed.insert(member.clone(), now);
+        }
+        self.departed.retain(|member, _| !present.contains(member));
+        self.present = present;
+    }
+
+    /// Tells whether a roster has been seen.
+    pub fn known(&self) -> bool {
+        self.known_since.is_some() && !self.present.is_empty()
+    }
+
+    /// Tells whether nobody can still send to the VM whose drain `acks` have acknowledged.
+    ///
+    /// `lapse_ms` is a node's isolation time plus the longest deadline. A new holder does not know who
+    /// left the roster before it looked, so nothing is proven until it has watched for that long.
+    pub fn silent(&self, now: clock::Instant, acks: &BTreeSet<Member>, lapse_ms: u64) -> bool {
+        let Some(known_since) = self.known_since else {
+            return false;
+        };
+        if !self.known() || now.since_ms(known_since) < lapse_ms {
+            return false;
+        }
+        let lapsed = |left_at: &clock::Instant| now.since_ms(*left_at) >= lapse_ms;
+        let departed = &self.departed;
+        self.present.is_subset(acks)
+            && departed
+                .iter()
+                .all(|(member, left_at)| acks.contains(member) || lapsed(left_at))
+    }
+
+    /// Members of the roster that have not acknowledged.
+    pub fn missing<'a>(&'a self, acks: &'a BTreeSet<Member>) -> impl Iterator<Item = &'a Member> {
+        self.present.difference(acks)
+    }
+}
