--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,68 @@
-//! Placeholder until the first command lands.
+//! `wasabiloft`: the operators' command. Each command is a file of its own.
 
-fn main() {}
+mod apply;
+mod check;
+mod dev;
+mod diff;
+mod get;
+mod keys;
+mod list;
+mod plot;
+mod report;
+mod util;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Edits the documents of services and shows what the fleet does.
+
+Usage:
+    wasabiloft COMMAND [ARGS]
+    wasabiloft COMMAND --help
+
+Commands:
+    apply    Puts documents in force.
+    check    Says what is wrong with documents, without a server.
+    dev      Runs a whole deployment in one process.
+    diff     Shows what differs between a file and the document in force.
+    get      Shows a document.
+    keys     Makes the keys and certificates of entry nodes.
+    list     Lists the documents.
+    report   Draws measurements as an SVG plot.
+";
+
+fn main() -> ExitCode {
+    let argv: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let outcome = match argv.split_first() {
+        Some((command, rest)) => run(&command.to_string_lossy(), rest),
+        None => Err(util::Error::usage(USAGE)),
+    };
+    match outcome {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(command: &str, argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    match command {
+        "apply" => apply::run(argv),
+        "check" => check::run(argv),
+        "dev" => dev::run(argv),
+        "diff" => diff::run(argv),
+        "get" => get::run(argv),
+        "keys" => keys::run(argv),
+        "list" => list::run(argv),
+        "report" => report::run(argv),
+        "-h" | "--help" | "help" => {
+            print!("{USAGE}");
+            Ok(ExitCode::SUCCESS)
+        }
+        other => Err(util::Error::usage(&format!(
+            "wasabiloft: no command '{other}'; see wasabiloft --help"
+        ))),
+    }
+}
--- a/measure/src/world/holder.rs
+++ b/measure/src/world/holder.rs
@@ -4,9 +4,8 @@
 
 use rand::Rng;
 use wasabiloft::fleet::{Input, Output, planner};
-use wasabiloft::maintenance::proof;
 use wasabiloft::pool::row;
-use wasabiloft::{clock, fleet, id, platform};
+use wasabiloft::{clock, fleet, id, platform, roster};
 
 use super::{Event, Without, World, table, vm};
 
@@ -119,7 +118,7 @@
     /// Gives all holders the roster of this moment.
     pub(super) fn give_roster(&mut self) {
         let nodes = self.nodes.iter().enumerate();
-        let roster: Vec<proof::Member> = nodes
+        let roster: Vec<roster::NodeId> = nodes
             .filter(|(_, node)| node.rostered)
             .map(|(index, node)| member(index, node.incarnation))
             .collect();
@@ -232,9 +231,9 @@
 }
 
 /// An entry VM in a roster.
-pub fn member(index: usize, incarnation: u64) -> proof::Member {
-    proof::Member {
+pub fn member(index: usize, incarnation: u64) -> roster::NodeId {
+    roster::NodeId {
         node: id::Node::from(format!("node-{index}")),
-        incarnation,
+        incarnation: roster::Incarnation(incarnation),
     }
 }
--- /dev/null
+++ b/measure/tests/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the measurements, one module a command.
+
+mod test_fleet;
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 
 use crate::fleet;
-use crate::maintenance::{proof, reason};
+use crate::maintenance::reason;
 use crate::pool::{demand, member, row, spec};
-use crate::{clock, id, platform};
+use crate::{clock, id, platform, roster};
 
 /// A VM.
 #[derive(Clone, Debug)]
@@ -32,7 +32,7 @@
     /// Platform's time of the newest list when the platform took the effect.
     pub done_as_of_ms: Option<u64>,
     /// Entry VMs that have nothing in flight.
-    pub acks: BTreeSet<proof::Member>,
+    pub acks: BTreeSet<roster::NodeId>,
     /// True if its jobs are off.
     pub vacated: bool,
     /// True if operators were told that it takes long.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,9 +24,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::maintenance::{proof, reason};
+use crate::maintenance::reason;
 use crate::pool::{moves, row};
-use crate::{document, id, platform};
+use crate::{document, id, platform, roster};
 
 /// What the operators set for the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,7 +63,7 @@
     /// The platform's list.
     List(&'a platform::VmList),
     /// The newest roster.
-    Roster(&'a [proof::Member]),
+    Roster(&'a [roster::NodeId]),
     /// An entry VM sends nothing new to a VM and has nothing in flight there.
     Acknowledged {
         /// The VM.
@@ -71,7 +71,7 @@
         /// The drain.
         operation: &'a id::Operation,
         /// The entry VM.
-        member: &'a proof::Member,
+        member: &'a roster::NodeId,
     },
     /// The VM's jobs have been checkpointed and taken off.
     Vacated {
--- a/src/maintenance/proof.rs
+++ b/src/maintenance/proof.rs
@@ -5,32 +5,21 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
-
-use crate::{clock, id};
-
-/// One incarnation of an entry VM.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Member {
-    /// Its name.
-    pub node: id::Node,
-    /// Its incarnation; a new process at the same name has another one.
-    pub incarnation: u64,
-}
+use crate::{clock, roster};
 
 /// Members that may still send to a VM.
 #[derive(Clone, Debug, Default)]
 pub struct Senders {
     known_since: Option<clock::Instant>,
-    present: BTreeSet<Member>,
-    departed: BTreeMap<Member, clock::Instant>,
+    present: BTreeSet<roster::NodeId>,
+    departed: BTreeMap<roster::NodeId, clock::Instant>,
 }
 
 impl Senders {
     /// Takes in the newest roster.
-    pub fn update(&mut self, now: clock::Instant, roster: &[Member]) {
+    pub fn update(&mut self, now: clock::Instant, roster: &[roster::NodeId]) {
         self.known_since.get_or_insert(now);
-        let present: BTreeSet<Member> = roster.iter().cloned().collect();
+        let present: BTreeSet<roster::NodeId> = roster.iter().cloned().collect();
         for member in self.present.difference(&present) {
             self.departed.insert(member.clone(), now);
         }
@@ -47,7 +36,12 @@
     ///
     /// `lapse_ms` is a node's isolation time plus the longest deadline. A new holder does not know who
     /// left the roster before it looked, so nothing is proven until it has watched for that long.
-    pub fn silent(&self, now: clock::Instant, acks: &BTreeSet<Member>, lapse_ms: u64) -> bool {
+    pub fn silent(
+        &self,
+        now: clock::Instant,
+        acks: &BTreeSet<roster::NodeId>,
+        lapse_ms: u64,
+    ) -> bool {
         let Some(known_since) = self.known_since else {
             return false;
         };
@@ -63,7 +57,10 @@
     }
 
     /// Members of the roster that have not acknowledged.
-    pub fn missing<'a>(&'a self, acks: &'a BTreeSet<Member>) -> impl Iterator<Item = &'a Member> {
+    pub fn missing<'a>(
+        &'a self,
+        acks: &'a BTreeSet<roster::NodeId>,
+    ) -> impl Iterator<Item = &'a roster::NodeId> {
         self.present.difference(acks)
     }
 }
