--- a/tests/test_fleet.rs
+++ b/tests/test_fleet.rs
@@ -296,6 +296,7 @@
         let mut rows = world.rows().into_iter();
         rows.find(|row| matches!(row.stage, row::Stage::Rebooting { .. }))
     };
+    world.pass(1);
     for _ in 0..30 {
         if rebooting(&world).is_none() {
             world.pass(1);
