--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,12 +2,15 @@
 
 mod fake_slots;
 mod fake_table;
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
 mod test_config;
 mod test_document;
 mod test_fleet;
 mod test_journal;
 mod test_lease;
 mod test_maintenance;
+mod test_once;
 mod test_peers;
 mod test_pool;
 mod test_roster;
