--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -1,5 +1,7 @@
 //! `measure fleet`: roll-out time over its lower bound, and breaches under faults.
 
+use std::ffi;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -29,6 +31,7 @@
     threads: u64,
     without: Option<world::Without>,
     verbose: bool,
+    help: bool,
 }
 
 /// One roll-out.
@@ -68,8 +71,12 @@
 }
 
 /// Runs the command.
-pub fn run(args: lexopt::Parser) -> Result<(), crate::Error> {
-    let args = parse(args)?;
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
+    let args = parse(lexopt::Parser::from_args(argv))?;
+    if args.help {
+        println!("{USAGE}");
+        return Ok(());
+    }
     if let Some(runs) = args.faults {
         return with_faults(&args, runs);
     }
@@ -79,7 +86,7 @@
     }
 }
 
-fn parse(mut parser: lexopt::Parser) -> Result<Args, crate::Error> {
+fn parse(mut parser: lexopt::Parser) -> Result<Args, lexopt::Error> {
     use lexopt::prelude::{Long, ValueExt};
     let mut args = Args {
         threads: 1,
@@ -93,6 +100,7 @@
             Long("faults") => args.faults = Some(parser.value()?.parse()?),
             Long("threads") => args.threads = parser.value()?.parse::<u64>()?.max(1),
             Long("without") => args.without = Some(without(&parser.value()?.string()?)?),
+            Long("help") => args.help = true,
             Long("verbose") => args.verbose = true,
             other => return Err(format!("{}\n{USAGE}", other.unexpected()).into()),
         }
@@ -100,7 +108,7 @@
     Ok(args)
 }
 
-fn without(name: &str) -> Result<world::Without, crate::Error> {
+fn without(name: &str) -> Result<world::Without, lexopt::Error> {
     match name {
         "fencing" => Ok(world::Without::Fencing),
         "drain-proof" => Ok(world::Without::DrainProof),
@@ -112,7 +120,7 @@
 }
 
 /// The deployments of the brief, and the target of two years.
-fn shape(name: &str, packed: bool) -> Result<world::fleet::Shape, crate::Error> {
+fn shape(name: &str, packed: bool) -> Result<world::fleet::Shape, lexopt::Error> {
     let shape = |pools: Vec<u32>, spares, data_centres| world::fleet::Shape {
         pools,
         spares,
@@ -137,7 +145,7 @@
     }
 }
 
-fn roll_out(args: &Args, name: &str) -> Result<(), crate::Error> {
+fn roll_out(args: &Args, name: &str) -> Result<(), lexopt::Error> {
     let shape = shape(name, args.packed)?;
     let mut world = world::World::new(world::Options {
         seed: args.seed,
@@ -169,7 +177,7 @@
     })
 }
 
-fn with_faults(args: &Args, runs: u64) -> Result<(), crate::Error> {
+fn with_faults(args: &Args, runs: u64) -> Result<(), lexopt::Error> {
     let threads = args.threads.min(runs.max(1));
     let parts: Vec<Faults> = std::thread::scope(|scope| {
         let parts =
@@ -277,10 +285,11 @@
     }
 }
 
-fn print<T>(object: &T) -> Result<(), crate::Error>
+fn print<T>(object: &T) -> Result<(), lexopt::Error>
 where
     T: Serialize,
 {
-    println!("{}", serde_json::to_string(object)?);
+    let text = serde_json::to_string(object).map_err(|error| error.to_string())?;
+    println!("{text}");
     Ok(())
 }
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,43 +1,9 @@
-<<<<<<< HEAD
-//! Seeded measurements of the decision code: one command a file, one JSON object a run.
-
-mod fleet;
-mod world;
-
-/// A command: its name and what it runs with the arguments after its name.
-type Command = (&'static str, fn(lexopt::Parser) -> Result<(), Error>);
-
-/// What a command may fail with.
-type Error = Box<dyn std::error::Error>;
-
-/// The commands.
-const COMMANDS: &[Command] = &[("fleet", fleet::run)];
-
-fn main() -> std::process::ExitCode {
-    let mut args = lexopt::Parser::from_env();
-    let name = match args.value() {
-        Ok(name) => name.to_string_lossy().into_owned(),
-        Err(_) => String::new(),
-    };
-    let command = COMMANDS.iter().find(|(known, _)| *known == name);
-    let Some((_, run)) = command else {
-        let names: Vec<&str> = COMMANDS.iter().map(|(known, _)| *known).collect();
-        eprintln!(
-            "usage: measure COMMAND [OPTIONS]\ncommands: {}",
-            names.join(", ")
-        );
-        return std::process::ExitCode::FAILURE;
-    };
-    match run(args) {
-        Ok(()) => std::process::ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("measure: {error}");
-            std::process::ExitCode::FAILURE
-=======
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod fleet;
 mod keys;
 mod keys_world;
+mod world;
 
 use std::env;
 use std::process;
@@ -49,6 +15,7 @@
     measure <command> [options]
 
 Commands:
+    fleet       Maintenance waves: roll-out time and breaches under faults.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
 
 Run `measure <command> --help` for its options.";
@@ -58,6 +25,7 @@
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
     let done = match command.to_str() {
+        Some("fleet") => fleet::run(argv),
         Some("keys") => keys::run(argv),
         Some("--help" | "-h") => {
             println!("{USAGE}");
@@ -73,7 +41,6 @@
         Err(error) => {
             eprintln!("measure: {error}");
             process::ExitCode::FAILURE
->>>>>>> main
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,11 +14,8 @@
 pub mod id;
 pub mod journal;
 pub mod lease;
-<<<<<<< HEAD
 pub mod maintenance;
-=======
 pub mod once;
->>>>>>> main
 pub mod peers;
 pub mod platform;
 pub mod pool;
