--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,10 +1,12 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
 mod config;
+mod fleet;
 mod keys;
 mod keys_world;
 mod lease;
 mod util;
+mod world;
 
 use std::env;
 use std::error;
@@ -18,6 +20,7 @@
 
 Commands:
     config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
+    fleet       Maintenance waves: roll-out time and breaches under faults.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
 
@@ -29,6 +32,7 @@
     let argv: Vec<_> = args.collect();
     let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("fleet") => fleet::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("--help" | "-h") => {
--- a/measure/tests/tests.rs
+++ b/measure/tests/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the measurements: short runs with fixed seeds, whose invariants must hold.
 
 mod test_config;
+mod test_fleet;
 mod test_lease;
 
 use std::process::Command;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,10 +6,13 @@
 mod keys_world;
 mod test_config;
 mod test_document;
+mod test_fleet;
 mod test_journal;
 mod test_lease;
+mod test_maintenance;
 mod test_once;
 mod test_peers;
+mod test_pool;
 mod test_roster;
 mod test_slots;
 
