--- a/measure/src/keys_world.rs
+++ b/measure/src/keys_world.rs
@@ -17,8 +17,8 @@
 use wasabiloft::once::message::Input;
 use wasabiloft::once::message::Output;
 use wasabiloft::once::node;
-use wasabiloft::once::view;
 use wasabiloft::platform;
+use wasabiloft::roster;
 use wasabiloft::verdict;
 
 /// Time between two ticks of a node, in milliseconds.
@@ -101,13 +101,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize),
-    Message(view::Member, view::Member, Vec<u8>),
-    Apply(view::Member, u64, Vec<u8>),
-    Outcome(view::Member, u64, Vec<u8>),
-    Read(view::Member, u64),
-    RunEnds(view::Member, u64),
+    Message(roster::NodeId, roster::NodeId, Vec<u8>),
+    Apply(roster::NodeId, u64, Vec<u8>),
+    Outcome(roster::NodeId, u64, Vec<u8>),
+    Read(roster::NodeId, u64),
+    RunEnds(roster::NodeId, u64),
     Call(u64, u64),
-    Roster(Vec<view::Member>),
+    Roster(Vec<roster::NodeId>),
     RosterDue,
     Kill,
     Pause,
@@ -117,7 +117,7 @@
 
 #[derive(Debug)]
 struct Process {
-    member: view::Member,
+    member: roster::NodeId,
     once: node::Once,
     paused: bool,
     dead: bool,
@@ -199,9 +199,9 @@
 
     fn process(&mut self, at: usize) -> Process {
         self.incarnations += 1;
-        let member = view::Member {
+        let member = roster::NodeId {
             node: id::Node::from(format!("entry-{at}")),
-            incarnation: self.incarnations,
+            incarnation: roster::Incarnation(self.incarnations),
         };
         Process {
             once: node::Once::new(member.clone(), self.plan.settings.clone()),
@@ -336,7 +336,7 @@
         self.input(at, input);
     }
 
-    fn input_to(&mut self, member: &view::Member, input: Input) {
+    fn input_to(&mut self, member: &roster::NodeId, input: Input) {
         let found = self
             .processes
             .iter()
@@ -359,7 +359,7 @@
         }
     }
 
-    fn output(&mut self, at: usize, member: &view::Member, output: Output) {
+    fn output(&mut self, at: usize, member: &roster::NodeId, output: Output) {
         match output {
             Output::Send { to, message } => self.send(member, to, &message),
             Output::Transact { token, txn } => {
@@ -381,7 +381,7 @@
         }
     }
 
-    fn send(&mut self, from: &view::Member, to: view::Member, message: &message::Message) {
+    fn send(&mut self, from: &roster::NodeId, to: roster::NodeId, message: &message::Message) {
         self.report.messages += 1;
         let bytes = serde_json::to_vec(message).unwrap_or_default();
         if self.is_isolated(from) != self.is_isolated(&to) {
@@ -404,7 +404,7 @@
         }
     }
 
-    fn apply(&mut self, member: view::Member, token: u64, bytes: &[u8]) {
+    fn apply(&mut self, member: roster::NodeId, token: u64, bytes: &[u8]) {
         let at = self
             .processes
             .iter()
@@ -469,7 +469,7 @@
         platform::Outcome::Committed(platform::Committed { versions })
     }
 
-    fn reply_read(&mut self, member: &view::Member, number: u64) {
+    fn reply_read(&mut self, member: &roster::NodeId, number: u64) {
         let input = match self.replies.remove(&number) {
             Some(Output::ReadRow { key }) => Input::Row {
                 row: self.table.get(&key).cloned(),
@@ -501,7 +501,7 @@
         self.input_to(member, input);
     }
 
-    fn decide(&mut self, member: &view::Member, number: u64, decision: message::Decision) {
+    fn decide(&mut self, member: &roster::NodeId, number: u64, decision: message::Decision) {
         let Some(call) = self.calls.get(&number).cloned() else {
             return;
         };
@@ -529,7 +529,7 @@
         }
     }
 
-    fn start_run(&mut self, member: &view::Member, number: u64, call: &Call) {
+    fn start_run(&mut self, member: &roster::NodeId, number: u64, call: &Call) {
         self.report.grant_wait_ms.push(self.now_ms - call.at_ms);
         let end = match self.rng.random_range(0..10) {
             0 => message::End::NotRun,
@@ -574,7 +574,7 @@
         self.push(at_ms, Event::RunEnds(member.clone(), number));
     }
 
-    fn run_ends(&mut self, member: &view::Member, number: u64) {
+    fn run_ends(&mut self, member: &roster::NodeId, number: u64) {
         if let Some(end) = self.ends.remove(&number) {
             self.input_to(member, Input::End { number, end });
         }
@@ -625,7 +625,7 @@
         self.push(at_ms, Event::Roster(roster));
     }
 
-    fn roster(&mut self, roster: Vec<view::Member>) {
+    fn roster(&mut self, roster: Vec<roster::NodeId>) {
         if roster.is_empty() || (self.all_cut() && self.in_outage(0, 0)) {
             let roster = self.members();
             self.push(self.now_ms + 100, Event::Roster(roster));
@@ -639,7 +639,7 @@
         }
     }
 
-    fn members(&self) -> Vec<view::Member> {
+    fn members(&self) -> Vec<roster::NodeId> {
         self.processes
             .iter()
             .filter(|process| !process.dead && !process.paused)
@@ -661,7 +661,7 @@
         self.plan.cut_nodes.is_empty() && self.plan.isolated_nodes.is_empty()
     }
 
-    fn is_isolated(&self, member: &view::Member) -> bool {
+    fn is_isolated(&self, member: &roster::NodeId) -> bool {
         let at = self
             .processes
             .iter()
--- a/src/once/change.rs
+++ b/src/once/change.rs
@@ -15,19 +15,20 @@
 use crate::once::message::Output;
 use crate::once::view;
 use crate::platform;
+use crate::roster;
 
 /// What a change needs to know of its node.
 pub struct Context<'a> {
     /// The time.
     pub now: clock::Instant,
     /// This node.
-    pub me: &'a view::Member,
+    pub me: &'a roster::NodeId,
     /// The view; `None` if the table has none.
     pub view: Option<&'a view::View>,
     /// The version of the view's row; 0 if there is none.
     pub view_version: u64,
     /// The roster, sorted.
-    pub roster: &'a [view::Member],
+    pub roster: &'a [roster::NodeId],
     /// True if this node can't reach the table.
     pub table_out: bool,
     /// Times and limits.
@@ -44,7 +45,7 @@
     Sealing {
         started_at: clock::Instant,
         sent_at: Option<clock::Instant>,
-        sealed: BTreeSet<view::Member>,
+        sealed: BTreeSet<roster::NodeId>,
     },
     /// The new view is being committed.
     Committing { token: u64, view: view::View },
@@ -86,7 +87,7 @@
     }
 
     /// A member has sealed the view.
-    pub fn sealed(&mut self, ctx: &Context<'_>, from: view::Member, number: u64) {
+    pub fn sealed(&mut self, ctx: &Context<'_>, from: roster::NodeId, number: u64) {
         let current = ctx.view.is_some_and(|view| view.number == number);
         if let State::Sealing { sealed, .. } = &mut self.state
             && current
@@ -206,7 +207,7 @@
         true
     }
 
-    fn next_view(&self, ctx: &Context<'_>, lost: &BTreeSet<view::Member>) -> view::View {
+    fn next_view(&self, ctx: &Context<'_>, lost: &BTreeSet<roster::NodeId>) -> view::View {
         let Some(old) = ctx.view else {
             return view::View {
                 number: 1,
@@ -239,14 +240,14 @@
 /// Members that may have taken claims with them; `None` while the answers of others are waited for.
 fn lost_members(
     ctx: &Context<'_>,
-    sealed: &BTreeSet<view::Member>,
+    sealed: &BTreeSet<roster::NodeId>,
     waited_ms: u64,
-) -> Option<BTreeSet<view::Member>> {
+) -> Option<BTreeSet<roster::NodeId>> {
     let Some(view) = ctx.view else {
         return Some(BTreeSet::new());
     };
     let members = view.members.iter();
-    let silent: BTreeSet<view::Member> = members
+    let silent: BTreeSet<roster::NodeId> = members
         .filter(|member| !sealed.contains(*member))
         .cloned()
         .collect();
--- a/src/once/holder.rs
+++ b/src/once/holder.rs
@@ -7,6 +7,7 @@
 use crate::once::message::Output;
 use crate::once::view;
 use crate::platform;
+use crate::roster;
 
 /// Claims that one transaction writes down.
 const BATCH_MAX: usize = 45;
@@ -67,7 +68,7 @@
     pub fn plan(
         &mut self,
         now: clock::Instant,
-        me: &view::Member,
+        me: &roster::NodeId,
         view: &view::View,
         before_view: u64,
         step_ms: u64,
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -8,6 +8,7 @@
 use crate::once::hash;
 use crate::once::view;
 use crate::platform;
+use crate::roster;
 use crate::verdict;
 
 /// Prefix of all claim rows in the platform's table.
@@ -61,7 +62,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimId {
     /// The node that received the request.
-    pub asker: view::Member,
+    pub asker: roster::NodeId,
     /// A number that the asker never uses twice.
     pub number: u64,
 }
@@ -232,7 +233,7 @@
     /// Time has passed; due every few tens of milliseconds.
     Tick,
     /// The roster, whenever it changes.
-    Roster(Vec<view::Member>),
+    Roster(Vec<roster::NodeId>),
     /// A request with a key arrived.
     Ask {
         /// A number that this process never uses twice.
@@ -254,7 +255,7 @@
     /// A message from another node.
     Peer {
         /// The sender.
-        from: view::Member,
+        from: roster::NodeId,
         /// The message.
         message: Message,
     },
@@ -291,7 +292,7 @@
     /// Send a message; it may be lost.
     Send {
         /// The receiver.
-        to: view::Member,
+        to: roster::NodeId,
         /// The message.
         message: Message,
     },
--- a/src/once/node.rs
+++ b/src/once/node.rs
@@ -14,6 +14,7 @@
 use crate::once::owner;
 use crate::once::view;
 use crate::platform;
+use crate::roster;
 
 /// The asker's context, borrowed field by field beside the asker.
 macro_rules! asker_ctx {
@@ -59,16 +60,16 @@
 /// The state machine of one process.
 #[derive(Debug)]
 pub struct Once {
-    me: view::Member,
+    me: roster::NodeId,
     settings: once::Settings,
-    roster: Vec<view::Member>,
+    roster: Vec<roster::NodeId>,
     view: Option<view::View>,
     view_version: u64,
     view_known: bool,
     view_newer: bool,
     view_read_at: Option<clock::Instant>,
     sealed: bool,
-    seal_from: BTreeSet<view::Member>,
+    seal_from: BTreeSet<roster::NodeId>,
     asker: asker::Asker,
     owner: owner::Owner,
     holder: holder::Holder,
@@ -78,7 +79,7 @@
 
 impl Once {
     /// Makes the state machine of a new process.
-    pub fn new(me: view::Member, settings: once::Settings) -> Self {
+    pub fn new(me: roster::NodeId, settings: once::Settings) -> Self {
         Self {
             me,
             settings,
@@ -206,7 +207,7 @@
     fn peer(
         &mut self,
         now: clock::Instant,
-        from: view::Member,
+        from: roster::NodeId,
         message: Message,
         out: &mut Vec<Output>,
     ) {
@@ -257,7 +258,7 @@
     fn peer_memory(
         &mut self,
         now: clock::Instant,
-        from: view::Member,
+        from: roster::NodeId,
         message: Message,
         out: &mut Vec<Output>,
     ) {
@@ -432,7 +433,7 @@
         }
     }
 
-    fn other_view(&mut self, from: view::Member, number: u64, out: &mut Vec<Output>) {
+    fn other_view(&mut self, from: roster::NodeId, number: u64, out: &mut Vec<Output>) {
         self.hear_view(number);
         if let Some(view) = &self.view
             && view.number > number
@@ -518,6 +519,6 @@
     pub held: usize,
 }
 
-fn send(out: &mut Vec<Output>, to: view::Member, message: Message) {
+fn send(out: &mut Vec<Output>, to: roster::NodeId, message: Message) {
     out.push(Output::Send { to, message });
 }
--- a/src/once/owner/memory.rs
+++ b/src/once/owner/memory.rs
@@ -8,13 +8,13 @@
 use crate::once::message::Message;
 use crate::once::message::Output;
 use crate::once::owner;
-use crate::once::view;
+use crate::roster;
 
 /// A claim that is waiting for its holders.
 #[derive(Debug)]
 pub struct Holds {
     key: message::Key,
-    holders: BTreeSet<view::Member>,
+    holders: BTreeSet<roster::NodeId>,
     sent_at: Option<clock::Instant>,
 }
 
@@ -32,7 +32,7 @@
     pub fn held(
         &mut self,
         ctx: &owner::Context<'_>,
-        from: view::Member,
+        from: roster::NodeId,
         id: &message::ClaimId,
         out: &mut Vec<Output>,
     ) {
@@ -126,7 +126,7 @@
     claim: &message::Claim,
     out: &mut Vec<Output>,
 ) where
-    I: Iterator<Item = &'a view::Member>,
+    I: Iterator<Item = &'a roster::NodeId>,
 {
     for member in members {
         out.push(Output::Send {
--- a/src/once/owner/mod.rs
+++ b/src/once/owner/mod.rs
@@ -16,13 +16,14 @@
 use crate::once::message::Message;
 use crate::once::message::Output;
 use crate::once::view;
+use crate::roster;
 
 /// What the owner needs to know of its node.
 pub struct Context<'a> {
     /// The time.
     pub now: clock::Instant,
     /// This node.
-    pub me: &'a view::Member,
+    pub me: &'a roster::NodeId,
     /// The view.
     pub view: &'a view::View,
     /// The version of the view's row.
@@ -30,7 +31,7 @@
     /// True if nothing more is granted from memory in this view.
     pub sealed: bool,
     /// The roster.
-    pub roster: &'a [view::Member],
+    pub roster: &'a [roster::NodeId],
     /// Times and limits.
     pub settings: &'a once::Settings,
 }
--- a/src/once/view.rs
+++ b/src/once/view.rs
@@ -6,24 +6,14 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::id;
 use crate::once::hash;
+use crate::roster;
 
 /// The key of the view's row in the table.
 pub const ROW_KEY: &str = "keys-view";
 /// The number of shards.
 pub const SHARDS: u16 = 256;
 
-/// A process of the system: a node's name and its incarnation.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[display("{node}#{incarnation}")]
-pub struct Member {
-    /// The node.
-    pub node: id::Node,
-    /// Differs for each process that runs under the node's name.
-    pub incarnation: u64,
-}
-
 /// A part of the keys that has one owner.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -49,21 +39,21 @@
     /// Raised by one at each change.
     pub number: u64,
     /// The members, sorted.
-    pub members: Vec<Member>,
+    pub members: Vec<roster::NodeId>,
     /// Shards whose claims from memory may be lost: a key that is not known there may have run.
     pub doubtful: Vec<Shard>,
 }
 
 impl View {
     /// The owner of a shard: the member with the highest rendezvous weight.
-    pub fn owner(&self, shard: Shard) -> Option<&Member> {
+    pub fn owner(&self, shard: Shard) -> Option<&roster::NodeId> {
         self.members
             .iter()
             .max_by_key(|member| (weight(shard, member), *member))
     }
 
     /// The position of a member in the order in which it would own a shard; 0 for the owner.
-    pub fn rank(&self, shard: Shard, member: &Member) -> u64 {
+    pub fn rank(&self, shard: Shard, member: &roster::NodeId) -> u64 {
         let own = (weight(shard, member), member);
         let before = self
             .members
@@ -83,10 +73,10 @@
     }
 }
 
-fn weight(shard: Shard, member: &Member) -> u64 {
+fn weight(shard: Shard, member: &roster::NodeId) -> u64 {
     hash::of(&[
         &shard.0.to_le_bytes(),
         member.node.as_str().as_bytes(),
-        &member.incarnation.to_le_bytes(),
+        &member.incarnation.0.to_le_bytes(),
     ])
 }
--- a/tests/test_once.rs
+++ b/tests/test_once.rs
@@ -9,6 +9,7 @@
 use wasabiloft::once::node;
 use wasabiloft::once::view;
 use wasabiloft::platform;
+use wasabiloft::roster;
 use wasabiloft::verdict;
 
 use crate::fixed_seed;
@@ -127,9 +128,9 @@
     }
 
     fn with(settings: once::Settings) -> Self {
-        let me = view::Member {
+        let me = roster::NodeId {
             node: "entry-1".into(),
-            incarnation: 1,
+            incarnation: roster::Incarnation(1),
         };
         let mut single = Self {
             once: node::Once::new(me.clone(), settings),
@@ -317,9 +318,9 @@
 
 #[test]
 fn sealed_view_takes_no_claims_from_memory() {
-    let member = |incarnation| view::Member {
+    let member = |incarnation| roster::NodeId {
         node: "entry".into(),
-        incarnation,
+        incarnation: roster::Incarnation(incarnation),
     };
     let mut once = node::Once::new(member(1), once::Settings::default());
     let view = view::View {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -5,11 +5,14 @@
 #[path = "../measure/src/keys_world.rs"]
 mod keys_world;
 mod test_config;
+mod test_connection;
 mod test_document;
+mod test_drain;
 mod test_journal;
 mod test_lease;
 mod test_once;
 mod test_peers;
+mod test_retry;
 mod test_roster;
 mod test_slots;
 
