--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,7 +1,9 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod fleet;
 mod keys;
 mod keys_world;
+mod world;
 
 use std::env;
 use std::process;
@@ -13,6 +15,7 @@
     measure <command> [options]
 
 Commands:
+    fleet       Maintenance waves: roll-out time and breaches under faults.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
 
 Run `measure <command> --help` for its options.";
@@ -22,6 +25,7 @@
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
     let done = match command.to_str() {
+        Some("fleet") => fleet::run(argv),
         Some("keys") => keys::run(argv),
         Some("--help" | "-h") => {
             println!("{USAGE}");
