--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,3 +1,54 @@
-//! Placeholder until the first command lands.
+//! Seeded measurements of the decision code; each run prints one JSON object.
 
-fn main() {}
+mod config;
+mod fleet;
+mod keys;
+mod keys_world;
+mod lease;
+mod util;
+mod world;
+
+use std::env;
+use std::error;
+use std::process;
+
+const USAGE: &str = "\
+Measures the decision code; prints one JSON object a run.
+
+Usage:
+    measure <command> [options]
+
+Commands:
+    config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
+    fleet       Maintenance waves: roll-out time and breaches under faults.
+    keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    lease       Duties: time to take over, paused holders, store load at an outage's end.
+
+Run `measure <command> --help` for its options.";
+
+fn main() -> process::ExitCode {
+    let mut args = env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    let argv: Vec<_> = args.collect();
+    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
+        Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("fleet") => fleet::run(argv).map_err(Into::into),
+        Some("keys") => keys::run(argv).map_err(Into::into),
+        Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("--help" | "-h") => {
+            println!("{USAGE}");
+            return process::ExitCode::SUCCESS;
+        }
+        _ => {
+            eprintln!("{USAGE}");
+            return process::ExitCode::from(2);
+        }
+    };
+    match done {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,10 +32,14 @@
 const SHARERS_MIN: usize = 8;
 /// Time between two tries to bring changes to the same peer.
 const PUSH_EVERY_MS: u64 = 500;
-/// The longest random wait after a first refused change of the roster.
-const ROSTER_BACKOFF_FIRST_MS: u64 = 200;
-/// The longest random wait after many refused changes of the roster.
-const ROSTER_BACKOFF_MAX_MS: u64 = 10_000;
+/// Time between two tries of edits or of a change of the roster that could not go on.
+const EDIT_RETRY_MS: u64 = 150;
+/// Time between two questions for the heads of the members.
+const ASK_EVERY_MS: u64 = 250;
+/// The longest random wait after a first change that another node's change has overtaken.
+const EDIT_BACKOFF_FIRST_MS: u64 = 100;
+/// The longest random wait after many such changes.
+const EDIT_BACKOFF_MAX_MS: u64 = 3_000;
 
 /// How the changes made here travel to the other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -127,12 +131,13 @@
     leases_polled_at: Option<clock::Instant>,
     gone: Vec<id::Node>,
     leaving: bool,
-    roster_refusals: u32,
-    roster_wait_until: clock::Instant,
+    edit_refusals: u32,
     /// The newest changes made here that others may lack.
     fresh: Option<config::Deltas>,
     pushed_at: BTreeMap<roster::NodeId, clock::Instant>,
     fetched_at: Option<clock::Instant>,
+    asked_at: clock::Instant,
+    edit_wait_until: clock::Instant,
     applied: u64,
     was_member: bool,
 }
@@ -155,11 +160,12 @@
             leases_polled_at: None,
             gone: Vec::new(),
             leaving: false,
-            roster_refusals: 0,
-            roster_wait_until: now,
+            edit_refusals: 0,
             fresh: None,
             pushed_at: BTreeMap::new(),
             fetched_at: None,
+            asked_at: now,
+            edit_wait_until: now,
             applied: 0,
             was_member: false,
             me,
@@ -185,9 +191,15 @@
     }
 
     /// Names nodes to ask for the configuration before the roster is known, as when the table is out.
-    pub fn set_seeds(&mut self, seeds: &[roster::Member]) {
-        for seed in seeds.iter().filter(|seed| seed.id != self.me.id) {
-            self.peers.meet(self.started_at, &seed.id);
+    pub fn set_seeds(&mut self, seeds: &[id::Node]) {
+        for node in seeds.iter().filter(|node| **node != self.me.id.node) {
+            // The messages go by the name; the answers tell the incarnation.
+            let incarnation = roster::Incarnation::default();
+            let seed = roster::NodeId {
+                node: node.clone(),
+                incarnation,
+            };
+            self.peers.meet(self.started_at, &seed);
         }
     }
 
