cli: tests of eight real daemons under faults

Change: eight wasabiloftd with keys of their own, each behind a proxy for its callers and one for the platform; one is killed, one paused and continued, one stopped as planned, connections go silent and break, the store is out. What callers were told is compared with what the endpoints executed. Every wait has a bound; deployments run one after another.

--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -9,6 +9,7 @@
 
 use http::{Method, StatusCode};
 use rustix::process;
+use tokio::sync::{Mutex, MutexGuard};
 use tokio::time;
 use wasabiloft_standins::client;
 use wasabiloft_standins::deployment;
@@ -23,6 +24,9 @@
 /// How often a state is looked at while it is waited for, in milliseconds.
 const LOOK_MS: u64 = 50;
 
+/// Deployments run one after another, so that each has the machine's cores.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
 /// One entry node: its process and its proxies.
 pub struct Node {
     child: Child,
@@ -42,11 +46,16 @@
     }
 
     /// Waits for the process to end; true if it ended well.
-    pub fn wait(&mut self) -> bool {
-        self.child
-            .wait()
-            .expect("the process can be waited for")
-            .success()
+    pub async fn wait(&mut self) -> bool {
+        let until = Instant::now() + Duration::from_secs(WAIT_MAX_S);
+        loop {
+            let ended = self.child.try_wait().expect("the process is ours");
+            if let Some(status) = ended {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "the process does not end");
+            time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
     }
 
     /// Where callers reach it.
@@ -79,12 +88,14 @@
     dir: PathBuf,
     work: Workdir,
     started: usize,
+    _turn: MutexGuard<'static, ()>,
 }
 
 impl Deployment {
     /// Starts the platform and the entry nodes of an example, puts its documents in force and waits until all
     /// nodes are ready.
     pub async fn start(example: &str, nodes: usize) -> Self {
+        let turn = ONE_AT_A_TIME.lock().await;
         let dir = workdir::repository("examples").join(example);
         let file = deployment::read(&dir).expect("the example is sound");
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -96,6 +107,7 @@
             dir,
             work: Workdir::create_empty(),
             started: 0,
+            _turn: turn,
         };
         for _ in 0..nodes {
             let node = deployment.start_node().await;
@@ -144,6 +156,16 @@
         deployment::read_documents(&self.dir).expect("the example is sound")
     }
 
+    /// Waits until the endpoints have finished so many more requests.
+    pub async fn wait_for_requests(&self, requests: u64) {
+        let goal = self.platform.report().endpoints.finished_total + requests;
+        let until = Instant::now() + Duration::from_secs(WAIT_MAX_S);
+        while self.platform.report().endpoints.finished_total < goal {
+            assert!(Instant::now() < until, "requests do not go on");
+            time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
     fn apply_documents(&self) {
         let node = self.nodes[0].direct_address().to_string();
         let paths = deployment::document_paths(&self.dir).expect("the example is sound");
--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -41,13 +41,6 @@
     }
 }
 
-async fn wait_for_requests(deployment: &Deployment) {
-    let goal = deployment.platform.report().endpoints.finished_total + REQUESTS_A_STEP;
-    while deployment.platform.report().endpoints.finished_total < goal {
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
-}
-
 fn assert_promises(deployment: &Deployment, answers: &load::Answers) {
     let breaches = answers.check(&deployment.platform.tally().executions());
     assert!(breaches.is_clean(), "{breaches:?}");
@@ -61,17 +54,17 @@
 async fn answers_stay_true_while_a_node_is_killed_and_another_paused() {
     let mut deployment = Deployment::start("cadenas", 8).await;
     let load = Load::start(&deployment);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[7].signal(Signal::KILL);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[6].signal(Signal::STOP);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[6].signal(Signal::CONT);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     let answers = load.end().await;
     assert_promises(&deployment, &answers);
     assert!(
-        !deployment.nodes[7].wait(),
+        !deployment.nodes[7].wait().await,
         "the killed node can't end well"
     );
 }
@@ -80,13 +73,11 @@
 async fn a_planned_stop_of_a_node_cuts_no_request() {
     let mut deployment = Deployment::start("cadenas", 8).await;
     let load = Load::start(&deployment);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[0].signal(Signal::TERM);
     let mut stopping = deployment.nodes.remove(0);
-    let ended = tokio::task::spawn_blocking(move || (stopping.wait(), stopping)).await;
-    let (ended_well, _stopped) = ended.expect("the wait ends");
-    assert!(ended_well, "the node must end with success");
-    wait_for_requests(&deployment).await;
+    assert!(stopping.wait().await, "the node must end with success");
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     let answers = load.end().await;
     assert_promises(&deployment, &answers);
     assert_eq!(answers.total(|tally| tally.may_have_run_total), 0);
@@ -96,18 +87,18 @@
 async fn answers_stay_true_while_connections_go_silent_and_break() {
     let deployment = Deployment::start("cadenas", 8).await;
     let load = Load::start(&deployment);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[2].entry.silence_open();
     deployment.nodes[3].to_platform.silence_open();
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     let cut = wasabiloft_standins::proxy::Fault {
         cut: true,
         ..Default::default()
     };
     deployment.nodes[4].entry.set(cut);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment.nodes[4].entry.set(Default::default());
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     let answers = load.end().await;
     assert_promises(&deployment, &answers);
 }
@@ -116,7 +107,7 @@
 async fn requests_go_on_while_the_store_is_out() {
     let deployment = Deployment::start("cadenas", 8).await;
     let load = Load::start(&deployment);
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     deployment
         .platform
         .set_faults(wasabiloft_standins::faults::Faults {
@@ -124,10 +115,10 @@
             ..Default::default()
         });
     for _ in 0..8 {
-        wait_for_requests(&deployment).await;
+        deployment.wait_for_requests(REQUESTS_A_STEP).await;
     }
     deployment.platform.set_faults(Default::default());
-    wait_for_requests(&deployment).await;
+    deployment.wait_for_requests(REQUESTS_A_STEP).await;
     let answers = load.end().await;
     assert_promises(&deployment, &answers);
 }
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -23,7 +23,7 @@
 use crate::tally;
 
 /// The longest that the generator waits for an answer, in milliseconds.
-const ANSWER_TIMEOUT_MS: u64 = 30_000;
+const ANSWER_TIMEOUT_MS: u64 = 10_000;
 /// Latencies above this are counted as this, in microseconds.
 const LATENCY_MAX_US: u64 = 60_000_000;
 
