node: whole request path with truthful attempts, own connections and keys

Change: `upstream` drives `connection::Pool` on hyper connections, whose unsent requests are told apart; answers up to 64 KiB are collected whole, larger ones streamed and aborted when cut; `front` drives `retry` with a budget a service and a hedge for idempotent work, and carries the deadline; `keys` drives `once` over the peers' links; `server` stays unready for 2 s before it closes; sockets end by TCP_USER_TIMEOUT and probes.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,39 +1,41 @@
 //! A whole entry node: starts its parts, and stops and joins them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing;
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto;
-use hyper_util::server::graceful;
-use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wasabiloft::drain;
 use wasabiloft::id;
 use wasabiloft::platform as messages;
 use wasabiloft::roster;
 
 use crate::admin;
+use crate::clock;
 use crate::control;
 use crate::documents;
 use crate::duties;
 use crate::front;
+use crate::keys;
 use crate::log;
 use crate::peers;
 use crate::platform;
+use crate::server;
 use crate::settings;
+use crate::slot;
 use crate::upstream;
 use crate::view;
 
@@ -43,6 +45,8 @@
 const INBOX_MAX: usize = 4_096;
 /// Slots of each endpoint that one of the eight entry nodes uses.
 const SLOTS_PER_ENDPOINT: usize = 1;
+/// Connections of each endpoint, over all nodes.
+const CONNECTIONS_PER_ENDPOINT: usize = 64;
 
 /// What the parts of a node share.
 #[derive(Debug)]
@@ -55,8 +59,20 @@
     pub control: control::Handle,
     /// Links to the other nodes.
     pub links: Arc<peers::Links>,
+    /// The node's clock.
+    pub clock: clock::Clock,
     /// Connections to endpoints.
     pub upstream: upstream::Upstream,
+    /// Slots of endpoints.
+    pub slots: slot::Slots,
+    /// Retry budgets.
+    pub budgets: front::Budgets,
+    /// What is in flight at each VM, and which VMs leave.
+    pub ledger: Mutex<drain::Ledger>,
+    /// Claims of idempotency keys.
+    pub keys: keys::Handle,
+    /// Requests with a key; they go on when their callers leave.
+    pub keyed_requests: TaskTracker,
     /// Documents and endpoints, as the request path sees them.
     pub view: watch::Sender<Arc<view::View>>,
     /// Cancelled when the node is told to stop.
@@ -70,6 +86,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     tasks: JoinSet<()>,
+    keys_stop: CancellationToken,
+    keys_task: JoinHandle<()>,
     control_stop: CancellationToken,
     control_task: JoinHandle<()>,
     links_tasks: JoinSet<()>,
@@ -89,21 +107,34 @@
         let address = listener.local_addr()?;
         let mut links_tasks = JoinSet::new();
         let platform = platform::Client::new(settings.platform);
-        let (links, control, driver) = start_links(&settings, &platform, &mut links_tasks)?;
+        let parts = start_links(&settings, &platform, &mut links_tasks)?;
         let control_stop = CancellationToken::new();
-        let control_task = tokio::spawn(driver.run(control_stop.clone()));
+        let control_task = tokio::spawn(parts.control_driver.run(control_stop.clone()));
+        let keys_stop = CancellationToken::new();
+        let keys_task = tokio::spawn(parts.keys_driver.run(keys_stop.clone()));
+        let clock = parts.control.clock();
         let shared = Arc::new(Shared {
             platform,
-            control,
-            links,
-            upstream: upstream::Upstream::new(SLOTS_PER_ENDPOINT),
+            control: parts.control,
+            links: parts.links,
+            clock,
+            upstream: upstream::Upstream::new(clock, CONNECTIONS_PER_ENDPOINT),
+            slots: slot::Slots::new(SLOTS_PER_ENDPOINT),
+            budgets: front::Budgets::default(),
+            ledger: Mutex::default(),
+            keys: parts.keys,
+            keyed_requests: TaskTracker::new(),
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
             settings,
             metrics,
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, Arc::clone(&shared)));
+        tasks.spawn(server::run(
+            listener,
+            router(Arc::clone(&shared)),
+            Arc::clone(&shared),
+        ));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
         tasks.spawn(duties::run(
@@ -120,6 +151,8 @@
             address,
             shared,
             tasks,
+            keys_stop,
+            keys_task,
             control_stop,
             control_task,
             links_tasks,
@@ -160,7 +193,13 @@
     pub async fn stop(mut self) {
         self.shared.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
+        self.shared.keyed_requests.close();
+        self.shared.keyed_requests.wait().await;
         self.shared.upstream.stop().await;
+        self.keys_stop.cancel();
+        if let Err(error) = self.keys_task.await {
+            log::warn("node", &format!("keys part failed: {error}"));
+        }
         // Requests have ended; now the duties and the place in the roster are given up.
         self.control_stop.cancel();
         if let Err(error) = self.control_task.await {
@@ -181,25 +220,53 @@
     !shared.stop.is_cancelled() && knows && shared.control.may_serve()
 }
 
+/// The parts that links between nodes connect.
+struct Linked {
+    links: Arc<peers::Links>,
+    control: control::Handle,
+    control_driver: control::Driver,
+    keys: keys::Handle,
+    keys_driver: keys::Driver,
+}
+
 fn start_links(
     settings: &settings::Settings,
     platform: &platform::Client,
     tasks: &mut JoinSet<()>,
-) -> io::Result<(Arc<peers::Links>, control::Handle, control::Driver)> {
+) -> io::Result<Linked> {
     let socket = std::net::UdpSocket::bind(settings.peer_listen)?;
     socket.set_nonblocking(true)?;
     let me = member(settings, socket.local_addr()?);
     let keys = settings.tls.as_ref().map(peers::tls::read).transpose();
     let keys = keys.map_err(io::Error::other)?;
     let (control, inbox) = mpsc::channel(INBOX_MAX);
-    let inboxes = peers::Inboxes { control };
+    let (for_keys, keys_inbox) = mpsc::channel(INBOX_MAX);
+    let inboxes = peers::Inboxes {
+        control,
+        keys: for_keys,
+    };
     let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
     for (node, address) in &settings.peers {
         links.set_address(node, *address);
     }
     let seeds: Vec<id::Node> = settings.peers.keys().cloned().collect();
-    let (control, driver) = control::new(me, &seeds, Arc::clone(&links), platform.clone(), inbox);
-    Ok((links, control, driver))
+    let id = me.id.clone();
+    let (control, control_driver) =
+        control::new(me, &seeds, Arc::clone(&links), platform.clone(), inbox);
+    let (keys, keys_driver) = keys::new(
+        id,
+        Arc::clone(&links),
+        platform.clone(),
+        control.clone(),
+        keys_inbox,
+    );
+    Ok(Linked {
+        links,
+        control,
+        control_driver,
+        keys,
+        keys_driver,
+    })
 }
 
 fn member(settings: &settings::Settings, address: SocketAddr) -> roster::Member {
@@ -213,36 +280,6 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    let router = router(Arc::clone(&shared));
-    let graceful = graceful::GracefulShutdown::new();
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = shared.stop.cancelled() => break,
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn(serve(stream, router.clone(), graceful.watcher()));
-                }
-            }
-            _ = connections.join_next(), if !connections.is_empty() => {}
-        }
-    }
-    drop(listener);
-    graceful.shutdown().await;
-    while connections.join_next().await.is_some() {}
-}
-
-async fn serve(stream: TcpStream, router: Router, watcher: graceful::Watcher) {
-    // Without the option small answers wait for the other side's acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let builder = auto::Builder::new(TokioExecutor::new());
-    let service = TowerToHyperService::new(router);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    // A broken connection is the caller's business.
-    let _ = watcher.watch(connection.into_owned()).await;
-}
-
 fn router(shared: Arc<Shared>) -> Router {
     Router::new()
         .route("/healthz", routing::get(|| async { "ok\n" }))
@@ -308,6 +345,7 @@
 async fn refresh(shared: &Shared) -> Result<(), platform::Error> {
     let list = shared.platform.vms().await?;
     let endpoints = endpoints(&list);
+    follow_endpoints(shared, &endpoints);
     shared.view.send_modify(|view| {
         let documents = view.documents.clone();
         *view = Arc::new(view::View {
@@ -318,6 +356,22 @@
     Ok(())
 }
 
+/// Brings the endpoints to the ledger of drains and to the connections.
+fn follow_endpoints(shared: &Shared, endpoints: &HashMap<id::Pool, Arc<Vec<view::Endpoint>>>) {
+    let all = || endpoints.values().flat_map(|endpoints| endpoints.iter());
+    let leaving = all().filter(|endpoint| endpoint.leaving);
+    let leaving = leaving.map(|endpoint| endpoint.vm.clone());
+    let mut ledger = shared.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+    ledger.list(leaving);
+    drop(ledger);
+    let addresses: HashSet<SocketAddr> = all().map(|endpoint| endpoint.address).collect();
+    let nodes = shared.control.state().roster.members.len().max(1);
+    shared
+        .upstream
+        .set_limit((CONNECTIONS_PER_ENDPOINT / nodes).max(1));
+    shared.upstream.tick(|address| addresses.contains(&address));
+}
+
 fn endpoints(list: &messages::VmList) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
     let mut pools: HashMap<id::Pool, Vec<view::Endpoint>> = HashMap::new();
     for vm in &list.vms {
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::id;
+use wasabiloft::once;
 use wasabiloft::peers;
 use wasabiloft::roster;
 
@@ -30,6 +31,8 @@
     Hello(roster::Member),
     /// Heartbeats and configuration.
     Control(peers::Message),
+    /// Idempotency keys.
+    Keys(once::message::Message),
 }
 
 /// A message with its sender.
@@ -46,6 +49,8 @@
 pub struct Inboxes {
     /// For the control part.
     pub control: mpsc::Sender<Incoming<peers::Message>>,
+    /// For idempotency keys.
+    pub keys: mpsc::Sender<Incoming<once::message::Message>>,
 }
 
 impl Inboxes {
@@ -54,6 +59,7 @@
         let kept = match message {
             Message::Hello(_) => true,
             Message::Control(message) => self.control.try_send(Incoming { from, message }).is_ok(),
+            Message::Keys(message) => self.keys.try_send(Incoming { from, message }).is_ok(),
         };
         if !kept {
             lost("inbox-full");
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -86,6 +86,21 @@
         }
     }
 
+    /// Reads one page of the rows under a prefix, those after a key only.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<platform::Row>, Error> {
+        let path = format!("/table/range?prefix={prefix}&after={after}&limit={limit}");
+        self.get(&path).await
+    }
+
     /// Reads a row; `None` if it is absent.
     ///
     /// # Errors
--- /dev/null
+++ b/node/src/upstream/mod.rs
@@ -0,0 +1,106 @@
+//! Connections to endpoints, and one attempt of a request on one of them.
+//!
+//! Each connection carries one request at a time. What a failed attempt says of the request is exact: a request that
+//! the connection never took counts as not sent.
+
+mod endpoint;
+mod exchange;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::time;
+use tokio_util::task::TaskTracker;
+use wasabiloft::connection;
+use wasabiloft::retry;
+
+use crate::clock;
+
+pub use exchange::{Answer, WholeBody};
+
+/// All endpoints' connections.
+#[derive(Debug)]
+pub struct Upstream {
+    clock: clock::Clock,
+    endpoints: Mutex<HashMap<SocketAddr, Arc<endpoint::Endpoint>>>,
+    drivers: TaskTracker,
+    connections_per_endpoint: Mutex<usize>,
+}
+
+impl Upstream {
+    /// No connections yet; at most so many to one endpoint.
+    pub fn new(clock: clock::Clock, connections_per_endpoint: usize) -> Self {
+        Self {
+            clock,
+            endpoints: Mutex::default(),
+            drivers: TaskTracker::new(),
+            connections_per_endpoint: Mutex::new(connections_per_endpoint),
+        }
+    }
+
+    /// Sends a request once and waits for its answer until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// A failure that says whether a byte of the request may have left.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        work: connection::Work,
+        deadline: time::Instant,
+    ) -> Result<Answer, retry::Failure> {
+        let endpoint = self.endpoint(address);
+        let lease = endpoint.lease(&self.drivers, work, deadline).await?;
+        exchange::run(lease, request, deadline).await
+    }
+
+    /// Sets the most connections to one endpoint.
+    pub fn set_limit(&self, connections_per_endpoint: usize) {
+        *lock(&self.connections_per_endpoint) = connections_per_endpoint;
+        for endpoint in lock(&self.endpoints).values() {
+            endpoint.set_limit(connections_per_endpoint);
+        }
+    }
+
+    /// Closes idle connections that are too old, and forgets endpoints that are gone and have none left.
+    pub fn tick<F>(&self, is_listed: F)
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
+        lock(&self.endpoints).retain(|address, endpoint| {
+            let listed = is_listed(*address);
+            if !listed {
+                endpoint.retire();
+            }
+            endpoint.tick();
+            listed || !endpoint.is_empty()
+        });
+    }
+
+    /// Drops all connections and joins their tasks.
+    pub async fn stop(&self) {
+        for endpoint in lock(&self.endpoints).values() {
+            endpoint.retire();
+        }
+        self.drivers.close();
+        self.drivers.wait().await;
+    }
+
+    fn endpoint(&self, address: SocketAddr) -> Arc<endpoint::Endpoint> {
+        let limit = *lock(&self.connections_per_endpoint);
+        let mut endpoints = lock(&self.endpoints);
+        let endpoint = endpoints
+            .entry(address)
+            .or_insert_with(|| Arc::new(endpoint::Endpoint::new(address, self.clock, limit)));
+        Arc::clone(endpoint)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -274,7 +274,7 @@
         prefix: String,
         /// The key after which the answer begins.
         after: Option<id::Key>,
-        /// The rows; fewer than the limit say that there are no more.
+        /// The rows; none say that there are no more.
         rows: Vec<platform::Row>,
     },
     /// The outcome of [`Output::Transact`].
--- a/src/once/owner/load.rs
+++ b/src/once/owner/load.rs
@@ -64,8 +64,10 @@
             return;
         }
         state.asked_at = None;
-        state.after = rows.last().map(|row| row.key.clone());
-        state.loaded = rows.len() < SCAN_ROWS;
+        if let Some(last) = rows.last() {
+            state.after = Some(last.key.clone());
+        }
+        state.loaded = rows.is_empty();
         for row in rows {
             self.adopt(ctx, row);
         }
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    /// An attempt was refused on this node, before an endpoint was picked for it; it is not tried again.
+    pub fn refuse(&mut self, reason: verdict::Reason) -> Step {
+        self.under_way = self.under_way.saturating_sub(1);
+        if self.under_way > 0 {
+            return Step::Wait;
+        }
+        Step::GiveUp(self.verdict(), reason)
+    }
+
     /// What is known of the request while no attempt has been answered.
     pub fn verdict(&self) -> verdict::Verdict {
         if self.may_have_run {
