node: tests of the request path on real sockets

Cause: whole answers, silence, keys through two nodes and the graceful stop had no test with real connections.

--- /dev/null
+++ b/node/tests/cluster.rs
@@ -0,0 +1,161 @@
+//! Entry nodes with a platform and endpoints of their own.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use wasabiloft_node::documents;
+use wasabiloft_node::node;
+use wasabiloft_node::settings;
+
+use crate::endpoint;
+use crate::fake_platform;
+
+/// How often a start looks whether the nodes are ready, in milliseconds.
+const READY_POLL_MS: u64 = 10;
+
+const DOCUMENT: &str = r#"
+service = "billing"
+team = "finance"
+
+[capacity]
+pool = "billing"
+runners = 2
+
+[availability]
+min_runners = 1
+absence_budget_min = 100
+
+[[kind]]
+name = "bill"
+method = "POST"
+path = "/bills"
+deadline_ms = 1500
+body_max_kib = 64
+
+[[kind]]
+name = "statement"
+method = "GET"
+path = "/statements/*"
+idempotent = true
+deadline_ms = 4000
+"#;
+
+/// What a test runs against.
+pub struct Cluster {
+    pub platform: fake_platform::FakePlatform,
+    pub endpoints: Vec<endpoint::Endpoint>,
+    pub nodes: Vec<node::Node>,
+    _keys: tempfile::TempDir,
+}
+
+impl Cluster {
+    /// Starts one node.
+    pub async fn start(endpoints: Vec<endpoint::Endpoint>) -> Self {
+        Self::with_nodes(1, endpoints, &[]).await
+    }
+
+    /// Starts nodes that know the endpoints, and before them some addresses where nothing listens.
+    pub async fn with_nodes(
+        count: usize,
+        endpoints: Vec<endpoint::Endpoint>,
+        dead: &[SocketAddr],
+    ) -> Self {
+        let live = endpoints.iter().map(endpoint::Endpoint::address);
+        let addresses: Vec<SocketAddr> = dead.iter().copied().chain(live).collect();
+        let platform = fake_platform::FakePlatform::start(&addresses).await;
+        let keys = tempfile::tempdir().unwrap();
+        let names: Vec<String> = (1..=count)
+            .map(|number| format!("entry-{number}"))
+            .collect();
+        make_keys(keys.path(), &names);
+        let mut nodes = Vec::new();
+        for name in &names {
+            let settings = settings(name, platform.address(), keys.path());
+            let metrics = PrometheusBuilder::new().build_recorder().handle();
+            nodes.push(node::Node::start(settings, metrics).await.unwrap());
+        }
+        let cluster = Self {
+            platform,
+            endpoints,
+            nodes,
+            _keys: keys,
+        };
+        cluster.put_document().await;
+        cluster.wait_until_ready(count).await;
+        cluster
+    }
+
+    /// Where the first node serves callers.
+    pub fn address(&self) -> SocketAddr {
+        self.nodes[0].address()
+    }
+
+    /// Stops all nodes.
+    pub async fn stop(self) {
+        for node in self.nodes {
+            node.stop().await;
+        }
+    }
+
+    async fn put_document(&self) {
+        loop {
+            let service = "billing".into();
+            let written = self.nodes[0].write_document(&service, 0, DOCUMENT);
+            if matches!(
+                written.await,
+                documents::Edit::Accepted(_) | documents::Edit::Pending(_)
+            ) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+    }
+
+    async fn wait_until_ready(&self, count: usize) {
+        let ready = || {
+            self.nodes.iter().all(|node| {
+                let roster = node.control().state().roster.members.len();
+                node.is_ready() && node.documents_total() == 1 && roster == count
+            })
+        };
+        while !ready() {
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+    }
+}
+
+fn settings(name: &str, platform: SocketAddr, keys: &std::path::Path) -> settings::Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    settings::Settings {
+        name: name.into(),
+        data_centre: "dc-1".into(),
+        listen: any,
+        peer_listen: any,
+        platform,
+        tls: Some(settings::Tls {
+            authority: keys.join("authority.pem"),
+            certificate: keys.join(format!("{name}.pem")),
+            key: keys.join(format!("{name}-key.pem")),
+        }),
+        peers: Default::default(),
+    }
+}
+
+fn make_keys(dir: &std::path::Path, names: &[String]) {
+    let mut params = CertificateParams::new(Vec::new()).unwrap();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().unwrap();
+    let certificate = params.self_signed(&key).unwrap();
+    fs::write(dir.join("authority.pem"), certificate.pem()).unwrap();
+    let issuer = Issuer::new(params, key);
+    for name in names {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.clone()]).unwrap();
+        let signed = params.signed_by(&key, &issuer).unwrap();
+        fs::write(dir.join(format!("{name}.pem")), signed.pem()).unwrap();
+        fs::write(dir.join(format!("{name}-key.pem")), key.serialize_pem()).unwrap();
+    }
+}
--- /dev/null
+++ b/node/tests/test_keys.rs
@@ -0,0 +1,97 @@
+//! Requests with a key, through one node and through two.
+
+use http::StatusCode;
+use wasabiloft::verdict::{Reason, Verdict};
+
+use crate::caller;
+use crate::cluster::Cluster;
+use crate::endpoint::{Endpoint, Then, raw, whole};
+
+async fn numbering() -> Endpoint {
+    Endpoint::start(|number, _| whole(&format!("bill {number}"))).await
+}
+
+#[tokio::test]
+async fn repeat_through_another_node_gets_the_first_answer() {
+    let cluster = Cluster::with_nodes(2, vec![numbering().await], &[]).await;
+    for key in 0..10 {
+        let key = format!("key {key}");
+        let mut texts = Vec::new();
+        for node in [0, 1, 0] {
+            let request = caller::bill(Some(&key), "7");
+            let answer = caller::send(cluster.nodes[node].address(), request).await;
+            assert_eq!(answer.verdict(), Verdict::Ran, "{answer:?}");
+            texts.push(answer.text().to_owned());
+        }
+        assert!(texts.iter().all(|text| *text == texts[0]), "{texts:?}");
+    }
+    assert_eq!(cluster.endpoints[0].heard().len(), 10);
+    cluster.stop().await;
+}
+
+#[tokio::test]
+async fn repeat_of_a_lost_request_is_never_told_not_run() {
+    let endpoint = Endpoint::start(|_, _| raw("", Then::Close)).await;
+    let cluster = Cluster::with_nodes(2, vec![endpoint], &[]).await;
+    let mut reasons = Vec::new();
+    for node in [0, 1, 0, 1] {
+        let request = caller::bill(Some("a"), "7");
+        let answer = caller::send(cluster.nodes[node].address(), request).await;
+        assert_eq!(answer.verdict(), Verdict::MayHaveRun);
+        reasons.push(answer.reason());
+    }
+    assert_eq!(reasons[0], Reason::ConnectionLost);
+    assert!(
+        reasons[1..]
+            .iter()
+            .all(|reason| *reason == Reason::KeyMayHaveRun)
+    );
+    assert_eq!(cluster.endpoints[0].heard().len(), 1);
+}
+
+#[tokio::test]
+async fn repeat_in_progress_is_refused_and_the_first_goes_on() {
+    let endpoint = Endpoint::start(|_, _| raw("", Then::Hang)).await;
+    let cluster = Cluster::start(vec![endpoint]).await;
+    let address = cluster.address();
+    let first = tokio::spawn(caller::send(address, caller::bill(Some("a"), "7")));
+    cluster.endpoints[0].wait_for(1).await;
+    let repeat = caller::send(address, caller::bill(Some("a"), "7")).await;
+    assert_eq!(repeat.verdict(), Verdict::MayHaveRun);
+    assert_eq!(repeat.reason(), Reason::KeyInProgress);
+    let first = first.await.unwrap();
+    assert_eq!(first.reason(), Reason::AnswerTimeout);
+    assert_eq!(cluster.endpoints[0].heard().len(), 1);
+}
+
+#[tokio::test]
+async fn caller_that_left_finds_its_answer_under_the_key() {
+    let cluster = Cluster::start(vec![numbering().await]).await;
+    let address = cluster.address();
+    let request = caller::bill(Some("a"), "7");
+    let first = tokio::spawn(async move {
+        let _ = caller::send(address, request).await;
+    });
+    cluster.endpoints[0].wait_for(1).await;
+    first.abort();
+    loop {
+        let answer = caller::send(address, caller::bill(Some("a"), "7")).await;
+        if answer.verdict() == Verdict::Ran {
+            assert_eq!(answer.text(), "bill 1");
+            break;
+        }
+        assert_eq!(answer.reason(), Reason::KeyInProgress);
+    }
+    assert_eq!(cluster.endpoints[0].heard().len(), 1);
+}
+
+#[tokio::test]
+async fn key_of_another_request_is_refused() {
+    let cluster = Cluster::start(vec![numbering().await]).await;
+    let address = cluster.address();
+    caller::send(address, caller::bill(Some("a"), "7")).await;
+    let other = caller::send(address, caller::bill(Some("a"), "8")).await;
+    assert_eq!(other.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(other.reason(), Reason::KeyMismatch);
+    assert_eq!(cluster.endpoints[0].heard().len(), 1);
+}
