node: duties are named by their slices; tests with real links and nodes

Cause: nobody told the control part which duties there are, and the links had no test of a connection that goes silent.

Change: `duties::Duty::names` gives a slice's duties from the view; the runner hands them to the leases. Tests: a silent flow behind the UDP proxy is replaced, a node with keys of another authority is not heard, an accepted edit reaches every node, a late one is told, a stopping node leaves the roster.

--- a/node/src/duties.rs
+++ b/node/src/duties.rs
@@ -18,13 +18,18 @@
 
 use crate::control;
 use crate::log;
+use crate::node;
 use crate::platform;
+use crate::view;
 
 /// The task of a duty.
 pub type Task = Pin<Box<dyn Future<Output = ()> + Send>>;
 
 /// The edge at which a slice's duties plug in.
 pub trait Duty: Send + Sync {
+    /// The duties that this slice has while these documents are in force; the same on all nodes.
+    fn names(&self, view: &view::View) -> Vec<id::Duty>;
+
     /// True if this slice runs the duty.
     fn covers(&self, duty: &id::Duty) -> bool;
 
@@ -67,26 +72,17 @@
     }
 }
 
-/// Runs the duties whose leases this node holds, until `stop`.
-pub async fn run(
-    control: control::Handle,
-    platform: platform::Client,
-    slices: Vec<Arc<dyn Duty>>,
-    stop: CancellationToken,
-) {
-    let mut state = control.watch();
-    let mut running: HashMap<id::Duty, (lease::Grant, CancellationToken)> = HashMap::new();
-    let mut tasks = JoinSet::new();
-    loop {
-        let held: Vec<lease::Grant> = {
-            let state = state.borrow_and_update();
-            state
-                .duties
-                .iter()
-                .map(|(grant, _)| grant.clone())
-                .collect()
-        };
-        running.retain(|duty, (grant, lost)| {
+/// The running tasks of a node's duties.
+#[derive(Default)]
+struct Running {
+    leases: HashMap<id::Duty, (lease::Grant, CancellationToken)>,
+    tasks: JoinSet<()>,
+}
+
+impl Running {
+    /// Cancels the tasks whose lease is not held any more.
+    fn cancel_lost(&mut self, held: &[lease::Grant]) {
+        self.leases.retain(|duty, (grant, lost)| {
             let kept = held.contains(grant);
             if !kept {
                 log::info("lease", &format!("lost duty={duty} epoch={}", grant.epoch));
@@ -94,29 +90,65 @@
             }
             kept
         });
+    }
+
+    fn start(&mut self, slice: &dyn Duty, context: Context) {
+        let grant = &context.grant;
+        log::info(
+            "lease",
+            &format!("holds duty={} epoch={}", grant.duty, grant.epoch),
+        );
+        let lease = (grant.clone(), context.lost.clone());
+        self.leases.insert(grant.duty.clone(), lease);
+        self.tasks.spawn(slice.run(context));
+    }
+}
+
+/// Runs the duties whose leases this node holds, until `stop`.
+pub async fn run(shared: Arc<node::Shared>, slices: Vec<Arc<dyn Duty>>) {
+    let control = &shared.control;
+    let mut state = control.watch();
+    let mut view = shared.view.subscribe();
+    let mut names: Vec<id::Duty> = Vec::new();
+    let mut running = Running::default();
+    loop {
+        let wanted = names_of(&slices, &view.borrow_and_update());
+        if wanted != names {
+            control.set_duties(wanted.clone()).await;
+            names = wanted;
+        }
+        let held: Vec<lease::Grant> = {
+            let state = state.borrow_and_update();
+            let grants = state.duties.iter().map(|(grant, _)| grant.clone());
+            grants.collect()
+        };
+        running.cancel_lost(&held);
         for grant in held {
             let slice = slices.iter().find(|slice| slice.covers(&grant.duty));
-            let Some(slice) = slice.filter(|_| !running.contains_key(&grant.duty)) else {
-                continue;
-            };
-            log::info(
-                "lease",
-                &format!("holds duty={} epoch={}", grant.duty, grant.epoch),
-            );
-            let lost = stop.child_token();
-            running.insert(grant.duty.clone(), (grant.clone(), lost.clone()));
-            tasks.spawn(slice.run(Context {
-                grant,
-                control: control.clone(),
-                platform: platform.clone(),
-                lost,
-            }));
+            let is_new = !running.leases.contains_key(&grant.duty);
+            if let Some(slice) = slice.filter(|_| is_new) {
+                let context = Context {
+                    grant,
+                    control: control.clone(),
+                    platform: shared.platform.clone(),
+                    lost: shared.stop.child_token(),
+                };
+                running.start(slice.as_ref(), context);
+            }
         }
         tokio::select! {
-            () = stop.cancelled() => break,
+            () = shared.stop.cancelled() => break,
             changed = state.changed() => if changed.is_err() { break },
-            _ = tasks.join_next(), if !tasks.is_empty() => {}
+            changed = view.changed() => if changed.is_err() { break },
+            _ = running.tasks.join_next(), if !running.tasks.is_empty() => {}
         }
     }
-    while tasks.join_next().await.is_some() {}
+    while running.tasks.join_next().await.is_some() {}
+}
+
+fn names_of(slices: &[Arc<dyn Duty>], view: &view::View) -> Vec<id::Duty> {
+    let mut names: Vec<id::Duty> = slices.iter().flat_map(|slice| slice.names(view)).collect();
+    names.sort();
+    names.dedup();
+    names
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -106,12 +106,7 @@
         tasks.spawn(accept(listener, Arc::clone(&shared)));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
-        tasks.spawn(duties::run(
-            shared.control.clone(),
-            shared.platform.clone(),
-            Vec::new(),
-            shared.stop.clone(),
-        ));
+        tasks.spawn(duties::run(Arc::clone(&shared), Vec::new()));
         log::info(
             "node",
             &format!("started name={} address={address}", shared.settings.name),
--- /dev/null
+++ b/node/tests/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of the shell with real sockets.
+
+mod keys;
+mod test_links;
+mod test_nodes;
