--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -8,3 +8,8 @@
 mod test_connections;
 mod test_keys;
 mod test_stop;
+//! Tests of the shell with real sockets.
+
+mod keys;
+mod test_links;
+mod test_nodes;
