--- a/node/tests/cluster.rs
+++ b/node/tests/cluster.rs
@@ -1,17 +1,16 @@
 //! Entry nodes with a platform and endpoints of their own.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusBuilder;
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use wasabiloft_node::documents;
 use wasabiloft_node::node;
 use wasabiloft_node::settings;
 
 use crate::endpoint;
 use crate::fake_platform;
+use crate::keys;
 
 /// How often a start looks whether the nodes are ready, in milliseconds.
 const READY_POLL_MS: u64 = 10;
@@ -48,7 +47,7 @@
     pub platform: fake_platform::FakePlatform,
     pub endpoints: Vec<endpoint::Endpoint>,
     pub nodes: Vec<node::Node>,
-    _keys: tempfile::TempDir,
+    _keys: keys::Authority,
 }
 
 impl Cluster {
@@ -66,14 +65,13 @@
         let live = endpoints.iter().map(endpoint::Endpoint::address);
         let addresses: Vec<SocketAddr> = dead.iter().copied().chain(live).collect();
         let platform = fake_platform::FakePlatform::start(&addresses).await;
-        let keys = tempfile::tempdir().unwrap();
+        let keys = keys::Authority::create();
         let names: Vec<String> = (1..=count)
             .map(|number| format!("entry-{number}"))
             .collect();
-        make_keys(keys.path(), &names);
         let mut nodes = Vec::new();
         for name in &names {
-            let settings = settings(name, platform.address(), keys.path());
+            let settings = settings(name, platform.address(), keys.sign(name));
             let metrics = PrometheusBuilder::new().build_recorder().handle();
             nodes.push(node::Node::start(settings, metrics).await.unwrap());
         }
@@ -127,7 +125,7 @@
     }
 }
 
-fn settings(name: &str, platform: SocketAddr, keys: &std::path::Path) -> settings::Settings {
+fn settings(name: &str, platform: SocketAddr, tls: settings::Tls) -> settings::Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     settings::Settings {
         name: name.into(),
@@ -135,27 +133,7 @@
         listen: any,
         peer_listen: any,
         platform,
-        tls: Some(settings::Tls {
-            authority: keys.join("authority.pem"),
-            certificate: keys.join(format!("{name}.pem")),
-            key: keys.join(format!("{name}-key.pem")),
-        }),
+        tls: Some(tls),
         peers: Default::default(),
     }
 }
-
-fn make_keys(dir: &std::path::Path, names: &[String]) {
-    let mut params = CertificateParams::new(Vec::new()).unwrap();
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let key = KeyPair::generate().unwrap();
-    let certificate = params.self_signed(&key).unwrap();
-    fs::write(dir.join("authority.pem"), certificate.pem()).unwrap();
-    let issuer = Issuer::new(params, key);
-    for name in names {
-        let key = KeyPair::generate().unwrap();
-        let params = CertificateParams::new(vec![name.clone()]).unwrap();
-        let signed = params.signed_by(&key, &issuer).unwrap();
-        fs::write(dir.join(format!("{name}.pem")), signed.pem()).unwrap();
-        fs::write(dir.join(format!("{name}-key.pem")), key.serialize_pem()).unwrap();
-    }
-}
