--- a/node/tests/test_links.rs
+++ b/node/tests/test_links.rs
@@ -41,7 +41,8 @@
         let config = peers::tls::read(&authority.sign(name)).expect("the files are whole");
         let (control, inbox) = mpsc::channel(64);
         let mut tasks = JoinSet::new();
-        let inboxes = peers::Inboxes { control };
+        let (keys, _) = mpsc::channel(64);
+        let inboxes = peers::Inboxes { control, keys };
         let links = peers::Links::start(me, Some(config), socket, inboxes, &mut tasks);
         let links = links.expect("the socket works");
         Self {
