--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -94,6 +94,10 @@
     pub messages: u64,
     /// Their bytes.
     pub message_bytes: u64,
+    /// Tokens given by one node to another.
+    pub given: u64,
+    /// Requests for tokens.
+    pub asks: u64,
     /// Where the time went.
     pub cost: Cost,
 }
@@ -191,6 +195,7 @@
         }
         fleet.step(timed.event);
     }
+    fleet.count_tokens();
     fleet.outcome
 }
 
@@ -224,6 +229,8 @@
                 tallies,
                 messages: 0,
                 message_bytes: 0,
+                given: 0,
+                asks: 0,
                 cost: Cost::default(),
             },
             config,
@@ -266,6 +273,17 @@
         }
     }
 
+    fn count_tokens(&mut self) {
+        for door in &self.doors {
+            if let Door::Shares(service) = door {
+                let counters = service.ledger().counters();
+                assert_eq!(counters.doubled, 0, "a token has one owner");
+                self.outcome.given += counters.given;
+                self.outcome.asks += counters.asks;
+            }
+        }
+    }
+
     fn now(&self) -> clock::Instant {
         clock::Instant::from_ms(self.now_us / 1_000)
     }
@@ -478,7 +496,9 @@
         let in_time = latency_us <= self.config.kinds[request.kind].deadline_ms * 1_000;
         let slot_us = self.now_us - request.started_us;
         let (phase, sent_us) = (request.phase, request.sent_us);
-        self.outcome.tallies[phase][request.kind].answer(latency_us, slot_us, in_time);
+        let (kind, started_us) = (request.kind, request.started_us);
+        self.outcome.tallies[phase][kind].answer(latency_us, slot_us, in_time);
+        self.occupy(kind, started_us, in_time);
         if !in_time {
             self.note_bad(phase, sent_us);
         }
@@ -490,6 +510,20 @@
         self.requests.remove(&id);
     }
 
+    /// Divides a request's slot time among the phases.
+    fn occupy(&mut self, kind: usize, started_us: u64, in_time: bool) {
+        let mut start_us = 0;
+        for (index, phase) in self.phases.iter().enumerate() {
+            let end_us = start_us + phase.length_ms * 1_000;
+            let overlap_us = self
+                .now_us
+                .min(end_us)
+                .saturating_sub(started_us.max(start_us));
+            self.outcome.tallies[index][kind].occupy(overlap_us, in_time);
+            start_us = end_us;
+        }
+    }
+
     fn refuse(&mut self, id: u64, reason: verdict::Reason) {
         let request = self.requests.remove(&id);
         let request = request.expect("a request ends once");
--- a/measure/src/flood.rs
+++ b/measure/src/flood.rs
@@ -4,7 +4,7 @@
 
 use lexopt::prelude::*;
 use serde::Serialize;
-use wasabiloft::{dispatch, verdict};
+use wasabiloft::{admission, dispatch, verdict};
 
 use crate::fleet;
 use crate::load;
@@ -24,7 +24,8 @@
     --swing               In place of a flood: each kind in turn at 5 times its mean for 3 s, the others at 1/20.
     --load NAME           cadenas or tabua. [default: cadenas]
     --policy NAME         shares, fifo or fixed. [default: shares]
-    --headroom MILLI      Thousandths of the slots that kinds beyond their share leave free. [default: the library's]
+    --headroom S,L        Thousandths of the slots that kinds beyond their share leave free, for short and for long
+                          service times. [default: the library's]
     --runners N           Runners of 8 slots. [default: 10]
     --nodes N             Entry nodes. [default: 8]
     --seed N              Seed of all chance. [default: 1]
@@ -42,7 +43,7 @@
     swing: bool,
     load: String,
     policy: String,
-    headroom_milli: u32,
+    headroom: admission::Headroom,
     runners: usize,
     nodes: usize,
     seed: u64,
@@ -79,6 +80,8 @@
     recovered_after_ms: u64,
     refusal_cost_of_served: f64,
     message_bytes_per_node_s: f64,
+    tokens_passed_per_s: f64,
+    asks_per_s: f64,
 }
 
 /// Runs the command.
@@ -102,7 +105,7 @@
         swing: false,
         load: "cadenas".to_owned(),
         policy: "shares".to_owned(),
-        headroom_milli: dispatch::Settings::default().headroom_milli,
+        headroom: admission::Headroom::default(),
         runners: 10,
         nodes: 8,
         seed: 1,
@@ -114,7 +117,7 @@
             Long("swing") => args.swing = true,
             Long("load") => args.load = parser.value()?.string()?,
             Long("policy") => args.policy = parser.value()?.string()?,
-            Long("headroom") => args.headroom_milli = parser.value()?.parse()?,
+            Long("headroom") => args.headroom = headroom(&parser.value()?.string()?)?,
             Long("runners") => args.runners = parser.value()?.parse()?,
             Long("nodes") => args.nodes = parser.value()?.parse()?,
             Long("seed") => args.seed = parser.value()?.parse()?,
@@ -134,9 +137,20 @@
     Ok((kind.to_owned(), factor))
 }
 
+fn headroom(text: &str) -> Result<admission::Headroom, util::Error> {
+    let wrong = || util::Error::Usage {
+        message: format!("--headroom wants SHORT,LONG, not {text}"),
+    };
+    let (short, long) = text.split_once(',').ok_or_else(wrong)?;
+    Ok(admission::Headroom {
+        short_milli: short.parse().map_err(|_| wrong())?,
+        long_milli: long.parse().map_err(|_| wrong())?,
+    })
+}
+
 fn config(args: &Args) -> Result<fleet::Config, util::Error> {
     let settings = dispatch::Settings {
-        headroom_milli: args.headroom_milli,
+        headroom: args.headroom,
         ..dispatch::Settings::default()
     };
     let policy = match args.policy.as_str() {
@@ -225,6 +239,8 @@
         recovered_after_ms: outcome.last_bad_ms[last].max(outcome.last_backlog_ms[last]),
         refusal_cost_of_served: util::round(refused_ns / started_ns),
         message_bytes_per_node_s: util::round(bytes),
+        tokens_passed_per_s: util::round(outcome.given as f64 / seconds),
+        asks_per_s: util::round(outcome.asks as f64 / seconds),
         kinds,
     }
 }
--- a/measure/src/tally.rs
+++ b/measure/src/tally.rs
@@ -19,10 +19,11 @@
     pub late: u64,
     /// Refusals, by reason.
     pub refused: BTreeMap<verdict::Reason, u64>,
-    /// Slot time of good requests.
+    /// Slot time within the phase of good requests, whenever they were sent.
     pub good_slot_us: u64,
-    /// Slot time of all requests.
+    /// Slot time within the phase of all requests, whenever they were sent.
     pub slot_us: u64,
+    answered_slot_us: u64,
     latency_us: Histogram<u64>,
 }
 
@@ -37,6 +38,7 @@
             refused: BTreeMap::new(),
             good_slot_us: 0,
             slot_us: 0,
+            answered_slot_us: 0,
             latency_us: latency_us.expect("the histogram's bounds are constants"),
         }
     }
@@ -44,15 +46,22 @@
     /// Counts an answer; tells whether it was in time.
     pub fn answer(&mut self, latency_us: u64, slot_us: u64, in_time: bool) {
         self.latency_us.saturating_record(latency_us);
-        self.slot_us += slot_us;
+        self.answered_slot_us += slot_us;
         if in_time {
             self.good += 1;
-            self.good_slot_us += slot_us;
         } else {
             self.late += 1;
         }
     }
 
+    /// Counts the part of a request's slot time that lies in the phase.
+    pub fn occupy(&mut self, slot_us: u64, in_time: bool) {
+        self.slot_us += slot_us;
+        if in_time {
+            self.good_slot_us += slot_us;
+        }
+    }
+
     /// The part of the requests that were answered in time.
     pub fn good_part(&self) -> f64 {
         self.good as f64 / self.offered.max(1) as f64
@@ -65,6 +74,6 @@
 
     /// The mean slot time of a request, in microseconds.
     pub fn mean_slot_us(&self) -> f64 {
-        self.slot_us as f64 / (self.good + self.late).max(1) as f64
+        self.answered_slot_us as f64 / (self.good + self.late).max(1) as f64
     }
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -11,11 +11,11 @@
 //! use wasabiloft::{admission, clock, document, verdict};
 //!
 //! let spec = admission::KindSpec { urgency: document::Urgency::Urgent, share: 1 };
-//! let mut controller = admission::Controller::new(&[spec]);
+//! let mut controller = admission::Controller::new(&[spec], admission::Headroom::default());
 //! let kind = admission::KindIndex::from(0);
 //! let now = clock::Instant::ZERO;
 //! let mut outputs = Vec::new();
-//! let slots = admission::Slots { free: 1, held: 1, total: 1, headroom: 0 };
+//! let slots = admission::Slots { free: 1, held: 1, total: 1, members: 1, rank: 0 };
 //! controller.handle(now, admission::Input::Slots(slots), &mut outputs);
 //! for id in 0..2 {
 //!     let arrival = admission::Arrival {
@@ -48,6 +48,8 @@
 
 /// The longest estimated wait that a queue accepts, in milliseconds.
 const QUEUE_WAIT_MAX_MS: f64 = 300.0;
+/// Mean service time from which a kind leaves the whole headroom, in milliseconds.
+const LONG_SERVICE_MS: f64 = 1_000.0;
 /// The most requests that one kind's queue holds.
 const QUEUE_LEN_MAX: usize = 1_024;
 /// A kind's own slots on this node may rise to so many times its local share while it counts as within its share.
@@ -109,8 +111,44 @@
     pub held: u32,
     /// Slots of the service over all nodes.
     pub total: u32,
-    /// Free slots that kinds beyond their share leave alone.
-    pub headroom: u32,
+    /// Nodes that share the service's slots.
+    pub members: u32,
+    /// This node's place among them, from zero.
+    pub rank: u32,
+}
+
+/// Slots over all nodes that kinds beyond their share leave free for those within theirs.
+///
+/// The longer a kind holds its slots, the longer another kind would wait for one, so the more it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Headroom {
+    /// For kinds with short service times, in thousandths of the service's slots.
+    pub short_milli: u32,
+    /// For kinds with service times of a second or more, in thousandths of the service's slots.
+    pub long_milli: u32,
+}
+
+impl Default for Headroom {
+    fn default() -> Self {
+        Self {
+            short_milli: 20,
+            long_milli: 80,
+        }
+    }
+}
+
+impl Headroom {
+    /// The part of one node for a kind, in whole slots.
+    fn part(&self, slots: &Slots, mean_ms: f64) -> u32 {
+        let length = (mean_ms / LONG_SERVICE_MS).min(1.0);
+        let (short, long) = (f64::from(self.short_milli), f64::from(self.long_milli));
+        let milli = short + (long - short) * length;
+        let all = (f64::from(slots.total) * milli / 1_000.0) as u32;
+        match slots.members {
+            0 => 0,
+            members => all / members + u32::from(slots.rank < all % members),
+        }
+    }
 }
 
 /// A request that came in, or comes again for a retry.
@@ -186,17 +224,19 @@
 pub struct Controller {
     kinds: Vec<Kind>,
     slots: Slots,
+    headroom: Headroom,
     weights: f64,
 }
 
 impl Controller {
     /// Makes the controller of a service with these kinds and no slots yet.
-    pub fn new(specs: &[KindSpec]) -> Self {
+    pub fn new(specs: &[KindSpec], headroom: Headroom) -> Self {
         let kinds = specs.iter().map(|spec| Kind::new(*spec)).collect();
         let weights = specs.iter().map(|spec| f64::from(spec.share)).sum();
         Self {
             kinds,
             slots: Slots::default(),
+            headroom,
             weights,
         }
     }
@@ -295,7 +335,8 @@
         if wait_ms + kind.service_time.high_ms() > left_ms {
             return Some(verdict::Reason::DeadlineTooShort);
         }
-        (wait_ms > QUEUE_WAIT_MAX_MS).then_some(verdict::Reason::QueueFull)
+        let too_long = wait_ms > QUEUE_WAIT_MAX_MS && !self.within_share(kind);
+        too_long.then_some(verdict::Reason::QueueFull)
     }
 
     /// Estimates the wait of a request that joins the kind's queue.
@@ -372,7 +413,8 @@
                 continue;
             };
             let within = self.within_share(kind);
-            if !within && self.slots.free <= self.slots.headroom {
+            let mean_ms = kind.service_time.mean_ms();
+            if !within && self.slots.free <= self.headroom.part(&self.slots, mean_ms) {
                 continue;
             }
             let rank = (
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -46,9 +46,6 @@
 
 pub use service::Service;
 
-/// Slots that kinds beyond their share leave free over all nodes, in thousandths of the service's slots.
-const HEADROOM_MILLI: u32 = 40;
-
 /// A runner of the service, on its VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Runner {
@@ -67,8 +64,8 @@
     pub longest_request_ms: u64,
     /// Whether slots follow demand between the nodes.
     pub passing: slots::Passing,
-    /// Slots that kinds beyond their share leave free over all nodes, in thousandths of the service's slots.
-    pub headroom_milli: u32,
+    /// What kinds beyond their share leave free.
+    pub headroom: admission::Headroom,
 }
 
 impl Default for Settings {
@@ -76,7 +73,7 @@
         Self {
             longest_request_ms: 10 * clock::SECOND_MS,
             passing: slots::Passing::ByDemand,
-            headroom_milli: HEADROOM_MILLI,
+            headroom: admission::Headroom::default(),
         }
     }
 }
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -71,7 +71,7 @@
         };
         Self {
             settings,
-            controller: admission::Controller::new(kinds),
+            controller: admission::Controller::new(kinds, settings.headroom),
             ledger: slots::Ledger::new(me, ledger_settings),
             router: routing::Router::new(),
             queued: HashMap::new(),
@@ -251,8 +251,8 @@
             slots.held += self.ledger.held_of(key);
             slots.total += self.ledger.slots_of(key);
         }
-        let headroom = slots.total * self.settings.headroom_milli / 1_000;
-        slots.headroom = self.ledger.part_of(headroom);
+        slots.members = self.ledger.members();
+        slots.rank = self.ledger.rank();
         slots
     }
 
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -186,6 +186,7 @@
 struct Peer {
     deal: Deal,
     heard_at: clock::Instant,
+    asked_at: clock::Instant,
     held: u32,
     free: u32,
     need_milli: Vec<u32>,
--- a/src/slots/passing.rs
+++ b/src/slots/passing.rs
@@ -17,7 +17,11 @@
 /// An ask that brought nothing is repeated after so long, in milliseconds.
 const ASK_REPEAT_MS: u64 = 5;
 /// An ask is remembered for so long, in milliseconds.
-const ASK_KEEP_MS: u64 = 50;
+const ASK_KEEP_MS: u64 = 30;
+/// Members that are asked at once.
+const ASK_FAN_OUT: usize = 2;
+/// Members that are asked at once when an ask has just brought nothing.
+const ASK_AGAIN_FAN_OUT: usize = 3;
 /// The most tokens that one ask is for.
 const ASK_SLOTS_MAX: u32 = 4;
 /// Tokens that every serving member keeps, so that a first request finds one.
@@ -65,18 +69,15 @@
         used
     }
 
-    /// This node's part of a reserve that is spread evenly over the members, in whole tokens.
-    pub fn part_of(&self, tokens: u32) -> u32 {
-        let members = self.members.len() as u32;
-        let rank = self
-            .members
-            .iter()
-            .filter(|member| **member < self.me)
-            .count() as u32;
-        if members == 0 {
-            return 0;
-        }
-        tokens / members + u32::from(rank < tokens % members)
+    /// The number of members.
+    pub fn members(&self) -> u32 {
+        self.members.len() as u32
+    }
+
+    /// This node's place among the members, from zero.
+    pub fn rank(&self) -> u32 {
+        let earlier = self.members.iter().filter(|member| **member < self.me);
+        earlier.count() as u32
     }
 
     pub(super) fn note_report(&mut self, from: deal::Member, report: message::Report) {
@@ -163,19 +164,32 @@
         {
             return;
         }
-        let slots = self.waiting.min(ASK_SLOTS_MAX);
-        let deal = self.deal;
-        let candidates = self.peers.iter_mut().filter(|(_, peer)| peer.deal == deal);
-        let Some((member, peer)) = candidates.max_by_key(|(_, peer)| (peer.free, peer.held)) else {
-            return;
+        let repeated = self
+            .asked_at
+            .is_some_and(|asked_at| now.since_ms(asked_at) < ASK_KEEP_MS);
+        let fan_out = if repeated {
+            ASK_AGAIN_FAN_OUT
+        } else {
+            ASK_FAN_OUT
         };
-        peer.free = peer.free.saturating_sub(slots);
         self.asked_at = Some(now);
-        self.counters.asks += 1;
-        outputs.push(Output::Send {
-            to: member.clone(),
-            message: message::Message::Ask(message::Ask { deal, slots }),
-        });
+        let deal = self.deal;
+        let slots = self.waiting.min(ASK_SLOTS_MAX);
+        let mut candidates: Vec<_> = self
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| peer.deal == deal)
+            .collect();
+        candidates.sort_by_key(|(_, peer)| (peer.free == 0, peer.asked_at));
+        for (member, peer) in candidates.into_iter().take(fan_out) {
+            peer.free = peer.free.saturating_sub(slots);
+            peer.asked_at = now;
+            self.counters.asks += 1;
+            outputs.push(Output::Send {
+                to: member.clone(),
+                message: message::Message::Ask(message::Ask { deal, slots }),
+            });
+        }
     }
 
     pub(super) fn queue_ask(&mut self, now: clock::Instant, from: deal::Member, ask: message::Ask) {
