admission: limit flooding kinds by the others' need and by their own length

Cause: a flood of long requests kept every passing surplus of slots, so short kinds waited for its ends. Change: a kind floods when its rate of arrival times its service time exceeds its share; flooding kinds together get what the others need and a headroom leave over, the same on all nodes whatever tokens move; long kinds leave more.

--- a/measure/src/baseline.rs
+++ b/measure/src/baseline.rs
@@ -63,11 +63,6 @@
         None
     }
 
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
-    }
-
     /// Gives a slot back, to the next request in the kind's queue if one can still be in time.
     pub fn finish(
         &mut self,
--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -29,6 +29,9 @@
 /// Connections of a runner, over all nodes.
 const CONNECTIONS_MAX: u32 = 64;
 
+/// Length of the windows in which refused and late requests are counted.
+pub const WINDOW_MS: u64 = 200;
+
 /// How entry nodes decide.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -68,6 +71,15 @@
     pub node_weights: Vec<f64>,
 }
 
+/// What happened to the requests sent in one window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Window {
+    /// Requests sent.
+    pub sent: u64,
+    /// Those of them that were refused or late.
+    pub bad: u64,
+}
+
 /// Where the time of the decisions went, on the machine's clock.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
@@ -86,10 +98,8 @@
 pub struct Outcome {
     /// By phase and kind, by the time of sending.
     pub tallies: Vec<Vec<tally::Tally>>,
-    /// The last request of each phase that was refused or late: milliseconds from the phase's start.
-    pub last_bad_ms: Vec<u64>,
-    /// The last moment of each phase with more requests waiting than ever in the second phase.
-    pub last_backlog_ms: Vec<u64>,
+    /// By phase, in windows of [`WINDOW_MS`].
+    pub windows: Vec<Vec<Window>>,
     /// Messages between nodes.
     pub messages: u64,
     /// Their bytes.
@@ -179,7 +189,6 @@
     runner_index: BTreeMap<id::Vm, usize>,
     requests: HashMap<u64, Request>,
     next_request: u64,
-    base_backlog: usize,
     outcome: Outcome,
 }
 
@@ -224,8 +233,7 @@
             runners: vec![runner; config.runners],
             runner_index: vms.into_iter().zip(0..).collect(),
             outcome: Outcome {
-                last_bad_ms: vec![0; phases.len()],
-                last_backlog_ms: vec![0; phases.len()],
+                windows: windows(&phases),
                 tallies,
                 messages: 0,
                 message_bytes: 0,
@@ -244,7 +252,6 @@
             members,
             requests: HashMap::new(),
             next_request: 0,
-            base_backlog: 0,
         }
     }
 
@@ -320,7 +327,6 @@
             }
             Event::Tick(node) => {
                 self.input(node, dispatch::Input::Tick);
-                self.note_backlog();
                 self.plan(TICK_US, Event::Tick(node));
             }
         }
@@ -346,6 +352,8 @@
         let id = self.next_request;
         self.next_request += 1;
         self.outcome.tallies[self.phase][kind].offered += 1;
+        let window = (self.now_us - self.phase_start_us) / 1_000 / WINDOW_MS;
+        self.outcome.windows[self.phase][window as usize].sent += 1;
         let request = Request {
             kind,
             phase: self.phase,
@@ -542,45 +550,17 @@
             .iter()
             .map(|phase| phase.length_ms)
             .sum();
-        let last = &mut self.outcome.last_bad_ms[phase];
-        *last = (sent_us / 1_000 - start_ms).max(*last);
-    }
-
-    fn note_backlog(&mut self) {
-        if self.phase >= self.phases.len() {
-            return;
-        }
-        let backlog: usize = self
-            .doors
-            .iter()
-            .map(|door| self.waiting(door))
-            .sum::<usize>()
-            + self
-                .runners
-                .iter()
-                .map(|runner| runner.waiting.len())
-                .sum::<usize>();
-        if self.phase <= 1 {
-            self.base_backlog = self.base_backlog.max(backlog);
-        } else if backlog > self.base_backlog {
-            let since_ms = (self.now_us - self.phase_start_us) / 1_000;
-            self.outcome.last_backlog_ms[self.phase] = since_ms;
-        }
+        let window = (sent_us / 1_000 - start_ms) / WINDOW_MS;
+        self.outcome.windows[phase][window as usize].bad += 1;
     }
+}
 
-    fn waiting(&self, door: &Door) -> usize {
-        match door {
-            Door::Shares(service) => (0..self.config.kinds.len())
-                .map(|kind| {
-                    service
-                        .controller()
-                        .queued(admission::KindIndex::from(kind))
-                })
-                .sum(),
-            Door::Fifo(_) => 0,
-            Door::Fixed(fixed) => fixed.waiting(),
-        }
-    }
+fn windows(phases: &[Phase]) -> Vec<Vec<Window>> {
+    let count = |phase: &Phase| (phase.length_ms / WINDOW_MS + 1) as usize;
+    phases
+        .iter()
+        .map(|phase| vec![Window::default(); count(phase)])
+        .collect()
 }
 
 fn door(config: &Config, index: usize, vms: &[id::Vm], members: &[slots::Member]) -> Door {
--- a/measure/src/flood.rs
+++ b/measure/src/flood.rs
@@ -14,7 +14,8 @@
 Floods one service with some kinds of work and prints what each kind kept.
 
 The run: 5 s to warm up, 15 s of mean load, 15 s of flood, 10 s of mean load. Ratios compare the flood
-with the mean load of the same run; goodput counts whole answers in time.
+with the mean load of the same run; goodput counts whole answers in time. The fleet has recovered at the
+end of the last 200 ms in which more than a hundredth of the requests was refused or late.
 
 Usage:
     measure flood [OPTIONS]
@@ -24,8 +25,7 @@
     --swing               In place of a flood: each kind in turn at 5 times its mean for 3 s, the others at 1/20.
     --load NAME           cadenas or tabua. [default: cadenas]
     --policy NAME         shares, fifo or fixed. [default: shares]
-    --headroom S,L        Thousandths of the slots that kinds beyond their share leave free, for short and for long
-                          service times. [default: the library's]
+    --headroom MILLI      Thousandths of the slots that long flooding kinds leave free. [default: the library's]
     --runners N           Runners of 8 slots. [default: 10]
     --nodes N             Entry nodes. [default: 8]
     --seed N              Seed of all chance. [default: 1]
@@ -117,7 +117,11 @@
             Long("swing") => args.swing = true,
             Long("load") => args.load = parser.value()?.string()?,
             Long("policy") => args.policy = parser.value()?.string()?,
-            Long("headroom") => args.headroom = headroom(&parser.value()?.string()?)?,
+            Long("headroom") => {
+                args.headroom = admission::Headroom {
+                    long_milli: parser.value()?.parse()?,
+                }
+            }
             Long("runners") => args.runners = parser.value()?.parse()?,
             Long("nodes") => args.nodes = parser.value()?.parse()?,
             Long("seed") => args.seed = parser.value()?.parse()?,
@@ -137,17 +141,6 @@
     Ok((kind.to_owned(), factor))
 }
 
-fn headroom(text: &str) -> Result<admission::Headroom, util::Error> {
-    let wrong = || util::Error::Usage {
-        message: format!("--headroom wants SHORT,LONG, not {text}"),
-    };
-    let (short, long) = text.split_once(',').ok_or_else(wrong)?;
-    Ok(admission::Headroom {
-        short_milli: short.parse().map_err(|_| wrong())?,
-        long_milli: long.parse().map_err(|_| wrong())?,
-    })
-}
-
 fn config(args: &Args) -> Result<fleet::Config, util::Error> {
     let settings = dispatch::Settings {
         headroom: args.headroom,
@@ -236,7 +229,7 @@
             .fold(f64::INFINITY, f64::min),
         worst_p99_ratio: others().map(|kept| kept.p99_ratio).fold(0.0, f64::max),
         flooded_goodput_of_capacity: util::round(of_capacity(config, phases, outcome)),
-        recovered_after_ms: outcome.last_bad_ms[last].max(outcome.last_backlog_ms[last]),
+        recovered_after_ms: recovered_after_ms(outcome, last),
         refusal_cost_of_served: util::round(refused_ns / started_ns),
         message_bytes_per_node_s: util::round(bytes),
         tokens_passed_per_s: util::round(outcome.given as f64 / seconds),
@@ -284,13 +277,22 @@
     }
 }
 
+/// The end of the last window of a phase in which more than a hundredth of the requests was refused or late.
+fn recovered_after_ms(outcome: &fleet::Outcome, phase: usize) -> u64 {
+    let windows = &outcome.windows[phase];
+    let bad = windows
+        .iter()
+        .rposition(|window| window.bad * 100 > window.sent);
+    bad.map_or(0, |index| (index as u64 + 1) * fleet::WINDOW_MS)
+}
+
 /// The good slot time of flooded kinds against what the other kinds leave of the pool, or against all that was offered
 /// if that is less.
 fn of_capacity(config: &fleet::Config, phases: &[fleet::Phase], outcome: &fleet::Outcome) -> f64 {
     let slots = config.slots as f64 * config.runners as f64;
     let (mut good_us, mut possible_us) = (0.0, 0.0);
     for (index, phase) in phases.iter().enumerate().take(phases.len() - 1).skip(2) {
-        let mut left_us = slots * phase.length_ms as f64 * 1_000.0;
+        let mut left_us: f64 = slots * phase.length_ms as f64 * 1_000.0;
         let mut offered_us = 0.0;
         for (kind, tally) in outcome.tallies[index].iter().enumerate() {
             if phase.factors[kind] > 1.0 {
@@ -301,7 +303,7 @@
                 left_us -= tally.slot_us as f64;
             }
         }
-        possible_us += left_us.min(offered_us);
+        possible_us += left_us.max(0.0).min(offered_us);
     }
-    good_us / possible_us
+    good_us / possible_us.max(1.0)
 }
--- a/measure/src/slots.rs
+++ b/measure/src/slots.rs
@@ -2,7 +2,7 @@
 
 use lexopt::prelude::*;
 use serde::Serialize;
-use wasabiloft::{admission, dispatch, slots};
+use wasabiloft::{dispatch, slots};
 
 use crate::fleet;
 use crate::load;
@@ -114,10 +114,6 @@
     kind.demand_milli = args.load_milli;
     let settings = dispatch::Settings {
         passing,
-        headroom: admission::Headroom {
-            short_milli: 0,
-            long_milli: 0,
-        },
         ..dispatch::Settings::default()
     };
     let config = fleet::Config {
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -12,8 +12,14 @@
 use crate::slots;
 use crate::verdict;
 
-/// Weight of the newest reading in the smoothed demand, at each tick.
-const DEMAND_GAIN: f64 = 0.1;
+/// Time between two ticks, in milliseconds.
+const TICK_MS: f64 = 10.0;
+/// Weight of the newest reading in the smoothed use, at each tick.
+const USED_GAIN: f64 = 0.1;
+/// Shortest time over which a kind's need is smoothed, in milliseconds; half its service time if that is longer.
+const NEED_TIME_MIN_MS: f64 = 330.0;
+/// Longest time over which a kind's need is smoothed, in milliseconds.
+const NEED_TIME_MAX_MS: f64 = 1_000.0;
 
 /// A request that waits for a slot.
 #[derive(Clone, Debug)]
@@ -35,6 +41,7 @@
 /// A kind's smoothed demand, in slots.
 #[derive(Clone, Copy, Debug, Default)]
 struct Smoothed {
+    arrived: u32,
     need: f64,
     used: f64,
 }
@@ -49,7 +56,6 @@
 /// One service on one entry VM.
 #[derive(Debug)]
 pub struct Service {
-    settings: Settings,
     controller: admission::Controller,
     ledger: slots::Ledger,
     router: routing::Router,
@@ -70,7 +76,6 @@
             passing: settings.passing,
         };
         Self {
-            settings,
             controller: admission::Controller::new(kinds, settings.headroom),
             ledger: slots::Ledger::new(me, ledger_settings),
             router: routing::Router::new(),
@@ -142,6 +147,7 @@
             });
             return;
         }
+        self.demand[usize::from(arrival.kind)].arrived += 1;
         let input = admission::Input::Arrive(admission::Arrival {
             request: arrival.request,
             kind: arrival.kind,
@@ -223,9 +229,14 @@
         R: Rng,
     {
         self.admit(admission::Input::Tick, turn);
-        let elsewhere = self.ledger.used_elsewhere_milli(turn.now);
-        self.admit(admission::Input::Elsewhere(elsewhere), turn);
         let demand = self.smooth_demand();
+        let elsewhere = self.ledger.elsewhere(turn.now);
+        let load = admission::Load {
+            need_milli: demand.need_milli.clone(),
+            need_elsewhere_milli: elsewhere.need_milli,
+            used_elsewhere_milli: elsewhere.used_milli,
+        };
+        self.admit(admission::Input::Load(load), turn);
         self.change_slots(slots::Input::Demand(demand), turn);
         self.change_slots(slots::Input::Tick, turn);
     }
@@ -261,15 +272,22 @@
     }
 
     /// Moves the smoothed demand on by one tick.
+    ///
+    /// What a kind could use is its rate of arrival times its service time, so that a queue that others cause does not
+    /// look like demand.
     fn smooth_demand(&mut self) -> slots::Demand {
-        let total = self.ledger.total() as usize;
+        let total = f64::from(self.ledger.total());
         let mut demand = slots::Demand::default();
         for (index, smoothed) in self.demand.iter_mut().enumerate() {
             let kind = admission::KindIndex::from(index);
+            let mean_ms = self.controller.service_time(kind).mean_ms();
+            let offered = f64::from(smoothed.arrived) * mean_ms / TICK_MS;
+            smoothed.arrived = 0;
             let used = f64::from(self.controller.running(kind));
-            let queued = self.controller.queued(kind).min(total) as f64;
-            smoothed.used += DEMAND_GAIN * (used - smoothed.used);
-            smoothed.need += DEMAND_GAIN * (used + queued - smoothed.need);
+            smoothed.used += USED_GAIN * (used - smoothed.used);
+            let need_gain = TICK_MS / (mean_ms / 2.0).clamp(NEED_TIME_MIN_MS, NEED_TIME_MAX_MS);
+            smoothed.need += need_gain * (offered - smoothed.need);
+            smoothed.need = smoothed.need.min(total);
             demand.used_milli.push((smoothed.used * 1_000.0) as u32);
             demand.need_milli.push((smoothed.need * 1_000.0) as u32);
         }
--- a/src/slots/passing.rs
+++ b/src/slots/passing.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::slots::deal;
 use crate::slots::message;
-use crate::slots::{Ledger, Output, Passing};
+use crate::slots::{Demand, Ledger, Output, Passing};
 
 /// The shortest time between two reports, in milliseconds.
 const REPORT_MIN_MS: u64 = 50;
@@ -55,18 +55,21 @@
 }
 
 impl Ledger {
-    /// Slots that the other nodes use, by kind, in thousandths, as they last told.
-    pub fn used_elsewhere_milli(&self, now: clock::Instant) -> Vec<u32> {
-        let mut used = vec![0; self.settings.weights.len()];
+    /// Slots that the other nodes use and could use, by kind, as they last told.
+    pub fn elsewhere(&self, now: clock::Instant) -> Demand {
+        let kinds = self.settings.weights.len();
+        let mut sum = Demand {
+            need_milli: vec![0; kinds],
+            used_milli: vec![0; kinds],
+        };
         for peer in self.peers.values() {
             if now.since_ms(peer.heard_at) >= REPORT_STALE_MS {
                 continue;
             }
-            for (sum, milli) in used.iter_mut().zip(&peer.used_milli) {
-                *sum += milli;
-            }
+            add(&mut sum.need_milli, &peer.need_milli);
+            add(&mut sum.used_milli, &peer.used_milli);
         }
-        used
+        sum
     }
 
     /// The number of members.
@@ -282,12 +285,16 @@
     /// demand to the nodes; what no kind asks for is spread evenly.
     fn standings(&self, now: clock::Instant) -> Vec<Standing> {
         let mut standings = Vec::with_capacity(self.members.len());
-        let mut needs: Vec<&[u32]> = Vec::with_capacity(self.members.len());
+        let mut needs: Vec<Vec<u32>> = Vec::with_capacity(self.members.len());
         for member in &self.members {
-            let (held, need) = match self.peers.get(member) {
-                _ if *member == self.me => (self.book.held(), &self.demand.need_milli),
+            let (held, need, used) = match self.peers.get(member) {
+                _ if *member == self.me => (
+                    self.book.held(),
+                    &self.demand.need_milli,
+                    &self.demand.used_milli,
+                ),
                 Some(peer) if now.since_ms(peer.heard_at) < REPORT_STALE_MS => {
-                    (peer.held, &peer.need_milli)
+                    (peer.held, &peer.need_milli, &peer.used_milli)
                 }
                 _ => continue,
             };
@@ -296,7 +303,12 @@
                 held: f64::from(held),
                 target: KEEP_MIN,
             });
-            needs.push(need);
+            needs.push(
+                need.iter()
+                    .zip(used)
+                    .map(|(need, used)| *need.max(used))
+                    .collect(),
+            );
         }
         let held: f64 = standings.iter().map(|entry| entry.held).sum();
         let open = (held - KEEP_MIN * standings.len() as f64).max(0.0);
@@ -305,7 +317,7 @@
     }
 
     /// Adds each member's part of the open tokens to its target.
-    fn spread(&self, standings: &mut [Standing], needs: &[&[u32]], open: f64) {
+    fn spread(&self, standings: &mut [Standing], needs: &[Vec<u32>], open: f64) {
         let need_of = |need: &[u32], kind: usize| f64::from(need.get(kind).copied().unwrap_or(0));
         let mut claims = Vec::with_capacity(self.settings.weights.len());
         for (kind, weight) in self.settings.weights.iter().enumerate() {
@@ -327,3 +339,9 @@
         }
     }
 }
+
+fn add(sums: &mut [u32], milli: &[u32]) {
+    for (sum, milli) in sums.iter_mut().zip(milli) {
+        *sum += milli;
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,9 +2,11 @@
 
 mod fake_slots;
 mod fake_table;
+mod test_admission;
 mod test_document;
 mod test_journal;
 mod test_lease;
+mod test_routing;
 mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
