--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,8 +3,12 @@
 mod apply;
 mod check;
 mod dev;
+mod diff;
 mod get;
+mod keys;
 mod list;
+mod plot;
+mod report;
 mod util;
 
 use std::ffi::OsString;
@@ -21,8 +25,11 @@
     apply    Puts documents in force.
     check    Says what is wrong with documents, without a server.
     dev      Runs a whole deployment in one process.
+    diff     Shows what differs between a file and the document in force.
     get      Shows a document.
+    keys     Makes the keys and certificates of entry nodes.
     list     Lists the documents.
+    report   Draws measurements as an SVG plot.
 ";
 
 fn main() -> ExitCode {
@@ -45,8 +52,11 @@
         "apply" => apply::run(argv),
         "check" => check::run(argv),
         "dev" => dev::run(argv),
+        "diff" => diff::run(argv),
         "get" => get::run(argv),
+        "keys" => keys::run(argv),
         "list" => list::run(argv),
+        "report" => report::run(argv),
         "-h" | "--help" | "help" => {
             print!("{USAGE}");
             Ok(ExitCode::SUCCESS)
--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -1,608 +1,295 @@
-//! An event-driven fake of callers, entry nodes and runners around the real decision code.
-//!
-//! Asserted throughout: a runner never has more requests than slots, nor more connections than its limit; a refused
-//! request never starts; every request ends exactly once.
+//! `measure fleet`: roll-out time over its lower bound, and breaches under faults.
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
-use std::time;
+use std::ffi;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wasabiloft::{admission, clock, dispatch, id, slots, verdict};
-
-use crate::baseline;
-use crate::load;
-use crate::tally;
-
-/// Data centres of the fake.
-const DATA_CENTRES: usize = 3;
-/// One way between a caller and an entry node.
-const CALLER_US: u64 = 1_000;
-/// One way within a data centre.
-const NEAR_US: u64 = 200;
-/// One way between data centres.
-const FAR_US: u64 = 1_500;
-/// The shell's tick.
-const TICK_US: u64 = 10_000;
-/// Spread of the service times.
-const SIGMA: f64 = 0.5;
-/// Connections of a runner, over all nodes.
-const CONNECTIONS_MAX: u32 = 64;
-
-/// Length of the windows in which refused and late requests are counted.
-pub const WINDOW_MS: u64 = 200;
-
-/// How entry nodes decide.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// The library's decisions.
-    Shares(dispatch::Settings),
-    /// First in first out without limits.
-    Fifo,
-    /// Fixed equal shares by kind and node.
-    Fixed,
-}
-
-/// The sizes of a run.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// How entry nodes decide.
-    pub policy: Policy,
-    /// Entry nodes.
-    pub nodes: usize,
-    /// Runners of the service.
-    pub runners: usize,
-    /// Slots of a runner.
-    pub slots: u32,
-    /// Kinds of work.
-    pub kinds: Vec<load::Kind>,
-    /// Seed of all chance.
-    pub seed: u64,
-}
-
-/// A stretch of the run with its own load.
-#[derive(Clone, Debug)]
-pub struct Phase {
-    /// Its length.
-    pub length_ms: u64,
-    /// What each kind's mean load is multiplied by.
-    pub factors: Vec<f64>,
-    /// How callers spread over the entry nodes, by weight.
-    pub node_weights: Vec<f64>,
-}
-
-/// What happened to the requests sent in one window.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Window {
-    /// Requests sent.
-    pub sent: u64,
-    /// Those of them that were refused or late.
-    pub bad: u64,
+use serde::Serialize;
+
+use crate::world;
+
+const USAGE: &str = "\
+Measures maintenance waves of the fleet duty; prints one JSON object a run.
+
+usage: measure fleet --shape cadenas|tabua|target [--packed] [--seed N]
+       measure fleet --faults N [--seed N] [--threads N] [--without PROTECTION] [--verbose]
+
+--shape   one roll-out without faults, its time over ceil(VMs / allowed at once) x (drain + reboot)
+--packed  a pool's VMs lie in as few racks as possible, in place of one a rack
+--faults  N runs of random fleets with random faults, one object for all of them
+--without fencing|drain-proof|domain-reserve|checks|fencing-and-checks: does without a protection
+--verbose prints each violation on standard error
+";
+
+/// How a run is named by its arguments.
+#[derive(Default)]
+struct Args {
+    shape: Option<String>,
+    packed: bool,
+    seed: u64,
+    faults: Option<u64>,
+    threads: u64,
+    without: Option<world::Without>,
+    verbose: bool,
+    help: bool,
 }
 
-/// Where the time of the decisions went, on the machine's clock.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Cost {
-    /// Requests that were started at once.
-    pub started: u64,
-    /// Time in the arrival and the end of a started request.
-    pub started_ns: u64,
-    /// Requests that were refused at once.
-    pub refused: u64,
-    /// Time in the arrival of a refused request.
-    pub refused_ns: u64,
+/// One roll-out.
+#[derive(Serialize)]
+struct RollOut {
+    shape: String,
+    packed: bool,
+    seed: u64,
+    vms: usize,
+    pools: usize,
+    bound_s: u64,
+    finished_s: Option<u64>,
+    ratio: Option<f64>,
+    moves: u64,
+    violations: usize,
+    reboots: u64,
+    unfinished: u64,
+    cpu_us_a_tick: f64,
 }
 
-/// What a run showed.
-#[derive(Debug)]
-pub struct Outcome {
-    /// By phase and kind, by the time of sending.
-    pub tallies: Vec<Vec<tally::Tally>>,
-    /// By phase, in windows of [`WINDOW_MS`].
-    pub windows: Vec<Vec<Window>>,
-    /// Messages between nodes.
-    pub messages: u64,
-    /// Their bytes.
-    pub message_bytes: u64,
-    /// Tokens given by one node to another.
-    pub given: u64,
-    /// Requests for tokens.
-    pub asks: u64,
-    /// Where the time went.
-    pub cost: Cost,
+/// Many runs with faults.
+#[derive(Default, Serialize)]
+struct Faults {
+    seed: u64,
+    runs: u64,
+    runs_with_violations: u64,
+    violations: usize,
+    runs_unfinished: u64,
+    vms_unfinished: u64,
+    faults: u64,
+    reboots: u64,
+    moves: u64,
+    abandoned: u64,
+    refused: u64,
+    takeovers: u64,
+    pauses: std::collections::BTreeMap<String, u64>,
 }
 
-enum Door {
-    Shares(Box<dispatch::Service>),
-    Fifo(baseline::Fifo),
-    Fixed(baseline::Fixed),
-}
-
-enum Event {
-    Send(usize),
-    AtNode(u64),
-    AtRunner(u64),
-    Done(u64),
-    AtNodeAgain(u64),
-    Message(usize, slots::Member, slots::Message),
-    Tick(usize),
-}
-
-struct Timed {
-    at_us: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_us, self.order) == (other.at_us, other.order)
+/// Runs the command.
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
+    let args = parse(lexopt::Parser::from_args(argv))?;
+    if args.help {
+        println!("{USAGE}");
+        return Ok(());
     }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
+    if let Some(runs) = args.faults {
+        return with_faults(&args, runs);
     }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at_us, other.order).cmp(&(self.at_us, self.order))
+    match args.shape.as_deref() {
+        Some(name) => roll_out(&args, name),
+        None => Err(USAGE.into()),
     }
 }
 
-struct Request {
-    kind: usize,
-    phase: usize,
-    node: usize,
-    runner: usize,
-    sent_us: u64,
-    started_us: u64,
-    deadline: clock::Instant,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Runner {
-    assigned: u32,
-    running: u32,
-    waiting: VecDeque<u64>,
-    open: Vec<u32>,
-    used: Vec<u32>,
-}
-
-/// The fake.
-pub struct Fleet {
-    config: Config,
-    phases: Vec<Phase>,
-    phase: usize,
-    phase_start_us: u64,
-    now_us: u64,
-    order: u64,
-    events: BinaryHeap<Timed>,
-    rng: SmallRng,
-    doors: Vec<Door>,
-    members: Vec<slots::Member>,
-    runners: Vec<Runner>,
-    runner_index: BTreeMap<id::Vm, usize>,
-    requests: HashMap<u64, Request>,
-    next_request: u64,
-    outcome: Outcome,
-}
-
-/// Runs the phases one after the other.
-pub fn run(config: Config, phases: Vec<Phase>) -> Outcome {
-    let mut fleet = Fleet::new(config, phases);
-    fleet.begin();
-    while let Some(timed) = fleet.events.pop() {
-        fleet.now_us = timed.at_us;
-        fleet.change_phase();
-        if fleet.phase >= fleet.phases.len() && fleet.requests.is_empty() {
-            break;
+fn parse(mut parser: lexopt::Parser) -> Result<Args, lexopt::Error> {
+    use lexopt::prelude::{Long, ValueExt};
+    let mut args = Args {
+        threads: 1,
+        ..Args::default()
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("shape") => args.shape = Some(parser.value()?.string()?),
+            Long("packed") => args.packed = true,
+            Long("seed") => args.seed = parser.value()?.parse()?,
+            Long("faults") => args.faults = Some(parser.value()?.parse()?),
+            Long("threads") => args.threads = parser.value()?.parse::<u64>()?.max(1),
+            Long("without") => args.without = Some(without(&parser.value()?.string()?)?),
+            Long("help") => args.help = true,
+            Long("verbose") => args.verbose = true,
+            other => return Err(format!("{}\n{USAGE}", other.unexpected()).into()),
         }
-        fleet.step(timed.event);
     }
-    fleet.count_tokens();
-    fleet.outcome
+    Ok(args)
 }
 
-impl Fleet {
-    fn new(config: Config, phases: Vec<Phase>) -> Self {
-        let vms: Vec<id::Vm> = (0..config.runners)
-            .map(|index| id::Vm::from(format!("vm-{index}")))
-            .collect();
-        let members: Vec<slots::Member> = (0..config.nodes)
-            .map(|index| slots::Member {
-                node: id::Node::from(format!("entry-{index}")),
-                incarnation: 1,
-            })
-            .collect();
-        let doors = (0..config.nodes)
-            .map(|index| door(&config, index, &vms, &members))
-            .collect();
-        let runner = Runner {
-            open: vec![0; config.nodes],
-            used: vec![0; config.nodes],
-            ..Runner::default()
-        };
-        let tallies = vec![vec![tally::Tally::new(); config.kinds.len()]; phases.len()];
-        Self {
-            rng: SmallRng::seed_from_u64(config.seed),
-            runners: vec![runner; config.runners],
-            runner_index: vms.into_iter().zip(0..).collect(),
-            outcome: Outcome {
-                windows: windows(&phases),
-                tallies,
-                messages: 0,
-                message_bytes: 0,
-                given: 0,
-                asks: 0,
-                cost: Cost::default(),
-            },
-            config,
-            phases,
-            phase: 0,
-            phase_start_us: 0,
-            now_us: 0,
-            order: 0,
-            events: BinaryHeap::new(),
-            doors,
-            members,
-            requests: HashMap::new(),
-            next_request: 0,
-        }
+fn without(name: &str) -> Result<world::Without, lexopt::Error> {
+    match name {
+        "fencing" => Ok(world::Without::Fencing),
+        "drain-proof" => Ok(world::Without::DrainProof),
+        "domain-reserve" => Ok(world::Without::DomainReserve),
+        "fencing-and-checks" => Ok(world::Without::FencingAndChecks),
+        "checks" => Ok(world::Without::Checks),
+        other => Err(format!("no protection is called {other}").into()),
     }
+}
 
-    fn begin(&mut self) {
-        for kind in 0..self.config.kinds.len() {
-            self.plan_send(kind);
-        }
-        for node in 0..self.doors.len() {
-            let roster = slots::Roster {
-                version: 1,
-                members: self.members.clone(),
-                departed: Vec::new(),
-            };
-            let runners = self.runner_index.keys().map(|vm| dispatch::Runner {
-                vm: vm.clone(),
-                slots: self.config.slots,
-                leaving: false,
-            });
-            let runners = runners.collect();
-            let until = clock::Instant::from_ms(u64::MAX);
-            self.input(node, dispatch::Input::Serving { until });
-            self.input(node, dispatch::Input::Runners(runners));
-            self.input(node, dispatch::Input::Roster(roster));
-            let offset_us = self.rng.random_range(0..TICK_US);
-            self.plan(offset_us, Event::Tick(node));
+/// The deployments of the brief, and the target of two years.
+fn shape(name: &str, packed: bool) -> Result<world::fleet::Shape, lexopt::Error> {
+    let shape = |pools: Vec<u32>, spares, data_centres| world::fleet::Shape {
+        pools,
+        spares,
+        spare_at_once: u32::max(2, spares / 5),
+        data_centres,
+        packed,
+        slack: 3,
+        max_at_once: 2,
+        absence_budget_min: 600,
+        drain_ms: 60_000,
+        reboot_ms: 240_000,
+    };
+    match name {
+        "cadenas" => Ok(shape(vec![8, 8, 8, 9, 9], 8, 3)),
+        "tabua" => Ok(shape(vec![8, 8, 8, 8, 10], 8, 3)),
+        "target" => {
+            let mut pools = vec![14; 78];
+            pools.extend([25, 25, 25]);
+            Ok(shape(pools, 33, 5))
         }
+        other => Err(format!("no shape is called {other}\n{USAGE}").into()),
     }
+}
 
-    fn count_tokens(&mut self) {
-        for door in &self.doors {
-            if let Door::Shares(service) = door {
-                let counters = service.ledger().counters();
-                assert_eq!(counters.doubled, 0, "a token has one owner");
-                self.outcome.given += counters.given;
-                self.outcome.asks += counters.asks;
-            }
-        }
-    }
+fn roll_out(args: &Args, name: &str) -> Result<(), lexopt::Error> {
+    let shape = shape(name, args.packed)?;
+    let mut world = world::World::new(world::Options {
+        seed: args.seed,
+        fleet: shape.clone(),
+        faults: false,
+        without: args.without,
+        limit_ms: 24 * 3_600_000,
+        tick_ms: 1_000,
+    });
+    world.run();
+    report(args, &world.violations);
+    let bound_ms = world::fleet::bound_ms(&shape);
+    let finished_ms = world.totals.finished_ms;
+    let vms = shape.pools.iter().sum::<u32>() + shape.spares;
+    print(&RollOut {
+        shape: name.to_owned(),
+        packed: args.packed,
+        seed: args.seed,
+        vms: vms as usize,
+        pools: shape.pools.len() + 1,
+        bound_s: bound_ms / 1_000,
+        finished_s: finished_ms.map(|finished_ms| finished_ms / 1_000),
+        ratio: finished_ms.map(|finished_ms| finished_ms as f64 / bound_ms as f64),
+        moves: world.totals.moves,
+        violations: world.violations.len(),
+        reboots: world.totals.reboots,
+        unfinished: world.totals.unfinished,
+        cpu_us_a_tick: world.totals.cpu_us_a_tick(),
+    })
+}
 
-    fn now(&self) -> clock::Instant {
-        clock::Instant::from_ms(self.now_us / 1_000)
+fn with_faults(args: &Args, runs: u64) -> Result<(), lexopt::Error> {
+    let threads = args.threads.min(runs.max(1));
+    let parts: Vec<Faults> = std::thread::scope(|scope| {
+        let parts =
+            (0..threads).map(|part| scope.spawn(move || part_of(args, runs, part, threads)));
+        let parts: Vec<_> = parts.collect();
+        let joined = parts.into_iter().map(|part| part.join());
+        joined
+            .map(|part| part.expect("a run does not panic"))
+            .collect()
+    });
+    let mut sum = Faults {
+        seed: args.seed,
+        ..Faults::default()
+    };
+    for part in parts {
+        sum.add(part);
     }
+    print(&sum)
+}
 
-    fn plan(&mut self, delay_us: u64, event: Event) {
-        self.order += 1;
-        self.events.push(Timed {
-            at_us: self.now_us + delay_us,
-            order: self.order,
-            event,
+fn part_of(args: &Args, runs: u64, part: u64, threads: u64) -> Faults {
+    let mut sum = Faults::default();
+    for run in (part..runs).step_by(threads as usize) {
+        let seed = args.seed.wrapping_add(run);
+        let mut world = world::World::new(world::Options {
+            seed,
+            fleet: random_shape(seed),
+            faults: true,
+            without: args.without,
+            limit_ms: 4 * 3_600_000,
+            tick_ms: 1_000,
         });
-    }
-
-    fn change_phase(&mut self) {
-        while let Some(phase) = self.phases.get(self.phase) {
-            let end_us = self.phase_start_us + phase.length_ms * 1_000;
-            if self.now_us < end_us {
-                return;
-            }
-            self.phase += 1;
-            self.phase_start_us = end_us;
-        }
-    }
-
-    fn step(&mut self, event: Event) {
-        match event {
-            Event::Send(kind) => self.send(kind),
-            Event::AtNode(request) => self.arrive(request),
-            Event::AtRunner(request) => self.begin_work(request),
-            Event::Done(request) => self.end_work(request),
-            Event::AtNodeAgain(request) => self.finish(request),
-            Event::Message(to, from, message) => {
-                self.input(to, dispatch::Input::Message { from, message });
-            }
-            Event::Tick(node) => {
-                self.input(node, dispatch::Input::Tick);
-                self.plan(TICK_US, Event::Tick(node));
-            }
+        world.run();
+        if args.verbose && !(world.violations.is_empty() && world.totals.unfinished == 0) {
+            let unfinished = world.totals.unfinished;
+            let status = serde_json::to_string(&world.status()).unwrap_or_default();
+            eprintln!("seed {seed}: {unfinished} unfinished {status}");
         }
+        report(args, &world.violations);
+        sum.take(&world);
     }
+    sum
+}
 
-    fn plan_send(&mut self, kind: usize) {
-        let Some(phase) = self.phases.get(self.phase) else {
-            return;
-        };
-        let slots = self.config.slots * self.config.runners as u32;
-        let rate_per_s = self.config.kinds[kind].rate_per_s(slots) * phase.factors[kind];
-        let gap_us = load::exponential(&mut self.rng, 1_000_000.0 / rate_per_s);
-        self.plan(gap_us as u64, Event::Send(kind));
-    }
-
-    fn send(&mut self, kind: usize) {
-        self.plan_send(kind);
-        let Some(phase) = self.phases.get(self.phase) else {
-            return;
-        };
-        let node = pick(&phase.node_weights, &mut self.rng);
-        let deadline_ms = self.config.kinds[kind].deadline_ms - 2 * CALLER_US / 1_000;
-        let id = self.next_request;
-        self.next_request += 1;
-        self.outcome.tallies[self.phase][kind].offered += 1;
-        let window = (self.now_us - self.phase_start_us) / 1_000 / WINDOW_MS;
-        self.outcome.windows[self.phase][window as usize].sent += 1;
-        let request = Request {
-            kind,
-            phase: self.phase,
-            node,
-            runner: usize::MAX,
-            sent_us: self.now_us,
-            started_us: 0,
-            deadline: self.now().after_ms(deadline_ms),
-        };
-        self.requests.insert(id, request);
-        self.plan(CALLER_US, Event::AtNode(id));
-    }
-
-    fn arrive(&mut self, id: u64) {
-        let request = &self.requests[&id];
-        let node = request.node;
-        let arrival = dispatch::Arrival {
-            request: admission::RequestId::from(id),
-            kind: admission::KindIndex::from(request.kind),
-            deadline: request.deadline,
-            idempotent: self.config.kinds[request.kind].idempotent,
-            retry_after: None,
-        };
-        self.input(node, dispatch::Input::Arrive(arrival));
-    }
-
-    fn input(&mut self, node: usize, input: dispatch::Input) {
-        let now = self.now();
-        let mut outputs = Vec::new();
-        let begun = time::Instant::now();
-        let arrival = matches!(input, dispatch::Input::Arrive(_));
-        let ending = matches!(input, dispatch::Input::Finish { .. });
-        match &mut self.doors[node] {
-            Door::Shares(service) => service.handle(now, input, &mut self.rng, &mut outputs),
-            Door::Fifo(fifo) => {
-                if let dispatch::Input::Arrive(arrival) = input {
-                    outputs.push(fifo.arrive(arrival.request));
-                }
-            }
-            Door::Fixed(fixed) => match input {
-                dispatch::Input::Arrive(arrival) => outputs.extend(fixed.arrive(&arrival)),
-                dispatch::Input::Finish { request, .. } => {
-                    let request = &self.requests[&u64::from(request)];
-                    let kind = admission::KindIndex::from(request.kind);
-                    let vm = id::Vm::from(format!("vm-{}", request.runner));
-                    fixed.finish(now, kind, &vm, &mut outputs);
-                }
-                _ => {}
-            },
-        }
-        let spent_ns = begun.elapsed().as_nanos() as u64;
-        if arrival {
-            self.charge_arrival(&outputs, spent_ns);
-        } else if ending {
-            self.outcome.cost.started_ns += spent_ns;
-        }
-        self.carry_out(node, outputs);
-    }
-
-    fn charge_arrival(&mut self, outputs: &[dispatch::Output], spent_ns: u64) {
-        let cost = &mut self.outcome.cost;
-        match outputs.first() {
-            Some(dispatch::Output::Refuse { .. }) => {
-                cost.refused += 1;
-                cost.refused_ns += spent_ns;
-            }
-            _ => {
-                cost.started += 1;
-                cost.started_ns += spent_ns;
-            }
-        }
-    }
-
-    fn carry_out(&mut self, node: usize, outputs: Vec<dispatch::Output>) {
-        for output in outputs {
-            match output {
-                dispatch::Output::Start { request, vm } => {
-                    self.start(node, u64::from(request), &vm)
-                }
-                dispatch::Output::Refuse { request, reason } => {
-                    self.refuse(u64::from(request), reason);
-                }
-                dispatch::Output::Send { to, message } => self.post(node, &to, message),
-            }
-        }
-    }
-
-    fn post(&mut self, from: usize, to: &slots::Member, message: slots::Message) {
-        let to = self.members.iter().position(|member| member == to);
-        let to = to.expect("messages go to members");
-        let bytes = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
-        self.outcome.messages += 1;
-        self.outcome.message_bytes += bytes as u64;
-        let sender = self.members[from].clone();
-        self.plan(one_way_us(from, to), Event::Message(to, sender, message));
-    }
-
-    fn start(&mut self, node: usize, id: u64, vm: &id::Vm) {
-        let runner = self.runner_index[vm];
-        let limited = self.config.policy != Policy::Fifo;
-        let request = self.requests.get_mut(&id);
-        let request = request.expect("a refused or finished request never starts");
-        assert_eq!(request.runner, usize::MAX, "a request starts once");
-        request.runner = runner;
-        request.started_us = self.now_us;
-        let entry = &mut self.runners[runner];
-        entry.assigned += 1;
-        entry.used[node] += 1;
-        entry.open[node] = entry.open[node].max(entry.used[node]);
-        if limited {
-            assert!(entry.assigned <= self.config.slots, "a runner's slots hold");
-            assert!(
-                entry.open.iter().sum::<u32>() <= CONNECTIONS_MAX,
-                "a runner's connections hold"
-            );
-        }
-        self.plan(one_way_us(node, runner), Event::AtRunner(id));
-    }
-
-    fn begin_work(&mut self, id: u64) {
-        let runner = self.requests[&id].runner;
-        if self.runners[runner].running >= self.config.slots {
-            self.runners[runner].waiting.push_back(id);
-            return;
-        }
-        self.runners[runner].running += 1;
-        let service_ms = self.config.kinds[self.requests[&id].kind].service_ms;
-        let service_us = load::log_normal(&mut self.rng, service_ms * 1_000.0, SIGMA);
-        self.plan(service_us as u64, Event::Done(id));
-    }
-
-    fn end_work(&mut self, id: u64) {
-        let (node, runner) = (self.requests[&id].node, self.requests[&id].runner);
-        self.runners[runner].running -= 1;
-        if let Some(next) = self.runners[runner].waiting.pop_front() {
-            self.begin_work(next);
-        }
-        self.plan(one_way_us(node, runner), Event::AtNodeAgain(id));
+/// A fleet of 2 to 4 pools, narrow enough for faults to matter.
+fn random_shape(seed: u64) -> world::fleet::Shape {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let pools = rng.random_range(2..=4);
+    world::fleet::Shape {
+        pools: (0..pools).map(|_| rng.random_range(5..=10)).collect(),
+        spares: rng.random_range(4..=10),
+        spare_at_once: 2,
+        data_centres: rng.random_range(2..=4),
+        packed: rng.random_bool(0.3),
+        slack: rng.random_range(1..=4),
+        max_at_once: rng.random_range(1..=3),
+        absence_budget_min: rng.random_range(60..=600),
+        drain_ms: rng.random_range(5_000..60_000),
+        reboot_ms: rng.random_range(60_000..240_000),
     }
+}
 
-    fn finish(&mut self, id: u64) {
-        let request = &self.requests[&id];
-        let node = request.node;
-        let runner = &mut self.runners[request.runner];
-        runner.assigned -= 1;
-        runner.used[node] -= 1;
-        let latency_us = self.now_us + CALLER_US - request.sent_us;
-        let in_time = latency_us <= self.config.kinds[request.kind].deadline_ms * 1_000;
-        let slot_us = self.now_us - request.started_us;
-        let (phase, sent_us) = (request.phase, request.sent_us);
-        let (kind, started_us) = (request.kind, request.started_us);
-        self.outcome.tallies[phase][kind].answer(latency_us, slot_us, in_time);
-        self.occupy(kind, started_us, in_time);
-        if !in_time {
-            self.note_bad(phase, sent_us);
+impl Faults {
+    fn take(&mut self, world: &world::World) {
+        let totals = &world.totals;
+        self.runs += 1;
+        self.runs_with_violations += u64::from(!world.violations.is_empty());
+        self.violations += world.violations.len();
+        self.runs_unfinished += u64::from(totals.unfinished > 0);
+        self.vms_unfinished += totals.unfinished;
+        self.faults += totals.faults;
+        self.reboots += totals.reboots;
+        self.moves += totals.moves;
+        self.abandoned += totals.abandoned;
+        self.refused += totals.refused;
+        self.takeovers += totals.takeovers;
+        for (reason, count) in &totals.pauses {
+            *self.pauses.entry(reason.clone()).or_default() += count;
         }
-        let ending = dispatch::Input::Finish {
-            request: admission::RequestId::from(id),
-            ending: dispatch::Ending::Answered,
-        };
-        self.input(node, ending);
-        self.requests.remove(&id);
     }
 
-    /// Divides a request's slot time among the phases.
-    fn occupy(&mut self, kind: usize, started_us: u64, in_time: bool) {
-        let mut start_us = 0;
-        for (index, phase) in self.phases.iter().enumerate() {
-            let end_us = start_us + phase.length_ms * 1_000;
-            let overlap_us = self
-                .now_us
-                .min(end_us)
-                .saturating_sub(started_us.max(start_us));
-            self.outcome.tallies[index][kind].occupy(overlap_us, in_time);
-            start_us = end_us;
+    fn add(&mut self, other: Self) {
+        self.runs += other.runs;
+        self.runs_with_violations += other.runs_with_violations;
+        self.violations += other.violations;
+        self.runs_unfinished += other.runs_unfinished;
+        self.vms_unfinished += other.vms_unfinished;
+        self.faults += other.faults;
+        self.reboots += other.reboots;
+        self.moves += other.moves;
+        self.abandoned += other.abandoned;
+        self.refused += other.refused;
+        self.takeovers += other.takeovers;
+        for (reason, count) in other.pauses {
+            *self.pauses.entry(reason).or_default() += count;
         }
     }
-
-    fn refuse(&mut self, id: u64, reason: verdict::Reason) {
-        let request = self.requests.remove(&id);
-        let request = request.expect("a request ends once");
-        assert_eq!(
-            request.runner,
-            usize::MAX,
-            "a started request is never refused"
-        );
-        let tally = &mut self.outcome.tallies[request.phase][request.kind];
-        *tally.refused.entry(reason).or_insert(0) += 1;
-        self.note_bad(request.phase, request.sent_us);
-    }
-
-    fn note_bad(&mut self, phase: usize, sent_us: u64) {
-        let start_ms: u64 = self.phases[..phase]
-            .iter()
-            .map(|phase| phase.length_ms)
-            .sum();
-        let window = (sent_us / 1_000 - start_ms) / WINDOW_MS;
-        self.outcome.windows[phase][window as usize].bad += 1;
-    }
-}
-
-fn windows(phases: &[Phase]) -> Vec<Vec<Window>> {
-    let count = |phase: &Phase| (phase.length_ms / WINDOW_MS + 1) as usize;
-    phases
-        .iter()
-        .map(|phase| vec![Window::default(); count(phase)])
-        .collect()
 }
 
-fn door(config: &Config, index: usize, vms: &[id::Vm], members: &[slots::Member]) -> Door {
-    match config.policy {
-        Policy::Shares(settings) => {
-            let specs: Vec<_> = config.kinds.iter().map(|kind| kind.spec).collect();
-            let service = dispatch::Service::new(members[index].clone(), &specs, settings);
-            Door::Shares(Box::new(service))
-        }
-        Policy::Fifo => Door::Fifo(baseline::Fifo::new(vms.to_vec(), index)),
-        Policy::Fixed => {
-            let slots = vms
-                .iter()
-                .flat_map(|vm| vec![vm.clone(); config.slots as usize]);
-            let mut free = vec![Vec::new(); config.kinds.len()];
-            let mine = slots
-                .enumerate()
-                .filter(|(slot, _)| slot % config.nodes == index);
-            for (count, (_, vm)) in mine.enumerate() {
-                free[count % config.kinds.len()].push(vm);
-            }
-            Door::Fixed(baseline::Fixed::new(free))
+fn report(args: &Args, violations: &[String]) {
+    if args.verbose {
+        for violation in violations {
+            eprintln!("{violation}");
         }
     }
 }
 
-/// One way between an entry node and a runner or another node; both are spread over the data centres in turn.
-fn one_way_us(from: usize, to: usize) -> u64 {
-    if from % DATA_CENTRES == to % DATA_CENTRES {
-        NEAR_US
-    } else {
-        FAR_US
-    }
-}
-
-fn pick(weights: &[f64], rng: &mut SmallRng) -> usize {
-    let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
-    for (index, weight) in weights.iter().enumerate() {
-        left -= weight;
-        if left <= 0.0 {
-            return index;
-        }
-    }
-    weights.len() - 1
+fn print<T>(object: &T) -> Result<(), lexopt::Error>
+where
+    T: Serialize,
+{
+    let text = serde_json::to_string(object).map_err(|error| error.to_string())?;
+    println!("{text}");
+    Ok(())
 }
--- a/measure/src/flood.rs
+++ b/measure/src/flood.rs
@@ -1,12 +1,13 @@
 //! `measure flood`: what the other kinds keep while some kinds flood in.
 
 use std::collections::BTreeMap;
+use std::ffi;
 
 use lexopt::prelude::*;
 use serde::Serialize;
 use wasabiloft::{admission, dispatch, verdict};
 
-use crate::fleet;
+use crate::entry;
 use crate::load;
 use crate::util;
 
@@ -88,18 +89,19 @@
 ///
 /// # Errors
 ///
-/// [`util::Error`] if the command line is wrong.
-pub fn run(argv: &[String]) -> Result<String, util::Error> {
+/// If the command line is wrong.
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
     let Some(args) = parse(argv)? else {
-        return Ok(USAGE.to_owned());
+        println!("{USAGE}");
+        return Ok(());
     };
     let config = config(&args)?;
     let phases = phases(&args, &config)?;
-    let outcome = fleet::run(config.clone(), phases.clone());
-    util::json(&report(&args, &config, &phases, &outcome))
+    let outcome = entry::run(config.clone(), phases.clone());
+    util::print(&report(&args, &config, &phases, &outcome))
 }
 
-fn parse(argv: &[String]) -> Result<Option<Args>, util::Error> {
+fn parse(argv: Vec<ffi::OsString>) -> Result<Option<Args>, lexopt::Error> {
     let mut args = Args {
         floods: Vec::new(),
         swing: false,
@@ -126,30 +128,28 @@
             Long("nodes") => args.nodes = parser.value()?.parse()?,
             Long("seed") => args.seed = parser.value()?.parse()?,
             Short('h') | Long("help") => return Ok(None),
-            _ => return Err(arg.unexpected().into()),
+            _ => return Err(arg.unexpected()),
         }
     }
     Ok(Some(args))
 }
 
-fn flood(text: &str) -> Result<(String, f64), util::Error> {
-    let wrong = || util::Error::Usage {
-        message: format!("--flood wants KIND=FACTOR, not {text}"),
-    };
+fn flood(text: &str) -> Result<(String, f64), lexopt::Error> {
+    let wrong = || lexopt::Error::from(format!("--flood wants KIND=FACTOR, not {text}"));
     let (kind, factor) = text.split_once('=').ok_or_else(wrong)?;
     let factor = factor.parse().map_err(|_| wrong())?;
     Ok((kind.to_owned(), factor))
 }
 
-fn config(args: &Args) -> Result<fleet::Config, util::Error> {
+fn config(args: &Args) -> Result<entry::Config, lexopt::Error> {
     let settings = dispatch::Settings {
         headroom: args.headroom,
         ..dispatch::Settings::default()
     };
     let policy = match args.policy.as_str() {
-        "shares" => fleet::Policy::Shares(settings),
-        "fifo" => fleet::Policy::Fifo,
-        "fixed" => fleet::Policy::Fixed,
+        "shares" => entry::Policy::Shares(settings),
+        "fifo" => entry::Policy::Fifo,
+        "fixed" => entry::Policy::Fixed,
         other => return usage(format!("no policy is called {other}")),
     };
     let kinds = match args.load.as_str() {
@@ -157,7 +157,7 @@
         "tabua" => load::tabua(),
         other => return usage(format!("no load is called {other}")),
     };
-    Ok(fleet::Config {
+    Ok(entry::Config {
         policy,
         nodes: args.nodes,
         runners: args.runners,
@@ -167,12 +167,12 @@
     })
 }
 
-fn usage<T>(message: String) -> Result<T, util::Error> {
-    Err(util::Error::Usage { message })
+fn usage<T>(message: String) -> Result<T, lexopt::Error> {
+    Err(message.into())
 }
 
-fn phases(args: &Args, config: &fleet::Config) -> Result<Vec<fleet::Phase>, util::Error> {
-    let phase = |length_ms, factors| fleet::Phase {
+fn phases(args: &Args, config: &entry::Config) -> Result<Vec<entry::Phase>, lexopt::Error> {
+    let phase = |length_ms, factors| entry::Phase {
         length_ms,
         factors,
         node_weights: vec![1.0; config.nodes],
@@ -204,9 +204,9 @@
 
 fn report(
     args: &Args,
-    config: &fleet::Config,
-    phases: &[fleet::Phase],
-    outcome: &fleet::Outcome,
+    config: &entry::Config,
+    phases: &[entry::Phase],
+    outcome: &entry::Outcome,
 ) -> Report {
     let last = phases.len() - 1;
     let kinds: Vec<Kept> = (0..config.kinds.len())
@@ -240,9 +240,9 @@
 
 /// What a kind kept over all phases between the first mean load and the last one.
 fn kept(
-    config: &fleet::Config,
-    phases: &[fleet::Phase],
-    outcome: &fleet::Outcome,
+    config: &entry::Config,
+    phases: &[entry::Phase],
+    outcome: &entry::Outcome,
     kind: usize,
 ) -> Kept {
     let base = &outcome.tallies[1][kind];
@@ -278,17 +278,17 @@
 }
 
 /// The end of the last window of a phase in which more than a hundredth of the requests was refused or late.
-fn recovered_after_ms(outcome: &fleet::Outcome, phase: usize) -> u64 {
+fn recovered_after_ms(outcome: &entry::Outcome, phase: usize) -> u64 {
     let windows = &outcome.windows[phase];
     let bad = windows
         .iter()
         .rposition(|window| window.bad * 100 > window.sent);
-    bad.map_or(0, |index| (index as u64 + 1) * fleet::WINDOW_MS)
+    bad.map_or(0, |index| (index as u64 + 1) * entry::WINDOW_MS)
 }
 
 /// The good slot time of flooded kinds against what the other kinds leave of the pool, or against all that was offered
 /// if that is less.
-fn of_capacity(config: &fleet::Config, phases: &[fleet::Phase], outcome: &fleet::Outcome) -> f64 {
+fn of_capacity(config: &entry::Config, phases: &[entry::Phase], outcome: &entry::Outcome) -> f64 {
     let slots = config.slots as f64 * config.runners as f64;
     let (mut good_us, mut possible_us) = (0.0, 0.0);
     for (index, phase) in phases.iter().enumerate().take(phases.len() - 1).skip(2) {
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,47 +1,57 @@
-//! `measure`: seeded measurements of the decision code, one JSON object a run.
+//! Seeded measurements of the decision code; each run prints one JSON object.
 
 mod baseline;
+mod entry;
 mod fleet;
 mod flood;
+mod keys;
+mod keys_world;
 mod load;
 mod slots;
 mod tally;
 mod util;
+mod world;
 
-use std::process::ExitCode;
+use std::env;
+use std::process;
 
 const USAGE: &str = "\
-Measures wasabiloft's decisions against small fakes and prints one JSON object.
+Measures the decision code; prints one JSON object a run.
 
 Usage:
-    measure COMMAND [OPTIONS]
-    measure COMMAND --help
+    measure <command> [options]
 
 Commands:
-    flood    What the other kinds keep while some kinds flood in.
-    slots    Slot use of many entry nodes against one ideal queue.
-";
+    fleet       Maintenance waves: roll-out time and breaches under faults.
+    flood       What the other kinds keep while some kinds flood in.
+    keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    slots       Slot use of many entry nodes against one ideal queue.
 
-fn main() -> ExitCode {
-    let mut argv = std::env::args().skip(1);
-    let command = argv.next().unwrap_or_default();
-    let rest: Vec<String> = argv.collect();
-    let result = match command.as_str() {
-        "flood" => flood::run(&rest),
-        "slots" => slots::run(&rest),
-        "--help" | "-h" => Ok(USAGE.to_owned()),
-        _ => Err(util::Error::Usage {
-            message: USAGE.to_owned(),
-        }),
-    };
-    match result {
-        Ok(text) => {
-            println!("{}", text.trim_end());
-            ExitCode::SUCCESS
+Run `measure <command> --help` for its options.";
+
+fn main() -> process::ExitCode {
+    let mut args = env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    let argv: Vec<_> = args.collect();
+    let done = match command.to_str() {
+        Some("fleet") => fleet::run(argv),
+        Some("flood") => flood::run(argv),
+        Some("keys") => keys::run(argv),
+        Some("slots") => slots::run(argv),
+        Some("--help" | "-h") => {
+            println!("{USAGE}");
+            return process::ExitCode::SUCCESS;
         }
+        _ => {
+            eprintln!("{USAGE}");
+            return process::ExitCode::from(2);
+        }
+    };
+    match done {
+        Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
+            eprintln!("measure: {error}");
+            process::ExitCode::FAILURE
         }
     }
 }
--- a/measure/src/slots.rs
+++ b/measure/src/slots.rs
@@ -1,10 +1,12 @@
 //! `measure slots`: slot use of many entry nodes against one ideal queue.
 
+use std::ffi;
+
 use lexopt::prelude::*;
 use serde::Serialize;
 use wasabiloft::{dispatch, slots};
 
-use crate::fleet;
+use crate::entry;
 use crate::load;
 use crate::util;
 
@@ -65,15 +67,16 @@
 ///
 /// # Errors
 ///
-/// [`util::Error`] if the command line is wrong.
-pub fn run(argv: &[String]) -> Result<String, util::Error> {
+/// If the command line is wrong.
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
     let Some(args) = parse(argv)? else {
-        return Ok(USAGE.to_owned());
+        println!("{USAGE}");
+        return Ok(());
     };
     let by_demand = reach(&args, args.nodes, slots::Passing::ByDemand);
     let fixed = reach(&args, args.nodes, slots::Passing::Fixed);
     let ideal = reach(&args, 1, slots::Passing::Fixed);
-    util::json(&Report {
+    util::print(&Report {
         command: "slots",
         seed: args.seed,
         load_milli: args.load_milli,
@@ -86,7 +89,7 @@
     })
 }
 
-fn parse(argv: &[String]) -> Result<Option<Args>, util::Error> {
+fn parse(argv: Vec<ffi::OsString>) -> Result<Option<Args>, lexopt::Error> {
     let mut args = Args {
         load_milli: 900.0,
         busy_milli: 700.0,
@@ -103,7 +106,7 @@
             Long("nodes") => args.nodes = parser.value()?.parse()?,
             Long("seed") => args.seed = parser.value()?.parse()?,
             Short('h') | Long("help") => return Ok(None),
-            _ => return Err(arg.unexpected().into()),
+            _ => return Err(arg.unexpected()),
         }
     }
     Ok(Some(args))
@@ -116,8 +119,8 @@
         passing,
         ..dispatch::Settings::default()
     };
-    let config = fleet::Config {
-        policy: fleet::Policy::Shares(settings),
+    let config = entry::Config {
+        policy: entry::Policy::Shares(settings),
         nodes,
         runners: args.runners,
         slots: 8,
@@ -127,22 +130,22 @@
     let phases = (0..TURNS)
         .map(|turn| turn_phase(args, nodes, turn))
         .collect();
-    let outcome = fleet::run(config, phases);
+    let outcome = entry::run(config, phases);
     summary(args, nodes, &outcome)
 }
 
-fn turn_phase(args: &Args, nodes: usize, turn: usize) -> fleet::Phase {
+fn turn_phase(args: &Args, nodes: usize, turn: usize) -> entry::Phase {
     let others = (1_000.0 - args.busy_milli) / (nodes.max(2) - 1) as f64;
     let mut node_weights = vec![others; nodes];
     node_weights[turn * 3 % nodes] = args.busy_milli;
-    fleet::Phase {
+    entry::Phase {
         length_ms: TURN_MS,
         factors: vec![1.0],
         node_weights,
     }
 }
 
-fn summary(args: &Args, nodes: usize, outcome: &fleet::Outcome) -> Reached {
+fn summary(args: &Args, nodes: usize, outcome: &entry::Outcome) -> Reached {
     let tallies = || outcome.tallies.iter().skip(1).map(|phase| &phase[0]);
     let offered: u64 = tallies().map(|tally| tally.offered).sum();
     let good: u64 = tallies().map(|tally| tally.good).sum();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,12 +6,19 @@
 
 pub mod admission;
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod dispatch;
 pub mod document;
+pub mod fleet;
 pub mod id;
 pub mod journal;
 pub mod lease;
+pub mod maintenance;
+pub mod once;
+pub mod peers;
 pub mod platform;
+pub mod pool;
 pub mod roster;
 pub mod routing;
 pub mod slots;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,10 +2,19 @@
 
 mod fake_slots;
 mod fake_table;
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
 mod test_admission;
+mod test_config;
 mod test_document;
+mod test_fleet;
 mod test_journal;
 mod test_lease;
+mod test_maintenance;
+mod test_once;
+mod test_peers;
+mod test_pool;
+mod test_roster;
 mod test_routing;
 mod test_slots;
 
