--- a/measure/src/flood.rs
+++ b/measure/src/flood.rs
@@ -90,7 +90,7 @@
 /// # Errors
 ///
 /// If the command line is wrong.
-pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), util::Error> {
     let Some(args) = parse(argv)? else {
         println!("{USAGE}");
         return Ok(());
@@ -98,7 +98,7 @@
     let config = config(&args)?;
     let phases = phases(&args, &config)?;
     let outcome = entry::run(config.clone(), phases.clone());
-    util::print(&report(&args, &config, &phases, &outcome))
+    util::print_json(&report(&args, &config, &phases, &outcome))
 }
 
 fn parse(argv: Vec<ffi::OsString>) -> Result<Option<Args>, lexopt::Error> {
--- a/measure/src/slots.rs
+++ b/measure/src/slots.rs
@@ -68,7 +68,7 @@
 /// # Errors
 ///
 /// If the command line is wrong.
-pub fn run(argv: Vec<ffi::OsString>) -> Result<(), lexopt::Error> {
+pub fn run(argv: Vec<ffi::OsString>) -> Result<(), util::Error> {
     let Some(args) = parse(argv)? else {
         println!("{USAGE}");
         return Ok(());
@@ -76,7 +76,7 @@
     let by_demand = reach(&args, args.nodes, slots::Passing::ByDemand);
     let fixed = reach(&args, args.nodes, slots::Passing::Fixed);
     let ideal = reach(&args, 1, slots::Passing::Fixed);
-    util::print(&Report {
+    util::print_json(&Report {
         command: "slots",
         seed: args.seed,
         load_milli: args.load_milli,
