--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,10 +1,16 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod baseline;
 mod config;
+mod entry;
 mod fleet;
+mod flood;
 mod keys;
 mod keys_world;
 mod lease;
+mod load;
+mod slots;
+mod tally;
 mod util;
 mod world;
 
@@ -21,8 +27,10 @@
 Commands:
     config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
+    flood       What the other kinds keep while some kinds flood in.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
+    slots       Slot use of many entry nodes against one ideal queue.
 
 Run `measure <command> --help` for its options.";
 
@@ -33,8 +41,10 @@
     let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("fleet") => fleet::run(argv).map_err(Into::into),
+        Some("flood") => flood::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("slots") => slots::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/measure/src/util.rs
+++ b/measure/src/util.rs
@@ -65,3 +65,8 @@
         }
     }
 }
+
+/// Rounds to four decimals, so that results can be read.
+pub fn round(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
--- a/src/slots/passing.rs
+++ b/src/slots/passing.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::slots::deal;
 use crate::slots::message;
-use crate::slots::{Ledger, Output, Passing};
+use crate::slots::{Demand, Ledger, Output, Passing};
 
 /// The shortest time between two reports, in milliseconds.
 const REPORT_MIN_MS: u64 = 50;
@@ -17,7 +17,11 @@
 /// An ask that brought nothing is repeated after so long, in milliseconds.
 const ASK_REPEAT_MS: u64 = 5;
 /// An ask is remembered for so long, in milliseconds.
-const ASK_KEEP_MS: u64 = 50;
+const ASK_KEEP_MS: u64 = 30;
+/// Members that are asked at once.
+const ASK_FAN_OUT: usize = 2;
+/// Members that are asked at once when an ask has just brought nothing.
+const ASK_AGAIN_FAN_OUT: usize = 3;
 /// The most tokens that one ask is for.
 const ASK_SLOTS_MAX: u32 = 4;
 /// Tokens that every serving member keeps, so that a first request finds one.
@@ -51,32 +55,32 @@
 }
 
 impl Ledger {
-    /// Slots that the other nodes use, by kind, in thousandths, as they last told.
-    pub fn used_elsewhere_milli(&self, now: clock::Instant) -> Vec<u32> {
-        let mut used = vec![0; self.settings.weights.len()];
+    /// Slots that the other nodes use and could use, by kind, as they last told.
+    pub fn elsewhere(&self, now: clock::Instant) -> Demand {
+        let kinds = self.settings.weights.len();
+        let mut sum = Demand {
+            need_milli: vec![0; kinds],
+            used_milli: vec![0; kinds],
+        };
         for peer in self.peers.values() {
             if now.since_ms(peer.heard_at) >= REPORT_STALE_MS {
                 continue;
             }
-            for (sum, milli) in used.iter_mut().zip(&peer.used_milli) {
-                *sum += milli;
-            }
+            add(&mut sum.need_milli, &peer.need_milli);
+            add(&mut sum.used_milli, &peer.used_milli);
         }
-        used
+        sum
     }
 
-    /// This node's part of a reserve that is spread evenly over the members, in whole tokens.
-    pub fn part_of(&self, tokens: u32) -> u32 {
-        let members = self.members.len() as u32;
-        let rank = self
-            .members
-            .iter()
-            .filter(|member| **member < self.me)
-            .count() as u32;
-        if members == 0 {
-            return 0;
-        }
-        tokens / members + u32::from(rank < tokens % members)
+    /// The number of members.
+    pub fn members(&self) -> u32 {
+        self.members.len() as u32
+    }
+
+    /// This node's place among the members, from zero.
+    pub fn rank(&self) -> u32 {
+        let earlier = self.members.iter().filter(|member| **member < self.me);
+        earlier.count() as u32
     }
 
     pub(super) fn note_report(&mut self, from: deal::Member, report: message::Report) {
@@ -163,19 +167,32 @@
         {
             return;
         }
-        let slots = self.waiting.min(ASK_SLOTS_MAX);
-        let deal = self.deal;
-        let candidates = self.peers.iter_mut().filter(|(_, peer)| peer.deal == deal);
-        let Some((member, peer)) = candidates.max_by_key(|(_, peer)| (peer.free, peer.held)) else {
-            return;
+        let repeated = self
+            .asked_at
+            .is_some_and(|asked_at| now.since_ms(asked_at) < ASK_KEEP_MS);
+        let fan_out = if repeated {
+            ASK_AGAIN_FAN_OUT
+        } else {
+            ASK_FAN_OUT
         };
-        peer.free = peer.free.saturating_sub(slots);
         self.asked_at = Some(now);
-        self.counters.asks += 1;
-        outputs.push(Output::Send {
-            to: member.clone(),
-            message: message::Message::Ask(message::Ask { deal, slots }),
-        });
+        let deal = self.deal;
+        let slots = self.waiting.min(ASK_SLOTS_MAX);
+        let mut candidates: Vec<_> = self
+            .peers
+            .iter_mut()
+            .filter(|(_, peer)| peer.deal == deal)
+            .collect();
+        candidates.sort_by_key(|(_, peer)| (peer.free == 0, peer.asked_at));
+        for (member, peer) in candidates.into_iter().take(fan_out) {
+            peer.free = peer.free.saturating_sub(slots);
+            peer.asked_at = now;
+            self.counters.asks += 1;
+            outputs.push(Output::Send {
+                to: member.clone(),
+                message: message::Message::Ask(message::Ask { deal, slots }),
+            });
+        }
     }
 
     pub(super) fn queue_ask(&mut self, now: clock::Instant, from: deal::Member, ask: message::Ask) {
@@ -268,12 +285,16 @@
     /// demand to the nodes; what no kind asks for is spread evenly.
     fn standings(&self, now: clock::Instant) -> Vec<Standing> {
         let mut standings = Vec::with_capacity(self.members.len());
-        let mut needs: Vec<&[u32]> = Vec::with_capacity(self.members.len());
+        let mut needs: Vec<Vec<u32>> = Vec::with_capacity(self.members.len());
         for member in &self.members {
-            let (held, need) = match self.peers.get(member) {
-                _ if *member == self.me => (self.book.held(), &self.demand.need_milli),
+            let (held, need, used) = match self.peers.get(member) {
+                _ if *member == self.me => (
+                    self.book.held(),
+                    &self.demand.need_milli,
+                    &self.demand.used_milli,
+                ),
                 Some(peer) if now.since_ms(peer.heard_at) < REPORT_STALE_MS => {
-                    (peer.held, &peer.need_milli)
+                    (peer.held, &peer.need_milli, &peer.used_milli)
                 }
                 _ => continue,
             };
@@ -282,7 +303,12 @@
                 held: f64::from(held),
                 target: KEEP_MIN,
             });
-            needs.push(need);
+            needs.push(
+                need.iter()
+                    .zip(used)
+                    .map(|(need, used)| *need.max(used))
+                    .collect(),
+            );
         }
         let held: f64 = standings.iter().map(|entry| entry.held).sum();
         let open = (held - KEEP_MIN * standings.len() as f64).max(0.0);
@@ -291,7 +317,7 @@
     }
 
     /// Adds each member's part of the open tokens to its target.
-    fn spread(&self, standings: &mut [Standing], needs: &[&[u32]], open: f64) {
+    fn spread(&self, standings: &mut [Standing], needs: &[Vec<u32>], open: f64) {
         let need_of = |need: &[u32], kind: usize| f64::from(need.get(kind).copied().unwrap_or(0));
         let mut claims = Vec::with_capacity(self.settings.weights.len());
         for (kind, weight) in self.settings.weights.iter().enumerate() {
@@ -313,3 +339,9 @@
         }
     }
 }
+
+fn add(sums: &mut [u32], milli: &[u32]) {
+    for (sum, milli) in sums.iter_mut().zip(milli) {
+        *sum += milli;
+    }
+}
