--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,20 +2,26 @@
 
 mod fake_slots;
 mod fake_table;
-#[path = "../measure/src/keys_world.rs"]
-mod keys_world;
 mod test_config;
 mod test_document;
+mod test_estimate;
 mod test_fleet;
+mod test_job;
 mod test_journal;
 mod test_lease;
 mod test_maintenance;
 mod test_once;
 mod test_peers;
+mod test_placement;
 mod test_pool;
+mod test_quarantine;
+mod test_quota;
 mod test_roster;
 mod test_slots;
 
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
+
 use proptest::test_runner::{Config, RngSeed};
 
 /// A configuration of `cases` cases that are the same in each run.
