standins, measure: a world of jobs that fails in every way

Cause: the jobs duty's promises need faults to show: crashed and paused holders, lost replies, lapsed leases, bad racks, waves of cancellations, outages.

Change: standins::jobs drives the real decisions before small fakes by a seeded clock of events and checks on the way that nothing runs twice, vanishes, is stored though refused, or runs on a vacated VM. Tests switch protections off and see the invariants trip. `measure jobs` runs it against first fit by declared size.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,8 +1,10 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
 mod fleet;
+mod jobs;
 mod keys;
 mod keys_world;
+mod placement;
 mod world;
 
 use std::env;
@@ -16,7 +18,9 @@
 
 Commands:
     fleet       Maintenance waves: roll-out time and breaches under faults.
+    jobs        Jobs under load and faults: waits, use, shares, lost work, store writes.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    placement   Placement decisions a second and memory against workers and queue length.
 
 Run `measure <command> --help` for its options.";
 
@@ -27,6 +31,8 @@
     let done = match command.to_str() {
         Some("fleet") => fleet::run(argv),
         Some("keys") => keys::run(argv),
+        Some("jobs") => jobs::run(argv),
+        Some("placement") => placement::run(argv),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod endpoint;
 pub mod faults;
+pub mod jobs;
 pub mod load;
 pub mod platform;
 pub mod proxy;
--- /dev/null
+++ b/standins/tests/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins and of the decisions that run before them.
+
+mod test_jobs;
