--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,13 +1,17 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod config;
 mod fleet;
 mod jobs;
 mod keys;
 mod keys_world;
+mod lease;
 mod placement;
+mod util;
 mod world;
 
 use std::env;
+use std::error;
 use std::process;
 
 const USAGE: &str = "\
@@ -17,9 +21,11 @@
     measure <command> [options]
 
 Commands:
+    config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
     jobs        Jobs under load and faults: waits, use, shares, lost work, store writes.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    lease       Duties: time to take over, paused holders, store load at an outage's end.
     placement   Placement decisions a second and memory against workers and queue length.
 
 Run `measure <command> --help` for its options.";
@@ -28,11 +34,13 @@
     let mut args = env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
-    let done = match command.to_str() {
-        Some("fleet") => fleet::run(argv),
-        Some("keys") => keys::run(argv),
-        Some("jobs") => jobs::run(argv),
-        Some("placement") => placement::run(argv),
+    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
+        Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("fleet") => fleet::run(argv).map_err(Into::into),
+        Some("keys") => keys::run(argv).map_err(Into::into),
+        Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("jobs") => jobs::run(argv).map_err(Into::into),
+        Some("placement") => placement::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,8 +2,12 @@
 
 mod fake_slots;
 mod fake_table;
+#[path = "../measure/src/keys_world.rs"]
+mod keys_world;
 mod test_config;
+mod test_connection;
 mod test_document;
+mod test_drain;
 mod test_estimate;
 mod test_fleet;
 mod test_job;
@@ -16,12 +20,10 @@
 mod test_pool;
 mod test_quarantine;
 mod test_quota;
+mod test_retry;
 mod test_roster;
 mod test_slots;
 
-#[path = "../measure/src/keys_world.rs"]
-mod keys_world;
-
 use proptest::test_runner::{Config, RngSeed};
 
 /// A configuration of `cases` cases that are the same in each run.
