--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,12 +1,18 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod baseline;
 mod config;
+mod entry;
 mod fleet;
+mod flood;
 mod jobs;
 mod keys;
 mod keys_world;
 mod lease;
+mod load;
 mod placement;
+mod slots;
+mod tally;
 mod util;
 mod world;
 
@@ -23,10 +29,12 @@
 Commands:
     config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
+    flood       What the other kinds keep while some kinds flood in.
     jobs        Jobs under load and faults: waits, use, shares, lost work, store writes.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
     placement   Placement decisions a second and memory against workers and queue length.
+    slots       Slot use of many entry nodes against one ideal queue.
 
 Run `measure <command> --help` for its options.";
 
@@ -37,10 +45,12 @@
     let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("fleet") => fleet::run(argv).map_err(Into::into),
+        Some("flood") => flood::run(argv).map_err(Into::into),
+        Some("jobs") => jobs::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
-        Some("jobs") => jobs::run(argv).map_err(Into::into),
         Some("placement") => placement::run(argv).map_err(Into::into),
+        Some("slots") => slots::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -1,5 +1,13 @@
-//! Tests of the shell with real sockets.
+//! Tests of the shell with real sockets: links between nodes, whole nodes, and endpoints that misbehave.
 
+mod caller;
+mod cluster;
+mod endpoint;
+mod fake_platform;
 mod keys;
+mod test_answers;
+mod test_connections;
+mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_stop;
