cli: status, vm, job and plan; documents that clash are refused by the node

Cause: operators saw documents only, and a node took a document whose pool belongs to another service. Conclusion: the commands speak the library's own types.

--- a/cli/src/apply.rs
+++ b/cli/src/apply.rs
@@ -39,8 +39,8 @@
     let address = util::node_address(args.node.as_deref())?;
     util::block_on(async {
         for file in &args.files {
-            let version = apply(address, file, args.if_version).await?;
-            println!("{}: written as version {version}", file.display());
+            let applied = apply(address, file, args.if_version).await?;
+            println!("{}: {applied}", file.display());
         }
         Ok(ExitCode::SUCCESS)
     })
@@ -71,7 +71,7 @@
     address: SocketAddr,
     file: &Path,
     if_version: Option<u64>,
-) -> Result<u64, util::Error> {
+) -> Result<String, util::Error> {
     let (text, document) = util::read_document(file)?;
     let read_version = match if_version {
         Some(version) => version,
@@ -83,7 +83,10 @@
     let path = format!("/-/documents/{}", document.service);
     let response = util::call(address, Method::PUT, &path, Some(read_version), text).await?;
     match (response.status(), util::version(&response)) {
-        (StatusCode::OK, Some(version)) => Ok(version),
+        (StatusCode::OK, Some(version)) => Ok(format!("in force as version {version}")),
+        (StatusCode::ACCEPTED, Some(version)) => Ok(format!(
+            "committed as version {version}, not yet accepted by a majority of the nodes"
+        )),
         _ => {
             let answer = util::text(&response);
             let message = format!("{}: {}", file.display(), answer.trim());
--- a/cli/src/list.rs
+++ b/cli/src/list.rs
@@ -3,9 +3,9 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-use http::{Method, StatusCode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
+use crate::table;
 use crate::util;
 
 const USAGE: &str = "\
@@ -20,7 +20,10 @@
     -h, --help        Show this text.
 ";
 
-#[derive(Debug, Deserialize)]
+const HEADING: [&str; 3] = ["SERVICE", "TEAM", "VERSION"];
+
+/// A line of a node's list of documents.
+#[derive(Debug, Serialize, Deserialize)]
 struct Listed {
     service: String,
     team: String,
@@ -28,33 +31,17 @@
 }
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
-    use lexopt::prelude::*;
-
-    let mut node = None;
-    let mut json = false;
-    let mut parser = util::parser(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("node") => node = Some(parser.value()?.string()?),
-            Long("json") => json = true,
-            Short('h') | Long("help") => return Ok(util::help(USAGE)),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let address = util::node_address(node.as_deref())?;
-    let call = util::call(address, Method::GET, "/-/documents", None, String::new());
-    let response = util::block_on(call)?;
-    if response.status() != StatusCode::OK {
-        return Err(util::Error::failed(util::text(&response).trim()));
-    }
-    if json {
-        println!("{}", util::text(&response));
+    let Some(args) = util::read_args(argv)? else {
+        return Ok(util::help(USAGE));
+    };
+    let listed: Vec<Listed> = util::get_json(args.node.as_deref(), "/-/documents")?;
+    if args.json {
+        println!("{}", util::to_json(&listed)?);
         return Ok(ExitCode::SUCCESS);
     }
-    let listed: Vec<Listed> =
-        serde_json::from_slice(response.body()).map_err(util::Error::failed)?;
-    for line in listed {
-        println!("{:<24} {:<16} {}", line.service, line.team, line.version);
-    }
+    let rows = listed
+        .into_iter()
+        .map(|line| vec![line.service, line.team, line.version.to_string()]);
+    table::print(&HEADING, &rows.collect::<Vec<_>>());
     Ok(ExitCode::SUCCESS)
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,11 +5,16 @@
 mod dev;
 mod diff;
 mod get;
+mod job;
 mod keys;
 mod list;
+mod plan;
 mod plot;
 mod report;
+mod status;
+mod table;
 mod util;
+mod vm;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -27,9 +32,13 @@
     dev      Runs a whole deployment in one process.
     diff     Shows what differs between a file and the document in force.
     get      Shows a document.
+    job      Submits, shows and cancels jobs.
     keys     Makes the keys and certificates of entry nodes.
     list     Lists the documents.
+    plan     Shows what applying a document would change.
     report   Draws measurements as an SVG plot.
+    status   Shows pools, budgets and waves.
+    vm       Shows the VMs, or marks one.
 ";
 
 fn main() -> ExitCode {
@@ -54,9 +63,13 @@
         "dev" => dev::run(argv),
         "diff" => diff::run(argv),
         "get" => get::run(argv),
+        "job" => job::run(argv),
         "keys" => keys::run(argv),
         "list" => list::run(argv),
+        "plan" => plan::run(argv),
         "report" => report::run(argv),
+        "status" => status::run(argv),
+        "vm" => vm::run(argv),
         "-h" | "--help" | "help" => {
             print!("{USAGE}");
             Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/cli/src/plan.rs
@@ -0,0 +1,105 @@
+//! The command `plan`.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use serde::Serialize;
+use wasabiloft::document;
+use wasabiloft::document::changes;
+use wasabiloft::fleet::status;
+
+use crate::diff;
+use crate::util;
+
+const USAGE: &str = "\
+Shows what applying a document would change, and what follows from it for the fleet as it is now.
+
+Usage:
+    wasabiloft plan [--node IP:PORT] [--json] FILE
+
+Options:
+    --node IP:PORT    The entry node to ask; else WASABILOFT_NODE.
+    --json            Print JSON.
+    -h, --help        Show this text.
+";
+
+/// What a document would change.
+#[derive(Debug, Serialize)]
+struct Plan {
+    changes: Vec<changes::Change>,
+    follows: Vec<String>,
+}
+
+pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    use lexopt::prelude::*;
+
+    let mut node = None;
+    let mut json = false;
+    let mut file = None;
+    let mut parser = util::parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("node") => node = Some(parser.value()?.string()?),
+            Long("json") => json = true,
+            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
+            Short('h') | Long("help") => return Ok(util::help(USAGE)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or_else(|| util::Error::usage(USAGE))?;
+    let (_, new) = util::read_document(&file)?;
+    let address = util::node_address(node.as_deref())?;
+    let old = util::block_on(util::document_in_force(address, &new.service))?;
+    let old = old.map(|(_, document)| document);
+    let pools: Vec<status::Pool> = util::get_json(node.as_deref(), "/-/status")?;
+    let plan = Plan {
+        changes: match &old {
+            Some(old) => changes::between(old, &new),
+            None => changes::added(&new),
+        },
+        follows: follows(old.as_ref(), &new, &pools),
+    };
+    if json {
+        println!("{}", util::to_json(&plan)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    diff::print_changes(&plan.changes);
+    for line in &plan.follows {
+        println!("{line}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn follows(
+    old: Option<&document::Document>,
+    new: &document::Document,
+    pools: &[status::Pool],
+) -> Vec<String> {
+    let mut lines = Vec::new();
+    let pool = pools.iter().find(|pool| pool.pool == new.capacity.pool);
+    let has = pool.map_or(0, |pool| pool.in_service + pool.out);
+    let wants = new.capacity.runners;
+    match wants.cmp(&has) {
+        std::cmp::Ordering::Greater => {
+            lines.push(format!("{} VMs will come from the spare pool", wants - has));
+        }
+        std::cmp::Ordering::Less => {
+            lines.push(format!("{} VMs will go to the spare pool", has - wants));
+        }
+        std::cmp::Ordering::Equal => {}
+    }
+    let in_service = pool.map_or(0, |pool| pool.in_service);
+    if in_service < new.availability.min_runners {
+        let least = new.availability.min_runners;
+        lines.push(format!(
+            "the pool has {in_service} in service, less than min_runners, {least}: its waves pause"
+        ));
+    }
+    let renamed = old.filter(|old| old.capacity.pool != new.capacity.pool);
+    if let Some(old) = renamed {
+        let (from, to) = (&old.capacity.pool, &new.capacity.pool);
+        lines.push(format!("the service leaves pool {from} for pool {to}"));
+    }
+    lines
+}
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -10,6 +10,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use wasabiloft::document;
 use wasabiloft::id;
@@ -210,3 +211,73 @@
 {
     serde_json::to_string(value).map_err(Error::failed)
 }
+
+/// The arguments of a command that only shows something.
+pub struct ReadArgs {
+    /// The entry node to ask.
+    pub node: Option<String>,
+    /// True to print JSON.
+    pub json: bool,
+}
+
+/// Reads `--node` and `--json`; `None` if help is wanted.
+///
+/// # Errors
+///
+/// For any other argument.
+pub fn read_args(argv: &[OsString]) -> Result<Option<ReadArgs>, Error> {
+    use lexopt::prelude::*;
+
+    let mut args = ReadArgs {
+        node: None,
+        json: false,
+    };
+    let mut parser = parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("node") => args.node = Some(parser.value()?.string()?),
+            Long("json") => args.json = true,
+            Short('h') | Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(args))
+}
+
+/// Reads a JSON answer of an entry node.
+///
+/// # Errors
+///
+/// If no node is named, none answers, or the answer is a refusal or of another shape.
+pub fn get_json<T>(node: Option<&str>, path: &str) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let address = node_address(node)?;
+    let response = block_on(call(address, Method::GET, path, None, String::new()))?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::failed(text(&response).trim()));
+    }
+    serde_json::from_slice(response.body()).map_err(Error::failed)
+}
+
+/// The name of an enum's variant as it stands in JSON; a dash for nothing.
+///
+/// # Errors
+///
+/// If the value can't be written as JSON.
+pub fn name_of<T>(value: &T) -> Result<String, Error>
+where
+    T: Serialize,
+{
+    let value = serde_json::to_value(value).map_err(Error::failed)?;
+    Ok(match &value {
+        serde_json::Value::String(name) => name.clone(),
+        serde_json::Value::Object(members) => {
+            let name = members.keys().next();
+            name.cloned().unwrap_or_else(|| "-".to_owned())
+        }
+        serde_json::Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    })
+}
--- /dev/null
+++ b/cli/src/vm.rs
@@ -0,0 +1,121 @@
+//! The command `vm`.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use http::{Method, StatusCode};
+use wasabiloft::fleet::status;
+
+use crate::table;
+use crate::util;
+
+const USAGE: &str = "\
+Shows the VMs, or marks one.
+
+Usage:
+    wasabiloft vm [--node IP:PORT] [--json]
+    wasabiloft vm [--node IP:PORT] VM hold|first|out|clear
+
+Marks:
+    hold     No maintenance and no move begins.
+    first    Maintained next, also if it is not due.
+    out      Drained and kept out until the mark is cleared.
+    clear    Removes the mark.
+
+Options:
+    --node IP:PORT    The entry node to ask; else WASABILOFT_NODE.
+    --json            Print JSON.
+    -h, --help        Show this text.
+";
+
+const HEADING: [&str; 8] = [
+    "VM",
+    "POOL",
+    "RACK",
+    "DATA CENTRE",
+    "STAGE",
+    "LIVE",
+    "DUE",
+    "MARK",
+];
+/// The marks that can be set.
+const MARKS: [&str; 3] = ["hold", "first", "out"];
+
+struct Args {
+    node: Option<String>,
+    json: bool,
+    words: Vec<String>,
+}
+
+pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
+    let Some(args) = parse(argv)? else {
+        return Ok(util::help(USAGE));
+    };
+    match args.words.as_slice() {
+        [] => show(&args),
+        [vm, mark] => set(&args, vm, mark),
+        _ => Err(util::Error::usage(USAGE)),
+    }
+}
+
+fn parse(argv: &[OsString]) -> Result<Option<Args>, util::Error> {
+    use lexopt::prelude::*;
+
+    let mut args = Args {
+        node: None,
+        json: false,
+        words: Vec::new(),
+    };
+    let mut parser = util::parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("node") => args.node = Some(parser.value()?.string()?),
+            Long("json") => args.json = true,
+            Value(word) => args.words.push(word.string()?),
+            Short('h') | Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(args))
+}
+
+fn show(args: &Args) -> Result<ExitCode, util::Error> {
+    let vms: Vec<status::Vm> = util::get_json(args.node.as_deref(), "/-/vms")?;
+    if args.json {
+        println!("{}", util::to_json(&vms)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    let rows: Result<Vec<_>, _> = vms.iter().map(row).collect();
+    table::print(&HEADING, &rows?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn row(vm: &status::Vm) -> Result<Vec<String>, util::Error> {
+    let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".to_owned());
+    Ok(vec![
+        vm.row.vm.to_string(),
+        vm.row.pool.to_string(),
+        text(&vm.rack.as_ref().map(ToString::to_string)),
+        text(&vm.data_centre.as_ref().map(ToString::to_string)),
+        util::name_of(&vm.row.stage)?,
+        vm.live.to_string(),
+        vm.due.to_string(),
+        util::name_of(&vm.row.mark)?,
+    ])
+}
+
+fn set(args: &Args, vm: &str, mark: &str) -> Result<ExitCode, util::Error> {
+    let value = match mark {
+        "clear" => serde_json::Value::Null,
+        mark if MARKS.contains(&mark) => mark.into(),
+        _ => return Err(util::Error::usage(USAGE)),
+    };
+    let address = util::node_address(args.node.as_deref())?;
+    let body = serde_json::json!({ "mark": value }).to_string();
+    let path = format!("/-/vms/{vm}");
+    let response = util::block_on(util::call(address, Method::POST, &path, None, body))?;
+    match response.status() {
+        StatusCode::OK => Ok(ExitCode::SUCCESS),
+        _ => Err(util::Error::failed(util::text(&response).trim())),
+    }
+}
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -73,6 +73,13 @@
         let message = format!("the document is of service {}\n", document.service);
         return (StatusCode::BAD_REQUEST, message).into_response();
     }
+    if let Some(message) = clash(&shared, &document) {
+        return (
+            StatusCode::CONFLICT,
+            format!("{message}; nothing was changed\n"),
+        )
+            .into_response();
+    }
     let Some(read_version) = read_version(&headers) else {
         let message = "If-Match must carry the version that was read, or \"0\"\n";
         return (StatusCode::PRECONDITION_REQUIRED, message).into_response();
@@ -81,6 +88,20 @@
     answer(edit)
 }
 
+/// What is wrong between a document and those of the other services in force.
+fn clash(shared: &node::Shared, document: &document::Document) -> Option<String> {
+    let view = shared.view.borrow();
+    let in_force = view.documents.values().map(|accepted| &accepted.document);
+    let mut documents: Vec<_> = in_force
+        .filter(|other| other.service != document.service)
+        .collect();
+    documents.push(document);
+    let own = documents.len() - 1;
+    let problems = document::check_together(&documents).into_iter();
+    let mut own_problems = problems.filter(|(index, _)| *index == own);
+    own_problems.next().map(|(_, message)| message)
+}
+
 fn answer(edit: documents::Edit) -> Response {
     match edit {
         documents::Edit::Accepted(version) => {
