--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -9,6 +9,7 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use serde::Serialize;
+use tokio::task::JoinHandle;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::id;
@@ -19,17 +20,18 @@
 use wasabiloft_standins::load;
 use wasabiloft_standins::platform;
 
+use crate::dev_watch;
 use crate::keys;
 use crate::util;
 
 const USAGE: &str = "\
 Runs a whole deployment in one process: the stand-in platform, entry nodes with real sockets, endpoints,
-workers and a little load.
+workers and a little load. Documents are edited and jobs submitted meanwhile, as operators would.
 
 Usage:
     wasabiloft dev [--run-s N] [--seed N] [--json] DIR
 
-DIR holds deployment.toml and the folder services. Ctrl-C stops it gracefully. The last line is a JSON
+DIR holds deployment.toml and the folders services and jobs. Ctrl-C stops it gracefully. The last line is a JSON
 object. Ends with 0 only if every promise that was checked held.
 
 Options:
@@ -64,7 +66,20 @@
     never_ran_total: u64,
     foreign_answers_total: u64,
     requests_cut_total: u64,
+    over_slots_total: u64,
     vms_maintained_total: u64,
+    budget_breaches_total: u64,
+    jobs_submitted_total: u64,
+    jobs_finished_total: u64,
+    jobs_lost_total: u64,
+    jobs_started_twice_total: u64,
+    edits_accepted_total: u64,
+    edits_late_total: u64,
+    edits_reverted_total: u64,
+    config_lag_p50_ms: u64,
+    config_lag_p99_ms: u64,
+    store_writes_total: u64,
+    store_reads_total: u64,
 }
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
@@ -113,7 +128,13 @@
         + summary.ran_though_refused_total
         + summary.never_ran_total
         + summary.foreign_answers_total
-        + summary.requests_cut_total;
+        + summary.requests_cut_total
+        + summary.over_slots_total
+        + summary.budget_breaches_total
+        + summary.jobs_lost_total
+        + summary.jobs_started_twice_total
+        + summary.edits_late_total
+        + summary.edits_reverted_total;
     broken == 0
 }
 
@@ -137,20 +158,75 @@
             entries.len()
         ),
     );
-    let streams = streams(&documents);
+    let jobs = dev_watch::read_jobs(&args.dir)?;
+    let once_only = jobs.iter().filter(|spec| !spec.idempotent);
+    let once_only: Vec<_> = once_only.map(wasabiloft::job::Spec::job).collect();
     let stop_load = CancellationToken::new();
+    let beside = Beside::start(&entries, platform.address(), &documents, jobs, &stop_load);
+    let streams = streams(&documents);
     let load = tokio::spawn(load::run(entries, streams, args.seed, stop_load.clone()));
     wait_for_end(args.run_s).await;
     say(args, "stopping");
     stop_load.cancel();
     let answers = load.await.map_err(util::Error::failed)?;
+    let seen = beside.end().await?;
     for node in nodes {
         node.stop().await;
     }
     let breaches = answers.check(&platform.tally().executions());
     let report = platform.report();
+    let starts = platform.starts_of_jobs();
+    let started_twice = once_only
+        .iter()
+        .filter(|job| starts.get(job).is_some_and(|starts| *starts > 1));
+    let started_twice = started_twice.count() as u64;
     platform.stop().await;
-    Ok(summary(&answers, &breaches, &report))
+    Ok(summary(&answers, &breaches, &report, &seen, started_twice))
+}
+
+/// What runs beside the load.
+struct Beside {
+    edits: JoinHandle<dev_watch::Edits>,
+    pools: JoinHandle<dev_watch::Pools>,
+    jobs: JoinHandle<dev_watch::Jobs>,
+}
+
+/// What was seen beside the load.
+struct Seen {
+    edits: dev_watch::Edits,
+    pools: dev_watch::Pools,
+    jobs: dev_watch::Jobs,
+}
+
+impl Beside {
+    fn start(
+        entries: &[SocketAddr],
+        platform: SocketAddr,
+        documents: &[(String, wasabiloft::document::Document)],
+        jobs: Vec<wasabiloft::job::Spec>,
+        stop: &CancellationToken,
+    ) -> Self {
+        let plain = documents
+            .iter()
+            .map(|(_, document)| document.clone())
+            .collect();
+        let edits = dev_watch::edit(entries.to_vec(), documents.to_vec(), stop.clone());
+        let pools = dev_watch::watch_pools(entries[0], platform, plain, stop.clone());
+        let jobs = dev_watch::run_jobs(entries.to_vec(), jobs, stop.clone());
+        Self {
+            edits: tokio::spawn(edits),
+            pools: tokio::spawn(pools),
+            jobs: tokio::spawn(jobs),
+        }
+    }
+
+    async fn end(self) -> Result<Seen, util::Error> {
+        Ok(Seen {
+            edits: self.edits.await.map_err(util::Error::failed)?,
+            pools: self.pools.await.map_err(util::Error::failed)?,
+            jobs: self.jobs.await.map_err(util::Error::failed)?,
+        })
+    }
 }
 
 fn say(args: &Args, line: &str) {
@@ -240,6 +316,8 @@
     answers: &load::Answers,
     breaches: &load::Breaches,
     report: &platform::Report,
+    seen: &Seen,
+    jobs_started_twice_total: u64,
 ) -> Summary {
     let ran = answers.total(|tally| tally.ran_total);
     let not_run = answers.total(|tally| tally.not_run_total);
@@ -255,6 +333,19 @@
         never_ran_total: breaches.never_ran_total,
         foreign_answers_total: breaches.foreign_answers_total,
         requests_cut_total: report.endpoints.cut_total,
+        over_slots_total: report.endpoints.over_slots_total,
         vms_maintained_total: report.reboots_total,
+        budget_breaches_total: seen.pools.breaches_total,
+        jobs_submitted_total: seen.jobs.submitted_total,
+        jobs_finished_total: seen.jobs.finished_total,
+        jobs_lost_total: seen.jobs.lost_total,
+        jobs_started_twice_total,
+        edits_accepted_total: seen.edits.accepted_total,
+        edits_late_total: seen.edits.late_total,
+        edits_reverted_total: seen.edits.reverted_total,
+        config_lag_p50_ms: seen.edits.quantile_ms(0.5),
+        config_lag_p99_ms: seen.edits.quantile_ms(0.99),
+        store_writes_total: report.store.writes_total,
+        store_reads_total: report.store.reads_total,
     }
 }
--- a/cli/src/job.rs
+++ b/cli/src/job.rs
@@ -100,7 +100,7 @@
 fn submit(address: SocketAddr, files: &[String]) -> Result<ExitCode, util::Error> {
     let mut specs = Vec::new();
     for file in files {
-        specs.push((file, read_spec(file)?));
+        specs.push((file, util::read_job(Path::new(file))?));
     }
     util::block_on(async {
         for (file, spec) in &specs {
@@ -116,15 +116,6 @@
     })
 }
 
-fn read_spec(file: &str) -> Result<job::Spec, util::Error> {
-    let named =
-        |error: String| util::Error::failed(format!("{file}: {error}; nothing was submitted"));
-    let text = util::read_file(Path::new(file))?;
-    let spec: job::Spec = toml::from_str(&text).map_err(|error| named(error.to_string()))?;
-    spec.validate().map_err(|error| named(error.to_string()))?;
-    Ok(spec)
-}
-
 fn list(address: SocketAddr, json: bool) -> Result<ExitCode, util::Error> {
     let mut jobs: Vec<Listed> = Vec::new();
     loop {
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 use wasabiloft::document;
 use wasabiloft::id;
+use wasabiloft::job;
 use wasabiloft_standins::client;
 
 /// Environment variable that names the entry node if `--node` doesn't.
@@ -281,3 +282,16 @@
         other => other.to_string(),
     })
 }
+
+/// Reads a job from a TOML file.
+///
+/// # Errors
+///
+/// If it can't be read, has another shape or is malformed.
+pub fn read_job(path: &Path) -> Result<job::Spec, Error> {
+    let named = |error: String| Error::failed(format!("{}: {error}", path.display()));
+    let text = read_file(path)?;
+    let spec: job::Spec = toml::from_str(&text).map_err(|error| named(error.to_string()))?;
+    spec.validate().map_err(|error| named(error.to_string()))?;
+    Ok(spec)
+}
