--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -20,6 +20,7 @@
 use wasabiloft_standins::load;
 use wasabiloft_standins::platform;
 
+use crate::dev_faults;
 use crate::dev_watch;
 use crate::keys;
 use crate::util;
@@ -29,7 +30,7 @@
 workers and a little load. Documents are edited and jobs submitted meanwhile, as operators would.
 
 Usage:
-    wasabiloft dev [--run-s N] [--seed N] [--json] DIR
+    wasabiloft dev [--run-s N] [--seed N] [--faults] [--json] DIR
 
 DIR holds deployment.toml and the folders services and jobs. Ctrl-C stops it gracefully. The last line is a JSON
 object. Ends with 0 only if every promise that was checked held.
@@ -37,6 +38,7 @@
 Options:
     --run-s N     Stop after N seconds.
     --seed N      Seed of the load and of the stand-ins; 1 if not given.
+    --faults      Set faults by the seed: store outages, lost replies, bad endpoints, VMs and workers.
     --json        Print only the JSON object.
     -h, --help    Show this text.
 ";
@@ -50,6 +52,7 @@
     dir: PathBuf,
     run_s: Option<u64>,
     seed: u64,
+    faults: bool,
     json: bool,
 }
 
@@ -73,6 +76,8 @@
     jobs_finished_total: u64,
     jobs_lost_total: u64,
     jobs_started_twice_total: u64,
+    tasks_cut_total: u64,
+    faults_total: u64,
     edits_accepted_total: u64,
     edits_late_total: u64,
     edits_reverted_total: u64,
@@ -102,12 +107,14 @@
     let mut dir = None;
     let mut run_s = None;
     let mut seed = 1;
+    let mut faults = false;
     let mut json = false;
     let mut parser = util::parser(argv);
     while let Some(arg) = parser.next()? {
         match arg {
             Long("run-s") => run_s = Some(parser.value()?.parse()?),
             Long("seed") => seed = parser.value()?.parse()?,
+            Long("faults") => faults = true,
             Long("json") => json = true,
             Value(value) if dir.is_none() => dir = Some(PathBuf::from(value)),
             Short('h') | Long("help") => return Ok(None),
@@ -119,6 +126,7 @@
         dir,
         run_s,
         seed,
+        faults,
         json,
     }))
 }
@@ -133,6 +141,7 @@
         + summary.budget_breaches_total
         + summary.jobs_lost_total
         + summary.jobs_started_twice_total
+        + summary.tasks_cut_total
         + summary.edits_late_total
         + summary.edits_reverted_total;
     broken == 0
@@ -165,7 +174,7 @@
     let beside = Beside::start(&entries, platform.address(), &documents, jobs, &stop_load);
     let streams = streams(&documents);
     let load = tokio::spawn(load::run(entries, streams, args.seed, stop_load.clone()));
-    wait_for_end(args.run_s).await;
+    let faults_total = wait_for_end(args, &platform).await;
     say(args, "stopping");
     stop_load.cancel();
     let answers = load.await.map_err(util::Error::failed)?;
@@ -181,7 +190,10 @@
         .filter(|job| starts.get(job).is_some_and(|starts| *starts > 1));
     let started_twice = started_twice.count() as u64;
     platform.stop().await;
-    Ok(summary(&answers, &breaches, &report, &seen, started_twice))
+    let mut summary = summary(&answers, &breaches, &report, &seen);
+    summary.jobs_started_twice_total = started_twice;
+    summary.faults_total = faults_total;
+    Ok(summary)
 }
 
 /// What runs beside the load.
@@ -289,17 +301,33 @@
     }
 }
 
-async fn wait_for_end(run_s: Option<u64>) {
+/// Waits for the end of the run, with faults meanwhile if they are wanted; gives their number.
+async fn wait_for_end(args: &Args, platform: &platform::Platform) -> u64 {
     let limit = async {
-        match run_s {
+        match args.run_s {
             Some(run_s) => time::sleep(Duration::from_secs(run_s)).await,
             None => std::future::pending().await,
         }
     };
-    tokio::select! {
-        () = limit => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
+    let ended = CancellationToken::new();
+    let end = async {
+        tokio::select! {
+            () = limit => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        ended.cancel();
+    };
+    let faults = async {
+        match args.faults {
+            true => {
+                let say = |line: &str| say(args, line);
+                dev_faults::run(platform, args.seed, ended.clone(), say).await
+            }
+            false => 0,
+        }
+    };
+    let ((), faults_total) = tokio::join!(end, faults);
+    faults_total
 }
 
 fn streams(documents: &[(String, wasabiloft::document::Document)]) -> Vec<load::Stream> {
@@ -317,7 +345,6 @@
     breaches: &load::Breaches,
     report: &platform::Report,
     seen: &Seen,
-    jobs_started_twice_total: u64,
 ) -> Summary {
     let ran = answers.total(|tally| tally.ran_total);
     let not_run = answers.total(|tally| tally.not_run_total);
@@ -339,7 +366,9 @@
         jobs_submitted_total: seen.jobs.submitted_total,
         jobs_finished_total: seen.jobs.finished_total,
         jobs_lost_total: seen.jobs.lost_total,
-        jobs_started_twice_total,
+        jobs_started_twice_total: 0,
+        tasks_cut_total: report.tasks_cut_total,
+        faults_total: 0,
         edits_accepted_total: seen.edits.accepted_total,
         edits_late_total: seen.edits.late_total,
         edits_reverted_total: seen.edits.reverted_total,
--- /dev/null
+++ b/cli/src/dev_faults.rs
@@ -0,0 +1,119 @@
+//! Faults of a `dev` run, by a seeded schedule: each step sets one and mends the one before.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use wasabiloft::id;
+use wasabiloft::platform as messages;
+use wasabiloft_standins::endpoint;
+use wasabiloft_standins::faults;
+use wasabiloft_standins::platform;
+
+/// The shortest step, in milliseconds.
+const STEP_MIN_MS: u64 = 1_000;
+/// The longest step, in milliseconds.
+const STEP_MAX_MS: u64 = 6_000;
+/// Delay of a slow store, in milliseconds.
+const SLOW_STORE_MS: u64 = 300;
+/// Share of replies that are lost.
+const LOST_REPLIES: f64 = 0.3;
+/// Lag of the list of VMs, in milliseconds.
+const LIST_LAG_MS: u64 = 2_000;
+
+/// A fault that a step may set.
+#[derive(Clone, Debug, PartialEq)]
+enum Fault {
+    None,
+    Store(faults::Faults),
+    Endpoint(id::Vm, endpoint::Mode),
+    VmFails(id::Vm),
+    BadWorker(id::Vm),
+}
+
+/// Sets one fault after another until stopped; mends the last one. Gives the number of steps.
+pub async fn run<S>(
+    platform: &platform::Platform,
+    seed: u64,
+    stop: CancellationToken,
+    say: S,
+) -> u64
+where
+    S: Fn(&str),
+{
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let vms: Vec<_> = platform.vms().into_iter().map(|vm| vm.vm).collect();
+    let mut steps = 0;
+    loop {
+        let fault = pick(&vms, &mut rng);
+        say(&format!("fault {fault:?}"));
+        set(platform, &fault);
+        let step_ms = rng.random_range(STEP_MIN_MS..=STEP_MAX_MS);
+        let stopped = tokio::select! {
+            () = stop.cancelled() => true,
+            () = time::sleep(Duration::from_millis(step_ms)) => false,
+        };
+        mend(platform, &fault);
+        steps += 1;
+        if stopped {
+            return steps;
+        }
+    }
+}
+
+fn pick(vms: &[id::Vm], rng: &mut SmallRng) -> Fault {
+    let Some(vm) = vms.choose(rng).cloned() else {
+        return Fault::None;
+    };
+    match rng.random_range(0..9) {
+        0 => Fault::Store(faults::Faults {
+            store_outage: true,
+            ..Default::default()
+        }),
+        1 => Fault::Store(faults::Faults {
+            store_hangs: true,
+            ..Default::default()
+        }),
+        2 => Fault::Store(faults::Faults {
+            store_delay_ms: SLOW_STORE_MS,
+            vm_list_lag_ms: LIST_LAG_MS,
+            ..Default::default()
+        }),
+        3 => Fault::Store(faults::Faults {
+            store_lost_replies: LOST_REPLIES,
+            ..Default::default()
+        }),
+        4 => Fault::Endpoint(vm, endpoint::Mode::Slow),
+        5 => Fault::Endpoint(vm, endpoint::Mode::FailFast),
+        6 => Fault::Endpoint(vm, endpoint::Mode::Silent),
+        7 => Fault::VmFails(vm),
+        _ => Fault::BadWorker(vm),
+    }
+}
+
+fn set(platform: &platform::Platform, fault: &Fault) {
+    match fault {
+        Fault::None => {}
+        Fault::Store(faults) => platform.set_faults(faults.clone()),
+        Fault::Endpoint(vm, mode) => platform.set_endpoint_mode(vm, *mode),
+        Fault::VmFails(vm) => {
+            platform.force_vm(vm, messages::VmState::Failed);
+        }
+        Fault::BadWorker(vm) => platform.set_worker_bad(vm, true),
+    }
+}
+
+fn mend(platform: &platform::Platform, fault: &Fault) {
+    match fault {
+        Fault::None => {}
+        Fault::Store(_) => platform.set_faults(faults::Faults::default()),
+        Fault::Endpoint(vm, _) => platform.set_endpoint_mode(vm, endpoint::Mode::Normal),
+        Fault::VmFails(vm) => {
+            platform.force_vm(vm, messages::VmState::Live);
+        }
+        Fault::BadWorker(vm) => platform.set_worker_bad(vm, false),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod dev;
+mod dev_faults;
 mod dev_watch;
 mod diff;
 mod get;
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -49,8 +49,16 @@
     FailFast,
     /// Takes requests and never answers.
     Silent,
-    /// Drops connections: the VM is down.
+    /// Drops connections: the VM is down for a reboot that was asked for.
     Down,
+    /// Drops connections: the VM has failed.
+    Crashed,
+}
+
+impl Mode {
+    fn is_down(self) -> bool {
+        matches!(self, Self::Down | Self::Crashed)
+    }
 }
 
 /// A running endpoint.
@@ -129,22 +137,26 @@
                 if changed.is_err() {
                     return;
                 }
-                if *mode.borrow_and_update() == Mode::Down {
-                    go_down(&shared, &mut connections).await;
+                let mode = *mode.borrow_and_update();
+                if mode.is_down() {
+                    go_down(mode, &shared, &mut connections).await;
                 }
             }
         }
     }
 }
 
-async fn go_down(shared: &Shared, connections: &mut JoinSet<()>) {
+async fn go_down(mode: Mode, shared: &Shared, connections: &mut JoinSet<()>) {
     let cut = u64::from(shared.busy.load(Ordering::SeqCst));
-    shared.tally.count(|counts| counts.cut_total += cut);
+    shared.tally.count(|counts| match mode {
+        Mode::Crashed => counts.crashed_total += cut,
+        _ => counts.cut_total += cut,
+    });
     connections.shutdown().await;
 }
 
 fn open(stream: TcpStream, shared: &Arc<Shared>, connections: &mut JoinSet<()>) {
-    if *shared.mode.borrow() == Mode::Down {
+    if shared.mode.borrow().is_down() {
         return;
     }
     if connections.len() >= CONNECTIONS as usize {
@@ -214,7 +226,7 @@
         Mode::Normal => time::sleep(service).await,
         Mode::Slow => time::sleep(service * SLOW_FACTOR).await,
         Mode::FailFast => return Ok(failed()),
-        Mode::Silent | Mode::Down => std::future::pending().await,
+        Mode::Silent | Mode::Down | Mode::Crashed => std::future::pending().await,
     }
     shared.tally.count(|counts| counts.finished_total += 1);
     drop(slot);
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -62,6 +62,7 @@
     faults: faults::Faults,
     counts: StoreCounts,
     tasks_lost_total: u64,
+    tasks_cut_total: u64,
     rng: SmallRng,
 }
 
@@ -91,8 +92,10 @@
     pub store: StoreCounts,
     /// Reboots that were asked for.
     pub reboots_total: u64,
-    /// Running tasks that a reboot or failure of their worker lost.
+    /// Running tasks that a failure of their worker lost.
     pub tasks_lost_total: u64,
+    /// Running tasks that a reboot of their worker, which was asked for, cut.
+    pub tasks_cut_total: u64,
 }
 
 impl Shared {
@@ -163,6 +166,23 @@
         }
     }
 
+    /// Lets a VM fail or come back, as nobody asked for; false if there is no such VM.
+    pub fn force_vm(&self, vm: &id::Vm, state: platform::VmState) -> bool {
+        force_vm(&self.shared, vm, state)
+    }
+
+    /// Lets a worker fail everything that it starts, or not.
+    pub fn set_worker_bad(&self, vm: &id::Vm, bad: bool) {
+        if let Some(worker) = self.shared.lock().workers.get_mut(vm) {
+            worker.bad = bad;
+        }
+    }
+
+    /// The VMs as they are now.
+    pub fn vms(&self) -> Vec<platform::Vm> {
+        self.shared.lock().vms.now().to_vec()
+    }
+
     /// What happened so far.
     pub fn report(&self) -> Report {
         report(&self.shared)
@@ -210,6 +230,7 @@
         faults: faults::Faults::default(),
         counts: StoreCounts::default(),
         tasks_lost_total: 0,
+        tasks_cut_total: 0,
         rng: SmallRng::seed_from_u64(seed),
     }
 }
@@ -221,6 +242,7 @@
         store: inner.counts.clone(),
         reboots_total: inner.vms.reboots_total,
         tasks_lost_total: inner.tasks_lost_total,
+        tasks_cut_total: inner.tasks_cut_total,
     }
 }
 
@@ -436,17 +458,22 @@
     let before = inner.vms.reboots_total;
     let answer = inner.vms.reboot(&vm, &intent, now);
     if inner.vms.reboots_total > before {
-        take_down(&shared, &mut inner, &vm);
+        take_down(&shared, &mut inner, &vm, endpoint::Mode::Down);
     }
     vm_status(answer)
 }
 
-fn take_down(shared: &Shared, inner: &mut Inner, vm: &id::Vm) {
+fn take_down(shared: &Shared, inner: &mut Inner, vm: &id::Vm, mode: endpoint::Mode) {
     if let Some(endpoint) = shared.endpoints.get(vm) {
-        endpoint.set_mode(endpoint::Mode::Down);
+        endpoint.set_mode(mode);
     }
-    if let Some(worker) = inner.workers.get_mut(vm) {
-        inner.tasks_lost_total += worker.reboot() as u64;
+    let Some(worker) = inner.workers.get_mut(vm) else {
+        return;
+    };
+    let lost = worker.reboot() as u64;
+    match mode {
+        endpoint::Mode::Crashed => inner.tasks_lost_total += lost,
+        _ => inner.tasks_cut_total += lost,
     }
 }
 
@@ -455,17 +482,26 @@
     Path(vm): Path<id::Vm>,
     Json(state): Json<platform::VmState>,
 ) -> StatusCode {
+    match force_vm(&shared, &vm, state) {
+        true => StatusCode::OK,
+        false => StatusCode::NOT_FOUND,
+    }
+}
+
+fn force_vm(shared: &Shared, vm: &id::Vm, state: platform::VmState) -> bool {
     let mut inner = shared.lock();
-    if inner.vms.state(&vm).is_none() {
-        return StatusCode::NOT_FOUND;
+    if inner.vms.state(vm).is_none() {
+        return false;
     }
-    inner.vms.force(&vm, state);
-    match (state, shared.endpoints.get(&vm)) {
-        (platform::VmState::Failed, _) => take_down(&shared, &mut inner, &vm),
+    inner.vms.force(vm, state);
+    match (state, shared.endpoints.get(vm)) {
+        (platform::VmState::Failed, _) => {
+            take_down(shared, &mut inner, vm, endpoint::Mode::Crashed);
+        }
         (platform::VmState::Live, Some(endpoint)) => endpoint.set_mode(endpoint::Mode::Normal),
         _ => {}
     }
-    StatusCode::OK
+    true
 }
 
 async fn endpoint_mode(
--- a/standins/src/tally.rs
+++ b/standins/src/tally.rs
@@ -15,8 +15,10 @@
     pub started_total: u64,
     /// Requests that an endpoint finished.
     pub finished_total: u64,
-    /// Requests that a stop of the endpoint cut.
+    /// Requests that a planned stop of the endpoint cut.
     pub cut_total: u64,
+    /// Requests that a failure of the endpoint's VM cut.
+    pub crashed_total: u64,
     /// Requests that arrived while all slots were taken.
     pub over_slots_total: u64,
     /// Connections beyond the endpoint's limit.
