node: jobs over HTTP and the jobs duty on whoever holds its lease

Cause: the decisions on jobs had no shell: nobody could submit one, and no worker was called.

VMs that the platform lists as leaving are vacated by checkpoint without being told. A worker's 404 to a first start counts as not started. The inbox is read every 250 ms, since a nudge reaches a holder on the same node only.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -13,11 +13,13 @@
 use wasabiloft::id;
 
 use crate::documents;
+use crate::jobs;
 use crate::node;
 
 /// The operators' routes, below `/-`.
 pub fn router() -> Router<Arc<node::Shared>> {
     Router::new()
+        .merge(jobs::router())
         .route("/documents", routing::get(list))
         .route("/documents/{service}", routing::get(get).put(put))
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod documents;
 pub mod duties;
 pub mod front;
+pub mod jobs;
 pub mod keys;
 pub mod log;
 pub mod node;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::documents;
 use crate::duties;
 use crate::front;
+use crate::jobs;
 use crate::keys;
 use crate::log;
 use crate::peers;
@@ -73,6 +74,8 @@
     pub keys: keys::Handle,
     /// Requests with a key; they go on when their callers leave.
     pub keyed_requests: TaskTracker,
+    /// Submissions of jobs.
+    pub jobs: jobs::Handle,
     /// Documents and endpoints, as the request path sees them.
     pub view: watch::Sender<Arc<view::View>>,
     /// Cancelled when the node is told to stop.
@@ -112,6 +115,8 @@
         let control_task = tokio::spawn(parts.control_driver.run(control_stop.clone()));
         let keys_stop = CancellationToken::new();
         let keys_task = tokio::spawn(parts.keys_driver.run(keys_stop.clone()));
+        let incarnation = format!("{:016x}", rand::rng().random::<u64>());
+        let (jobs, jobs_driver) = jobs::new(settings.name.clone(), incarnation);
         let clock = parts.control.clock();
         let shared = Arc::new(Shared {
             platform,
@@ -124,6 +129,7 @@
             ledger: Mutex::default(),
             keys: parts.keys,
             keyed_requests: TaskTracker::new(),
+            jobs,
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
             settings,
@@ -137,7 +143,14 @@
         ));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
-        tasks.spawn(duties::run(Arc::clone(&shared), Vec::new()));
+        tasks.spawn(jobs_driver.run(
+            shared.control.clone(),
+            shared.platform.clone(),
+            shared.stop.clone(),
+        ));
+        let slices: Vec<Arc<dyn duties::Duty>> =
+            vec![Arc::new(jobs::Duty::new(Arc::clone(&shared)))];
+        tasks.spawn(duties::run(Arc::clone(&shared), slices));
         log::info(
             "node",
             &format!("started name={} address={address}", shared.settings.name),
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -125,6 +125,33 @@
         self.get("/vms").await
     }
 
+    /// Reads what the workers' tasks use.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn usage(&self) -> Result<platform::UsageList, Error> {
+        self.get("/workers/usage").await
+    }
+
+    /// Calls a worker; gives the status and the body.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn worker<A>(
+        &self,
+        vm: &id::Vm,
+        path: &str,
+        body: &A,
+    ) -> Result<Response<Bytes>, Error>
+    where
+        A: Serialize,
+    {
+        let path = format!("/workers/{vm}/{path}");
+        self.call(Method::POST, &path, Some(body)).await
+    }
+
     async fn get<T>(&self, path: &str) -> Result<T, Error>
     where
         T: DeserializeOwned,
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod test_answers;
 mod test_connections;
+mod test_jobs;
 mod test_keys;
 mod test_links;
 mod test_nodes;
--- a/src/job/duty/calls.rs
+++ b/src/job/duty/calls.rs
@@ -33,6 +33,7 @@
             TASK_LEASE_MS
         };
         live.start_sent_at.get_or_insert(now);
+        live.start_sends += 1;
         live.lease_sent_at = now;
         live.lease_ms = live.lease_ms.max(lease_ms);
         live.retry_at = None;
@@ -136,13 +137,15 @@
         };
         match result {
             CallResult::Done => self.started(key),
-            CallResult::NoRoom => {
+            CallResult::NotFound if !live.own || live.start_sends > 1 => {
+                live.abandoned_at = Some(now);
+            }
+            CallResult::NoRoom | CallResult::NotFound => {
                 live.refused = Some(row::Reason::NoRoom);
                 let worker = live.worker;
                 self.worker_is_full(worker);
                 self.settle_refused(key);
             }
-            CallResult::NotFound => live.abandoned_at = Some(now),
             _ => {
                 live.retry_at = Some(now.after_ms(START_RETRY_MS));
             }
--- a/src/job/duty/entry.rs
+++ b/src/job/duty/entry.rs
@@ -67,6 +67,8 @@
     pub(super) throttle: Vec<TaskKey>,
     /// When this holder first sent the start.
     pub(super) start_sent_at: Option<clock::Instant>,
+    /// Starts that this holder sent.
+    pub(super) start_sends: u32,
     /// When a call that may extend the lease was last sent.
     pub(super) lease_sent_at: clock::Instant,
     /// The longest lease that the worker may have been given, in milliseconds.
@@ -105,6 +107,7 @@
             own: true,
             throttle: Vec::new(),
             start_sent_at: None,
+            start_sends: 0,
             lease_sent_at: now,
             lease_ms: 0,
             retry_at: None,
--- a/src/job/duty/mod.rs
+++ b/src/job/duty/mod.rs
@@ -85,6 +85,8 @@
 struct Vacating {
     since: clock::Instant,
     reported: bool,
+    /// True if it is vacated because the platform lists it as leaving.
+    listed: bool,
 }
 
 /// The state of the jobs duty.
--- a/src/job/duty/sweep.rs
+++ b/src/job/duty/sweep.rs
@@ -16,7 +16,7 @@
 /// Interval of sweeps, in milliseconds.
 const SWEEP_MS: u64 = 250;
 /// Interval at which the inbox is read when no node says that it has a new row, in milliseconds.
-const INBOX_MS: u64 = clock::SECOND_MS;
+const INBOX_MS: u64 = 250;
 /// Silence after which a worker's leases are no longer renewed, in milliseconds.
 const SILENT_MS: u64 = 25 * clock::SECOND_MS;
 /// Time for which a worker that had no room is not asked again, in milliseconds.
@@ -73,6 +73,7 @@
             self.vms.insert(vm.vm.clone(), status);
         }
         self.forget_vms(list);
+        self.vacate_listed(list);
         self.sweep_at = self.now.at;
         self.finish_load();
     }
--- a/src/job/duty/vacate.rs
+++ b/src/job/duty/vacate.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::id;
 use crate::job::row;
+use crate::platform;
 
 /// Time that a job without checkpoints is given to finish, in milliseconds.
 const PATIENCE_MS: u64 = 5 * clock::MINUTE_MS;
@@ -18,11 +19,36 @@
         let vacating = self.vacating.entry(vm.clone()).or_insert(Vacating {
             since,
             reported: false,
+            listed: false,
         });
         vacating.reported = false;
+        vacating.listed = false;
         self.sweep_at = self.now.at;
     }
 
+    /// Vacates the VMs that the platform lists as leaving, until it lists them as live again.
+    pub(super) fn vacate_listed(&mut self, list: &platform::VmList) {
+        let since = self.now.at;
+        for vm in &list.vms {
+            match vm.state {
+                platform::VmState::Leaving => {
+                    self.vacating.entry(vm.vm.clone()).or_insert(Vacating {
+                        since,
+                        reported: false,
+                        listed: true,
+                    });
+                }
+                platform::VmState::Live => {
+                    let listed = self.vacating.get(&vm.vm).is_some_and(|one| one.listed);
+                    if listed {
+                        self.vacating.remove(&vm.vm);
+                    }
+                }
+                platform::VmState::Rebooting | platform::VmState::Failed => {}
+            }
+        }
+    }
+
     /// Opens a VM again.
     pub(super) fn release(&mut self, vm: &id::Vm) {
         self.vacating.remove(vm);
