--- a/measure/src/keys_world.rs
+++ b/measure/src/keys_world.rs
@@ -107,8 +107,7 @@
     Read(roster::NodeId, u64),
     RunEnds(roster::NodeId, u64),
     Call(u64, u64),
-    Roster(Vec<roster::NodeId>),
-    RosterDue,
+    Roster,
     Kill,
     Pause,
     Resume(usize),
@@ -189,8 +188,7 @@
             world.processes.push(process);
             world.push(at as u64, Event::Tick(at));
         }
-        let roster = world.members();
-        world.push(1, Event::Roster(roster));
+        world.push(1, Event::Roster);
         world.schedule_calls();
         world.schedule_faults();
         world.schedule_partitions();
@@ -242,8 +240,8 @@
             return;
         }
         for (from_ms, to_ms) in self.plan.outages.clone() {
-            self.push(from_ms + ROSTER_LAG_MS, Event::RosterDue);
-            self.push(to_ms + ROSTER_LAG_MS, Event::RosterDue);
+            self.push(from_ms + ROSTER_LAG_MS, Event::Roster);
+            self.push(to_ms + ROSTER_LAG_MS, Event::Roster);
         }
     }
 
@@ -287,8 +285,7 @@
             Event::Read(member, number) => self.reply_read(&member, number),
             Event::RunEnds(member, number) => self.run_ends(&member, number),
             Event::Call(key, repeats) => self.call(key, repeats),
-            Event::Roster(roster) => self.roster(roster),
-            Event::RosterDue => self.plan_roster(),
+            Event::Roster => self.roster(),
             Event::Kill => self.kill(),
             Event::Pause => self.pause(),
             Event::Resume(at) => self.resume(at),
@@ -621,14 +618,13 @@
     /// The roster follows what is alive, later; it can't while the table is out.
     fn plan_roster(&mut self) {
         let at_ms = self.now_ms + self.rng.random_range(ROSTER_LAG_MS / 3..ROSTER_LAG_MS);
-        let roster = self.members();
-        self.push(at_ms, Event::Roster(roster));
+        self.push(at_ms, Event::Roster);
     }
 
-    fn roster(&mut self, roster: Vec<roster::NodeId>) {
+    fn roster(&mut self) {
+        let roster = self.members();
         if roster.is_empty() || (self.all_cut() && self.in_outage(0, 0)) {
-            let roster = self.members();
-            self.push(self.now_ms + 100, Event::Roster(roster));
+            self.push(self.now_ms + 100, Event::Roster);
             return;
         }
         for at in 0..self.processes.len() {
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -9,6 +9,7 @@
 mod keys_world;
 mod lease;
 mod load;
+mod retry;
 mod slots;
 mod tally;
 mod util;
@@ -30,6 +31,7 @@
     flood       What the other kinds keep while some kinds flood in.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
+    retry       Attempts per request while endpoints fail, and in a storm of repeats.
     slots       Slot use of many entry nodes against one ideal queue.
 
 Run `measure <command> --help` for its options.";
@@ -44,6 +46,7 @@
         Some("flood") => flood::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("retry") => retry::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
--- a/node/src/keys.rs
+++ b/node/src/keys.rs
@@ -145,12 +145,13 @@
         self.set_roster(&state.borrow_and_update().roster.clone());
         loop {
             let ended = stop_by.is_some_and(|by| time::Instant::now() >= by);
-            if ended || (stop_by.is_some() && self.once.is_written()) {
+            if ended || self.once.has_left() {
                 break;
             }
             tokio::select! {
                 () = stop.cancelled(), if stop_by.is_none() => {
                     stop_by = Some(time::Instant::now() + Duration::from_millis(STOP_MAX_MS));
+                    self.handle(Input::Leave);
                 }
                 _ = timer.tick() => self.handle(Input::Tick),
                 Some(call) = self.calls.recv() => self.call(call),
--- a/node/tests/test_keys.rs
+++ b/node/tests/test_keys.rs
@@ -1,5 +1,7 @@
 //! Requests with a key, through one node and through two.
 
+use std::net::SocketAddr;
+
 use http::StatusCode;
 use wasabiloft::verdict::{Reason, Verdict};
 
@@ -11,6 +13,19 @@
     Endpoint::start(|number, _| whole(&format!("bill {number}"))).await
 }
 
+/// Sends a bill under a key, again while the report of the first one's end is on its way to the key's owner.
+async fn bill_until_ended(address: SocketAddr, key: &str) -> caller::Answer {
+    loop {
+        let answer = caller::send(address, caller::bill(Some(key), "7")).await;
+        let in_progress =
+            answer.verdict() != Verdict::Ran && answer.reason() == Reason::KeyInProgress;
+        if !in_progress {
+            return answer;
+        }
+        assert_eq!(answer.verdict(), Verdict::MayHaveRun);
+    }
+}
+
 #[tokio::test]
 async fn repeat_through_another_node_gets_the_first_answer() {
     let cluster = Cluster::with_nodes(2, vec![numbering().await], &[]).await;
@@ -18,8 +33,7 @@
         let key = format!("key {key}");
         let mut texts = Vec::new();
         for node in [0, 1, 0] {
-            let request = caller::bill(Some(&key), "7");
-            let answer = caller::send(cluster.nodes[node].address(), request).await;
+            let answer = bill_until_ended(cluster.nodes[node].address(), &key).await;
             assert_eq!(answer.verdict(), Verdict::Ran, "{answer:?}");
             texts.push(answer.text().to_owned());
         }
@@ -35,8 +49,7 @@
     let cluster = Cluster::with_nodes(2, vec![endpoint], &[]).await;
     let mut reasons = Vec::new();
     for node in [0, 1, 0, 1] {
-        let request = caller::bill(Some("a"), "7");
-        let answer = caller::send(cluster.nodes[node].address(), request).await;
+        let answer = bill_until_ended(cluster.nodes[node].address(), "a").await;
         assert_eq!(answer.verdict(), Verdict::MayHaveRun);
         reasons.push(answer.reason());
     }
@@ -74,14 +87,8 @@
     });
     cluster.endpoints[0].wait_for(1).await;
     first.abort();
-    loop {
-        let answer = caller::send(address, caller::bill(Some("a"), "7")).await;
-        if answer.verdict() == Verdict::Ran {
-            assert_eq!(answer.text(), "bill 1");
-            break;
-        }
-        assert_eq!(answer.reason(), Reason::KeyInProgress);
-    }
+    let answer = bill_until_ended(address, "a").await;
+    assert_eq!(answer.text(), "bill 1");
     assert_eq!(cluster.endpoints[0].heard().len(), 1);
 }
 
--- a/src/once/asker.rs
+++ b/src/once/asker.rs
@@ -168,10 +168,18 @@
     }
 
     /// Sends everything again that the owner of a new view does not know.
+    ///
+    /// That a request did not run is told in one view only: the old owner may have freed the key and granted it again,
+    /// and the table may still show the earlier claim.
     pub fn view_changed(&mut self, ctx: &Context<'_>) {
         let numbers: Vec<u64> = self.requests.keys().copied().collect();
         for number in numbers {
-            self.reschedule(number, ctx.now);
+            let state = self.requests.get(&number).map(|request| &request.state);
+            if matches!(state, Some(State::Ended(message::End::NotRun, _))) {
+                self.forget(number);
+            } else {
+                self.reschedule(number, ctx.now);
+            }
         }
     }
 
--- a/src/once/change.rs
+++ b/src/once/change.rs
@@ -192,16 +192,7 @@
             return false;
         };
         let view = self.next_view(ctx, &lost);
-        let txn = platform::Txn {
-            checks: vec![platform::Check {
-                key: view::ROW_KEY.into(),
-                version: ctx.view_version,
-            }],
-            writes: vec![platform::Write {
-                key: view::ROW_KEY.into(),
-                value: serde_json::to_string(&view).ok(),
-            }],
-        };
+        let txn = view.write(ctx.view_version);
         out.push(Output::Transact { token, txn });
         self.state = State::Committing { token, view };
         true
@@ -213,6 +204,7 @@
                 number: 1,
                 members: ctx.roster.to_vec(),
                 doubtful: Vec::new(),
+                left: Vec::new(),
             };
         };
         let expired = self.expired(ctx);
@@ -227,6 +219,7 @@
             number: old.number + 1,
             members: ctx.roster.to_vec(),
             doubtful: doubtful.into_iter().collect(),
+            left: Vec::new(),
         }
     }
 }
@@ -248,7 +241,7 @@
     };
     let members = view.members.iter();
     let silent: BTreeSet<roster::NodeId> = members
-        .filter(|member| !sealed.contains(*member))
+        .filter(|member| !sealed.contains(*member) && !view.left.contains(*member))
         .cloned()
         .collect();
     if silent.is_empty() {
@@ -257,7 +250,8 @@
     let majority = view.members.len() - silent.len() >= view.majority();
     let may_answer = silent.iter().any(|member| ctx.roster.contains(member));
     let wait_ms = match (may_answer, majority) {
-        (false, _) => ctx.settings.seal_gone_ms,
+        (false, true) => ctx.settings.seal_gone_ms,
+        (false, false) => ctx.settings.seal_lost_ms,
         (true, true) => ctx.settings.seal_wait_ms,
         (true, false) => return None,
     };
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -277,6 +277,8 @@
         /// The rows; none say that there are no more.
         rows: Vec<platform::Row>,
     },
+    /// The process is about to end: nothing more is granted from memory, and the view will say so.
+    Leave,
     /// The outcome of [`Output::Transact`].
     Outcome {
         /// Its token.
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -44,6 +44,8 @@
     pub seal_wait_ms: u64,
     /// How long a change of view waits for silent members that the roster no longer lists, in milliseconds.
     pub seal_gone_ms: u64,
+    /// How long a change of view waits for a majority of which the roster lists none any more, in milliseconds.
+    pub seal_lost_ms: u64,
     /// Time that each node of the roster leaves to the one before it to lead a change of view, in milliseconds.
     pub lead_step_ms: u64,
     /// Keys that one node remembers at most.
@@ -67,6 +69,7 @@
             flush_step_ms: 400,
             seal_wait_ms: 2_000,
             seal_gone_ms: 400,
+            seal_lost_ms: 5_000,
             lead_step_ms: 1_000,
             entries_max: 200_000,
             answer_bytes_max: 16 * 1_024 * 1_024,
--- a/src/once/node.rs
+++ b/src/once/node.rs
@@ -57,6 +57,19 @@
     };
 }
 
+/// How far a graceful end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leave {
+    /// The process goes on.
+    Staying,
+    /// It ends when all that it alone knows is in the table.
+    Wanted,
+    /// The view is being told, by this transaction.
+    Committing(u64),
+    /// The view knows.
+    Left,
+}
+
 /// The state machine of one process.
 #[derive(Debug)]
 pub struct Once {
@@ -74,6 +87,7 @@
     owner: owner::Owner,
     holder: holder::Holder,
     change: change::Change,
+    leave: Leave,
     next_token: u64,
 }
 
@@ -95,6 +109,7 @@
             owner: owner::Owner::default(),
             holder: holder::Holder::default(),
             change: change::Change::default(),
+            leave: Leave::Staying,
             next_token: 0,
         }
     }
@@ -177,11 +192,43 @@
                     self.owner.rows(&ctx, &prefix, after.as_ref(), &rows);
                 }
             }
+            Input::Leave => {
+                self.leave = Leave::Wanted;
+                self.sealed = true;
+            }
             Input::Outcome { token, outcome } => self.outcome(now, token, &outcome, out),
         }
     }
 
+    /// True if the view knows that this process has ended gracefully, or never had it as a member.
+    pub fn has_left(&self) -> bool {
+        self.leave == Leave::Left
+    }
+
+    /// Tells the view that this process ends, when all that it alone knows is in the table.
+    fn commit_leave(&mut self, out: &mut Vec<Output>) {
+        if self.leave != Leave::Wanted || self.view_newer || !self.is_written() {
+            return;
+        }
+        let Some(view) = self
+            .view
+            .as_ref()
+            .filter(|view| view.members.contains(&self.me))
+        else {
+            self.leave = Leave::Left;
+            return;
+        };
+        let mut view = view.clone();
+        view.left.push(self.me.clone());
+        let txn = view.write(self.view_version);
+        let token = self.next_token;
+        self.next_token += 1;
+        self.leave = Leave::Committing(token);
+        out.push(Output::Transact { token, txn });
+    }
+
     fn tick(&mut self, now: clock::Instant, out: &mut Vec<Output>) {
+        self.commit_leave(out);
         self.read_view(now, out);
         let ctx = asker_ctx!(self, now);
         self.asker.tick(&ctx, out);
@@ -337,6 +384,14 @@
         outcome: &platform::Outcome,
         out: &mut Vec<Output>,
     ) {
+        if self.leave == Leave::Committing(token) {
+            self.leave = match outcome {
+                platform::Outcome::Committed(_) => Leave::Left,
+                platform::Outcome::Refused(_) | platform::Outcome::Unknown => Leave::Wanted,
+            };
+            self.view_newer = self.leave == Leave::Wanted;
+            return;
+        }
         let retry_ms = self.settings.outage_after_ms;
         if let Some(ids) = self.holder.outcome(now, token, outcome, retry_ms) {
             self.announce_written(ids, out);
@@ -370,15 +425,16 @@
         out: &mut Vec<Output>,
     ) {
         self.view_version = self.view_version.max(version);
-        if self
-            .view
-            .as_ref()
-            .is_some_and(|old| old.number >= view.number)
+        if let Some(old) = &mut self.view
+            && old.number >= view.number
         {
+            if old.number == view.number {
+                old.left = view.left;
+            }
             return;
         }
         let old = self.view.replace(view);
-        self.sealed = false;
+        self.sealed = self.leave != Leave::Staying;
         self.seal_from.clear();
         self.change.view_changed();
         if let Some(ctx) = owner_ctx!(self, now) {
--- a/src/once/view.rs
+++ b/src/once/view.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::once::hash;
+use crate::platform;
 use crate::roster;
 
 /// The key of the view's row in the table.
@@ -42,6 +43,9 @@
     pub members: Vec<roster::NodeId>,
     /// Shards whose claims from memory may be lost: a key that is not known there may have run.
     pub doubtful: Vec<Shard>,
+    /// Members that have ended gracefully: they hold nothing and grant nothing more in this view.
+    #[serde(default)]
+    pub left: Vec<roster::NodeId>,
 }
 
 impl View {
@@ -62,6 +66,20 @@
         before.count() as u64
     }
 
+    /// The transaction that writes the view, if its row still has `version`.
+    pub fn write(&self, version: u64) -> platform::Txn {
+        platform::Txn {
+            checks: vec![platform::Check {
+                key: ROW_KEY.into(),
+                version,
+            }],
+            writes: vec![platform::Write {
+                key: ROW_KEY.into(),
+                value: serde_json::to_string(self).ok(),
+            }],
+        }
+    }
+
     /// The number of members that make a majority.
     pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
--- a/tests/test_once.rs
+++ b/tests/test_once.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// Here a key was freed and granted again in an outage, while its first claim was on its way to the table; the
+/// release, told again to the next owner, freed it a second time.
+#[test]
+fn late_release_does_not_free_a_key_that_was_granted_again() {
+    let mut plan = plan();
+    plan.faulty_ms = 10_000;
+    plan.keys_per_s = 30;
+    plan.repeat = 0.3;
+    plan.kill_every_ms = 2_500;
+    plan.pause_every_ms = 2_500;
+    plan.outages = vec![(3_333, 10_000)];
+    let report = keys_world::run(plan, 21);
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
 #[test]
 fn first_attempts_run_through_an_outage() {
     let mut plan = plan();
@@ -327,6 +342,7 @@
         number: 4,
         members: vec![member(1), member(2)],
         doubtful: Vec::new(),
+        left: Vec::new(),
     };
     let row = platform::Row {
         key: view::ROW_KEY.into(),
@@ -362,3 +378,52 @@
     assert!(matches!(&sealed[..], [Output::Send { message, .. }] if *message == told));
     assert!(once.handle(now, peer(hold)).is_empty());
 }
+
+/// Starts a process with the view that an earlier one left, and returns the shards that it doubts.
+fn doubts_after(left: bool) -> usize {
+    let mut first = Single::new();
+    if left {
+        first.run(Input::Leave);
+        first.pass(20);
+        assert!(first.once.has_left());
+    }
+    let mut view = first.once.view().unwrap().clone();
+    view.left.extend(left.then(|| view.members[0].clone()));
+    let me = roster::NodeId {
+        node: "entry-1".into(),
+        incarnation: roster::Incarnation(2),
+    };
+    first.once = node::Once::new(me.clone(), once::Settings::default());
+    let row = platform::Row {
+        key: view::ROW_KEY.into(),
+        version: 99,
+        value: serde_json::to_string(&view).unwrap(),
+    };
+    let now = clock::Instant::from_ms(first.now_ms);
+    let key = view::ROW_KEY.into();
+    first.once.handle(
+        now,
+        Input::Row {
+            key,
+            row: Some(row),
+        },
+    );
+    first.once.handle(now, Input::Roster(vec![me]));
+    for _ in 0..500 {
+        first.now_ms += 20;
+        let now = clock::Instant::from_ms(first.now_ms);
+        for output in first.once.handle(now, Input::Tick) {
+            if let Output::Transact { token, txn } = output {
+                let input = first.commit(token, &txn);
+                first.once.handle(now, input);
+            }
+        }
+    }
+    first.once.view().unwrap().doubtful.len()
+}
+
+#[test]
+fn graceful_end_leaves_no_doubt() {
+    assert_eq!(doubts_after(true), 0);
+    assert_eq!(doubts_after(false), usize::from(view::SHARDS));
+}
