--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -9,7 +9,7 @@
 use wasabiloft_node::documents;
 use wasabiloft_node::node;
 use wasabiloft_node::settings;
-use wasabiloft_standins::{deployment, platform};
+use wasabiloft_standins::{deployment, platform, proxy};
 
 use crate::keys;
 
@@ -22,6 +22,8 @@
 /// Some nodes and their platform.
 struct Fleet {
     platform: platform::Platform,
+    /// What the nodes reach the platform by.
+    proxy: proxy::Proxy,
     nodes: Vec<node::Node>,
     authority: keys::Authority,
     text: String,
@@ -35,8 +37,11 @@
         let documents = deployment::read_documents(&dir).expect("the example is whole");
         let platform = platform::Platform::start(any(), &deployment, 1).await;
         let (text, document) = documents.into_iter().next().expect("it has services");
+        let platform = platform.expect("a port is free");
+        let proxy = proxy::Proxy::start(platform.address()).await;
         let mut fleet = Self {
-            platform: platform.expect("a port is free"),
+            platform,
+            proxy: proxy.expect("a port is free"),
             nodes: Vec::new(),
             authority: keys::Authority::create(),
             text,
@@ -57,7 +62,7 @@
             data_centre: id::DataCentre::new("dc"),
             listen: any(),
             peer_listen: any(),
-            platform: self.platform.address(),
+            platform: self.proxy.address(),
             tls: Some(self.authority.sign(&name)),
             peers: BTreeMap::new(),
         };
@@ -88,6 +93,7 @@
         for node in self.nodes {
             node.stop().await;
         }
+        self.proxy.stop().await;
         self.platform.stop().await;
     }
 }
@@ -125,3 +131,44 @@
     ));
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn connections_to_the_platform_that_went_silent_are_replaced() {
+    let fleet = Fleet::start().await;
+    fleet.proxy.silence_open();
+    assert!(matches!(
+        fleet.write(0, 0).await,
+        documents::Edit::Accepted(_)
+    ));
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn nodes_serve_on_each_others_word_while_the_table_is_out() {
+    let fleet = Fleet::start().await;
+    fleet.proxy.set(proxy::Fault {
+        black_hole: true,
+        ..proxy::Fault::default()
+    });
+    for node in &fleet.nodes {
+        let mut state = node.control().watch();
+        state
+            .wait_for(|state| state.table_is_out)
+            .await
+            .expect("the node runs");
+    }
+    assert_eq!(fleet.write(0, 0).await, documents::Edit::NotRun);
+    // The wait for the edit was longer than any word of the table counts.
+    assert!(fleet.nodes.iter().all(|node| node.control().may_serve()));
+    fleet.proxy.set(proxy::Fault::default());
+    let mut state = fleet.nodes[0].control().watch();
+    state
+        .wait_for(|state| !state.table_is_out)
+        .await
+        .expect("the node runs");
+    assert!(matches!(
+        fleet.write(0, 0).await,
+        documents::Edit::Accepted(_)
+    ));
+    fleet.stop().await;
+}
--- a/src/journal/group.rs
+++ b/src/journal/group.rs
@@ -1,12 +1,57 @@
-//! Which transactions can be joined, and how.
+//! Groups of transactions: which can be joined, and how.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::Record;
+use super::{Attempt, Record, Token};
+use crate::clock;
 use crate::id;
 use crate::platform;
 
+/// What the writer does next with its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Send the group's transaction.
+    Send,
+    /// Move only the journal row, to shut out copies of the group's transaction.
+    Fence,
+    /// Read the journal row.
+    Read,
+}
+
+/// A group of transactions on its way.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) number: u64,
+    pub(super) members: Vec<Token>,
+    pub(super) step: Step,
+    /// The request that waits for its reply.
+    pub(super) in_flight: Option<Attempt>,
+    /// When the first copy was sent.
+    pub(super) first_sent_at: Option<clock::Instant>,
+    /// True if a copy of the transaction was sent and its outcome is unknown.
+    pub(super) in_doubt: bool,
+    /// True if a copy of a fence was sent and its outcome is unknown.
+    pub(super) fence_in_doubt: bool,
+    /// The refusal that a fence has to make final.
+    pub(super) refusal: Option<platform::Refused>,
+}
+
+impl Group {
+    pub(super) fn new(number: u64, members: Vec<Token>) -> Self {
+        Self {
+            number,
+            members,
+            step: Step::Send,
+            in_flight: None,
+            first_sent_at: None,
+            in_doubt: false,
+            fence_in_doubt: false,
+            refusal: None,
+        }
+    }
+}
+
 /// The rows that a transaction touches.
 pub(super) fn rows(txn: &platform::Txn) -> usize {
     keys(txn).len()
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod breaker;
 mod group;
+mod message;
 pub mod pacing;
 
 use std::collections::VecDeque;
@@ -15,13 +16,16 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
-use snafu::Snafu;
 
 use crate::clock;
 use crate::id;
 use crate::platform;
 use crate::roster;
 
+use group::{Group, Step};
+pub use message::{Counters, Error, Reply, Request, Settled, Settlement};
+use message::{FencedSnafu, TooManyRowsSnafu};
+
 slotmap::new_key_type! {
     /// Names a submitted transaction until it is settled.
     pub struct Token;
@@ -38,141 +42,9 @@
     pub group: u64,
 }
 
-/// The settled outcome of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Settled {
-    /// It happened; the new versions are in the order of its writes.
-    Committed(platform::Committed),
-    /// It happened, but the reply was lost: the new versions have to be read.
-    CommittedUnseen,
-    /// One of its checks failed; it did not happen and never will.
-    Refused(platform::Refused),
-}
-
-/// A transaction whose outcome is now known.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settlement {
-    /// The transaction.
-    pub token: Token,
-    /// Its outcome.
-    pub settled: Settled,
-}
-
-/// A request to be sent to the table at once.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Request {
-    /// Run a transaction and answer with [`Reply::Outcome`].
-    Transact {
-        /// Names the request.
-        attempt: Attempt,
-        /// The transaction.
-        txn: platform::Txn,
-    },
-    /// Read the journal row and answer with [`Reply::Row`].
-    Read {
-        /// Names the request.
-        attempt: Attempt,
-        /// The row's key.
-        key: id::Key,
-    },
-}
-
-/// The table's reply to a [`Request`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// The outcome of a transaction; a time-out or a broken connection is [`platform::Outcome::Unknown`].
-    Outcome(platform::Outcome),
-    /// The row that was read; `None` if it is absent.
-    Row(Option<platform::Row>),
-    /// The read failed or timed out.
-    ReadFailed,
-}
-
-/// A transaction that can't be submitted.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The transaction has more rows than fit beside the journal row.
-    #[snafu(display("the transaction touches {rows} rows, more than {}", ROWS_MAX))]
-    TooManyRows {
-        /// Its rows.
-        rows: usize,
-    },
-    /// Another process writes this incarnation's journal.
-    #[snafu(display("another process writes the journal {key}"))]
-    Fenced {
-        /// The journal row.
-        key: id::Key,
-    },
-}
-
 /// The most rows of one submitted transaction; one row is the journal's own.
 pub const ROWS_MAX: usize = platform::TXN_ROWS_MAX - 1;
 
-/// What a writer has done since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Counters {
-    /// Requests sent, reads included.
-    pub requests: u64,
-    /// Groups that committed.
-    pub commits: u64,
-    /// Submitted transactions that committed.
-    pub transactions: u64,
-    /// Submitted transactions that were refused.
-    pub refusals: u64,
-    /// Replies that were lost.
-    pub unknowns: u64,
-    /// Groups that were found committed after a lost reply.
-    pub unseen_commits: u64,
-    /// Transactions sent only to shut out an earlier one.
-    pub fences: u64,
-    /// Groups sent again because one member was refused.
-    pub regroups: u64,
-}
-
-/// What the writer does next with its group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    /// Send the group's transaction.
-    Send,
-    /// Move only the journal row, to shut out copies of the group's transaction.
-    Fence,
-    /// Read the journal row.
-    Read,
-}
-
-/// A group of transactions on its way.
-#[derive(Debug)]
-struct Group {
-    number: u64,
-    members: Vec<Token>,
-    step: Step,
-    /// The request that waits for its reply.
-    in_flight: Option<Attempt>,
-    /// When the first copy was sent.
-    first_sent_at: Option<clock::Instant>,
-    /// True if a copy of the transaction was sent and its outcome is unknown.
-    in_doubt: bool,
-    /// True if a copy of a fence was sent and its outcome is unknown.
-    fence_in_doubt: bool,
-    /// The refusal that a fence has to make final.
-    refusal: Option<platform::Refused>,
-}
-
-impl Group {
-    fn new(number: u64, members: Vec<Token>) -> Self {
-        Self {
-            number,
-            members,
-            step: Step::Send,
-            in_flight: None,
-            first_sent_at: None,
-            in_doubt: false,
-            fence_in_doubt: false,
-            refusal: None,
-        }
-    }
-}
-
 /// Orders, joins and settles the transactions of one incarnation of a node.
 #[derive(Debug)]
 pub struct Writer {
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -5,19 +5,20 @@
 //! has watched the holder's journal row unchanged for the lease and a margin on its own clock; its transaction
 //! checks that row once more, and the duty's row. Every transaction of a duty checks the duty's row.
 
+mod message;
 pub mod spread;
 mod watch;
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-
 use crate::clock;
 use crate::id;
 use crate::journal;
 use crate::platform;
 use crate::roster;
 
+pub use message::{Action, Grant, Row};
+
 /// The length of a lease.
 pub const LEASE_MS: u64 = 5_000;
 /// A holder starts no effect in the last part of its lease.
@@ -35,46 +36,6 @@
 /// The prefix of all duty rows.
 const KEY_PREFIX: &str = "duty/";
 
-/// A duty's row in the platform's table.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    /// The node that may act.
-    pub holder: roster::NodeId,
-    /// Raised by one at each change of holder; older epochs are refused.
-    pub epoch: u64,
-    /// Length of the lease, in milliseconds from before the renewal was sent.
-    pub lease_ms: u64,
-}
-
-/// The right to act for a duty.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The duty.
-    pub duty: id::Duty,
-    /// Its epoch, which every effect outside the table carries.
-    pub epoch: u64,
-    /// The check that every transaction of the duty carries.
-    pub check: platform::Check,
-}
-
-/// What the shell has to do for the leases.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Call [`journal::Writer::want_renewal`].
-    Renew,
-    /// Read the range [`prefix`] and call [`Leases::on_rows`].
-    ReadRows,
-    /// Read the node's journal row and call [`Leases::on_journal`].
-    ReadJournal(roster::NodeId),
-    /// Submit the transaction to the journal and call [`Leases::on_settled`].
-    Change {
-        /// The duty whose holder changes.
-        duty: id::Duty,
-        /// The transaction.
-        txn: platform::Txn,
-    },
-}
-
 /// What is known of a duty.
 #[derive(Debug, Default)]
 struct Entry {
--- /dev/null
+++ b/standins/src/control/observe.rs
@@ -0,0 +1,120 @@
+//! What an observer of the world sees.
+
+use wasabiloft::clock;
+use wasabiloft::control;
+use wasabiloft::id;
+use wasabiloft::lease;
+
+use super::{Edit, NodeIndex, Traffic, World};
+use crate::table;
+
+impl World {
+    /// The moment in the world, which no node knows.
+    pub fn now(&self) -> clock::Instant {
+        self.now
+    }
+
+    /// The processes that run, paused ones included.
+    pub fn running(&self) -> Vec<NodeIndex> {
+        let indices = (0..self.nodes.len()).map(NodeIndex);
+        indices.filter(|index| !self.nodes[index.0].ended).collect()
+    }
+
+    /// The number of the node that a process is of.
+    pub fn name(&self, index: NodeIndex) -> usize {
+        self.nodes[index.0].name
+    }
+
+    /// A process's control part.
+    pub fn control(&self, index: NodeIndex) -> &control::Control {
+        &self.nodes[index.0].control
+    }
+
+    /// A process's control part, to be told something.
+    pub fn control_mut(&mut self, index: NodeIndex) -> &mut control::Control {
+        &mut self.nodes[index.0].control
+    }
+
+    /// What a process has sent and spent.
+    pub fn traffic(&self, index: NodeIndex) -> Traffic {
+        self.nodes[index.0].traffic
+    }
+
+    /// The duties that a process holds now.
+    pub fn held(&self, index: NodeIndex) -> Vec<lease::Grant> {
+        let node = &self.nodes[index.0];
+        let here = self.now.after_ms(node.clock_ahead_ms);
+        node.control.leases().held(here)
+    }
+
+    /// Duties that no process holds now.
+    pub fn vacant(&self) -> usize {
+        let held: usize = self
+            .running()
+            .into_iter()
+            .map(|index| self.held(index).len())
+            .sum();
+        self.options.duties.saturating_sub(held)
+    }
+
+    /// The sum of all duties' epochs, which rises by one at each change of holder.
+    pub fn epochs(&self) -> u64 {
+        let rows = self.table.range(lease::prefix(), "", usize::MAX);
+        let rows = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str::<lease::Row>(&row.value).ok());
+        rows.map(|row| row.epoch).sum()
+    }
+
+    /// The duties that the nodes share out.
+    pub fn duties(&self) -> Vec<id::Duty> {
+        let names = 0..self.options.duties;
+        names
+            .map(|name| id::Duty::from(format!("pool-{name}")))
+            .collect()
+    }
+
+    /// The table's rows.
+    pub fn table(&self) -> &table::Table {
+        &self.table
+    }
+
+    /// The edits so far.
+    pub fn edits(&self) -> &[Edit] {
+        self.checks.edits()
+    }
+
+    /// The longest time after its acceptance that a change was not in force on a serving node.
+    pub fn longest_outdated_ms(&self) -> u64 {
+        self.checks.longest_outdated_ms()
+    }
+
+    /// The longest time that a duty was without a holder since the last call.
+    pub fn take_longest_vacancy_ms(&mut self) -> u64 {
+        self.checks.take_longest_vacancy_ms()
+    }
+
+    /// The most writes and reads that arrived at the table in any second after `since`.
+    pub fn peak_per_s(&self, since: clock::Instant) -> (u64, u64) {
+        let peak = |writes: bool| {
+            let kind = self
+                .requests_at
+                .iter()
+                .filter(|(_, write)| *write == writes);
+            let moments: Vec<u64> = kind
+                .map(|(at, _)| at.as_ms())
+                .filter(|at| *at >= since.as_ms())
+                .collect();
+            let mut peak = 0;
+            let mut first = 0;
+            for (last, at) in moments.iter().enumerate() {
+                while at - moments[first] >= clock::SECOND_MS {
+                    first += 1;
+                }
+                peak = peak.max(last - first + 1);
+            }
+            u64::try_from(peak).unwrap_or(u64::MAX)
+        };
+        (peak(true), peak(false))
+    }
+}
