--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -20,18 +20,18 @@
 }
 
 /// Some nodes and their platform.
-struct Fleet {
-    platform: platform::Platform,
+pub struct Fleet {
+    pub platform: platform::Platform,
     /// What the nodes reach the platform by.
     proxy: proxy::Proxy,
-    nodes: Vec<node::Node>,
+    pub nodes: Vec<node::Node>,
     authority: keys::Authority,
     text: String,
     service: id::Service,
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/cadenas");
         let deployment = deployment::read(&dir).expect("the example is whole");
         let documents = deployment::read_documents(&dir).expect("the example is whole");
@@ -55,6 +55,12 @@
         fleet
     }
 
+    /// The team that owns the document.
+    pub fn team(&self) -> String {
+        let document = wasabiloft::document::parse(&self.text).expect("the example is whole");
+        document.team.to_string()
+    }
+
     async fn start_node(&self, number: usize) -> node::Node {
         let name = format!("entry-{number}");
         let settings = settings::Settings {
@@ -83,13 +89,13 @@
         }
     }
 
-    async fn write(&self, node: usize, read_version: u64) -> documents::Edit {
+    pub async fn write(&self, node: usize, read_version: u64) -> documents::Edit {
         self.nodes[node]
             .write_document(&self.service, read_version, &self.text)
             .await
     }
 
-    async fn stop(self) {
+    pub async fn stop(self) {
         for node in self.nodes {
             node.stop().await;
         }
