pool: give VMs back only when the spare pool lacks them

Cause: a pool gave a surplus VM back after 30 minutes, so that a failure cost two moves, and the next one two more; the fewest possible keep it at hand. Change: lasting surpluses refill the spare pool up to its reserve and one step only; loans in a module of their own; measure spare plays weeks of failures, restarts, a lost rack and data centre, edits and swinging demand against a hindsight that knows them. The test that a lasting surplus goes back now says with how many spares it does and with how many it stays: the rule changed, the checks are more.

--- a/measure/src/fleet.rs
+++ b/measure/src/fleet.rs
@@ -21,6 +21,9 @@
 --verbose prints each violation on standard error
 ";
 
+/// How often the platform makes a new list, in milliseconds.
+const LIST_MS: u64 = 2_000;
+
 /// How a run is named by its arguments.
 #[derive(Default)]
 struct Args {
@@ -120,7 +123,7 @@
 }
 
 /// The deployments of the brief, and the target of two years.
-fn shape(name: &str, packed: bool) -> Result<world::fleet::Shape, lexopt::Error> {
+pub fn shape(name: &str, packed: bool) -> Result<world::fleet::Shape, lexopt::Error> {
     let shape = |pools: Vec<u32>, spares, data_centres| world::fleet::Shape {
         pools,
         spares,
@@ -154,6 +157,8 @@
         without: args.without,
         limit_ms: 24 * 3_600_000,
         tick_ms: 1_000,
+        list_ms: LIST_MS,
+        life: None,
     });
     world.run();
     report(args, &world.violations);
@@ -209,6 +214,8 @@
             without: args.without,
             limit_ms: 4 * 3_600_000,
             tick_ms: 1_000,
+            list_ms: LIST_MS,
+            life: None,
         });
         world.run();
         if args.verbose && !(world.violations.is_empty() && world.totals.unfinished == 0) {
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod keys;
 mod keys_world;
+mod spare;
 mod world;
 
 use std::env;
@@ -17,6 +18,7 @@
 Commands:
     fleet       Maintenance waves: roll-out time and breaches under faults.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    spare       The spare buffer held, and VM moves against the fewest with hindsight.
 
 Run `measure <command> --help` for its options.";
 
@@ -27,6 +29,7 @@
     let done = match command.to_str() {
         Some("fleet") => fleet::run(argv),
         Some("keys") => keys::run(argv),
+        Some("spare") => spare::run(argv),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/measure/src/world/faults.rs
+++ b/measure/src/world/faults.rs
@@ -129,6 +129,11 @@
             }
             _ => return,
         }
+        self.give_documents();
+    }
+
+    /// Gives all holders the documents of this moment.
+    pub(super) fn give_documents(&mut self) {
         let documents = self.documents.clone();
         for holder in 0..self.holders.len() {
             if self.awake(holder) {
--- a/measure/src/world/mod.rs
+++ b/measure/src/world/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 pub mod fleet;
 mod holder;
+pub mod life;
 mod run;
 mod table;
 mod vm;
@@ -63,6 +64,10 @@
     pub limit_ms: u64,
     /// How often holders are given the time, in milliseconds.
     pub tick_ms: u64,
+    /// How often the platform makes a new list, in milliseconds.
+    pub list_ms: u64,
+    /// Ordinary weeks, which run to the limit.
+    pub life: Option<life::Life>,
 }
 
 /// An event and its moment.
@@ -112,6 +117,9 @@
         failure: u64,
     },
     Fault(faults::Fault),
+    Fails(id::Vm, u64),
+    Edited(usize, u32),
+    Demand,
     TakeOver {
         old: usize,
     },
@@ -165,6 +173,12 @@
     pub finished_ms: Option<u64>,
     /// VMs that are live and not maintained at the end.
     pub unfinished: u64,
+    /// VM-milliseconds of VMs in service in the spare pool.
+    pub spare_vm_ms: u64,
+    /// VM-milliseconds of VMs in service beyond what documents ask for.
+    pub surplus_vm_ms: u64,
+    /// VM-milliseconds of runners that were missing.
+    pub missing_vm_ms: u64,
     /// Time that the decisions took, and how often they were given the time.
     pub decided: (std::time::Duration, u64),
 }
@@ -205,6 +219,7 @@
         world.at(0, Event::List);
         world.at(0, Event::Tick);
         world.plan_faults();
+        world.plan_life();
         world
     }
 
--- a/measure/src/world/run.rs
+++ b/measure/src/world/run.rs
@@ -8,9 +8,6 @@
 
 use super::{Event, START_MS, World, holder};
 
-/// How often the platform makes a new list, in milliseconds.
-const LIST_MS: u64 = 2_000;
-
 impl World {
     /// Runs until every live VM has been maintained, or the limit.
     pub fn run(&mut self) {
@@ -21,7 +18,7 @@
             self.now_ms = at_ms;
             let ticks = matches!(event, Event::Tick);
             self.step(event);
-            if ticks && self.finished() {
+            if ticks && self.options.life.is_none() && self.finished() {
                 break;
             }
         }
@@ -41,7 +38,7 @@
             .events
             .values()
             .any(|event| matches!(event, Event::Fault(_)));
-        !faults && self.now_ms > LIST_MS && self.unfinished() == 0
+        !faults && self.now_ms > self.options.list_ms && self.unfinished() == 0
     }
 
     fn step(&mut self, event: Event) {
@@ -52,6 +49,7 @@
                 | Event::BootEnds { .. }
                 | Event::FailureEnds { .. }
                 | Event::Fault(_)
+                | Event::Fails(..)
         );
         match event {
             Event::Tick => self.tick(),
@@ -73,6 +71,9 @@
             Event::BootEnds { vm, boot } => self.boot_ends(&vm, boot),
             Event::FailureEnds { vm, failure } => self.failure_ends(&vm, failure),
             Event::Fault(fault) => self.strike(fault),
+            Event::Fails(vm, lasts_ms) => self.fail(&vm, Some(lasts_ms)),
+            Event::Edited(document, runners) => self.edited(document, runners),
+            Event::Demand => self.tell_demand(),
             Event::TakeOver { old } => self.take_over(old),
             Event::Wake { holder } => {
                 if self.awake(holder) {
@@ -153,6 +154,9 @@
 
     fn tick(&mut self) {
         self.totals.decided.1 += 1;
+        if self.options.life.is_some() {
+            self.add_up();
+        }
         for holder in 0..self.holders.len() {
             if self.awake(holder) {
                 self.give(holder, Input::Tick);
@@ -172,6 +176,6 @@
             false => self.rng.random_range(200..2_000),
         };
         self.at(lag_ms, Event::ListArrives(Rc::new(list)));
-        self.at(LIST_MS, Event::List);
+        self.at(self.options.list_ms, Event::List);
     }
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -4,6 +4,7 @@
 //! drain and join. Everything here is a pure decision on borrowed [`member::Member`]s.
 
 pub mod demand;
+pub mod loan;
 pub mod member;
 pub mod moves;
 pub mod row;
--- a/src/pool/moves.rs
+++ b/src/pool/moves.rs
@@ -2,7 +2,8 @@
 //!
 //! A move costs a drain of a running VM, so it needs a lasting reason: a VM that stays down, a
 //! document that asks for more, demand sustained for half an hour, or a wave that can't begin
-//! otherwise. Surplus VMs go where they are needed first and to the spare pool only when the surplus lasts.
+//! otherwise. Surplus VMs go where they are needed first, and to the spare pool only when the surplus
+//! lasts and the spare pool holds less than its reserve and one step of its wave.
 
 use std::collections::BTreeMap;
 
@@ -10,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::maintenance::{headroom, wave};
-use crate::pool::{member, spec, strength};
+use crate::pool::{loan, member, spec, strength};
 use crate::{clock, id};
 
 /// A failed VM is replaced after this long.
@@ -144,7 +145,7 @@
     as_of_ms: u64,
     reserve: u32,
 ) -> (Vec<Move>, BTreeMap<id::Pool, u32>) {
-    let mut unmet = grant_loans(&mut pools, as_of_ms, reserve);
+    let mut unmet = loan::grant(&mut pools, as_of_ms, reserve);
     let pools = pools.as_slice();
     let strengths = pools
         .iter()
@@ -170,53 +171,6 @@
     (pass.state.moves, unmet)
 }
 
-/// Grants loans for waves, each whole or not at all, and forgets those that can't be granted.
-///
-/// Pools that hold most go first, so that no two pools hold parts of what either needs. What is
-/// then left serves their wishes. Returns what is lacking per pool.
-fn grant_loans(
-    pools: &mut [Situation<'_>],
-    as_of_ms: u64,
-    reserve: u32,
-) -> BTreeMap<id::Pool, u32> {
-    let held = |pool: &Situation<'_>| {
-        let own = pool.spec.runners + pool.demand_extra;
-        pool.expected(as_of_ms).saturating_sub(own)
-    };
-    let spares = pools
-        .iter()
-        .filter(|pool| pool.spec.role == spec::Role::Spare);
-    let spares = spares.map(|pool| strength::Strength::of(pool.members).in_service);
-    let spares: u32 = spares.sum();
-    let lent: u32 = pools
-        .iter()
-        .filter(|pool| pool.spec.role != spec::Role::Spare)
-        .map(held)
-        .sum();
-    let mut lendable = spares.saturating_sub(reserve) + lent;
-    let mut order: Vec<usize> = (0..pools.len())
-        .filter(|&at| pools[at].loan.needed > 0)
-        .collect();
-    order.sort_by_key(|&at| (std::cmp::Reverse(held(&pools[at])), at));
-    let mut unmet = BTreeMap::new();
-    for &at in &order {
-        let pool = &mut pools[at];
-        if pool.loan.needed <= lendable {
-            lendable -= pool.loan.needed;
-        } else {
-            unmet.insert(pool.pool.clone(), pool.loan.needed);
-            pool.loan = wave::Loan::default();
-        }
-    }
-    for &at in &order {
-        let loan = &mut pools[at].loan;
-        let more = loan.wished.saturating_sub(loan.needed).min(lendable);
-        loan.needed += more;
-        lendable -= more;
-    }
-    unmet
-}
-
 /// VMs that a pool could give away.
 fn surplus(pool: &Situation<'_>, as_of_ms: u64) -> u32 {
     match pool.spec.role {
@@ -320,18 +274,28 @@
         pool.members.iter().filter(free).min_by_key(fit).copied()
     }
 
-    /// Returns lasting surpluses to the spare pool.
+    /// Fills the spare pool up from lasting surpluses, the oldest first.
+    ///
+    /// A surplus that the spare pool does not need stays where it is, at hand for the next failure.
     fn give_back(&mut self) {
+        let role = |pool: &Situation<'_>| pool.spec.role;
         let spare = self
             .pools
             .iter()
-            .position(|pool| pool.spec.role == spec::Role::Spare);
+            .position(|pool| role(pool) == spec::Role::Spare);
         let Some(spare) = spare else { return };
-        for from in 0..self.pools.len() {
-            if from == spare || self.pools[from].surplus_ms < SURPLUS_MS {
-                continue;
-            }
+        let wanted = self.reserve + self.pools[spare].spec.max_at_once;
+        let mut order: Vec<usize> = (0..self.pools.len())
+            .filter(|&from| from != spare && self.pools[from].surplus_ms >= SURPLUS_MS)
+            .collect();
+        order.sort_by_key(|&from| std::cmp::Reverse(self.pools[from].surplus_ms));
+        for from in order {
+            let orphan = role(&self.pools[from]) == spec::Role::Orphan;
             while self.state.surplus[from] > 0 {
+                let held = self.state.strengths[spare].in_service + self.pools[spare].incoming;
+                if held >= wanted && !orphan {
+                    break;
+                }
                 let Some(member) = self.pick(from, Some(spare)) else {
                     break;
                 };
--- a/tests/test_pool.rs
+++ b/tests/test_pool.rs
@@ -113,12 +113,26 @@
     let moves = plan(&[poor, rich(), spare(10..14)]);
     assert_eq!(moves, [told(moves::Cause::Document, "rich", "poor")]);
     assert_eq!(plan(&[rich(), spare(10..14)]), []);
-    let lasting = Pool {
+    let lasting = || Pool {
         surplus_ms: moves::SURPLUS_MS,
         ..rich()
     };
-    let moves = plan(&[lasting, spare(10..14)]);
+    assert_eq!(
+        plan(&[lasting(), spare(10..13)]),
+        [],
+        "the spare pool has enough"
+    );
+    let moves = plan(&[lasting(), spare(10..12)]);
     assert_eq!(moves, [told(moves::Cause::GiveBack, "rich", "spare")]);
+    let orphan = Pool {
+        surplus_ms: moves::SURPLUS_MS,
+        ..pool("gone", spec::Spec::unnamed(spec::Role::Orphan, 0, 1), 0..2)
+    };
+    assert_eq!(
+        plan(&[orphan, spare(10..14)]).len(),
+        2,
+        "no document names the pool"
+    );
 }
 
 /// Feeds a demand that is at `high` for 10 s of each minute and at `low` for the rest.
