--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,12 +1,16 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
+mod config;
 mod fleet;
 mod keys;
 mod keys_world;
+mod lease;
 mod spare;
+mod util;
 mod world;
 
 use std::env;
+use std::error;
 use std::process;
 
 const USAGE: &str = "\
@@ -16,8 +20,10 @@
     measure <command> [options]
 
 Commands:
+    config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
+    lease       Duties: time to take over, paused holders, store load at an outage's end.
     spare       The spare buffer held, and VM moves against the fewest with hindsight.
 
 Run `measure <command> --help` for its options.";
@@ -26,10 +32,15 @@
     let mut args = env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
-    let done = match command.to_str() {
+        Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("fleet") => fleet::run(argv),
+        Some("fleet") => fleet::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv),
+        Some("keys") => keys::run(argv).map_err(Into::into),
+        Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("spare") => spare::run(argv),
+    let done = match command.to_str() {
+    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
