--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -32,15 +32,12 @@
     let mut args = env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
+    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
-        Some("fleet") => fleet::run(argv),
         Some("fleet") => fleet::run(argv).map_err(Into::into),
-        Some("keys") => keys::run(argv),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
-        Some("spare") => spare::run(argv),
-    let done = match command.to_str() {
-    let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
+        Some("spare") => spare::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
