--- a/measure/tests/test_fleet.rs
+++ b/measure/tests/test_fleet.rs
@@ -1,16 +1,9 @@
 //! Randomised runs of the fleet duty: no violation, unless a protection is switched off.
 
-use std::process::Command;
-
 /// Runs `measure fleet` on fixed seeds and returns the runs with violations.
 fn violated(args: &[&str]) -> u64 {
-    let output = Command::new(env!("CARGO_BIN_EXE_measure"))
-        .args(["fleet", "--seed", "1000", "--threads", "2", "--faults"])
-        .args(args)
-        .output()
-        .expect("the program starts");
-    assert!(output.status.success(), "{output:?}");
-    let object: serde_json::Value = serde_json::from_slice(&output.stdout).expect("one object");
+    let fixed = ["fleet", "--seed", "1000", "--threads", "2", "--faults"];
+    let object = crate::measure(&[&fixed, args].concat());
     assert!(object["reboots"].as_u64() > Some(0), "{object}");
     object["runs_with_violations"].as_u64().expect("a count")
 }
