--- a/measure/src/world/mod.rs
+++ b/measure/src/world/mod.rs
@@ -17,7 +17,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use wasabiloft::{document, id, platform};
+use wasabiloft::{document, id, journal, platform};
 
 /// Platform's time at the start of each run: the second day of a period.
 pub const START_MS: u64 = (28 * 700 + 1) * wasabiloft::clock::DAY_MS;
@@ -79,7 +79,7 @@
     Settled {
         holder: usize,
         token: wasabiloft::fleet::Token,
-        outcome: Result<platform::Committed, platform::Refused>,
+        settled: journal::Settled,
     },
     Rows {
         holder: usize,
--- a/measure/src/world/run.rs
+++ b/measure/src/world/run.rs
@@ -120,9 +120,9 @@
             }
         }
         match event {
-            Event::Settled { token, outcome, .. } => {
-                let outcome = outcome.as_ref();
-                self.give(holder, Input::Settled { token, outcome });
+            Event::Settled { token, settled, .. } => {
+                let settled = &settled;
+                self.give(holder, Input::Settled { token, settled });
             }
             Event::Rows { .. } => self.give_rows(holder),
             Event::EffectDone { vm, operation, .. } => {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,6 +21,7 @@
 use wasabiloft::drain;
 use wasabiloft::id;
 use wasabiloft::platform as messages;
+use wasabiloft::pool::row;
 use wasabiloft::roster;
 
 use crate::admin;
@@ -28,6 +29,7 @@
 use crate::control;
 use crate::documents;
 use crate::duties;
+use crate::fleet;
 use crate::front;
 use crate::keys;
 use crate::log;
@@ -73,6 +75,8 @@
     pub keys: keys::Handle,
     /// Requests with a key; they go on when their callers leave.
     pub keyed_requests: TaskTracker,
+    /// Rows and list of VMs, and drains.
+    pub fleet: fleet::Fleet,
     /// Documents and endpoints, as the request path sees them.
     pub view: watch::Sender<Arc<view::View>>,
     /// Cancelled when the node is told to stop.
@@ -124,6 +128,7 @@
             ledger: Mutex::default(),
             keys: parts.keys,
             keyed_requests: TaskTracker::new(),
+            fleet: fleet::Fleet::new(parts.drains),
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
             settings,
@@ -137,7 +142,11 @@
         ));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
-        tasks.spawn(duties::run(Arc::clone(&shared), Vec::new()));
+        tasks.spawn(fleet::rows::poll(Arc::clone(&shared)));
+        tasks.spawn(fleet::drains::run(Arc::clone(&shared), parts.drains_inbox));
+        let slices: Vec<Arc<dyn duties::Duty>> =
+            vec![Arc::new(fleet::Duty::new(Arc::clone(&shared)))];
+        tasks.spawn(duties::run(Arc::clone(&shared), slices));
         log::info(
             "node",
             &format!("started name={} address={address}", shared.settings.name),
@@ -222,6 +231,8 @@
     control_driver: control::Driver,
     keys: keys::Handle,
     keys_driver: keys::Driver,
+    drains: mpsc::Sender<peers::Incoming<drain::Message>>,
+    drains_inbox: mpsc::Receiver<peers::Incoming<drain::Message>>,
 }
 
 fn start_links(
@@ -236,9 +247,11 @@
     let keys = keys.map_err(io::Error::other)?;
     let (control, inbox) = mpsc::channel(INBOX_MAX);
     let (for_keys, keys_inbox) = mpsc::channel(INBOX_MAX);
+    let (drains, drains_inbox) = mpsc::channel(INBOX_MAX);
     let inboxes = peers::Inboxes {
         control,
         keys: for_keys,
+        drains: drains.clone(),
     };
     let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
     for (node, address) in &settings.peers {
@@ -261,6 +274,8 @@
         control_driver,
         keys,
         keys_driver,
+        drains,
+        drains_inbox,
     })
 }
 
@@ -339,7 +354,9 @@
 
 async fn refresh(shared: &Shared) -> Result<(), platform::Error> {
     let list = shared.platform.vms().await?;
-    let endpoints = endpoints(&list);
+    let rows = Arc::clone(&shared.fleet.rows.borrow());
+    let endpoints = endpoints(&list, &rows);
+    shared.fleet.list.send_replace(Arc::new(list));
     follow_endpoints(shared, &endpoints);
     shared.view.send_modify(|view| {
         let documents = view.documents.clone();
@@ -367,7 +384,11 @@
     shared.upstream.tick(|address| addresses.contains(&address));
 }
 
-fn endpoints(list: &messages::VmList) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
+/// The endpoints by the pool that owns their VM; one without a row yet belongs to its home pool.
+fn endpoints(
+    list: &messages::VmList,
+    rows: &fleet::rows::Rows,
+) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
     let mut pools: HashMap<id::Pool, Vec<view::Endpoint>> = HashMap::new();
     for vm in &list.vms {
         let up = matches!(
@@ -375,11 +396,14 @@
             messages::VmState::Live | messages::VmState::Leaving
         );
         if up {
-            let pool = pools.entry(vm.home_pool.clone()).or_default();
+            let row = rows.by_vm.get(&vm.vm);
+            let owner = row.map_or(&vm.home_pool, |row| &row.pool);
+            let serves = row.is_none_or(|row| row.stage == row::Stage::InService);
+            let pool = pools.entry(owner.clone()).or_default();
             pool.push(view::Endpoint {
                 vm: vm.vm.clone(),
                 address: vm.endpoint,
-                leaving: vm.state == messages::VmState::Leaving,
+                leaving: !serves || vm.state == messages::VmState::Leaving,
             });
         }
     }
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use tokio::time;
+use wasabiloft::fleet;
 use wasabiloft::id;
 use wasabiloft::platform;
 
@@ -125,6 +126,34 @@
         self.get("/vms").await
     }
 
+    /// Reads what the workers' tasks use.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn usage(&self) -> Result<platform::UsageList, Error> {
+        self.get("/workers/usage").await
+    }
+
+    /// Drains, reboots or resumes a VM; a repeat of the same intent does no harm.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer, or the platform refuses, as for an older epoch.
+    pub async fn vm_effect(
+        &self,
+        vm: &id::Vm,
+        effect: fleet::Effect,
+        intent: &platform::Intent,
+    ) -> Result<(), Error> {
+        let path = format!("/vms/{vm}/{effect}");
+        let response = self.call(Method::POST, &path, Some(intent)).await?;
+        match response.status() {
+            StatusCode::OK => Ok(()),
+            status => Err(Error::Unexpected { status }),
+        }
+    }
+
     async fn get<T>(&self, path: &str) -> Result<T, Error>
     where
         T: DeserializeOwned,
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -25,11 +25,33 @@
     pub platform: SocketAddr,
     /// Keys and certificates for the links between nodes.
     pub tls: Option<Tls>,
+    /// The fleet's settings, the same on all nodes.
+    #[serde(default)]
+    pub fleet: Fleet,
     /// Other nodes, by name, to ask while the platform's table is out and the roster is not known.
     #[serde(default)]
     pub peers: BTreeMap<id::Node, SocketAddr>,
 }
 
+/// What the operators set for the fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// The shared spare pool.
+    pub spare_pool: id::Pool,
+    /// Spare VMs that may be out for maintenance at once.
+    pub spare_at_once: u32,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            spare_pool: id::Pool::new("spare"),
+            spare_at_once: 2,
+        }
+    }
+}
+
 /// Files of keys and certificates, in PEM.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -59,6 +59,7 @@
             peer_listen: any(),
             platform: self.platform.address(),
             tls: Some(self.authority.sign(&name)),
+            fleet: settings::Fleet::default(),
             peers: BTreeMap::new(),
         };
         let metrics = PrometheusBuilder::new().build_recorder().handle();
--- a/src/fleet/rows.rs
+++ b/src/fleet/rows.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Event, Output, Token, machine, planner};
 use crate::pool::{member, row};
-use crate::{clock, id, platform};
+use crate::{clock, id, journal, platform};
 
 /// A transaction that is not settled.
 #[derive(Clone, Debug)]
@@ -134,19 +134,23 @@
     pub(super) fn settle(
         &mut self,
         token: Token,
-        outcome: Result<&platform::Committed, &platform::Refused>,
+        settled: &journal::Settled,
         out: &mut Vec<Output>,
     ) {
         let pending = self.pending.remove(&token);
-        match (pending, outcome) {
-            (Some(pending), Ok(committed)) => self.committed(pending, &committed.versions, out),
-            (Some(_), Err(_)) => {
+        match (pending, settled) {
+            (Some(pending), journal::Settled::Committed(committed)) => {
+                self.committed(pending, &committed.versions, out);
+            }
+            (Some(_), journal::Settled::Refused(_)) => {
                 out.push(Output::Event(Event::TxnRefused));
                 self.reload(out);
             }
-            // A transaction that was forgotten at a reload has changed rows since.
-            (None, Ok(_)) => self.reload(out),
-            (None, Err(_)) => {}
+            // The new versions are not known: the reply was lost, or the transaction was forgotten at a reload.
+            (_, journal::Settled::CommittedUnseen) | (None, journal::Settled::Committed(_)) => {
+                self.reload(out);
+            }
+            (None, journal::Settled::Refused(_)) => {}
         }
     }
 
@@ -171,6 +175,7 @@
                 pool.pending = None;
                 pool.stored = row.account;
                 pool.row.service = row.service;
+                pool.row.paused = row.paused;
             }
         }
         for (key, row) in pending.vms {
--- a/src/pool/row.rs
+++ b/src/pool/row.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::maintenance::reason;
 use crate::{id, platform};
 
 /// Prefix of the keys of VM rows.
@@ -150,6 +151,9 @@
     pub service: Option<id::Service>,
     /// Its absence in the current period.
     pub account: Account,
+    /// Why its wave was paused when the row was written, for operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub paused: Option<reason::Reason>,
 }
 
 impl Pool {
@@ -159,6 +163,7 @@
             pool: pool.clone(),
             service: None,
             account: Account::default(),
+            paused: None,
         }
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,6 +4,7 @@
 mod fake_table;
 #[path = "../measure/src/keys_world.rs"]
 mod keys_world;
+mod test_admission;
 mod test_config;
 mod test_connection;
 mod test_document;
@@ -17,6 +18,7 @@
 mod test_pool;
 mod test_retry;
 mod test_roster;
+mod test_routing;
 mod test_slots;
 
 use proptest::test_runner::{Config, RngSeed};
