--- a/node/src/fleet/holder.rs
+++ b/node/src/fleet/holder.rs
@@ -7,6 +7,7 @@
 use tokio::sync::broadcast;
 use tokio::task::JoinSet;
 use tokio::time;
+use wasabiloft::config;
 use wasabiloft::drain;
 use wasabiloft::fleet::{self, Event, Input, Output, planner};
 use wasabiloft::id;
@@ -14,6 +15,7 @@
 use wasabiloft::platform as messages;
 use wasabiloft::roster;
 
+use crate::documents;
 use crate::duties;
 use crate::fleet::rows;
 use crate::log;
@@ -78,8 +80,14 @@
     }
 
     fn tick(&mut self) {
+        let state = self.shared.control.state();
+        // Without its documents a pool would have no budget.
+        if state.standing == config::Standing::Starting {
+            return;
+        }
         let view = Arc::clone(&self.shared.view.borrow());
-        let documents = view.documents.values();
+        let documents = documents::in_force(&state.documents, &view.documents);
+        let documents = documents.values();
         let documents: Vec<_> = documents
             .map(|accepted| accepted.document.clone())
             .collect();
@@ -88,7 +96,7 @@
         if !list.vms.is_empty() {
             self.give(Input::List(&list));
         }
-        let members = &self.shared.control.state().roster.members;
+        let members = &state.roster.members;
         let members: Vec<roster::NodeId> = members.iter().map(|member| member.id.clone()).collect();
         self.give(Input::Roster(&members));
         let polled = Arc::clone(&self.shared.fleet.rows.borrow());
--- a/node/src/fleet/rows.rs
+++ b/node/src/fleet/rows.rs
@@ -20,6 +20,8 @@
 /// All rows of the fleet.
 #[derive(Debug, Default)]
 pub struct Rows {
+    /// True once they have been read.
+    pub loaded: bool,
     /// When the read began.
     pub read_at: clock::Instant,
     /// Rows of pools.
@@ -44,6 +46,7 @@
     let readable = vms.iter().filter_map(|stored| row::read_vm(stored).ok());
     let by_vm = readable.map(|row| (row.vm.clone(), row)).collect();
     Ok(Rows {
+        loaded: true,
         read_at,
         pools,
         vms,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -188,6 +188,11 @@
         self.shared.view.borrow().documents.len()
     }
 
+    /// Follows the rows of VMs and pools.
+    pub fn fleet_rows(&self) -> watch::Receiver<Arc<fleet::rows::Rows>> {
+        self.shared.fleet.rows.subscribe()
+    }
+
     /// The control part.
     pub fn control(&self) -> &control::Handle {
         &self.shared.control
@@ -390,7 +395,9 @@
     rows: &fleet::rows::Rows,
 ) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
     let mut pools: HashMap<id::Pool, Vec<view::Endpoint>> = HashMap::new();
-    for vm in &list.vms {
+    // Until the rows are known, a VM may belong to any pool.
+    let listed = list.vms.iter().filter(|_| rows.loaded);
+    for vm in listed {
         let up = matches!(
             vm.state,
             messages::VmState::Live | messages::VmState::Leaving
--- a/node/tests/test_links.rs
+++ b/node/tests/test_links.rs
@@ -42,6 +42,7 @@
         let (control, inbox) = mpsc::channel(64);
         let mut tasks = JoinSet::new();
         let (keys, _) = mpsc::channel(64);
+        let (drains, _) = mpsc::channel(64);
         let inboxes = peers::Inboxes {
             control,
             keys,
--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -20,16 +20,16 @@
 }
 
 /// Some nodes and their platform.
-struct Fleet {
+pub struct Fleet {
     platform: platform::Platform,
-    nodes: Vec<node::Node>,
+    pub nodes: Vec<node::Node>,
     authority: keys::Authority,
     text: String,
     service: id::Service,
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/cadenas");
         let deployment = deployment::read(&dir).expect("the example is whole");
         let documents = deployment::read_documents(&dir).expect("the example is whole");
@@ -79,13 +79,13 @@
         }
     }
 
-    async fn write(&self, node: usize, read_version: u64) -> documents::Edit {
+    pub async fn write(&self, node: usize, read_version: u64) -> documents::Edit {
         self.nodes[node]
             .write_document(&self.service, read_version, &self.text)
             .await
     }
 
-    async fn stop(self) {
+    pub async fn stop(self) {
         for node in self.nodes {
             node.stop().await;
         }
