--- a/node/tests/cluster.rs
+++ b/node/tests/cluster.rs
@@ -134,6 +134,7 @@
         peer_listen: any,
         platform,
         tls: Some(tls),
+        fleet: settings::Fleet::default(),
         peers: Default::default(),
     }
 }
--- a/src/pool/moves.rs
+++ b/src/pool/moves.rs
@@ -126,6 +126,7 @@
 struct Pass<'s, 'a> {
     pools: &'s [Situation<'a>],
     state: State<'a>,
+    as_of_ms: u64,
     reserve: u32,
 }
 
@@ -159,6 +160,7 @@
             surplus,
             moves: Vec::new(),
         },
+        as_of_ms,
         reserve,
     };
     for (index, cause, missing) in wishes(pools, as_of_ms) {
@@ -274,6 +276,16 @@
         pool.members.iter().filter(free).min_by_key(fit).copied()
     }
 
+    /// Spare VMs that serve now or will before long, after the moves of this pass.
+    fn spares_expected(&self, spare: usize) -> u32 {
+        let name = self.pools[spare].pool;
+        let moves = || self.state.moves.iter();
+        let added = moves().filter(|planned| planned.to == *name).count() as u32;
+        let taken = moves().filter(|planned| planned.from == *name).count() as u32;
+        let expected = self.pools[spare].expected(self.as_of_ms);
+        (expected + added).saturating_sub(taken)
+    }
+
     /// Fills the spare pool up from lasting surpluses, the oldest first.
     ///
     /// A surplus that the spare pool does not need stays where it is, at hand for the next failure.
@@ -292,8 +304,7 @@
         for from in order {
             let orphan = role(&self.pools[from]) == spec::Role::Orphan;
             while self.state.surplus[from] > 0 {
-                let held = self.state.strengths[spare].in_service + self.pools[spare].incoming;
-                if held >= wanted && !orphan {
+                if self.spares_expected(spare) >= wanted && !orphan {
                     break;
                 }
                 let Some(member) = self.pick(from, Some(spare)) else {
