--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -14,12 +14,14 @@
 
 use crate::documents;
 use crate::fleet;
+use crate::jobs;
 use crate::node;
 
 /// The operators' routes, below `/-`.
 pub fn router() -> Router<Arc<node::Shared>> {
     Router::new()
         .merge(fleet::router())
+        .merge(jobs::router())
         .route("/documents", routing::get(list))
         .route("/documents/{service}", routing::get(get).put(put))
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duties;
 pub mod fleet;
 pub mod front;
+pub mod jobs;
 pub mod keys;
 pub mod log;
 pub mod node;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -31,6 +31,7 @@
 use crate::duties;
 use crate::fleet;
 use crate::front;
+use crate::jobs;
 use crate::keys;
 use crate::log;
 use crate::peers;
@@ -77,6 +78,8 @@
     pub keyed_requests: TaskTracker,
     /// Rows and list of VMs, and drains.
     pub fleet: fleet::Fleet,
+    /// Submissions of jobs.
+    pub jobs: jobs::Handle,
     /// Documents and endpoints, as the request path sees them.
     pub view: watch::Sender<Arc<view::View>>,
     /// Cancelled when the node is told to stop.
@@ -116,6 +119,8 @@
         let control_task = tokio::spawn(parts.control_driver.run(control_stop.clone()));
         let keys_stop = CancellationToken::new();
         let keys_task = tokio::spawn(parts.keys_driver.run(keys_stop.clone()));
+        let incarnation = format!("{:016x}", rand::rng().random::<u64>());
+        let (jobs, jobs_driver) = jobs::new(settings.name.clone(), incarnation);
         let clock = parts.control.clock();
         let shared = Arc::new(Shared {
             platform,
@@ -129,6 +134,7 @@
             keys: parts.keys,
             keyed_requests: TaskTracker::new(),
             fleet: fleet::Fleet::new(parts.drains),
+            jobs,
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
             settings,
@@ -144,8 +150,15 @@
         tasks.spawn(follow(Arc::clone(&shared)));
         tasks.spawn(fleet::rows::poll(Arc::clone(&shared)));
         tasks.spawn(fleet::drains::run(Arc::clone(&shared), parts.drains_inbox));
-        let slices: Vec<Arc<dyn duties::Duty>> =
-            vec![Arc::new(fleet::Duty::new(Arc::clone(&shared)))];
+        tasks.spawn(jobs_driver.run(
+            shared.control.clone(),
+            shared.platform.clone(),
+            shared.stop.clone(),
+        ));
+        let slices: Vec<Arc<dyn duties::Duty>> = vec![
+            Arc::new(fleet::Duty::new(Arc::clone(&shared))),
+            Arc::new(jobs::Duty::new(Arc::clone(&shared))),
+        ];
         tasks.spawn(duties::run(Arc::clone(&shared), slices));
         log::info(
             "node",
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -154,6 +154,24 @@
         }
     }
 
+    /// Calls a worker; gives the status and the body.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer.
+    pub async fn worker<A>(
+        &self,
+        vm: &id::Vm,
+        path: &str,
+        body: &A,
+    ) -> Result<Response<Bytes>, Error>
+    where
+        A: Serialize,
+    {
+        let path = format!("/workers/{vm}/{path}");
+        self.call(Method::POST, &path, Some(body)).await
+    }
+
     async fn get<T>(&self, path: &str) -> Result<T, Error>
     where
         T: DeserializeOwned,
--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -21,7 +21,7 @@
 
 /// Some nodes and their platform.
 pub struct Fleet {
-    platform: platform::Platform,
+    pub platform: platform::Platform,
     pub nodes: Vec<node::Node>,
     authority: keys::Authority,
     text: String,
@@ -50,6 +50,12 @@
         fleet
     }
 
+    /// The team that owns the document.
+    pub fn team(&self) -> String {
+        let document = wasabiloft::document::parse(&self.text).expect("the example is whole");
+        document.team.to_string()
+    }
+
     async fn start_node(&self, number: usize) -> node::Node {
         let name = format!("entry-{number}");
         let settings = settings::Settings {
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -8,6 +8,7 @@
 mod test_answers;
 mod test_connections;
 mod test_fleet;
+mod test_jobs;
 mod test_keys;
 mod test_links;
 mod test_nodes;
