--- a/cli/src/dev.rs
+++ b/cli/src/dev.rs
@@ -269,6 +269,7 @@
             peer_listen: any,
             platform,
             tls: Some(keys::files(keys_dir, name)),
+            fleet: settings::Fleet::default(),
             peers: BTreeMap::new(),
         };
         let node = node::Node::start(settings, metrics.clone()).await;
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod retry;
 mod slots;
+mod spare;
 mod tally;
 mod util;
 mod world;
@@ -37,6 +38,7 @@
     placement   Placement decisions a second and memory against workers and queue length.
     retry       Attempts per request while endpoints fail, and in a storm of repeats.
     slots       Slot use of many entry nodes against one ideal queue.
+    spare       The spare buffer held, and VM moves against the fewest with hindsight.
 
 Run `measure <command> --help` for its options.";
 
@@ -54,6 +56,7 @@
         Some("placement") => placement::run(argv).map_err(Into::into),
         Some("retry") => retry::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
+        Some("spare") => spare::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
             return process::ExitCode::SUCCESS;
--- a/measure/src/world/table.rs
+++ b/measure/src/world/table.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 use wasabiloft::pool::row;
-use wasabiloft::{fleet, id, platform};
+use wasabiloft::{fleet, id, journal, platform};
 
 use super::{Event, Without, World};
 
@@ -103,12 +103,12 @@
                     key: id::Key::from("journal"),
                     version: 0,
                 };
-                self.settle(&sent, Err(refused), wait_ms);
+                self.settle(&sent, journal::Settled::Refused(refused), wait_ms);
             }
             return;
         }
         if let Some(refused) = self.table.failed(&sent, self.options.without) {
-            self.settle(&sent, Err(refused), 0);
+            self.settle(&sent, journal::Settled::Refused(refused), 0);
             return;
         }
         let before: BTreeMap<id::Vm, row::Vm> = self.rows_of(&sent.txn);
@@ -116,24 +116,27 @@
         let versions = writes.map(|write| self.table.write(write)).collect();
         let after = self.rows_of(&sent.txn);
         self.check_commit(&sent, &before, &after);
-        self.settle(&sent, Ok(platform::Committed { versions }), 0);
+        self.settle(
+            &sent,
+            journal::Settled::Committed(platform::Committed { versions }),
+            0,
+        );
     }
 
-    fn settle(
-        &mut self,
-        sent: &Sent,
-        outcome: Result<platform::Committed, platform::Refused>,
-        wait_ms: u64,
-    ) {
+    fn settle(&mut self, sent: &Sent, settled: journal::Settled, wait_ms: u64) {
         let lost = self.options.faults && self.rng.random_bool(0.1);
         let reply_ms = match lost {
             true => self.rng.random_range(1_000..10_000),
             false => self.rng.random_range(2..20),
         };
+        let settled = match settled {
+            journal::Settled::Committed(_) if lost => journal::Settled::CommittedUnseen,
+            known => known,
+        };
         let event = Event::Settled {
             holder: sent.holder,
             token: sent.token,
-            outcome,
+            settled,
         };
         self.at(wait_ms + reply_ms, event);
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod documents;
 pub mod duties;
+pub mod fleet;
 pub mod front;
 pub mod jobs;
 pub mod keys;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,6 +21,7 @@
 use wasabiloft::drain;
 use wasabiloft::id;
 use wasabiloft::platform as messages;
+use wasabiloft::pool::row;
 use wasabiloft::roster;
 
 use crate::admin;
@@ -28,6 +29,7 @@
 use crate::control;
 use crate::documents;
 use crate::duties;
+use crate::fleet;
 use crate::front;
 use crate::jobs;
 use crate::keys;
@@ -74,6 +76,8 @@
     pub keys: keys::Handle,
     /// Requests with a key; they go on when their callers leave.
     pub keyed_requests: TaskTracker,
+    /// Rows and list of VMs, and drains.
+    pub fleet: fleet::Fleet,
     /// Submissions of jobs.
     pub jobs: jobs::Handle,
     /// Documents and endpoints, as the request path sees them.
@@ -129,6 +133,7 @@
             ledger: Mutex::default(),
             keys: parts.keys,
             keyed_requests: TaskTracker::new(),
+            fleet: fleet::Fleet::new(parts.drains),
             jobs,
             view: watch::Sender::new(Arc::default()),
             stop: CancellationToken::new(),
@@ -143,13 +148,17 @@
         ));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
+        tasks.spawn(fleet::rows::poll(Arc::clone(&shared)));
+        tasks.spawn(fleet::drains::run(Arc::clone(&shared), parts.drains_inbox));
         tasks.spawn(jobs_driver.run(
             shared.control.clone(),
             shared.platform.clone(),
             shared.stop.clone(),
         ));
-        let slices: Vec<Arc<dyn duties::Duty>> =
-            vec![Arc::new(jobs::Duty::new(Arc::clone(&shared)))];
+        let slices: Vec<Arc<dyn duties::Duty>> = vec![
+            Arc::new(fleet::Duty::new(Arc::clone(&shared))),
+            Arc::new(jobs::Duty::new(Arc::clone(&shared))),
+        ];
         tasks.spawn(duties::run(Arc::clone(&shared), slices));
         log::info(
             "node",
@@ -192,6 +201,11 @@
         self.shared.view.borrow().documents.len()
     }
 
+    /// Follows the rows of VMs and pools.
+    pub fn fleet_rows(&self) -> watch::Receiver<Arc<fleet::rows::Rows>> {
+        self.shared.fleet.rows.subscribe()
+    }
+
     /// The control part.
     pub fn control(&self) -> &control::Handle {
         &self.shared.control
@@ -235,6 +249,8 @@
     control_driver: control::Driver,
     keys: keys::Handle,
     keys_driver: keys::Driver,
+    drains: mpsc::Sender<peers::Incoming<drain::Message>>,
+    drains_inbox: mpsc::Receiver<peers::Incoming<drain::Message>>,
 }
 
 fn start_links(
@@ -249,9 +265,11 @@
     let keys = keys.map_err(io::Error::other)?;
     let (control, inbox) = mpsc::channel(INBOX_MAX);
     let (for_keys, keys_inbox) = mpsc::channel(INBOX_MAX);
+    let (drains, drains_inbox) = mpsc::channel(INBOX_MAX);
     let inboxes = peers::Inboxes {
         control,
         keys: for_keys,
+        drains: drains.clone(),
     };
     let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
     for (node, address) in &settings.peers {
@@ -274,6 +292,8 @@
         control_driver,
         keys,
         keys_driver,
+        drains,
+        drains_inbox,
     })
 }
 
@@ -352,7 +372,9 @@
 
 async fn refresh(shared: &Shared) -> Result<(), platform::Error> {
     let list = shared.platform.vms().await?;
-    let endpoints = endpoints(&list);
+    let rows = Arc::clone(&shared.fleet.rows.borrow());
+    let endpoints = endpoints(&list, &rows);
+    shared.fleet.list.send_replace(Arc::new(list));
     follow_endpoints(shared, &endpoints);
     shared.view.send_modify(|view| {
         let documents = view.documents.clone();
@@ -380,19 +402,28 @@
     shared.upstream.tick(|address| addresses.contains(&address));
 }
 
-fn endpoints(list: &messages::VmList) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
+/// The endpoints by the pool that owns their VM; one without a row yet belongs to its home pool.
+fn endpoints(
+    list: &messages::VmList,
+    rows: &fleet::rows::Rows,
+) -> HashMap<id::Pool, Arc<Vec<view::Endpoint>>> {
     let mut pools: HashMap<id::Pool, Vec<view::Endpoint>> = HashMap::new();
-    for vm in &list.vms {
+    // Until the rows are known, a VM may belong to any pool.
+    let listed = list.vms.iter().filter(|_| rows.loaded);
+    for vm in listed {
         let up = matches!(
             vm.state,
             messages::VmState::Live | messages::VmState::Leaving
         );
         if up {
-            let pool = pools.entry(vm.home_pool.clone()).or_default();
+            let row = rows.by_vm.get(&vm.vm);
+            let owner = row.map_or(&vm.home_pool, |row| &row.pool);
+            let serves = row.is_none_or(|row| row.stage == row::Stage::InService);
+            let pool = pools.entry(owner.clone()).or_default();
             pool.push(view::Endpoint {
                 vm: vm.vm.clone(),
                 address: vm.endpoint,
-                leaving: vm.state == messages::VmState::Leaving,
+                leaving: !serves || vm.state == messages::VmState::Leaving,
             });
         }
     }
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use wasabiloft::drain;
 use wasabiloft::id;
 use wasabiloft::once;
 use wasabiloft::peers;
@@ -33,6 +34,8 @@
     Control(peers::Message),
     /// Idempotency keys.
     Keys(once::message::Message),
+    /// Drains of VMs.
+    Drain(drain::Message),
 }
 
 /// A message with its sender.
@@ -51,6 +54,8 @@
     pub control: mpsc::Sender<Incoming<peers::Message>>,
     /// For idempotency keys.
     pub keys: mpsc::Sender<Incoming<once::message::Message>>,
+    /// For drains of VMs.
+    pub drains: mpsc::Sender<Incoming<drain::Message>>,
 }
 
 impl Inboxes {
@@ -60,6 +65,7 @@
             Message::Hello(_) => true,
             Message::Control(message) => self.control.try_send(Incoming { from, message }).is_ok(),
             Message::Keys(message) => self.keys.try_send(Incoming { from, message }).is_ok(),
+            Message::Drain(message) => self.drains.try_send(Incoming { from, message }).is_ok(),
         };
         if !kept {
             lost("inbox-full");
@@ -90,6 +96,11 @@
 }
 
 impl Links {
+    /// This node.
+    pub fn me(&self) -> &roster::Member {
+        &self.me
+    }
+
     /// Starts to accept connections and returns the links with the task that accepts.
     ///
     /// Without keys there are no links: nothing is accepted, and what is sent is lost.
--- a/node/tests/test_nodes.rs
+++ b/node/tests/test_nodes.rs
@@ -70,6 +70,7 @@
             peer_listen: any(),
             platform: self.proxy.address(),
             tls: Some(self.authority.sign(&name)),
+            fleet: settings::Fleet::default(),
             peers: BTreeMap::new(),
         };
         let metrics = PrometheusBuilder::new().build_recorder().handle();
--- a/src/fleet/apply.rs
+++ b/src/fleet/apply.rs
@@ -11,6 +11,8 @@
 const ROWS_MAX: usize = 40;
 /// An account that has counted more absence is stored this often, in milliseconds.
 const STORE_MS: u64 = 5 * clock::MINUTE_MS;
+/// A new reason of a pause is stored this long after the last write, in milliseconds.
+const STORE_REASON_MS: u64 = 10 * clock::SECOND_MS;
 /// The row of a VM that the platform no longer lists is deleted after this long, in milliseconds.
 const GONE_MS: u64 = clock::HOUR_MS;
 /// VMs that have lately not come back from reboots, at which all waves pause.
@@ -246,7 +248,7 @@
             };
             vms.push((key, Some(row)));
         }
-        let row = self.pools[pool].row.clone();
+        let row = self.pools[pool].next_row();
         self.commit(now, vms, vec![row], out);
     }
 
@@ -296,12 +298,12 @@
             let account = &pool.row.account;
             let counted = account.absent_ms != pool.stored.absent_ms
                 || account.period_start_ms != pool.stored.period_start_ms;
-            let old = account.until_ms.saturating_sub(pool.stored.until_ms) >= STORE_MS;
+            let age_ms = account.until_ms.saturating_sub(pool.stored.until_ms);
+            let told = pool.reason == pool.row.paused || age_ms < STORE_REASON_MS;
             let renamed = pool.spec.service.is_some() && pool.spec.service != pool.row.service;
-            if pool.pending.is_none() && (renamed || (counted && old)) {
-                let mut row = pool.row.clone();
-                row.service = pool.spec.service.clone().or(row.service);
-                rows.push(row);
+            let due = renamed || !told || (counted && age_ms >= STORE_MS);
+            if pool.pending.is_none() && due {
+                rows.push(pool.next_row());
             }
         }
         for rows in rows.chunks(ROWS_MAX) {
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -143,4 +143,12 @@
             surplus_since_ms: None,
         }
     }
+
+    /// Its row as it is to be written next.
+    pub fn next_row(&self) -> row::Pool {
+        let mut row = self.row.clone();
+        row.service = self.spec.service.clone().or(row.service);
+        row.paused = self.reason;
+        row
+    }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::maintenance::reason;
 use crate::pool::{moves, row};
-use crate::{document, id, platform, roster};
+use crate::{document, id, journal, platform, roster};
 
 /// What the operators set for the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,12 +87,12 @@
         /// The effect's operation.
         operation: &'a id::Operation,
     },
-    /// A transaction's outcome is settled; `Unknown` is no outcome.
+    /// A transaction's outcome is settled.
     Settled {
         /// The transaction.
         token: Token,
-        /// `Ok` if it committed.
-        outcome: Result<&'a platform::Committed, &'a platform::Refused>,
+        /// Its outcome.
+        settled: &'a journal::Settled,
     },
     /// What a pool's service would use now.
     Demand {
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -89,7 +89,7 @@
                     progress.done_as_of_ms.get_or_insert(as_of_ms);
                 }
             }
-            Input::Settled { token, outcome } => self.settle(token, outcome, &mut out),
+            Input::Settled { token, settled } => self.settle(token, settled, &mut out),
             Input::Demand { pool, used_milli } => self.take_demand(now, pool, used_milli),
             Input::Mark { vm, mark } => self.take_mark(now, vm, mark, &mut out),
             Input::Tick => self.tick(now, &mut out),
@@ -97,6 +97,11 @@
         out
     }
 
+    /// Tells whether the rows have been read since the start or the last refusal.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
     /// Tells whether everything is known that a decision needs.
     fn ready(&self) -> bool {
         self.loaded && self.documents_known && self.list_at.is_some()
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -73,6 +73,15 @@
 const MINUTE_MS: u64 = crate::clock::MINUTE_MS;
 
 impl planner::Planner {
+    /// Describes the fleet by the stored rows, for a node that does not hold the duty.
+    pub fn observe(&mut self) -> Fleet {
+        self.know_pools();
+        for pool in self.pools.values_mut() {
+            pool.reason = pool.row.paused;
+        }
+        self.status()
+    }
+
     /// Describes the fleet.
     pub fn status(&self) -> Fleet {
         let snapshot = snapshot::Snapshot::new(self);
--- a/tests/test_fleet.rs
+++ b/tests/test_fleet.rs
@@ -7,6 +7,7 @@
 use wasabiloft::document;
 use wasabiloft::fleet::{self, Effect, Event, Input, Output, planner};
 use wasabiloft::id;
+use wasabiloft::journal;
 use wasabiloft::maintenance::reason;
 use wasabiloft::platform;
 use wasabiloft::pool::row;
@@ -28,6 +29,8 @@
     answering: BTreeSet<&'static str>,
     /// True to leave transactions without an outcome.
     table_out: bool,
+    /// True if transactions commit and their replies are lost.
+    replies_lost: bool,
     effects: Vec<(Effect, platform::Intent)>,
     events: Vec<Event>,
 }
@@ -87,6 +90,7 @@
             planner: planner(1),
             answering: BTreeSet::from(["n1", "n2"]),
             table_out: false,
+            replies_lost: false,
             effects: Vec::new(),
             events: Vec::new(),
         };
@@ -127,17 +131,16 @@
                 if self.table_out {
                     return;
                 }
-                match self.table.transact(&txn) {
-                    platform::Outcome::Committed(committed) => {
-                        let outcome = Ok(&committed);
-                        self.give(Input::Settled { token, outcome });
-                    }
-                    platform::Outcome::Refused(refused) => {
-                        let outcome = Err(&refused);
-                        self.give(Input::Settled { token, outcome });
-                    }
+                let settled = match self.table.transact(&txn) {
+                    platform::Outcome::Committed(committed) => match self.replies_lost {
+                        true => journal::Settled::CommittedUnseen,
+                        false => journal::Settled::Committed(committed),
+                    },
+                    platform::Outcome::Refused(refused) => journal::Settled::Refused(refused),
                     platform::Outcome::Unknown => unreachable!("the table answers"),
-                }
+                };
+                let settled = &settled;
+                self.give(Input::Settled { token, settled });
             }
             Output::Reload => self.reload(),
             Output::Announce { vm, operation } => {
@@ -232,6 +235,15 @@
     );
 }
 
+#[test]
+fn lost_replies_double_nothing() {
+    let mut world = World::new(&["a", "a", "a", "a", "spare"]);
+    world.replies_lost = true;
+    world.pass(120);
+    assert!(world.rows().iter().all(|row| row.maintained_ms > START_MS));
+    assert_eq!(world.effects(Effect::Reboot), 5);
+}
+
 #[test]
 fn no_reboot_before_every_node_has_acknowledged() {
     let mut world = World::new(&["a", "a", "a", "a"]);
