node: slots, admission and routing on the request path

Cause: each entry node used one fixed slot of every runner and polled for it, whatever the demand and the urgency. Change: slot drives dispatch for each service; slots pass between nodes over the links, a stopping node passes its own on, and the end of each attempt teaches routing. Nodes are named as in the roster. A changed document's kinds keep their queues.

--- a/measure/src/entry.rs
+++ b/measure/src/entry.rs
@@ -8,7 +8,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wasabiloft::{admission, clock, dispatch, id, slots, verdict};
+use wasabiloft::{admission, clock, dispatch, id, roster, slots, verdict};
 
 use crate::baseline;
 use crate::load;
@@ -124,7 +124,7 @@
     AtRunner(u64),
     Done(u64),
     AtNodeAgain(u64),
-    Message(usize, slots::Member, slots::Message),
+    Message(usize, roster::NodeId, slots::Message),
     Tick(usize),
 }
 
@@ -184,7 +184,7 @@
     events: BinaryHeap<Timed>,
     rng: SmallRng,
     doors: Vec<Door>,
-    members: Vec<slots::Member>,
+    members: Vec<roster::NodeId>,
     runners: Vec<Runner>,
     runner_index: BTreeMap<id::Vm, usize>,
     requests: HashMap<u64, Request>,
@@ -213,10 +213,10 @@
         let vms: Vec<id::Vm> = (0..config.runners)
             .map(|index| id::Vm::from(format!("vm-{index}")))
             .collect();
-        let members: Vec<slots::Member> = (0..config.nodes)
-            .map(|index| slots::Member {
+        let members: Vec<roster::NodeId> = (0..config.nodes)
+            .map(|index| roster::NodeId {
                 node: id::Node::from(format!("entry-{index}")),
-                incarnation: 1,
+                incarnation: roster::Incarnation(1),
             })
             .collect();
         let doors = (0..config.nodes)
@@ -441,7 +441,7 @@
         }
     }
 
-    fn post(&mut self, from: usize, to: &slots::Member, message: slots::Message) {
+    fn post(&mut self, from: usize, to: &roster::NodeId, message: slots::Message) {
         let to = self.members.iter().position(|member| member == to);
         let to = to.expect("messages go to members");
         let bytes = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
@@ -563,7 +563,7 @@
         .collect()
 }
 
-fn door(config: &Config, index: usize, vms: &[id::Vm], members: &[slots::Member]) -> Door {
+fn door(config: &Config, index: usize, vms: &[id::Vm], members: &[roster::NodeId]) -> Door {
     match config.policy {
         Policy::Shares(settings) => {
             let specs: Vec<_> = config.kinds.iter().map(|kind| kind.spec).collect();
--- a/node/src/front/attempt.rs
+++ b/node/src/front/attempt.rs
@@ -7,7 +7,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use tokio::time;
+use wasabiloft::dispatch;
 use wasabiloft::id;
 use wasabiloft::retry;
 use wasabiloft::retry::budget;
@@ -135,13 +137,18 @@
     call: &call::Call,
     avoid: Option<SocketAddr>,
 ) -> Ended {
-    let slot = shared.slots.acquire(&call.endpoints, avoid, call.deadline);
-    let slot = match slot.await {
+    let wanted = slot::Wanted {
+        service: call.service(),
+        kind: call.kind(),
+        avoid,
+        left_ms: call.left_ms(),
+    };
+    let slot = match shared.slots.acquire(&wanted).await {
         Ok(slot) => slot,
         Err(reason) => return Ended::Refused(reason),
     };
     let address = slot.endpoint.address;
-    let Some(permit) = Permit::start(shared, slot) else {
+    let Some(mut permit) = Permit::start(shared, slot) else {
         let failure = retry::Failure {
             progress: retry::Progress::NothingSent,
             reason: verdict::Reason::NoEndpoint,
@@ -152,7 +159,9 @@
     let sent = shared
         .upstream
         .send(address, request, call.work(), call.deadline);
-    match sent.await {
+    let sent = sent.await;
+    permit.slot.end(ending(&sent));
+    match sent {
         Ok(answer) if is_refusal(&answer) => {
             let failure = retry::Failure {
                 progress: retry::Progress::Refused,
@@ -165,6 +174,26 @@
     }
 }
 
+/// What the end of an attempt says of its endpoint.
+fn ending(sent: &Result<upstream::Answer, retry::Failure>) -> dispatch::Ending {
+    match sent {
+        Ok(answer) if is_refusal(answer) => dispatch::Ending::Refused,
+        Ok(answer) if status(answer).is_server_error() => dispatch::Ending::Failed,
+        Ok(_) => dispatch::Ending::Answered,
+        Err(failure) => match failure.reason {
+            verdict::Reason::AnswerTimeout => dispatch::Ending::TimedOut,
+            _ => dispatch::Ending::Failed,
+        },
+    }
+}
+
+fn status(answer: &upstream::Answer) -> StatusCode {
+    match answer {
+        upstream::Answer::Whole(response) => response.status(),
+        upstream::Answer::Streamed(parts, _) => parts.status,
+    }
+}
+
 /// Tells whether the endpoint itself says that it did not run the request.
 fn is_refusal(answer: &upstream::Answer) -> bool {
     let headers = match answer {
--- a/node/src/front/call.rs
+++ b/node/src/front/call.rs
@@ -26,8 +26,6 @@
     pub accepted: Arc<view::Accepted>,
     /// The position of its kind in the document.
     pub kind: usize,
-    /// The endpoints of the service.
-    pub endpoints: Arc<Vec<view::Endpoint>>,
     /// The method.
     pub method: Method,
     /// Path and query, as the caller sent them.
@@ -88,12 +86,6 @@
 ) -> Result<Call, Failure> {
     let (parts, body) = request.into_parts();
     let (accepted, kind) = find_kind(shared, &parts)?;
-    let endpoints = shared
-        .view
-        .borrow()
-        .endpoints_of(&accepted.document)
-        .cloned();
-    let endpoints = endpoints.ok_or(Failure::not_run(verdict::Reason::NoEndpoint))?;
     let spec = &accepted.document.kinds[kind];
     let deadline_ms = deadline_ms(&parts.headers, spec.deadline_ms);
     let deadline = arrived_at + Duration::from_millis(deadline_ms);
@@ -106,7 +98,6 @@
     Ok(Call {
         accepted,
         kind,
-        endpoints,
         method: parts.method,
         uri,
         headers: answer::end_to_end(parts.headers),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -22,6 +22,7 @@
 use wasabiloft::id;
 use wasabiloft::platform as messages;
 use wasabiloft::roster;
+use wasabiloft::slots;
 
 use crate::admin;
 use crate::clock;
@@ -43,8 +44,6 @@
 const POLL_MS: u64 = 500;
 /// Messages that wait until their slice takes them.
 const INBOX_MAX: usize = 4_096;
-/// Slots of each endpoint that one of the eight entry nodes uses.
-const SLOTS_PER_ENDPOINT: usize = 1;
 /// Connections of each endpoint, over all nodes.
 const CONNECTIONS_PER_ENDPOINT: usize = 64;
 
@@ -86,6 +85,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     tasks: JoinSet<()>,
+    slots_stop: CancellationToken,
+    slots_task: JoinHandle<()>,
     keys_stop: CancellationToken,
     keys_task: JoinHandle<()>,
     control_stop: CancellationToken,
@@ -119,7 +120,7 @@
             links: parts.links,
             clock,
             upstream: upstream::Upstream::new(clock, CONNECTIONS_PER_ENDPOINT),
-            slots: slot::Slots::new(SLOTS_PER_ENDPOINT),
+            slots: parts.slots,
             budgets: front::Budgets::default(),
             ledger: Mutex::default(),
             keys: parts.keys,
@@ -137,6 +138,9 @@
         ));
         tasks.spawn(poll(Arc::clone(&shared)));
         tasks.spawn(follow(Arc::clone(&shared)));
+        let slots_stop = CancellationToken::new();
+        let slots_task = slot::run(Arc::clone(&shared), parts.slots_inbox, slots_stop.clone());
+        let slots_task = tokio::spawn(slots_task);
         tasks.spawn(duties::run(Arc::clone(&shared), Vec::new()));
         log::info(
             "node",
@@ -146,6 +150,8 @@
             address,
             shared,
             tasks,
+            slots_stop,
+            slots_task,
             keys_stop,
             keys_task,
             control_stop,
@@ -191,6 +197,10 @@
         self.shared.keyed_requests.close();
         self.shared.keyed_requests.wait().await;
         self.shared.upstream.stop().await;
+        self.slots_stop.cancel();
+        if let Err(error) = self.slots_task.await {
+            log::warn("node", &format!("slots part failed: {error}"));
+        }
         self.keys_stop.cancel();
         if let Err(error) = self.keys_task.await {
             log::warn("node", &format!("keys part failed: {error}"));
@@ -222,6 +232,8 @@
     control_driver: control::Driver,
     keys: keys::Handle,
     keys_driver: keys::Driver,
+    slots: slot::Slots,
+    slots_inbox: mpsc::Receiver<peers::Incoming<(id::Service, slots::Message)>>,
 }
 
 fn start_links(
@@ -236,9 +248,11 @@
     let keys = keys.map_err(io::Error::other)?;
     let (control, inbox) = mpsc::channel(INBOX_MAX);
     let (for_keys, keys_inbox) = mpsc::channel(INBOX_MAX);
+    let (for_slots, slots_inbox) = mpsc::channel(INBOX_MAX);
     let inboxes = peers::Inboxes {
         control,
         keys: for_keys,
+        slots: for_slots,
     };
     let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
     for (node, address) in &settings.peers {
@@ -248,6 +262,7 @@
     let id = me.id.clone();
     let (control, control_driver) =
         control::new(me, &seeds, Arc::clone(&links), platform.clone(), inbox);
+    let slots = slot::Slots::new(id.clone(), control.clock(), Arc::clone(&links));
     let (keys, keys_driver) = keys::new(
         id,
         Arc::clone(&links),
@@ -261,6 +276,8 @@
         control_driver,
         keys,
         keys_driver,
+        slots,
+        slots_inbox,
     })
 }
 
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -20,6 +20,7 @@
 use wasabiloft::once;
 use wasabiloft::peers;
 use wasabiloft::roster;
+use wasabiloft::slots;
 
 /// Messages that may wait for one peer.
 const QUEUE_MAX: usize = 1_024;
@@ -33,6 +34,8 @@
     Control(peers::Message),
     /// Idempotency keys.
     Keys(once::message::Message),
+    /// Slots of a service's runners.
+    Slots(id::Service, slots::Message),
 }
 
 /// A message with its sender.
@@ -51,6 +54,8 @@
     pub control: mpsc::Sender<Incoming<peers::Message>>,
     /// For idempotency keys.
     pub keys: mpsc::Sender<Incoming<once::message::Message>>,
+    /// For slots.
+    pub slots: mpsc::Sender<Incoming<(id::Service, slots::Message)>>,
 }
 
 impl Inboxes {
@@ -60,6 +65,10 @@
             Message::Hello(_) => true,
             Message::Control(message) => self.control.try_send(Incoming { from, message }).is_ok(),
             Message::Keys(message) => self.keys.try_send(Incoming { from, message }).is_ok(),
+            Message::Slots(service, message) => {
+                let message = (service, message);
+                self.slots.try_send(Incoming { from, message }).is_ok()
+            }
         };
         if !kept {
             lost("inbox-full");
--- /dev/null
+++ b/node/src/slot/entry.rs
@@ -0,0 +1,247 @@
+//! One service's slots and the requests that wait for them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+use wasabiloft::admission;
+use wasabiloft::clock;
+use wasabiloft::config;
+use wasabiloft::dispatch;
+use wasabiloft::document;
+use wasabiloft::id;
+use wasabiloft::peers;
+use wasabiloft::roster;
+use wasabiloft::slots;
+use wasabiloft::verdict;
+
+use crate::control;
+use crate::view;
+
+/// Tells a waiting request its endpoint, or why it was not sent.
+pub(super) type Reply = oneshot::Sender<Result<view::Endpoint, verdict::Reason>>;
+
+/// A service with what surrounds its decisions.
+#[derive(Debug)]
+pub(super) struct Entry {
+    service: dispatch::Service,
+    kinds: Vec<(id::Kind, admission::KindSpec)>,
+    runners: Vec<dispatch::Runner>,
+    endpoints: Vec<view::Endpoint>,
+    roster: slots::Roster,
+    awaited_since: HashMap<roster::NodeId, clock::Instant>,
+    waiting: HashMap<admission::RequestId, Reply>,
+}
+
+impl Entry {
+    pub(super) fn new(me: &roster::NodeId, document: &document::Document) -> Self {
+        let kinds = kinds(document);
+        let specs: Vec<_> = kinds.iter().map(|(_, spec)| *spec).collect();
+        let deadlines = document.kinds.iter().map(|kind| kind.deadline_ms);
+        let settings = dispatch::Settings {
+            longest_request_ms: deadlines.max().unwrap_or_default(),
+            ..dispatch::Settings::default()
+        };
+        Self {
+            service: dispatch::Service::new(me.clone(), &specs, settings),
+            kinds,
+            runners: Vec::new(),
+            endpoints: Vec::new(),
+            roster: slots::Roster::default(),
+            awaited_since: HashMap::new(),
+            waiting: HashMap::new(),
+        }
+    }
+
+    /// The place of a kind.
+    pub(super) fn kind(&self, name: &id::Kind) -> Option<admission::KindIndex> {
+        let index = self.kinds.iter().position(|(kind, _)| kind == name);
+        index.map(admission::KindIndex::from)
+    }
+
+    /// The VM whose runner listens at an address.
+    pub(super) fn vm_at(&self, address: SocketAddr) -> Option<id::Vm> {
+        let mut endpoints = self.endpoints.iter();
+        let endpoint = endpoints.find(|endpoint| endpoint.address == address);
+        endpoint.map(|endpoint| endpoint.vm.clone())
+    }
+
+    /// Keeps the reply of a request that is about to arrive.
+    pub(super) fn wait(&mut self, request: admission::RequestId, reply: Reply) {
+        self.waiting.insert(request, reply);
+    }
+
+    /// Feeds the decisions; answers the requests that they start or refuse, and returns the messages to send.
+    pub(super) fn input(
+        &mut self,
+        now: clock::Instant,
+        input: dispatch::Input,
+        rng: &mut SmallRng,
+    ) -> Vec<(roster::NodeId, slots::Message)> {
+        if let dispatch::Input::Cancel(request) = &input {
+            self.waiting.remove(request);
+        }
+        let mut messages = Vec::new();
+        let mut outputs = Vec::new();
+        self.service.handle(now, input, rng, &mut outputs);
+        for output in outputs {
+            match output {
+                dispatch::Output::Start { request, vm } => self.start(request, &vm),
+                dispatch::Output::Refuse { request, reason } => self.reply(request, Err(reason)),
+                dispatch::Output::Send { to, message } => messages.push((to, message)),
+            }
+        }
+        messages
+    }
+
+    /// What has changed since the last call, as inputs.
+    pub(super) fn follow(
+        &mut self,
+        now: clock::Instant,
+        document: &document::Document,
+        endpoints: &[view::Endpoint],
+        control: &control::State,
+    ) -> Vec<dispatch::Input> {
+        let mut inputs = Vec::new();
+        if let config::Standing::ServingUntil(until) = control.standing {
+            inputs.push(dispatch::Input::Serving { until });
+        }
+        inputs.extend(self.follow_kinds(document));
+        inputs.extend(self.follow_runners(document, endpoints));
+        inputs.extend(self.follow_roster(&control.roster));
+        inputs.extend(self.lapsed(now));
+        inputs
+    }
+
+    /// Slots that this node holds.
+    pub(super) fn held(&self) -> u32 {
+        self.service.ledger().held()
+    }
+
+    /// Writes the gauges and counters.
+    pub(super) fn gauge(&self, service: &id::Service) {
+        let service = service.to_string();
+        let ledger = self.service.ledger();
+        let gauge = |name: &'static str, value: u32| {
+            metrics::gauge!(name, "service" => service.clone()).set(f64::from(value));
+        };
+        gauge("wasabiloft_slots_held", ledger.held());
+        gauge("wasabiloft_slots_free", ledger.free());
+        gauge("wasabiloft_slots_total", ledger.total());
+        let count = |name: &'static str, value: u64| {
+            metrics::counter!(name, "service" => service.clone()).absolute(value);
+        };
+        let counters = ledger.counters();
+        count("wasabiloft_slots_given_total", counters.given);
+        count("wasabiloft_slots_received_total", counters.received);
+        count("wasabiloft_slots_dealt_total", counters.dealt);
+        count("wasabiloft_slots_rounds_total", counters.rounds);
+        count("wasabiloft_slots_lapses_total", counters.lapses);
+        count("wasabiloft_slots_doubled_total", counters.doubled);
+        count("wasabiloft_slots_asks_total", counters.asks);
+        let counters = self.service.router().counters();
+        count("wasabiloft_endpoints_ejected_total", counters.ejected);
+        count("wasabiloft_endpoints_kept_total", counters.kept);
+        count("wasabiloft_endpoints_readmitted_total", counters.readmitted);
+    }
+
+    fn start(&mut self, request: admission::RequestId, vm: &id::Vm) {
+        let endpoint = self.endpoints.iter().find(|endpoint| endpoint.vm == *vm);
+        let endpoint = endpoint.cloned().ok_or(verdict::Reason::NoEndpoint);
+        self.reply(request, endpoint);
+    }
+
+    /// The request's ticket gives its slot back if nobody takes the reply.
+    fn reply(
+        &mut self,
+        request: admission::RequestId,
+        granted: Result<view::Endpoint, verdict::Reason>,
+    ) {
+        if let Some(reply) = self.waiting.remove(&request) {
+            let _ = reply.send(granted);
+        }
+    }
+
+    fn follow_kinds(&mut self, document: &document::Document) -> Option<dispatch::Input> {
+        let new = kinds(document);
+        if new == self.kinds {
+            return None;
+        }
+        let changed = new.iter().map(|(name, spec)| dispatch::Kind {
+            spec: *spec,
+            before: self.kind(name),
+        });
+        let input = dispatch::Input::Kinds(changed.collect());
+        self.kinds = new;
+        Some(input)
+    }
+
+    fn follow_runners(
+        &mut self,
+        document: &document::Document,
+        endpoints: &[view::Endpoint],
+    ) -> Option<dispatch::Input> {
+        let runners: Vec<_> = endpoints
+            .iter()
+            .map(|endpoint| dispatch::Runner {
+                vm: endpoint.vm.clone(),
+                slots: document.capacity.slots_per_runner,
+                leaving: endpoint.leaving,
+            })
+            .collect();
+        self.endpoints = endpoints.to_vec();
+        if runners == self.runners {
+            return None;
+        }
+        self.runners.clone_from(&runners);
+        Some(dispatch::Input::Runners(runners))
+    }
+
+    fn follow_roster(&mut self, roster: &roster::Roster) -> Option<dispatch::Input> {
+        if roster.members.is_empty() || roster.head <= self.roster.version {
+            return None;
+        }
+        let members: Vec<_> = roster
+            .members
+            .iter()
+            .map(|member| member.id.clone())
+            .collect();
+        let old = std::mem::take(&mut self.roster.members);
+        let departed = old.into_iter().filter(|node| !members.contains(node));
+        let departed = departed.collect();
+        self.roster = slots::Roster {
+            version: roster.head,
+            members,
+            departed,
+        };
+        Some(dispatch::Input::Roster(self.roster.clone()))
+    }
+
+    /// Members of earlier rosters that by now must have found out that they may serve no more.
+    fn lapsed(&mut self, now: clock::Instant) -> Vec<dispatch::Input> {
+        let awaited: Vec<_> = self.service.ledger().awaited().cloned().collect();
+        self.awaited_since.retain(|node, _| awaited.contains(node));
+        let mut lapsed = Vec::new();
+        for node in awaited {
+            let since = *self.awaited_since.entry(node.clone()).or_insert(now);
+            if now.since_ms(since) >= peers::ENDED_AFTER_MS {
+                lapsed.push(dispatch::Input::Lapsed(node));
+            }
+        }
+        lapsed
+    }
+}
+
+fn kinds(document: &document::Document) -> Vec<(id::Kind, admission::KindSpec)> {
+    let kinds = document.kinds.iter();
+    kinds
+        .map(|kind| {
+            let spec = admission::KindSpec {
+                urgency: kind.urgency,
+                share: kind.share,
+            };
+            (kind.name.clone(), spec)
+        })
+        .collect()
+}
--- a/node/tests/test_links.rs
+++ b/node/tests/test_links.rs
@@ -42,7 +42,12 @@
         let (control, inbox) = mpsc::channel(64);
         let mut tasks = JoinSet::new();
         let (keys, _) = mpsc::channel(64);
-        let inboxes = peers::Inboxes { control, keys };
+        let (slots, _) = mpsc::channel(64);
+        let inboxes = peers::Inboxes {
+            control,
+            keys,
+            slots,
+        };
         let links = peers::Links::start(me, Some(config), socket, inboxes, &mut tasks);
         let links = links.expect("the socket works");
         Self {
--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -56,6 +56,25 @@
         }
     }
 
+    /// Changes the kinds; each names its place before the change, if it was there.
+    ///
+    /// What waits in the queues of kinds that are gone is forgotten.
+    pub fn set_kinds(&mut self, kinds: &[(KindSpec, Option<KindIndex>)]) {
+        let old = std::mem::take(&mut self.kinds);
+        let kept = |(spec, before): &(KindSpec, Option<KindIndex>)| {
+            let before = before.and_then(|index| old.get(usize::from(index)));
+            match before {
+                Some(kind) => Kind {
+                    spec: *spec,
+                    ..kind.clone()
+                },
+                None => Kind::new(*spec),
+            }
+        };
+        self.kinds = kinds.iter().map(kept).collect();
+        self.weights = kinds.iter().map(|(spec, _)| f64::from(spec.share)).sum();
+    }
+
     /// Takes an input and appends what should be done.
     pub fn handle(&mut self, now: clock::Instant, input: Input, outputs: &mut Vec<Output>) {
         match input {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,16 +7,16 @@
 //!
 //! ```
 //! use rand::SeedableRng;
-//! use wasabiloft::{admission, clock, dispatch, document, id, slots};
+//! use wasabiloft::{admission, clock, dispatch, document, id, roster, slots};
 //!
-//! let me = slots::Member { node: id::Node::new("entry-1"), incarnation: 1 };
+//! let me = roster::NodeId { node: id::Node::new("entry-1"), incarnation: roster::Incarnation(1) };
 //! let kinds = [admission::KindSpec { urgency: document::Urgency::Normal, share: 1 }];
 //! let mut service = dispatch::Service::new(me.clone(), &kinds, dispatch::Settings::default());
 //! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
 //! let mut outputs = Vec::new();
 //! let now = clock::Instant::ZERO;
 //! let runner = dispatch::Runner { vm: id::Vm::new("vm-1"), slots: 8, leaving: false };
-//! let roster = slots::Roster { version: 1, members: vec![me], departed: Vec::new() };
+//! let members = slots::Roster { version: 1, members: vec![me], departed: Vec::new() };
 //! let request = admission::RequestId::from(7);
 //! let arrival = dispatch::Arrival {
 //!     request,
@@ -28,7 +28,7 @@
 //! for input in [
 //!     dispatch::Input::Serving { until: now.after_ms(1_000) },
 //!     dispatch::Input::Runners(vec![runner]),
-//!     dispatch::Input::Roster(roster),
+//!     dispatch::Input::Roster(members),
 //!     dispatch::Input::Arrive(arrival),
 //! ] {
 //!     service.handle(now, input, &mut rng, &mut outputs);
@@ -41,6 +41,7 @@
 use crate::admission;
 use crate::clock;
 use crate::id;
+use crate::roster;
 use crate::slots;
 use crate::verdict;
 
@@ -78,6 +79,15 @@
     }
 }
 
+/// A kind of a changed document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// What the document says of it.
+    pub spec: admission::KindSpec,
+    /// Its place before the change, if it was there.
+    pub before: Option<admission::KindIndex>,
+}
+
 /// A request that came in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -107,12 +117,16 @@
         /// How it ended.
         ending: Ending,
     },
+    /// The document's kinds changed.
+    ///
+    /// Queued requests of kinds that are gone are refused.
+    Kinds(Vec<Kind>),
     /// The runners of the service, all of them.
     Runners(Vec<Runner>),
     /// The roster changed.
     Roster(slots::Roster),
     /// A departed member can start nothing any more.
-    Lapsed(slots::Member),
+    Lapsed(roster::NodeId),
     /// This node may start requests until then.
     Serving {
         /// The end of this node's proof that others count on it.
@@ -121,10 +135,12 @@
     /// A message came from another node.
     Message {
         /// The sender.
-        from: slots::Member,
+        from: roster::NodeId,
         /// The message.
         message: slots::Message,
     },
+    /// This node is about to leave: it passes its slots on as its requests end.
+    Leave,
     /// Time passed; due about every ten milliseconds.
     Tick,
 }
@@ -164,7 +180,7 @@
     /// Send a message to another node; it may be lost.
     Send {
         /// The receiver.
-        to: slots::Member,
+        to: roster::NodeId,
         /// The message.
         message: slots::Message,
     },
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -6,8 +6,9 @@
 
 use crate::admission;
 use crate::clock;
-use crate::dispatch::{Arrival, Ending, Input, Output, Runner, Settings};
+use crate::dispatch::{Arrival, Ending, Input, Kind, Output, Runner, Settings};
 use crate::id;
+use crate::roster;
 use crate::routing;
 use crate::slots;
 use crate::verdict;
@@ -32,7 +33,7 @@
 /// A request that holds a slot.
 #[derive(Debug)]
 struct Running {
-    kind: admission::KindIndex,
+    kind: Option<admission::KindIndex>,
     token: slots::Token,
     endpoint: routing::EndpointKey,
     started_at: clock::Instant,
@@ -69,7 +70,7 @@
 
 impl Service {
     /// Makes a service with these kinds that knows no runner yet.
-    pub fn new(me: slots::Member, kinds: &[admission::KindSpec], settings: Settings) -> Self {
+    pub fn new(me: roster::NodeId, kinds: &[admission::KindSpec], settings: Settings) -> Self {
         let ledger_settings = slots::Settings {
             weights: kinds.iter().map(|kind| kind.share).collect(),
             longest_request_ms: settings.longest_request_ms,
@@ -104,6 +105,7 @@
             Input::Arrive(arrival) => self.arrive(arrival, turn),
             Input::Cancel(request) => self.cancel(request, turn),
             Input::Finish { request, ending } => self.finish(request, ending, turn),
+            Input::Kinds(kinds) => self.change_kinds(&kinds, turn),
             Input::Runners(runners) => self.list(&runners, turn),
             Input::Roster(roster) => self.change_slots(slots::Input::Roster(roster), turn),
             Input::Lapsed(member) => self.change_slots(slots::Input::Lapsed(member), turn),
@@ -111,6 +113,7 @@
             Input::Message { from, message } => {
                 self.change_slots(slots::Input::Message { from, message }, turn);
             }
+            Input::Leave => self.change_slots(slots::Input::Leave, turn),
             Input::Tick => self.tick(turn),
         }
         self.send(turn);
@@ -180,26 +183,70 @@
             return;
         };
         let busy_ms = turn.now.since_ms(running.started_at);
-        let mean_ms = self.controller.service_time(running.kind).mean_ms();
-        let outcome = match ending {
-            Ending::Answered => routing::Outcome::Answered {
+        let outcome = self.outcome(&running, busy_ms, ending);
+        self.router.finish(turn.now, running.endpoint, outcome);
+        self.ledger.release(running.token);
+        if let Some(kind) = running.kind {
+            let whole = ending == Ending::Answered;
+            let input = admission::Input::Finish {
+                kind,
+                busy_ms,
+                whole,
+            };
+            self.admit(input, turn);
+        }
+        let waiting = slots::Input::Waiting(self.waiting());
+        self.change_slots(waiting, turn);
+    }
+
+    fn outcome(&self, running: &Running, busy_ms: u64, ending: Ending) -> routing::Outcome {
+        let mean_ms = running.kind.map_or(0.0, |kind| {
+            let service_time = self.controller.service_time(kind);
+            service_time.mean_ms()
+        });
+        match ending {
+            Ending::Answered if mean_ms > 0.0 => routing::Outcome::Answered {
                 slowness: busy_ms.max(1) as f64 / mean_ms.max(1.0),
             },
+            Ending::Answered => routing::Outcome::Answered { slowness: 1.0 },
             Ending::Failed => routing::Outcome::Failed,
             Ending::TimedOut => routing::Outcome::TimedOut,
             Ending::Refused => routing::Outcome::Refused,
             Ending::Abandoned => routing::Outcome::Abandoned,
+        }
+    }
+
+    fn change_kinds<R>(&mut self, kinds: &[Kind], turn: &mut Turn<'_, R>)
+    where
+        R: Rng,
+    {
+        let place = |old: admission::KindIndex| {
+            let new = kinds.iter().position(|kind| kind.before == Some(old));
+            new.map(admission::KindIndex::from)
         };
-        self.router.finish(turn.now, running.endpoint, outcome);
-        self.ledger.release(running.token);
-        let input = admission::Input::Finish {
-            kind: running.kind,
-            busy_ms,
-            whole: ending == Ending::Answered,
-        };
-        self.admit(input, turn);
-        let waiting = slots::Input::Waiting(self.waiting());
-        self.change_slots(waiting, turn);
+        for running in self.running.values_mut() {
+            running.kind = running.kind.and_then(place);
+        }
+        let gone = self
+            .queued
+            .extract_if(|_, queued| place(queued.kind).is_none());
+        for (request, _) in gone {
+            let reason = verdict::Reason::UnknownService;
+            turn.outputs.push(Output::Refuse { request, reason });
+        }
+        for queued in self.queued.values_mut() {
+            queued.kind = place(queued.kind).unwrap_or(queued.kind);
+        }
+        let old = std::mem::take(&mut self.demand);
+        let before = |kind: &Kind| kind.before.and_then(|index| old.get(usize::from(index)));
+        self.demand = kinds
+            .iter()
+            .map(|kind| before(kind).copied().unwrap_or_default())
+            .collect();
+        let specs: Vec<_> = kinds.iter().map(|kind| (kind.spec, kind.before)).collect();
+        self.controller.set_kinds(&specs);
+        self.ledger
+            .set_weights(kinds.iter().map(|kind| kind.spec.share).collect());
     }
 
     fn list<R>(&mut self, runners: &[Runner], turn: &mut Turn<'_, R>)
@@ -348,7 +395,7 @@
         };
         let started_at = turn.now;
         let running = Running {
-            kind,
+            kind: Some(kind),
             token,
             endpoint,
             started_at,
--- a/src/slots/census.rs
+++ b/src/slots/census.rs
@@ -1,6 +1,7 @@
 //! Entering deals: telling what is held, and dealing out what nobody holds.
 
 use crate::clock;
+use crate::roster;
 use crate::slots::book;
 use crate::slots::deal;
 use crate::slots::message;
@@ -73,7 +74,7 @@
     pub(super) fn count_census(
         &mut self,
         now: clock::Instant,
-        from: deal::Member,
+        from: roster::NodeId,
         census: message::Census,
     ) {
         if self.complete {
@@ -91,7 +92,7 @@
     }
 
     /// Notes that a departed member can start nothing any more; a member of the roster may still come back.
-    pub(super) fn lapse(&mut self, now: clock::Instant, member: deal::Member) {
+    pub(super) fn lapse(&mut self, now: clock::Instant, member: roster::NodeId) {
         if self.members.contains(&member) {
             return;
         }
@@ -107,7 +108,7 @@
         }
         let lapsed = &self.lapsed;
         let ended =
-            |member: &deal::Member| lapsed.get(member).is_some_and(|ends_at| *ends_at <= now);
+            |member: &roster::NodeId| lapsed.get(member).is_some_and(|ends_at| *ends_at <= now);
         let ended = self.awaited.extract_if(.., ended);
         self.settled.extend(ended);
         if self.awaited.is_empty() {
--- a/src/slots/deal.rs
+++ b/src/slots/deal.rs
@@ -4,22 +4,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id;
+use crate::roster;
 
 /// Start value of the FNV-1a hash.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 /// Multiplier of the FNV-1a hash.
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
-/// One incarnation of an entry VM.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[display("{node}/{incarnation}")]
-pub struct Member {
-    /// The entry VM.
-    pub node: id::Node,
-    /// Raised at each start of its process.
-    pub incarnation: u64,
-}
-
 /// The number of a deal; later deals compare greater.
 #[derive(
     Clone,
@@ -65,14 +56,14 @@
 /// The members in the order in which a runner's lost slots are dealt to them.
 ///
 /// Each runner has an order of its own, so that the tokens spread evenly.
-pub fn order<'a>(members: &'a [Member], vm: &id::Vm) -> Vec<&'a Member> {
-    let mut order: Vec<&Member> = members.iter().collect();
+pub fn order<'a>(members: &'a [roster::NodeId], vm: &id::Vm) -> Vec<&'a roster::NodeId> {
+    let mut order: Vec<&roster::NodeId> = members.iter().collect();
     order.sort_by_key(|member| (score(member, vm), *member));
     order
 }
 
 /// The slots of a runner, as a mask, that the deal gives to a member if nobody holds them.
-pub fn dealt_mask(members: &[Member], me: &Member, vm: &id::Vm, slots: u32) -> u64 {
+pub fn dealt_mask(members: &[roster::NodeId], me: &roster::NodeId, vm: &id::Vm, slots: u32) -> u64 {
     let order = order(members, vm);
     let mut mask = 0;
     for slot in 0..slots {
@@ -84,9 +75,9 @@
 }
 
 /// A hash of member and runner, alike on all nodes.
-fn score(member: &Member, vm: &id::Vm) -> u64 {
+fn score(member: &roster::NodeId, vm: &id::Vm) -> u64 {
     let text = [member.node.as_str().as_bytes(), vm.as_str().as_bytes()];
-    let mut hash = FNV_OFFSET ^ member.incarnation;
+    let mut hash = FNV_OFFSET ^ member.incarnation.0;
     for byte in text.into_iter().flatten() {
         hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
     }
--- a/src/slots/message.rs
+++ b/src/slots/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id;
+use crate::roster;
 use crate::slots::deal;
 
 /// Some slots of one runner.
@@ -24,7 +25,7 @@
     /// Tokens that the member held, free or in use.
     pub held: Vec<Tokens>,
     /// Members of earlier deals whose census the sender needed when it entered.
-    pub awaited: Vec<deal::Member>,
+    pub awaited: Vec<roster::NodeId>,
 }
 
 /// Passes tokens on; the giver has already forgotten them.
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -9,9 +9,9 @@
 //! # Examples
 //!
 //! ```
-//! use wasabiloft::{clock, id, slots};
+//! use wasabiloft::{clock, id, roster, slots};
 //!
-//! let me = slots::Member { node: id::Node::new("entry-1"), incarnation: 1 };
+//! let me = roster::NodeId { node: id::Node::new("entry-1"), incarnation: roster::Incarnation(1) };
 //! let mut ledger = slots::Ledger::new(me.clone(), slots::Settings::default());
 //! let now = clock::Instant::ZERO;
 //! let mut outputs = Vec::new();
@@ -39,9 +39,10 @@
 
 use crate::clock;
 use crate::id;
+use crate::roster;
 
 pub use book::{RunnerKey, RunnerSpec, SLOTS_MAX};
-pub use deal::{Deal, Member, dealt_mask};
+pub use deal::{Deal, dealt_mask};
 pub use message::{Ask, Census, Give, Message, Report, Tokens, Window};
 
 /// Whether tokens are passed between nodes.
@@ -81,9 +82,9 @@
     /// The roster's version.
     pub version: u64,
     /// Its members.
-    pub members: Vec<Member>,
+    pub members: Vec<roster::NodeId>,
     /// Earlier members that may still run requests; an incarnation never comes back.
-    pub departed: Vec<Member>,
+    pub departed: Vec<roster::NodeId>,
 }
 
 /// What this node's admission asks for.
@@ -105,7 +106,7 @@
     /// A departed member can start nothing any more; its last requests may still run for the longest request's time.
     ///
     /// It is ignored for members of the roster, which may come back, so it is told after the roster's change.
-    Lapsed(Member),
+    Lapsed(roster::NodeId),
     /// This node may start requests until then; past it, it forgets its tokens.
     Serving {
         /// The end of this node's proof that others count on it.
@@ -114,7 +115,7 @@
     /// A message came from another node.
     Message {
         /// The sender, as the link has authenticated it.
-        from: Member,
+        from: roster::NodeId,
         /// The message.
         message: Message,
     },
@@ -122,6 +123,8 @@
     Demand(Demand),
     /// So many requests within their kinds' shares wait for a slot here.
     Waiting(u32),
+    /// This node is about to leave: it passes all its tokens on.
+    Leave,
     /// Time passed; due about every ten milliseconds.
     Tick,
 }
@@ -132,7 +135,7 @@
     /// Send a message; it may be lost.
     Send {
         /// The receiver.
-        to: Member,
+        to: roster::NodeId,
         /// The message.
         message: Message,
     },
@@ -199,25 +202,26 @@
 /// The tokens of one service on one node.
 #[derive(Clone, Debug)]
 pub struct Ledger {
-    me: Member,
+    me: roster::NodeId,
     settings: Settings,
     book: book::Book,
     deal: Deal,
-    members: Vec<Member>,
+    members: Vec<roster::NodeId>,
     census: Census,
-    awaited: BTreeSet<Member>,
-    settled: BTreeSet<Member>,
-    lapsed: BTreeMap<Member, clock::Instant>,
+    awaited: BTreeSet<roster::NodeId>,
+    settled: BTreeSet<roster::NodeId>,
+    lapsed: BTreeMap<roster::NodeId, clock::Instant>,
     listed: BTreeMap<id::Vm, u64>,
     complete: bool,
-    peers: BTreeMap<Member, Peer>,
+    leaving: bool,
+    peers: BTreeMap<roster::NodeId, Peer>,
     demand: Demand,
     waiting: u32,
     reported: Report,
     reported_at: Option<clock::Instant>,
     asked_at: Option<clock::Instant>,
     asks: Vec<passing::Pending>,
-    owed: Vec<Member>,
+    owed: Vec<roster::NodeId>,
     serial: u64,
     short_since: Option<clock::Instant>,
     serving_until: clock::Instant,
@@ -226,7 +230,7 @@
 
 impl Ledger {
     /// Makes the ledger of a node that holds nothing yet.
-    pub fn new(me: Member, settings: Settings) -> Self {
+    pub fn new(me: roster::NodeId, settings: Settings) -> Self {
         Self {
             me,
             settings,
@@ -239,6 +243,7 @@
             lapsed: BTreeMap::new(),
             listed: BTreeMap::new(),
             complete: false,
+            leaving: false,
             peers: BTreeMap::new(),
             demand: Demand::default(),
             waiting: 0,
@@ -265,6 +270,7 @@
             Input::Message { from, message } => self.receive(now, from, message, outputs),
             Input::Demand(demand) => self.demand = demand,
             Input::Waiting(waiting) => self.wait(now, waiting, outputs),
+            Input::Leave => self.leaving = true,
             Input::Tick => self.tick(now, outputs),
         }
         self.pay(outputs);
@@ -356,6 +362,12 @@
         self.complete
     }
 
+    /// Nodes outside the roster whose last requests must have ended before lost tokens are dealt.
+    pub fn awaited(&self) -> impl Iterator<Item = &roster::NodeId> {
+        let members = &self.members;
+        self.awaited.iter().filter(|node| !members.contains(node))
+    }
+
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -379,7 +391,7 @@
     fn receive(
         &mut self,
         now: clock::Instant,
-        from: Member,
+        from: roster::NodeId,
         message: Message,
         outputs: &mut Vec<Output>,
     ) {
@@ -402,7 +414,7 @@
         }
     }
 
-    fn accept(&mut self, from: Member, give: &Give) {
+    fn accept(&mut self, from: roster::NodeId, give: &Give) {
         let peer = self.peers.entry(from).or_default();
         if !peer.window.accept(give.serial) {
             self.counters.repeated += 1;
--- a/src/slots/passing.rs
+++ b/src/slots/passing.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::share;
 use crate::clock;
+use crate::roster;
 use crate::slots::deal;
 use crate::slots::message;
 use crate::slots::{Demand, Ledger, Output, Passing};
@@ -30,14 +31,14 @@
 /// An ask that has not been met.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
-    from: deal::Member,
+    from: roster::NodeId,
     slots: u32,
     until: clock::Instant,
 }
 
 /// What a member holds and what it should hold.
 struct Standing {
-    member: deal::Member,
+    member: roster::NodeId,
     held: f64,
     target: f64,
 }
@@ -72,6 +73,12 @@
         sum
     }
 
+    /// Changes the weights of the kinds' shares.
+    pub fn set_weights(&mut self, weights: Vec<u32>) {
+        self.settings.weights = weights;
+        self.demand = Demand::default();
+    }
+
     /// The number of members.
     pub fn members(&self) -> u32 {
         self.members.len() as u32
@@ -83,7 +90,7 @@
         earlier.count() as u32
     }
 
-    pub(super) fn note_report(&mut self, from: deal::Member, report: message::Report) {
+    pub(super) fn note_report(&mut self, from: roster::NodeId, report: message::Report) {
         let peer = self.peers.entry(from).or_default();
         peer.held = report.held;
         peer.free = report.free;
@@ -126,13 +133,15 @@
         let mut standings = self.standings(now);
         let mine = standings.iter().find(|entry| entry.member == self.me);
         let target = mine.map_or(0.0, |entry| entry.target);
+        let target = if self.leaving { 0.0 } else { target };
         let surplus = (f64::from(self.book.held()) - target.ceil()).max(0.0) as u32;
         standings.retain(|entry| entry.member != self.me && self.can_receive(&entry.member));
         for _ in 0..surplus {
             let neediest = standings
                 .iter_mut()
                 .max_by(|a, b| (a.target - a.held).total_cmp(&(b.target - b.held)));
-            let Some(neediest) = neediest.filter(|entry| entry.target - entry.held >= 1.0) else {
+            let needs = |entry: &&mut Standing| self.leaving || entry.target - entry.held >= 1.0;
+            let Some(neediest) = neediest.filter(needs) else {
                 return;
             };
             neediest.held += 1.0;
@@ -195,7 +204,12 @@
         }
     }
 
-    pub(super) fn queue_ask(&mut self, now: clock::Instant, from: deal::Member, ask: message::Ask) {
+    pub(super) fn queue_ask(
+        &mut self,
+        now: clock::Instant,
+        from: roster::NodeId,
+        ask: message::Ask,
+    ) {
         self.asks.retain(|pending| pending.from != from);
         self.asks.push(Pending {
             from,
@@ -220,7 +234,7 @@
     }
 
     /// Gives one free token away: forgets it, then sends it.
-    fn give(&mut self, to: &deal::Member, outputs: &mut Vec<Output>) -> bool {
+    fn give(&mut self, to: &roster::NodeId, outputs: &mut Vec<Output>) -> bool {
         if !self.can_receive(to) {
             return false;
         }
@@ -251,7 +265,7 @@
         true
     }
 
-    fn can_receive(&self, member: &deal::Member) -> bool {
+    fn can_receive(&self, member: &roster::NodeId) -> bool {
         let peer = self.peers.get(member);
         peer.is_some_and(|peer| peer.deal == self.deal) && self.members.contains(member)
     }
--- a/tests/fake_slots.rs
+++ b/tests/fake_slots.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wasabiloft::{clock, id, slots};
+use wasabiloft::{clock, id, roster, slots};
 
 /// Time without proof after which a node stops serving.
 const ISOLATION_MS: u64 = 500;
@@ -43,7 +43,7 @@
 }
 
 struct Node {
-    me: slots::Member,
+    me: roster::NodeId,
     ledger: slots::Ledger,
     demand: u32,
     paused_until: u64,
@@ -54,8 +54,8 @@
 
 struct Flight {
     at: u64,
-    from: slots::Member,
-    to: slots::Member,
+    from: roster::NodeId,
+    to: roster::NodeId,
     message: slots::Message,
 }
 
@@ -177,15 +177,15 @@
         &mut self.nodes[index % count]
     }
 
-    fn is_member(&self, member: &slots::Member) -> bool {
+    fn is_member(&self, member: &roster::NodeId) -> bool {
         self.roster.members.contains(member)
     }
 
     fn start_node(&mut self) {
         self.born += 1;
-        let me = slots::Member {
+        let me = roster::NodeId {
             node: id::Node::from(format!("entry-{}", self.born % 5)),
-            incarnation: self.born,
+            incarnation: roster::Incarnation(self.born),
         };
         let settings = slots::Settings {
             longest_request_ms: LONGEST_MS,
@@ -209,7 +209,7 @@
         self.change_roster(members);
     }
 
-    fn remove(&mut self, member: &slots::Member) {
+    fn remove(&mut self, member: &roster::NodeId) {
         let mut members = self.roster.members.clone();
         members.retain(|entry| entry != member);
         if !members.is_empty() {
@@ -217,7 +217,7 @@
         }
     }
 
-    fn change_roster(&mut self, members: Vec<slots::Member>) {
+    fn change_roster(&mut self, members: Vec<roster::NodeId>) {
         let old = std::mem::take(&mut self.roster.members);
         self.roster.departed.extend(old);
         self.roster
@@ -376,7 +376,7 @@
         }
     }
 
-    fn send(&mut self, from: &slots::Member, to: &slots::Member, message: slots::Message) {
+    fn send(&mut self, from: &roster::NodeId, to: &roster::NodeId, message: slots::Message) {
         let (lost, repeated, delay_ms) = self.faults;
         let copies = 1 + usize::from(self.rng.random_ratio(repeated, 100));
         for copy in 0..copies {
--- a/tests/test_slots.rs
+++ b/tests/test_slots.rs
@@ -1,7 +1,7 @@
 //! Slots: a runner's limit holds through roster changes, pauses and a faulty network, and lost tokens return.
 
 use proptest::prelude::*;
-use wasabiloft::{id, slots};
+use wasabiloft::{id, roster, slots};
 
 use crate::fake_slots::{Action, Protection, World};
 
@@ -102,9 +102,9 @@
 #[test]
 fn each_slot_is_dealt_to_one_member() {
     let members: Vec<_> = (0..5)
-        .map(|incarnation| slots::Member {
+        .map(|incarnation| roster::NodeId {
             node: id::Node::new("entry"),
-            incarnation,
+            incarnation: roster::Incarnation(incarnation),
         })
         .collect();
     let vm = id::Vm::new("vm-1");
