--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -5,10 +5,12 @@
 mod entry;
 mod fleet;
 mod flood;
+mod jobs;
 mod keys;
 mod keys_world;
 mod lease;
 mod load;
+mod placement;
 mod slots;
 mod tally;
 mod util;
@@ -28,8 +30,10 @@
     config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
     flood       What the other kinds keep while some kinds flood in.
+    jobs        Jobs under load and faults: waits, use, shares, lost work, store writes.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
+    placement   Placement decisions a second and memory against workers and queue length.
     slots       Slot use of many entry nodes against one ideal queue.
 
 Run `measure <command> --help` for its options.";
@@ -42,8 +46,10 @@
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("fleet") => fleet::run(argv).map_err(Into::into),
         Some("flood") => flood::run(argv).map_err(Into::into),
+        Some("jobs") => jobs::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("placement") => placement::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
