--- a/node/src/front/attempt.rs
+++ b/node/src/front/attempt.rs
@@ -7,7 +7,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use tokio::time;
+use wasabiloft::dispatch;
 use wasabiloft::id;
 use wasabiloft::retry;
 use wasabiloft::retry::budget;
@@ -87,8 +89,9 @@
     let budgets = &shared.budgets;
     let service = call.service();
     let mut attempts = budgets.with(service, |budget| retry::Attempts::new(spec, budget));
+    let latest = Mutex::new(None);
     let mut running = FuturesUnordered::new();
-    running.push(run_once(shared, call, None));
+    running.push(run_once(shared, call, None, &latest));
     attempts.start();
     let hedge = time::sleep(Duration::from_millis(HEDGE_AFTER_MS));
     tokio::pin!(hedge);
@@ -101,7 +104,8 @@
                 let now = shared.clock.now();
                 if budgets.with(service, |budget| attempts.hedge(now, budget)) {
                     count_retry("hedge");
-                    running.push(run_once(shared, call, None));
+                    let avoid = *lock(&latest);
+                    running.push(run_once(shared, call, avoid, &latest));
                     attempts.start();
                 }
                 continue;
@@ -123,25 +127,33 @@
             retry::Step::Wait => {}
             retry::Step::GiveUp(verdict, reason) => return Err(Failure { verdict, reason }),
             retry::Step::Retry => {
-                running.push(run_once(shared, call, address));
+                running.push(run_once(shared, call, address, &latest));
                 attempts.start();
             }
         }
     }
 }
 
+/// Runs one attempt, away from `avoid` if another endpoint has a slot, and notes its endpoint in `latest`.
 async fn run_once(
     shared: &Arc<node::Shared>,
     call: &call::Call,
     avoid: Option<SocketAddr>,
+    latest: &Mutex<Option<SocketAddr>>,
 ) -> Ended {
-    let slot = shared.slots.acquire(&call.endpoints, avoid, call.deadline);
-    let slot = match slot.await {
+    let wanted = slot::Wanted {
+        service: call.service(),
+        kind: call.kind(),
+        avoid,
+        left_ms: call.left_ms(),
+    };
+    let slot = match shared.slots.acquire(&wanted).await {
         Ok(slot) => slot,
         Err(reason) => return Ended::Refused(reason),
     };
     let address = slot.endpoint.address;
-    let Some(permit) = Permit::start(shared, slot) else {
+    *lock(latest) = Some(address);
+    let Some(mut permit) = Permit::start(shared, slot) else {
         let failure = retry::Failure {
             progress: retry::Progress::NothingSent,
             reason: verdict::Reason::NoEndpoint,
@@ -152,7 +164,9 @@
     let sent = shared
         .upstream
         .send(address, request, call.work(), call.deadline);
-    match sent.await {
+    let sent = sent.await;
+    permit.slot.end(ending(&sent));
+    match sent {
         Ok(answer) if is_refusal(&answer) => {
             let failure = retry::Failure {
                 progress: retry::Progress::Refused,
@@ -165,6 +179,26 @@
     }
 }
 
+/// What the end of an attempt says of its endpoint.
+fn ending(sent: &Result<upstream::Answer, retry::Failure>) -> dispatch::Ending {
+    match sent {
+        Ok(answer) if is_refusal(answer) => dispatch::Ending::Refused,
+        Ok(answer) if status(answer).is_server_error() => dispatch::Ending::Failed,
+        Ok(_) => dispatch::Ending::Answered,
+        Err(failure) => match failure.reason {
+            verdict::Reason::AnswerTimeout => dispatch::Ending::TimedOut,
+            _ => dispatch::Ending::Failed,
+        },
+    }
+}
+
+fn status(answer: &upstream::Answer) -> StatusCode {
+    match answer {
+        upstream::Answer::Whole(response) => response.status(),
+        upstream::Answer::Streamed(parts, _) => parts.status,
+    }
+}
+
 /// Tells whether the endpoint itself says that it did not run the request.
 fn is_refusal(answer: &upstream::Answer) -> bool {
     let headers = match answer {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -23,6 +23,7 @@
 use wasabiloft::platform as messages;
 use wasabiloft::pool::row;
 use wasabiloft::roster;
+use wasabiloft::slots;
 
 use crate::admin;
 use crate::clock;
@@ -46,8 +47,6 @@
 const POLL_MS: u64 = 500;
 /// Messages that wait until their slice takes them.
 const INBOX_MAX: usize = 4_096;
-/// Slots of each endpoint that one of the eight entry nodes uses.
-const SLOTS_PER_ENDPOINT: usize = 1;
 /// Connections of each endpoint, over all nodes.
 const CONNECTIONS_PER_ENDPOINT: usize = 64;
 
@@ -93,6 +92,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     tasks: JoinSet<()>,
+    slots_stop: CancellationToken,
+    slots_task: JoinHandle<()>,
     keys_stop: CancellationToken,
     keys_task: JoinHandle<()>,
     control_stop: CancellationToken,
@@ -128,7 +129,7 @@
             links: parts.links,
             clock,
             upstream: upstream::Upstream::new(clock, CONNECTIONS_PER_ENDPOINT),
-            slots: slot::Slots::new(SLOTS_PER_ENDPOINT),
+            slots: parts.slots,
             budgets: front::Budgets::default(),
             ledger: Mutex::default(),
             keys: parts.keys,
@@ -150,6 +151,9 @@
         tasks.spawn(follow(Arc::clone(&shared)));
         tasks.spawn(fleet::rows::poll(Arc::clone(&shared)));
         tasks.spawn(fleet::drains::run(Arc::clone(&shared), parts.drains_inbox));
+        let slots_stop = CancellationToken::new();
+        let slots_task = slot::run(Arc::clone(&shared), parts.slots_inbox, slots_stop.clone());
+        let slots_task = tokio::spawn(slots_task);
         tasks.spawn(jobs_driver.run(
             shared.control.clone(),
             shared.platform.clone(),
@@ -168,6 +172,8 @@
             address,
             shared,
             tasks,
+            slots_stop,
+            slots_task,
             keys_stop,
             keys_task,
             control_stop,
@@ -218,6 +224,10 @@
         self.shared.keyed_requests.close();
         self.shared.keyed_requests.wait().await;
         self.shared.upstream.stop().await;
+        self.slots_stop.cancel();
+        if let Err(error) = self.slots_task.await {
+            log::warn("node", &format!("slots part failed: {error}"));
+        }
         self.keys_stop.cancel();
         if let Err(error) = self.keys_task.await {
             log::warn("node", &format!("keys part failed: {error}"));
@@ -251,6 +261,8 @@
     keys_driver: keys::Driver,
     drains: mpsc::Sender<peers::Incoming<drain::Message>>,
     drains_inbox: mpsc::Receiver<peers::Incoming<drain::Message>>,
+    slots: slot::Slots,
+    slots_inbox: mpsc::Receiver<peers::Incoming<(id::Service, slots::Message)>>,
 }
 
 fn start_links(
@@ -266,10 +278,12 @@
     let (control, inbox) = mpsc::channel(INBOX_MAX);
     let (for_keys, keys_inbox) = mpsc::channel(INBOX_MAX);
     let (drains, drains_inbox) = mpsc::channel(INBOX_MAX);
+    let (for_slots, slots_inbox) = mpsc::channel(INBOX_MAX);
     let inboxes = peers::Inboxes {
         control,
         keys: for_keys,
         drains: drains.clone(),
+        slots: for_slots,
     };
     let links = peers::Links::start(me.clone(), keys, socket, inboxes, tasks)?;
     for (node, address) in &settings.peers {
@@ -279,6 +293,7 @@
     let id = me.id.clone();
     let (control, control_driver) =
         control::new(me, &seeds, Arc::clone(&links), platform.clone(), inbox);
+    let slots = slot::Slots::new(id.clone(), control.clock(), Arc::clone(&links));
     let (keys, keys_driver) = keys::new(
         id,
         Arc::clone(&links),
@@ -294,6 +309,8 @@
         keys_driver,
         drains,
         drains_inbox,
+        slots,
+        slots_inbox,
     })
 }
 
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -21,6 +21,7 @@
 use wasabiloft::once;
 use wasabiloft::peers;
 use wasabiloft::roster;
+use wasabiloft::slots;
 
 /// Messages that may wait for one peer.
 const QUEUE_MAX: usize = 1_024;
@@ -36,6 +37,8 @@
     Keys(once::message::Message),
     /// Drains of VMs.
     Drain(drain::Message),
+    /// Slots of a service's runners.
+    Slots(id::Service, slots::Message),
 }
 
 /// A message with its sender.
@@ -56,6 +59,8 @@
     pub keys: mpsc::Sender<Incoming<once::message::Message>>,
     /// For drains of VMs.
     pub drains: mpsc::Sender<Incoming<drain::Message>>,
+    /// For slots.
+    pub slots: mpsc::Sender<Incoming<(id::Service, slots::Message)>>,
 }
 
 impl Inboxes {
@@ -66,6 +71,10 @@
             Message::Control(message) => self.control.try_send(Incoming { from, message }).is_ok(),
             Message::Keys(message) => self.keys.try_send(Incoming { from, message }).is_ok(),
             Message::Drain(message) => self.drains.try_send(Incoming { from, message }).is_ok(),
+            Message::Slots(service, message) => {
+                let message = (service, message);
+                self.slots.try_send(Incoming { from, message }).is_ok()
+            }
         };
         if !kept {
             lost("inbox-full");
--- a/node/tests/test_links.rs
+++ b/node/tests/test_links.rs
@@ -43,10 +43,12 @@
         let mut tasks = JoinSet::new();
         let (keys, _) = mpsc::channel(64);
         let (drains, _) = mpsc::channel(64);
+        let (slots, _) = mpsc::channel(64);
         let inboxes = peers::Inboxes {
             control,
             keys,
             drains,
+            slots,
         };
         let links = peers::Links::start(me, Some(config), socket, inboxes, &mut tasks);
         let links = links.expect("the socket works");
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -12,4 +12,5 @@
 mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_slots;
 mod test_stop;
