--- a/measure/src/placement.rs
+++ b/measure/src/placement.rs
@@ -264,6 +264,7 @@
         last: true,
     };
     duty.handle(now, last);
+    duty.handle(now, job::duty::Input::Estimates(None));
     duty.handle(now, job::duty::Input::Vms(&one_vm()));
     let kib = resident_kib().saturating_sub(before_kib);
     let jobs = duty.rows().count().max(1);
--- a/src/job/duty/calls.rs
+++ b/src/job/duty/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to workers and their replies.
 
-use super::entry::Fence;
+use super::live::Fence;
 use super::{Action, Call, CallResult, Duty, Event, JobKey, Output, Reply, TASK_LEASE_MS};
 use crate::clock;
 use crate::document;
--- a/src/job/duty/load.rs
+++ b/src/job/duty/load.rs
@@ -1,6 +1,7 @@
 //! What a new holder learns from the rows, and what it reads of the inbox later on.
 
-use super::entry::{Fence, Job, Live, Write};
+use super::entry::{Job, Write};
+use super::live::{Fence, Live};
 use super::{Duty, Event, JobKey, Output, TASK_LEASE_MS};
 use crate::clock;
 use crate::estimate;
--- a/src/job/duty/mod.rs
+++ b/src/job/duty/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod commit;
 mod entry;
+mod live;
 mod load;
 mod message;
 mod parking;
@@ -46,7 +47,7 @@
 pub const RENEW_MS: u64 = 10 * clock::SECOND_MS;
 /// The longest that a call to a worker may be on its way, in milliseconds.
 pub const CALL_TIMEOUT_MS: u64 = 2 * clock::SECOND_MS;
-/// Margin for clocks that run at different speeds, in milliseconds.
+/// Margin after a task's whole lease for clocks that run at different speeds, in milliseconds.
 pub const LEASE_MARGIN_MS: u64 = 5 * clock::SECOND_MS;
 
 /// What a holder is given.
@@ -97,7 +98,7 @@
     jobs: SlotMap<JobKey, entry::Job>,
     by_id: HashMap<id::Job, JobKey>,
     by_task: HashMap<id::Task, JobKey>,
-    crews: HashMap<quota::Owner, entry::Crew>,
+    crews: HashMap<quota::Owner, live::Crew>,
     queue: queue::Queue,
     fleet: placement::Fleet,
     book: estimate::Book,
--- a/src/job/duty/round.rs
+++ b/src/job/duty/round.rs
@@ -6,7 +6,8 @@
 
 use std::collections::HashSet;
 
-use super::entry::{self, Live, Reservation};
+use super::entry;
+use super::live::{Live, Reservation};
 use super::{Duty, Event, JobKey};
 use crate::clock;
 use crate::document;
@@ -25,7 +26,7 @@
 /// Decisions in one round.
 const DECISIONS_MAX: usize = 400;
 /// Time that room is kept for a job until others have stopped, in milliseconds.
-const RESERVATION_MS: u64 = 15 * clock::SECOND_MS;
+const RESERVATION_MS: u64 = 4 * clock::SECOND_MS;
 /// Distance from the common level of shares, against it, that makes teams give back.
 const SHARE_TOLERANCE: f64 = 0.01;
 /// Time that a promoted task runs undisturbed, in milliseconds.
--- a/src/job/duty/sweep.rs
+++ b/src/job/duty/sweep.rs
@@ -1,6 +1,6 @@
 //! What falls due by time: lease renewals, silent workers, lost calls, leases that are waited out.
 
-use super::entry::Fence;
+use super::live::Fence;
 use super::{
     Action, CALL_TIMEOUT_MS, Call, Duty, Event, JobKey, LEASE_MARGIN_MS, Link, Output, RENEW_MS,
     TASK_LEASE_MS, VmStatus,
@@ -17,6 +17,8 @@
 const SWEEP_MS: u64 = 250;
 /// Interval at which the inbox is read when no node says that it has a new row, in milliseconds.
 const INBOX_MS: u64 = 250;
+/// Least margin after a lease, in milliseconds.
+const LEASE_MARGIN_MIN_MS: u64 = clock::SECOND_MS;
 /// Silence after which a worker's leases are no longer renewed, in milliseconds.
 const SILENT_MS: u64 = 25 * clock::SECOND_MS;
 /// Time for which a worker that had no room is not asked again, in milliseconds.
@@ -35,7 +37,12 @@
 /// worker reboots as fast.
 const RESEND_MS: u64 = 5 * clock::SECOND_MS;
 /// Time after which an urgent task that may run twice is no longer waited for, in milliseconds.
-const URGENT_START_WAIT_MS: u64 = 2 * clock::SECOND_MS;
+const URGENT_START_WAIT_MS: u64 = 1_200;
+
+/// Margin after a lease for clocks that run at different speeds, in milliseconds.
+fn margin_ms(lease_ms: u64) -> u64 {
+    (LEASE_MARGIN_MS * lease_ms / TASK_LEASE_MS).max(LEASE_MARGIN_MIN_MS)
+}
 
 impl Duty {
     /// Does all that is due.
@@ -261,7 +268,7 @@
             self.settle_refused(key);
         } else if let Some(abandoned_at) = live.abandoned_at {
             let since = abandoned_at.max(live.lease_sent_at);
-            if now.since_ms(since) >= CALL_TIMEOUT_MS + live.lease_ms + LEASE_MARGIN_MS {
+            if now.since_ms(since) >= CALL_TIMEOUT_MS + live.lease_ms + margin_ms(live.lease_ms) {
                 self.settle_lost(key, row::Reason::WorkerLost);
             }
         } else if let Some(gone_at) = live.gone_at {
--- a/src/job/duty/usage.rs
+++ b/src/job/duty/usage.rs
@@ -1,6 +1,7 @@
 //! Readings of the workers' use: how tasks go and how they ended.
 
-use super::entry::{self, Fence};
+use super::entry;
+use super::live::Fence;
 use super::{Action, Call, Duty, Event, JobKey, Output};
 use crate::clock;
 use crate::estimate;
--- a/standins/src/jobs/mod.rs
+++ b/standins/src/jobs/mod.rs
@@ -6,10 +6,15 @@
 //! world runs.
 
 mod baseline;
+mod callers;
+mod calls;
 mod holder;
+mod lists;
 mod report;
 mod scenario;
+mod table;
 mod truth;
+mod upkeep;
 mod worker;
 mod workload;
 
@@ -22,8 +27,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use wasabiloft::clock;
 use wasabiloft::document;
 use wasabiloft::id;
@@ -288,44 +293,6 @@
         }
     }
 
-    fn submit(&mut self, submission: Submission) {
-        let caller = self.next_caller;
-        self.next_caller += 1;
-        let job = submission.spec.job();
-        self.truth.submitted(&job, &submission, self.now_ms);
-        if self.settings.policy == Policy::FirstFit {
-            self.truth.accept(&job, self.now_ms);
-            self.baseline.push(job);
-            return;
-        }
-        let node = self.rng.random_range(0..self.intakes.len());
-        let now = self.now();
-        let spec = submission.spec.clone();
-        self.callers.insert(caller, submission);
-        let outputs = self.intakes[node].submit(now.at, now.unix_ms, intake::Caller(caller), spec);
-        self.intake_outputs(node, outputs);
-    }
-
-    fn cancel(&mut self, job: &id::Job) {
-        let Some(stored) = self.table.get(&spec::row_key(job)) else {
-            return;
-        };
-        let Ok(row) = serde_json::from_str::<wasabiloft::job::Row>(&stored.value) else {
-            return;
-        };
-        let Ok(entry) = intake::owner_request(&row, &row.spec.team) else {
-            return;
-        };
-        if matches!(entry, wasabiloft::job::inbox::Entry::Remove(_)) {
-            self.truth.removed(job);
-        }
-        let caller = intake::Caller(u64::MAX);
-        let node = self.rng.random_range(0..self.intakes.len());
-        let at = self.now().at;
-        let outputs = self.intakes[node].note(at, caller, entry);
-        self.intake_outputs(node, outputs);
-    }
-
     fn tick(&mut self) {
         match self.settings.policy {
             Policy::Learned => self.tick_holders(),
@@ -333,154 +300,4 @@
         }
         self.schedule(duty::TICK_MS, Event::Tick);
     }
-
-    fn tick_intakes(&mut self) {
-        let at = self.now().at;
-        for node in 0..self.intakes.len() {
-            let outputs = self.intakes[node].tick(at);
-            self.intake_outputs(node, outputs);
-        }
-        self.schedule(duty::TICK_MS, Event::TickIntake);
-    }
-
-    fn intake_outputs(&mut self, node: usize, outputs: Vec<intake::Output>) {
-        for output in outputs {
-            match output {
-                intake::Output::Commit { token, txn } => {
-                    let delay_ms = self.store_delay_ms();
-                    self.schedule(delay_ms, Event::IntakeArrives(node, token, txn));
-                }
-                intake::Output::Answer { caller, answer } => self.answer(caller, answer),
-                // The holder finds new rows by itself; it is told only where it runs on the same node.
-                intake::Output::Nudge => {
-                    if let Some(holder) = self.current_holder().filter(|_| node == 0) {
-                        self.input(holder, duty::Input::Nudge);
-                    }
-                }
-            }
-        }
-    }
-
-    fn answer(&mut self, caller: intake::Caller, answer: intake::Answer) {
-        let Some(submission) = self.callers.remove(&caller.0) else {
-            return;
-        };
-        let job = submission.spec.job();
-        match answer {
-            intake::Answer::Accepted | intake::Answer::Exists => {
-                self.truth.accept(&job, self.now_ms)
-            }
-            intake::Answer::Refused(_) => {
-                self.report.refused += 1;
-                self.truth.refuse(&job);
-            }
-            intake::Answer::Unknown => self.report.unknown += 1,
-        }
-    }
-
-    fn intake_arrives(&mut self, node: usize, token: intake::Token, txn: &platform::Txn) {
-        let outcome = self.transact(txn);
-        self.report.intake_txns += 1;
-        let delay_ms = self.settle_delay_ms();
-        self.schedule(delay_ms, Event::IntakeSettled(node, token, outcome));
-    }
-
-    /// Applies a transaction.
-    fn transact(&mut self, txn: &platform::Txn) -> platform::Outcome {
-        for check in &txn.checks {
-            let version = self.table.get(&check.key).map_or(0, |row| row.version);
-            let must_match = self.settings.protection.row_versions || check.version == 0;
-            if version != check.version && must_match {
-                return platform::Outcome::Refused(platform::Refused {
-                    key: check.key.clone(),
-                    version,
-                });
-            }
-        }
-        let versions = txn.writes.iter().map(|write| self.write(write)).collect();
-        self.report.rows_written += txn.writes.len() as u64;
-        platform::Outcome::Committed(platform::Committed { versions })
-    }
-
-    fn write(&mut self, write: &platform::Write) -> u64 {
-        let Some(value) = &write.value else {
-            self.table.remove(&write.key);
-            return 0;
-        };
-        let version = self.next_version;
-        self.next_version += 1;
-        self.table.insert(
-            write.key.clone(),
-            platform::Row {
-                key: write.key.clone(),
-                version,
-                value: value.clone(),
-            },
-        );
-        version
-    }
-
-    fn store_delay_ms(&mut self) -> u64 {
-        let outage_ms = self.settings.faults.outage_left_ms(self.now_ms);
-        outage_ms + self.rng.random_range(2..8)
-    }
-
-    /// The reply's way back; a lost one is settled by reading, which takes longer.
-    fn settle_delay_ms(&mut self) -> u64 {
-        if self.rng.random_bool(self.settings.faults.lost_reply) {
-            return self.rng.random_range(300..900);
-        }
-        self.rng.random_range(2..8)
-    }
-
-    fn take_readings(&mut self) {
-        let as_of_ms = self.now_ms;
-        let workers = self.workers.iter_mut();
-        let usage: Vec<platform::Usage> = workers.filter_map(|one| one.reading(as_of_ms)).collect();
-        self.readings.push_back(platform::UsageList {
-            as_of_ms,
-            workers: usage,
-        });
-        let vms = self.workers.iter().map(worker::Worker::listed).collect();
-        self.vm_lists.push_back(platform::VmList { as_of_ms, vms });
-    }
-
-    fn read_workers(&mut self) {
-        self.take_readings();
-        self.report.sample(self.now_ms, &self.workers, &self.truth);
-        let kept_ms = self.settings.usage_lag_ms + 2 * READING_MS;
-        while self
-            .readings
-            .front()
-            .is_some_and(|list| list.as_of_ms + kept_ms < self.now_ms)
-        {
-            self.readings.pop_front();
-            self.vm_lists.pop_front();
-        }
-        self.schedule(READING_MS, Event::Read);
-    }
-
-    /// Gives the holders the newest lists that are old enough.
-    fn deliver_lists(&mut self) {
-        for holder in 0..self.holders.len() {
-            self.deliver_to(holder);
-        }
-        self.schedule(READING_MS, Event::Deliver);
-    }
-
-    fn deliver_to(&mut self, holder: usize) {
-        let lag_ms = self.settings.usage_lag_ms;
-        let old = |as_of_ms: u64| as_of_ms + lag_ms <= self.now_ms;
-        let vms = self.vm_lists.iter().rev().find(|list| old(list.as_of_ms));
-        let vms = vms.or(self.vm_lists.front()).cloned();
-        let usage = self.readings.iter().rev().find(|list| old(list.as_of_ms));
-        let usage = usage.or(self.readings.front()).cloned();
-        if let Some(list) = vms {
-            self.input(holder, duty::Input::Vms(&list));
-        }
-        if let Some(mut list) = usage {
-            list.as_of_ms = self.now_ms;
-            self.input(holder, duty::Input::Usage(&list));
-        }
-    }
 }
