--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod load;
 mod placement;
+mod retry;
 mod slots;
 mod tally;
 mod util;
@@ -34,6 +35,7 @@
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
     placement   Placement decisions a second and memory against workers and queue length.
+    retry       Attempts per request while endpoints fail, and in a storm of repeats.
     slots       Slot use of many entry nodes against one ideal queue.
 
 Run `measure <command> --help` for its options.";
@@ -50,6 +52,7 @@
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("placement") => placement::run(argv).map_err(Into::into),
+        Some("retry") => retry::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
             println!("{USAGE}");
