--- a/measure/src/flood.rs
+++ b/measure/src/flood.rs
@@ -287,7 +287,7 @@
 }
 
 /// The good slot time of flooded kinds against what the other kinds leave of the pool, or against all that was offered
-/// if that is less.
+/// if that is less; zero if the others leave nothing.
 fn of_capacity(config: &entry::Config, phases: &[entry::Phase], outcome: &entry::Outcome) -> f64 {
     let slots = config.slots as f64 * config.runners as f64;
     let (mut good_us, mut possible_us) = (0.0, 0.0);
@@ -305,5 +305,9 @@
         }
         possible_us += left_us.max(0.0).min(offered_us);
     }
-    good_us / possible_us.max(1.0)
+    if possible_us > 0.0 {
+        good_us / possible_us
+    } else {
+        0.0
+    }
 }
--- a/node/src/front/attempt.rs
+++ b/node/src/front/attempt.rs
@@ -89,8 +89,9 @@
     let budgets = &shared.budgets;
     let service = call.service();
     let mut attempts = budgets.with(service, |budget| retry::Attempts::new(spec, budget));
+    let latest = Mutex::new(None);
     let mut running = FuturesUnordered::new();
-    running.push(run_once(shared, call, None));
+    running.push(run_once(shared, call, None, &latest));
     attempts.start();
     let hedge = time::sleep(Duration::from_millis(HEDGE_AFTER_MS));
     tokio::pin!(hedge);
@@ -103,7 +104,8 @@
                 let now = shared.clock.now();
                 if budgets.with(service, |budget| attempts.hedge(now, budget)) {
                     count_retry("hedge");
-                    running.push(run_once(shared, call, None));
+                    let avoid = *lock(&latest);
+                    running.push(run_once(shared, call, avoid, &latest));
                     attempts.start();
                 }
                 continue;
@@ -125,17 +127,19 @@
             retry::Step::Wait => {}
             retry::Step::GiveUp(verdict, reason) => return Err(Failure { verdict, reason }),
             retry::Step::Retry => {
-                running.push(run_once(shared, call, address));
+                running.push(run_once(shared, call, address, &latest));
                 attempts.start();
             }
         }
     }
 }
 
+/// Runs one attempt, away from `avoid` if another endpoint has a slot, and notes its endpoint in `latest`.
 async fn run_once(
     shared: &Arc<node::Shared>,
     call: &call::Call,
     avoid: Option<SocketAddr>,
+    latest: &Mutex<Option<SocketAddr>>,
 ) -> Ended {
     let wanted = slot::Wanted {
         service: call.service(),
@@ -148,6 +152,7 @@
         Err(reason) => return Ended::Refused(reason),
     };
     let address = slot.endpoint.address;
+    *lock(latest) = Some(address);
     let Some(mut permit) = Permit::start(shared, slot) else {
         let failure = retry::Failure {
             progress: retry::Progress::NothingSent,
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -10,4 +10,5 @@
 mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_slots;
 mod test_stop;
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -321,16 +321,19 @@
     /// Moves the smoothed demand on by one tick.
     ///
     /// What a kind could use is its rate of arrival times its service time, so that a queue that others cause does not
-    /// look like demand.
+    /// look like demand. Before the first end of a request, what runs and waits stands for it.
     fn smooth_demand(&mut self) -> slots::Demand {
         let total = f64::from(self.ledger.total());
         let mut demand = slots::Demand::default();
         for (index, smoothed) in self.demand.iter_mut().enumerate() {
             let kind = admission::KindIndex::from(index);
             let mean_ms = self.controller.service_time(kind).mean_ms();
-            let offered = f64::from(smoothed.arrived) * mean_ms / TICK_MS;
-            smoothed.arrived = 0;
             let used = f64::from(self.controller.running(kind));
+            let offered = match mean_ms > 0.0 {
+                true => f64::from(smoothed.arrived) * mean_ms / TICK_MS,
+                false => used + self.controller.queued(kind) as f64,
+            };
+            smoothed.arrived = 0;
             smoothed.used += USED_GAIN * (used - smoothed.used);
             let need_gain = TICK_MS / (mean_ms / 2.0).clamp(NEED_TIME_MIN_MS, NEED_TIME_MAX_MS);
             smoothed.need += need_gain * (offered - smoothed.need);
