node: ready only when each service's slots are dealt

Change: readiness asks that each service with endpoints has held a slot; the fleet's test waits, with a bound, for a lease that is on its way between two nodes. Conclusion: a balancer sees a node only when it can serve.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -248,7 +248,7 @@
 
 fn is_ready(shared: &Shared) -> bool {
     let view = shared.view.borrow();
-    let knows = !view.endpoints.is_empty();
+    let knows = !view.endpoints.is_empty() && shared.slots.is_ready(&view);
     !shared.stop.is_cancelled() && knows && shared.control.may_serve()
 }
 
--- a/node/src/slot/entry.rs
+++ b/node/src/slot/entry.rs
@@ -32,6 +32,7 @@
     roster: slots::Roster,
     awaited_since: HashMap<roster::NodeId, clock::Instant>,
     waiting: HashMap<admission::RequestId, Reply>,
+    dealt: bool,
 }
 
 impl Entry {
@@ -51,6 +52,7 @@
             roster: slots::Roster::default(),
             awaited_since: HashMap::new(),
             waiting: HashMap::new(),
+            dealt: false,
         }
     }
 
@@ -85,6 +87,7 @@
         let mut messages = Vec::new();
         let mut outputs = Vec::new();
         self.service.handle(now, input, rng, &mut outputs);
+        self.dealt |= self.service.ledger().held() > 0;
         for output in outputs {
             match output {
                 dispatch::Output::Start { request, vm } => self.start(request, &vm),
@@ -114,6 +117,11 @@
         inputs
     }
 
+    /// True once this node has held a slot.
+    pub(super) fn is_dealt(&self) -> bool {
+        self.dealt
+    }
+
     /// Slots that this node holds.
     pub(super) fn held(&self) -> u32 {
         self.service.ledger().held()
--- a/node/src/slot/mod.rs
+++ b/node/src/slot/mod.rs
@@ -178,6 +178,17 @@
         }
     }
 
+    /// True once this node has held a slot of each service that has endpoints.
+    pub fn is_ready(&self, view: &view::View) -> bool {
+        let state = self.lock();
+        view.documents.values().all(|accepted| {
+            let document = &accepted.document;
+            let entry = state.services.get(&document.service);
+            let is_dealt = entry.is_some_and(entry::Entry::is_dealt);
+            is_dealt || view.endpoints_of(document).is_none()
+        })
+    }
+
     fn services(&self) -> Vec<id::Service> {
         self.lock().services.keys().cloned().collect()
     }
--- a/node/tests/test_answers.rs
+++ b/node/tests/test_answers.rs
@@ -25,7 +25,7 @@
     let endpoint = Endpoint::start(|_, request| whole(&request[request.len() - 1..])).await;
     let cluster = Cluster::start(vec![endpoint]).await;
     let answer = caller::send(cluster.address(), caller::bill(None, "7")).await;
-    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
     assert_eq!(answer.verdict(), Verdict::Ran);
     assert_eq!(answer.text(), "7");
     let heard = cluster.endpoints[0].heard();
--- a/node/tests/test_fleet.rs
+++ b/node/tests/test_fleet.rs
@@ -39,7 +39,16 @@
         let mut duties = state.duties.iter();
         duties.any(|(grant, _)| grant.duty.as_str() == DUTY)
     };
-    let holder = fleet.nodes.iter().position(holds);
+    // A lease may just be on its way from one node to another.
+    let holder = async {
+        loop {
+            if let Some(holder) = fleet.nodes.iter().position(holds) {
+                return holder;
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let holder = time::timeout(Duration::from_secs(STEP_S), holder).await;
     let holder = fleet.nodes.remove(holder.expect("a node holds the duty"));
     holder.stop().await;
     let before = maintained(&fleet.nodes[0].fleet_rows().borrow());
