--- a/cli/src/apply.rs
+++ b/cli/src/apply.rs
@@ -81,7 +81,14 @@
         }
     };
     let path = format!("/-/documents/{}", document.service);
-    let response = util::call(address, Method::PUT, &path, Some(read_version), text).await?;
+    let response = util::call(
+        address,
+        Method::PUT,
+        &path,
+        Some(read_version),
+        util::Body::Toml(text),
+    )
+    .await?;
     match (response.status(), util::version(&response)) {
         (StatusCode::OK, Some(version)) => Ok(format!("in force as version {version}")),
         (StatusCode::ACCEPTED, Some(version)) => Ok(format!(
--- a/cli/src/dev_watch.rs
+++ b/cli/src/dev_watch.rs
@@ -83,9 +83,15 @@
 async fn put(entry: SocketAddr, service: &id::Service, text: String) -> Option<u64> {
     let (version, _) = util::document_in_force(entry, service).await.ok()??;
     let path = format!("/-/documents/{service}");
-    let response = util::call(entry, Method::PUT, &path, Some(version), text)
-        .await
-        .ok()?;
+    let response = util::call(
+        entry,
+        Method::PUT,
+        &path,
+        Some(version),
+        util::Body::Toml(text),
+    )
+    .await
+    .ok()?;
     match response.status() {
         StatusCode::OK => util::version(&response),
         _ => None,
--- a/cli/src/get.rs
+++ b/cli/src/get.rs
@@ -35,7 +35,13 @@
     let service = service.ok_or_else(|| util::Error::usage(USAGE))?;
     let address = util::node_address(node.as_deref())?;
     let path = format!("/-/documents/{service}");
-    let response = util::block_on(util::call(address, Method::GET, &path, None, String::new()))?;
+    let response = util::block_on(util::call(
+        address,
+        Method::GET,
+        &path,
+        None,
+        util::Body::Empty,
+    ))?;
     if response.status() != StatusCode::OK {
         return Err(util::Error::failed(util::text(&response).trim()));
     }
--- a/cli/src/job.rs
+++ b/cli/src/job.rs
@@ -104,7 +104,7 @@
     }
     util::block_on(async {
         for (file, spec) in &specs {
-            let body = util::to_json(spec)?;
+            let body = util::Body::Json(util::to_json(spec)?);
             let response = util::call(address, Method::POST, "/-/jobs", None, body).await?;
             if !response.status().is_success() {
                 let message = format!("{file}: {}", util::text(&response).trim());
@@ -134,7 +134,7 @@
     let rows = jobs
         .into_iter()
         .map(|listed| vec![listed.job, listed.state, listed.reason]);
-    table::print(&HEADING, &rows.collect::<Vec<_>>());
+    table::print(&HEADING, &rows.collect::<Vec<_>>())?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -149,7 +149,7 @@
 
 async fn get(address: SocketAddr, job: &str) -> Result<String, util::Error> {
     let path = format!("/-/jobs/{job}");
-    let response = util::call(address, Method::GET, &path, None, String::new()).await?;
+    let response = util::call(address, Method::GET, &path, None, util::Body::Empty).await?;
     match response.status() {
         StatusCode::OK => Ok(util::text(&response)),
         _ => Err(util::Error::failed(format!(
@@ -168,7 +168,8 @@
     util::block_on(async {
         for job in jobs {
             let path = format!("/-/jobs/{job}?team={team}");
-            let response = util::call(address, Method::DELETE, &path, None, String::new()).await?;
+            let response =
+                util::call(address, Method::DELETE, &path, None, util::Body::Empty).await?;
             if !response.status().is_success() {
                 let message = format!("{job}: {}", util::text(&response).trim());
                 return Err(util::Error::failed(message));
--- a/cli/src/list.rs
+++ b/cli/src/list.rs
@@ -42,6 +42,6 @@
     let rows = listed
         .into_iter()
         .map(|line| vec![line.service, line.team, line.version.to_string()]);
-    table::print(&HEADING, &rows.collect::<Vec<_>>());
+    table::print(&HEADING, &rows.collect::<Vec<_>>())?;
     Ok(ExitCode::SUCCESS)
 }
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -31,6 +31,9 @@
     "WAVE",
 ];
 
+/// The largest budget that a document can give, in runner-minutes; the spare pool has no document.
+const BUDGET_MAX_MIN: u64 = 100_000_000;
+
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
     let Some(args) = util::read_args(argv)? else {
         return Ok(util::help(USAGE));
@@ -41,7 +44,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let rows: Vec<_> = pools.iter().map(row).collect();
-    table::print(&HEADING, &rows);
+    table::print(&HEADING, &rows)?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -58,7 +61,14 @@
         pool.in_service.to_string(),
         pool.out.to_string(),
         pool.due.to_string(),
-        format!("{}/{}", pool.absent_min, pool.absence_budget_min),
+        absence(pool),
         wave,
     ]
 }
+
+fn absence(pool: &status::Pool) -> String {
+    match pool.absence_budget_min {
+        budget_min if budget_min > BUDGET_MAX_MIN => format!("{}/no limit", pool.absent_min),
+        budget_min => format!("{}/{budget_min}", pool.absent_min),
+    }
+}
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -1,6 +1,8 @@
 //! Tables on a terminal, plain columns elsewhere.
 
-use std::io::IsTerminal;
+use std::io::{ErrorKind, IsTerminal, Write};
+
+use crate::util;
 
 /// Starts bold text on a terminal.
 const BOLD: &str = "\x1b[1m";
@@ -10,19 +12,31 @@
 /// Prints rows under a heading, each column as wide as its widest cell.
 ///
 /// Without a terminal the heading is left out and a tab parts the cells, for other programs to read.
-pub fn print(heading: &[&str], rows: &[Vec<String>]) {
-    if !std::io::stdout().is_terminal() {
-        for row in rows {
-            println!("{}", row.join("\t"));
-        }
-        return;
+///
+/// # Errors
+///
+/// If standard output can't be written; a reader that has closed it is no error.
+pub fn print(heading: &[&str], rows: &[Vec<String>]) -> Result<(), util::Error> {
+    let mut stdout = std::io::stdout();
+    let text = match stdout.is_terminal() {
+        true => columns(heading, rows),
+        false => rows.iter().map(|row| row.join("\t") + "\n").collect(),
+    };
+    match stdout.write_all(text.as_bytes()) {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(util::Error::failed(error)),
+        _ => Ok(()),
     }
+}
+
+fn columns(heading: &[&str], rows: &[Vec<String>]) -> String {
     let widths = widths(heading, rows);
     let heading: Vec<_> = heading.iter().map(|cell| (*cell).to_owned()).collect();
-    println!("{BOLD}{}{PLAIN}", padded(&heading, &widths));
+    let mut text = format!("{BOLD}{}{PLAIN}\n", padded(&heading, &widths));
     for row in rows {
-        println!("{}", padded(row, &widths));
+        text.push_str(&padded(row, &widths));
+        text.push('\n');
     }
+    text
 }
 
 fn widths(heading: &[&str], rows: &[Vec<String>]) -> Vec<usize> {
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -108,6 +108,33 @@
     runtime.block_on(command)
 }
 
+/// The body of a call.
+pub enum Body {
+    /// None.
+    Empty,
+    /// JSON text.
+    Json(String),
+    /// TOML text.
+    Toml(String),
+}
+
+impl Body {
+    fn media_type(&self) -> Option<&'static str> {
+        match self {
+            Self::Empty => None,
+            Self::Json(_) => Some("application/json"),
+            Self::Toml(_) => Some("application/toml"),
+        }
+    }
+
+    fn into_text(self) -> String {
+        match self {
+            Self::Empty => String::new(),
+            Self::Json(text) | Self::Toml(text) => text,
+        }
+    }
+}
+
 /// Calls an entry node.
 ///
 /// # Errors
@@ -118,7 +145,7 @@
     method: Method,
     path: &str,
     if_match: Option<u64>,
-    body: String,
+    body: Body,
 ) -> Result<Response<Bytes>, Error> {
     let mut request = Request::builder()
         .method(method)
@@ -126,7 +153,11 @@
     if let Some(version) = if_match {
         request = request.header(http::header::IF_MATCH, format!("\"{version}\""));
     }
-    let request = request.body(Full::from(body)).map_err(Error::failed)?;
+    if let Some(media_type) = body.media_type() {
+        request = request.header(http::header::CONTENT_TYPE, media_type);
+    }
+    let body = Full::from(body.into_text());
+    let request = request.body(body).map_err(Error::failed)?;
     let client = client::Client::default();
     client.send(address, request).await.map_err(Error::failed)
 }
@@ -190,7 +221,7 @@
     service: &id::Service,
 ) -> Result<Option<(u64, document::Document)>, Error> {
     let path = format!("/-/documents/{service}");
-    let response = call(address, Method::GET, &path, None, String::new()).await?;
+    let response = call(address, Method::GET, &path, None, Body::Empty).await?;
     match (response.status(), version(&response)) {
         (StatusCode::NOT_FOUND, _) => Ok(None),
         (StatusCode::OK, Some(version)) => {
@@ -255,7 +286,7 @@
     T: DeserializeOwned,
 {
     let address = node_address(node)?;
-    let response = block_on(call(address, Method::GET, path, None, String::new()))?;
+    let response = block_on(call(address, Method::GET, path, None, Body::Empty))?;
     if response.status() != StatusCode::OK {
         return Err(Error::failed(text(&response).trim()));
     }
--- a/cli/src/vm.rs
+++ b/cli/src/vm.rs
@@ -86,7 +86,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let rows: Result<Vec<_>, _> = vms.iter().map(row).collect();
-    table::print(&HEADING, &rows?);
+    table::print(&HEADING, &rows?)?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -97,13 +97,18 @@
         vm.row.pool.to_string(),
         text(&vm.rack.as_ref().map(ToString::to_string)),
         text(&vm.data_centre.as_ref().map(ToString::to_string)),
-        util::name_of(&vm.row.stage)?,
+        stage(vm)?,
         vm.live.to_string(),
         vm.due.to_string(),
         util::name_of(&vm.row.mark)?,
     ])
 }
 
+fn stage(vm: &status::Vm) -> Result<String, util::Error> {
+    let value = serde_json::to_value(&vm.row.stage).map_err(util::Error::failed)?;
+    Ok(value["stage"].as_str().unwrap_or("-").to_owned())
+}
+
 fn set(args: &Args, vm: &str, mark: &str) -> Result<ExitCode, util::Error> {
     let value = match mark {
         "clear" => serde_json::Value::Null,
@@ -112,6 +117,7 @@
     };
     let address = util::node_address(args.node.as_deref())?;
     let body = serde_json::json!({ "mark": value }).to_string();
+    let body = util::Body::Json(body);
     let path = format!("/-/vms/{vm}");
     let response = util::block_on(util::call(address, Method::POST, &path, None, body))?;
     match response.status() {
--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -166,6 +166,29 @@
         }
     }
 
+    /// Waits until the first node shows all VMs.
+    pub async fn wait_for_rows(&self) {
+        let vms = self.platform.vms().len();
+        let until = Instant::now() + Duration::from_secs(WAIT_MAX_S);
+        while workdir::stdout(&self.operate(&["vm"])).lines().count() < vms {
+            assert!(Instant::now() < until, "the rows of VMs do not come");
+            time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    /// Runs a command of operators against the first node.
+    pub fn operate(&self, args: &[&str]) -> std::process::Output {
+        let node = self.nodes[0].direct_address().to_string();
+        let mut all = args.to_vec();
+        all.extend(["--node", &node]);
+        self.work.run(&all)
+    }
+
+    /// Writes a file into the folder in which the commands run.
+    pub fn create(&self, name: &str, text: &str) {
+        self.work.create(name, text);
+    }
+
     fn apply_documents(&self) {
         let node = self.nodes[0].direct_address().to_string();
         let paths = deployment::document_paths(&self.dir).expect("the example is sound");
--- a/cli/tests/tests.rs
+++ b/cli/tests/tests.rs
@@ -4,6 +4,7 @@
 mod test_check;
 mod test_dev;
 mod test_keys;
+mod test_operate;
 mod test_processes;
 mod test_report;
 mod workdir;
