--- a/cli/src/diff.rs
+++ b/cli/src/diff.rs
@@ -1,7 +1,6 @@
 //! The command `diff`.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use wasabiloft::document::changes;
@@ -23,30 +22,18 @@
 ";
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
-    use lexopt::prelude::*;
-
-    let mut node = None;
-    let mut json = false;
-    let mut file = None;
-    let mut parser = util::parser(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("node") => node = Some(parser.value()?.string()?),
-            Long("json") => json = true,
-            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
-            Short('h') | Long("help") => return Ok(util::help(USAGE)),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let file = file.ok_or_else(|| util::Error::usage(USAGE))?;
+    let Some(args) = util::file_args(argv)? else {
+        return Ok(util::help(USAGE));
+    };
+    let file = args.file.ok_or_else(|| util::Error::usage(USAGE))?;
     let (_, new) = util::read_document(&file)?;
-    let address = util::node_address(node.as_deref())?;
+    let address = util::node_address(args.node.as_deref())?;
     let in_force = util::block_on(util::document_in_force(address, &new.service))?;
     let changes = match &in_force {
         Some((_, old)) => changes::between(old, &new),
         None => changes::added(&new),
     };
-    if json {
+    if args.json {
         println!("{}", util::to_json(&changes)?);
     } else {
         print_changes(&changes);
--- a/cli/src/plan.rs
+++ b/cli/src/plan.rs
@@ -1,7 +1,6 @@
 //! The command `plan`.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use serde::Serialize;
@@ -32,27 +31,15 @@
 }
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, util::Error> {
-    use lexopt::prelude::*;
-
-    let mut node = None;
-    let mut json = false;
-    let mut file = None;
-    let mut parser = util::parser(argv);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("node") => node = Some(parser.value()?.string()?),
-            Long("json") => json = true,
-            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
-            Short('h') | Long("help") => return Ok(util::help(USAGE)),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let file = file.ok_or_else(|| util::Error::usage(USAGE))?;
+    let Some(args) = util::file_args(argv)? else {
+        return Ok(util::help(USAGE));
+    };
+    let file = args.file.ok_or_else(|| util::Error::usage(USAGE))?;
     let (_, new) = util::read_document(&file)?;
-    let address = util::node_address(node.as_deref())?;
+    let address = util::node_address(args.node.as_deref())?;
     let old = util::block_on(util::document_in_force(address, &new.service))?;
     let old = old.map(|(_, document)| document);
-    let pools: Vec<status::Pool> = util::get_json(node.as_deref(), "/-/status")?;
+    let pools: Vec<status::Pool> = util::get_json(args.node.as_deref(), "/-/status")?;
     let plan = Plan {
         changes: match &old {
             Some(old) => changes::between(old, &new),
@@ -60,7 +47,7 @@
         },
         follows: follows(old.as_ref(), &new, &pools),
     };
-    if json {
+    if args.json {
         println!("{}", util::to_json(&plan)?);
         return Ok(ExitCode::SUCCESS);
     }
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bytes::Bytes;
@@ -326,3 +326,39 @@
     spec.validate().map_err(|error| named(error.to_string()))?;
     Ok(spec)
 }
+
+/// The arguments of a command that compares a file with what is in force.
+pub struct FileArgs {
+    /// The entry node to ask.
+    pub node: Option<String>,
+    /// True to print JSON.
+    pub json: bool,
+    /// The file, if one is named.
+    pub file: Option<PathBuf>,
+}
+
+/// Reads `--node`, `--json` and one file; `None` if help is wanted.
+///
+/// # Errors
+///
+/// For any other argument.
+pub fn file_args(argv: &[OsString]) -> Result<Option<FileArgs>, Error> {
+    use lexopt::prelude::*;
+
+    let mut args = FileArgs {
+        node: None,
+        json: false,
+        file: None,
+    };
+    let mut parser = parser(argv);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("node") => args.node = Some(parser.value()?.string()?),
+            Long("json") => args.json = true,
+            Value(value) if args.file.is_none() => args.file = Some(PathBuf::from(value)),
+            Short('h') | Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(args))
+}
