--- /dev/null
+++ b/node/src/batch/configuration.rs
@@ -0,0 +1,108 @@
+//! Follows the operators' configuration and waves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+use wasabiloft_platform::{configuration, store, upkeep};
+
+use crate::batch::shared;
+use crate::clock;
+use crate::log;
+
+/// How long a poll waits for a change, in milliseconds; a fifth of the time in which a version must be in force.
+const POLL_WAIT_MS: u64 = 400;
+/// Pause after a failed poll, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// Longest wait for the first reading, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 1_500;
+
+/// Follows the operators' table until the node stops.
+pub async fn follow(shared: Arc<shared::Shared>) {
+    let mut after = None;
+    let mut reachable = true;
+    while !shared.stop.is_cancelled() {
+        let outcome = match after {
+            None => read_all(&shared).await,
+            Some(version) => poll(&shared, version).await,
+        };
+        match outcome {
+            Ok(version) => {
+                shared.store_answered();
+                after = Some(version);
+                if !reachable {
+                    reachable = true;
+                    log::info("store", "regained");
+                }
+            }
+            Err(error) => {
+                if matches!(error, store::Error::HistoryGone) {
+                    after = None;
+                    log::info("config", "history gone, reads anew");
+                    continue;
+                }
+                if reachable {
+                    reachable = false;
+                    log::warn("store", &format!("lost reason={error}"));
+                }
+                time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn read_all(shared: &shared::Shared) -> Result<u64, store::Error> {
+    let sent_at = clock::since_boot();
+    let page = shared
+        .store
+        .rows(configuration::TABLE, "", READ_TIMEOUT_MS)
+        .await?;
+    for row in &page.rows {
+        apply(shared, row);
+    }
+    shared.confirm(sent_at);
+    Ok(page.version)
+}
+
+async fn poll(shared: &shared::Shared, after: u64) -> Result<u64, store::Error> {
+    let sent_at = clock::since_boot();
+    let page = shared
+        .store
+        .changes(configuration::TABLE, after, POLL_WAIT_MS)
+        .await?;
+    for row in &page.rows {
+        apply(shared, row);
+    }
+    if page.rows.is_empty() {
+        // The store had nothing newer when the wait was over.
+        let passed = clock::since_boot().since_ms(sent_at).min(POLL_WAIT_MS);
+        shared.confirm(sent_at.after_ms(passed));
+    } else {
+        shared.confirm(sent_at);
+    }
+    Ok(page.version.max(after))
+}
+
+fn apply(shared: &shared::Shared, row: &store::Row) {
+    if row.name.key == configuration::KEY {
+        match configuration::decode(row) {
+            Ok(config) => {
+                let (version, routes) = (config.version, config.routes.len());
+                if shared.configure(config, row.value.clone().unwrap_or_default()) {
+                    log::info(
+                        "config",
+                        &format!("in force version={version} routes={routes} source=store"),
+                    );
+                    if let Some(holding) = shared.holding() {
+                        holding.configured(shared);
+                    }
+                }
+            }
+            Err(error) => log::warn("config", &format!("kept reason={error}")),
+        }
+    } else if upkeep::is_wave(row) {
+        if let Some(holding) = shared.holding() {
+            holding.wave_asked(row);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/batch/duty.rs
@@ -0,0 +1,249 @@
+//! Who holds the batch duty: follows the holder, and takes over when it is gone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+use wasabiloft::batch::record;
+use wasabiloft_platform::store;
+
+use crate::batch::{holding, peers, shared};
+use crate::clock;
+use crate::log;
+
+/// Time between two heartbeats to the holder, in milliseconds.
+const BEAT_MS: u64 = 250;
+/// Longest wait for a heartbeat's answer, in milliseconds; far above a round trip and a busy holder's pause.
+const BEAT_TIMEOUT_MS: u64 = 400;
+/// A holder's row that stands unchanged for this long, while the store answers, shows that its holder is gone, in
+/// milliseconds; three times the longest pause between its commits.
+const UNCHANGED_MS: u64 = 1_200;
+/// The same while the store is slow, in milliseconds, as the holder's commits take long too.
+const UNCHANGED_SLOW_MS: u64 = 4_000;
+/// An answer of the store that takes longer shows that it is slow, in milliseconds.
+const SLOW_ANSWER_MS: u64 = 120;
+/// Longest wait for an answer of the store, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_500;
+/// Longest random pause before a first claim, in milliseconds, as all nodes start together.
+const CLAIM_SPREAD_MS: u64 = 30;
+
+/// Name of the duty's row.
+pub fn row_name() -> store::Name {
+    store::Name::new(record::DUTY_TABLE, record::HOLDER_PART, record::DUTY_KEY)
+}
+
+/// Follows the duty, and holds it when it is this node's turn, until the node stops.
+pub async fn run(shared: Arc<shared::Shared>) {
+    let mut follower = Follower::default();
+    while !shared.stop.is_cancelled() {
+        match follower.step(&shared).await {
+            Step::Follow => {
+                tokio::select! {
+                    () = shared.stop.cancelled() => {}
+                    () = time::sleep(Duration::from_millis(BEAT_MS)) => {}
+                }
+            }
+            Step::Again => time::sleep(Duration::from_millis(BEAT_MS / 5)).await,
+            Step::Claim => {
+                if let Some((duty, version)) = claim(&shared).await {
+                    holding::run(&shared, duty, version).await;
+                    follower = Follower::default();
+                }
+            }
+        }
+    }
+}
+
+/// What to do next.
+enum Step {
+    /// The holder lives.
+    Follow,
+    /// Something is unclear; look again soon.
+    Again,
+    /// There is no holder, or it is gone.
+    Claim,
+}
+
+/// What a follower has seen of the holder's row.
+#[derive(Default)]
+struct Follower {
+    version: u64,
+    /// Since when the row is known to stand at this version.
+    since: wasabiloft::clock::Instant,
+    refusals: u32,
+}
+
+impl Follower {
+    async fn step(&mut self, shared: &shared::Shared) -> Step {
+        let seen = shared.duty();
+        let Some(address) = seen
+            .duty
+            .as_ref()
+            .and_then(|duty| duty.address.parse::<SocketAddr>().ok())
+        else {
+            return self.look(shared, false).await;
+        };
+        let own = seen
+            .duty
+            .as_ref()
+            .is_some_and(|duty| duty.incarnation == shared.incarnation);
+        if own || address == shared.settings().peers {
+            // The row names an earlier life of this node, or one that was superseded.
+            return self.look(shared, true).await;
+        }
+        match peers::send_beat(shared, address, BEAT_TIMEOUT_MS).await {
+            Ok(answer) if answer.epoch > 0 => {
+                self.refusals = 0;
+                if answer.hand_over {
+                    log::info("duty", &format!("holder gives way holder={address}"));
+                    return self.look(shared, true).await;
+                }
+                Step::Follow
+            }
+            Ok(_) => self.look(shared, true).await,
+            Err(error) => {
+                if error.refused {
+                    self.refusals += 1;
+                } else {
+                    self.refusals = 0;
+                }
+                // Twice, as a reset of connections looks the same for a moment.
+                let surely_gone = self.refusals >= 2;
+                log::info(
+                    "duty",
+                    &format!("holder silent holder={address} reason={error}"),
+                );
+                self.look(shared, surely_gone).await
+            }
+        }
+    }
+
+    /// Reads the row; claims it if it names nobody, or a holder that is gone.
+    async fn look(&mut self, shared: &shared::Shared, surely_gone: bool) -> Step {
+        let sent_at = clock::since_boot();
+        let row = match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
+            Ok(row) => row,
+            Err(error) => {
+                log::info("duty", &format!("row unread reason={error}"));
+                self.version = 0;
+                return Step::Follow;
+            }
+        };
+        shared.store_answered();
+        let now = clock::since_boot();
+        let slow = now.since_ms(sent_at) > SLOW_ANSWER_MS;
+        let seen = read(row);
+        let version = seen.version;
+        let vacant = seen.duty.as_ref().is_none_or(|duty| duty.holder.is_empty());
+        let known = shared.duty().version == version;
+        shared.saw_duty(seen);
+        if vacant {
+            let pause_ms = rand::random_range(0..CLAIM_SPREAD_MS);
+            time::sleep(Duration::from_millis(pause_ms)).await;
+            return Step::Claim;
+        }
+        if surely_gone && known {
+            return Step::Claim;
+        }
+        if version != self.version {
+            self.version = version;
+            self.since = now;
+            return Step::Again;
+        }
+        let unchanged_ms = if slow {
+            UNCHANGED_SLOW_MS
+        } else {
+            UNCHANGED_MS
+        };
+        if sent_at.since_ms(self.since) >= unchanged_ms {
+            return Step::Claim;
+        }
+        Step::Again
+    }
+}
+
+/// Reads the duty's row.
+pub fn read(row: Option<store::Row>) -> shared::DutySeen {
+    let Some(row) = row else {
+        return shared::DutySeen::default();
+    };
+    let duty = row.value.as_deref().map(serde_json::from_slice);
+    let duty = match duty {
+        Some(Ok(duty)) => Some(duty),
+        Some(Err(error)) => {
+            log::warn("duty", &format!("row can't be read reason={error}"));
+            None
+        }
+        None => None,
+    };
+    shared::DutySeen {
+        duty,
+        version: row.version,
+    }
+}
+
+/// Claims the duty on the row as last read; the row and its version if this node holds it now.
+async fn claim(shared: &shared::Shared) -> Option<(record::Duty, u64)> {
+    let seen = shared.duty();
+    let settings = shared.settings();
+    let duty = record::Duty {
+        holder: settings.node.clone(),
+        address: settings.peers.to_string(),
+        incarnation: shared.incarnation,
+        epoch: seen.duty.map_or(0, |duty| duty.epoch) + 1,
+        commits: 0,
+    };
+    let value = match serde_json::to_vec(&duty) {
+        Ok(value) => value,
+        Err(error) => {
+            log::warn("duty", &format!("row can't be written reason={error}"));
+            return None;
+        }
+    };
+    let transaction = store::Transaction {
+        checks: vec![(row_name(), seen.version)],
+        writes: vec![(row_name(), value)],
+        ..store::Transaction::default()
+    };
+    match shared.store.transact(&transaction, CALL_TIMEOUT_MS).await {
+        Ok(store::Committed::Yes(version)) => {
+            log::info(
+                "duty",
+                &format!("taken over epoch={} version={version}", duty.epoch),
+            );
+            shared.saw_duty(shared::DutySeen {
+                duty: Some(duty.clone()),
+                version,
+            });
+            Some((duty, version))
+        }
+        Ok(store::Committed::No(rows)) => {
+            let now = read(rows.into_iter().next());
+            let ours = now
+                .duty
+                .as_ref()
+                .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
+            let version = now.version;
+            shared.saw_duty(now);
+            ours.then_some((duty, version))
+        }
+        Err(error) => {
+            log::info("duty", &format!("claim unanswered reason={error}"));
+            settle(shared, &duty).await
+        }
+    }
+}
+
+/// Finds out whether a claim without an answer was committed.
+async fn settle(shared: &shared::Shared, duty: &record::Duty) -> Option<(record::Duty, u64)> {
+    let row = shared.store.row(&row_name(), CALL_TIMEOUT_MS).await.ok()?;
+    let now = read(row);
+    let ours = now
+        .duty
+        .as_ref()
+        .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
+    let version = now.version;
+    shared.saw_duty(now);
+    ours.then(|| (duty.clone(), version))
+}
--- /dev/null
+++ b/node/src/batch/holding.rs
@@ -0,0 +1,376 @@
+//! Holding the batch duty: the decisions of the library, with the store, the registry and the workers around them.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use wasabiloft::batch::holder::{Holder, Output, Terms};
+use wasabiloft::batch::{JobId, queue, record};
+use wasabiloft::id;
+use wasabiloft_platform::{registry, settings, store};
+
+use crate::batch::{commit, fleet, inherit, shared, watch};
+use crate::clock;
+use crate::log;
+
+/// Length of the leases that workers get, in milliseconds: long enough for a takeover, short enough that the work of a
+/// worker that vanished is soon free.
+const LEASE_MS: u64 = 4_000;
+/// Shortest time between two plannings, in milliseconds; joins what arrives together.
+const PLAN_EVERY_MS: u64 = 4;
+/// Time between two looks at what is due, in milliseconds.
+const TICK_MS: u64 = 50;
+/// How long a poll of a table waits for a change, in milliseconds.
+const POLL_WAIT_MS: u64 = 2_000;
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// Longest wait for a reading of the registry, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 2_000;
+/// After an outage of the store entries may be missing for this long, in milliseconds, as the platform promises.
+const ENTRIES_BACK_MS: u64 = 2_500;
+
+/// The duty while this node holds it.
+#[derive(Debug)]
+pub struct Holding {
+    /// The epoch of the duty.
+    pub epoch: u64,
+    holder: Mutex<Holder>,
+    /// Something changed that may be planned.
+    pub wake: Notify,
+    /// Something waits to be committed.
+    pub write: Notify,
+    /// A batch was committed.
+    pub committed: Notify,
+    /// Cancelled when the duty is lost or given back.
+    pub over: CancellationToken,
+    committed_ms: AtomicU64,
+    /// Machines and waves.
+    pub fleet: fleet::State,
+}
+
+impl Holding {
+    /// The decisions.
+    pub fn holder(&self) -> MutexGuard<'_, Holder> {
+        self.holder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since the newest commit was sent, in milliseconds.
+    pub fn since_commit_ms(&self) -> u64 {
+        let at = self.committed_ms.load(Ordering::Relaxed);
+        clock::since_boot().as_ms().saturating_sub(at)
+    }
+
+    /// Notes a commit that was sent at a moment.
+    pub fn commit_sent(&self, at: wasabiloft::clock::Instant) {
+        self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
+    }
+
+    /// Takes in the node's newest configuration.
+    pub fn configured(&self, shared: &shared::Shared) {
+        if let Some(config) = shared.configured().config {
+            self.holder().configured(config);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Takes in a job.
+    pub fn accepted(&self, job: JobId, accepted: record::Accepted) {
+        self.holder().accepted(job, accepted, clock::since_boot());
+        self.wake.notify_one();
+    }
+
+    /// Takes in a cancellation.
+    pub fn cancelled(&self, job: JobId) {
+        self.holder()
+            .cancelled(job, clock::since_boot(), clock::unix_ms());
+        self.wake.notify_one();
+    }
+
+    /// Takes in a row that asks for a wave of upkeep.
+    pub fn wave_asked(&self, row: &store::Row) {
+        self.fleet.wave_asked(row);
+    }
+
+    /// A job's state, if it is known here.
+    pub fn state(&self, job: JobId) -> Option<record::State> {
+        self.holder().state(job)
+    }
+
+    /// How many jobs of a queue wait.
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.holder().waiting(queue)
+    }
+}
+
+fn terms(settings: &settings::Settings) -> Terms {
+    Terms {
+        lease_ms: LEASE_MS.min(settings.worker_lease_max_ms),
+        status_ms: settings.status_ms,
+        far_milli: settings.far_milli,
+        notice_ms: settings.notice_ms,
+        harm_ms: settings.harm_ms,
+    }
+}
+
+/// Holds the duty until it is lost or the node stops.
+pub async fn run(shared: &Arc<shared::Shared>, duty: record::Duty, version: u64) {
+    let began_at = clock::since_boot();
+    let Some((holding, jobs_version)) = begin(shared, &duty).await else {
+        return;
+    };
+    log::info(
+        "duty",
+        &format!(
+            "holds epoch={} loaded_ms={}",
+            duty.epoch,
+            clock::since_boot().since_ms(began_at)
+        ),
+    );
+    shared.hold(Some(Arc::clone(&holding)));
+    let mut parts = JoinSet::new();
+    let committer = commit::Committer::new(duty, version);
+    parts.spawn(commit::run(
+        Arc::clone(shared),
+        Arc::clone(&holding),
+        committer,
+    ));
+    parts.spawn(follow_jobs(
+        Arc::clone(shared),
+        Arc::clone(&holding),
+        jobs_version,
+    ));
+    parts.spawn(follow_registry(Arc::clone(shared), Arc::clone(&holding)));
+    parts.spawn(fleet::run(Arc::clone(shared), Arc::clone(&holding)));
+    let mut workers = watch::Workers::new(Arc::clone(shared), Arc::clone(&holding));
+    tokio::select! {
+        () = drive(&holding, &mut workers) => {}
+        () = holding.over.cancelled() => log::info("duty", &format!("lost epoch={}", holding.epoch)),
+        () = shared.stop.cancelled() => {
+            log::info("duty", &format!("given back epoch={}", holding.epoch));
+        }
+    }
+    shared.hold(None);
+    holding.over.cancel();
+    workers.end().await;
+    // The committer ends by itself: it settles its last transaction and gives the duty back.
+    while parts.join_next().await.is_some() {}
+}
+
+async fn begin(shared: &Arc<shared::Shared>, duty: &record::Duty) -> Option<(Arc<Holding>, u64)> {
+    let (found, version) = match inherit::all(shared).await {
+        Ok(found) => found,
+        Err(error) => {
+            log::warn("duty", &format!("rows unread reason={error}"));
+            return None;
+        }
+    };
+    log::info(
+        "holder",
+        &format!(
+            "inherits jobs={} progress={} workers={}",
+            found.accepted.len(),
+            found.progress.len(),
+            found.workers.len()
+        ),
+    );
+    let config = shared.configured().config;
+    let config = config.unwrap_or_else(|| Arc::new(queue::Config::default()));
+    let settings = shared.settings();
+    let now = clock::since_boot();
+    let holder = Holder::new(terms(&settings), duty.epoch, config, found, now);
+    let holding = Arc::new(Holding {
+        epoch: duty.epoch,
+        holder: Mutex::new(holder),
+        wake: Notify::new(),
+        write: Notify::new(),
+        committed: Notify::new(),
+        over: CancellationToken::new(),
+        committed_ms: AtomicU64::new(now.as_ms()),
+        fleet: fleet::State::default(),
+    });
+    holding.configured(shared);
+    Some((holding, version))
+}
+
+/// Plans whenever something changed, and carries out what the holder decides.
+async fn drive(holding: &Arc<Holding>, workers: &mut watch::Workers) {
+    let mut tick = time::interval(Duration::from_millis(TICK_MS));
+    tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = holding.wake.notified() => {}
+            _ = tick.tick() => {
+                let mut holder = holding.holder();
+                let now = clock::since_boot();
+                holder.tick(now, clock::unix_ms());
+                holder.move_lasting(now);
+            }
+        }
+        let outputs = {
+            let mut holder = holding.holder();
+            holder.plan(clock::since_boot(), clock::unix_ms());
+            holder.take_outputs()
+        };
+        for output in outputs {
+            match output {
+                Output::Line(line) => log::info("holder", &line),
+                Output::Superseded => {
+                    log::info("duty", "superseded by a newer epoch");
+                    holding.over.cancel();
+                }
+                order => workers.carry_out(order),
+            }
+        }
+        holding.write.notify_one();
+        time::sleep(Duration::from_millis(PLAN_EVERY_MS)).await;
+    }
+}
+
+/// Follows accepted jobs and cancellations.
+async fn follow_jobs(shared: Arc<shared::Shared>, holding: Arc<Holding>, from: u64) {
+    let mut after = Some(from);
+    while !holding.over.is_cancelled() {
+        let outcome = match after {
+            Some(version) => poll_jobs(&shared, version).await,
+            None => inherit::jobs(&shared).await,
+        };
+        match outcome {
+            Ok(jobs) => {
+                shared.store_answered();
+                after = Some(jobs.version);
+                for (job, accepted) in jobs.accepted {
+                    holding.accepted(job, accepted);
+                }
+                for job in jobs.cancelled {
+                    holding.cancelled(job);
+                }
+            }
+            Err(store::Error::HistoryGone) => {
+                log::info("holder", "history of jobs gone, reads anew");
+                after = None;
+            }
+            Err(error) => {
+                log::info("holder", &format!("jobs unread reason={error}"));
+                pause(&holding).await;
+            }
+        }
+    }
+}
+
+async fn poll_jobs(shared: &shared::Shared, after: u64) -> Result<inherit::Jobs, store::Error> {
+    let page = shared
+        .store
+        .changes(record::JOB_TABLE, after, POLL_WAIT_MS)
+        .await?;
+    let mut jobs = inherit::Jobs {
+        accepted: Vec::new(),
+        cancelled: Vec::new(),
+        version: page.version.max(after),
+    };
+    for row in &page.rows {
+        inherit::sort(row, &mut jobs);
+    }
+    Ok(jobs)
+}
+
+async fn pause(holding: &Holding) {
+    tokio::select! {
+        () = holding.over.cancelled() => {}
+        () = time::sleep(Duration::from_millis(RETRY_MS)) => {}
+    }
+}
+
+/// Follows the registry of workers.
+async fn follow_registry(shared: Arc<shared::Shared>, holding: Arc<Holding>) {
+    let mut after = None;
+    let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
+    let mut lost_at = None;
+    let mut trusted_at = wasabiloft::clock::Instant::ZERO;
+    while !holding.over.is_cancelled() {
+        let outcome = match after {
+            Some(version) => {
+                shared
+                    .store
+                    .changes(registry::TABLE, version, POLL_WAIT_MS)
+                    .await
+            }
+            None => {
+                shared
+                    .store
+                    .rows(registry::TABLE, "", READ_TIMEOUT_MS)
+                    .await
+            }
+        };
+        let page = match outcome {
+            Ok(page) => page,
+            Err(store::Error::HistoryGone) => {
+                after = None;
+                continue;
+            }
+            Err(error) => {
+                if lost_at.is_none() {
+                    log::info("holder", &format!("registry unread reason={error}"));
+                }
+                lost_at.get_or_insert(clock::since_boot());
+                pause(&holding).await;
+                continue;
+            }
+        };
+        let now = clock::since_boot();
+        if lost_at.take().is_some() {
+            // Entries that lapsed meanwhile come back; until then a missing one means nothing.
+            trusted_at = now.after_ms(ENTRIES_BACK_MS);
+        }
+        if after.is_none() {
+            let present: Vec<id::Worker> = page
+                .rows
+                .iter()
+                .map(|row| id::Worker::new(&row.name.key))
+                .collect();
+            let missing: Vec<id::Worker> = known
+                .keys()
+                .filter(|worker| !present.contains(worker))
+                .cloned()
+                .collect();
+            for worker in missing {
+                known.remove(&worker);
+                holding.holder().unlisted(&worker);
+            }
+        }
+        for row in &page.rows {
+            entry(&holding, row, &mut known, now >= trusted_at);
+        }
+        after = Some(page.version.max(after.unwrap_or(0)));
+        holding.wake.notify_one();
+    }
+}
+
+fn entry(
+    holding: &Holding,
+    row: &store::Row,
+    known: &mut BTreeMap<id::Worker, u64>,
+    removals_count: bool,
+) {
+    let id = id::Worker::new(&row.name.key);
+    let now = clock::since_boot();
+    match registry::decode(row) {
+        Ok(listing) => {
+            known.insert(id, row.version);
+            holding.holder().listed(listing, now);
+        }
+        Err(error) => {
+            if row.value.is_some() {
+                log::warn("holder", &error.to_string());
+            }
+            if removals_count || row.value.is_some() {
+                known.remove(&id);
+                holding.holder().unlisted(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/batch/watch.rs
@@ -0,0 +1,292 @@
+//! Workers: looks that renew leases and bring news, and orders.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Semaphore;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time;
+use wasabiloft::batch::TaskId;
+use wasabiloft::batch::book;
+use wasabiloft::batch::holder::{Output, Start, StartOutcome};
+use wasabiloft::id;
+use wasabiloft::verdict::Verdict;
+use wasabiloft_platform::worker;
+
+use crate::batch::{holding, shared};
+use crate::clock;
+use crate::log;
+
+/// Longest wait for the answer to an order, in milliseconds; workers answer in a few.
+const ORDER_TIMEOUT_MS: u64 = 250;
+/// Sends of a start until its outcome counts as unknown; the same start twice is one run.
+const START_SENDS: u32 = 3;
+/// Time on top of a look's wait until it counts as unanswered, in milliseconds.
+const LOOK_SLACK_MS: u64 = 350;
+/// First and longest pause after a look without an answer, in milliseconds.
+const LOOK_RETRY_MS: (u64, u64) = (40, 400);
+/// Pause before a look whose ends aren't acknowledged yet, in milliseconds; a commit takes about ten.
+const UNCOMMITTED_PAUSE_MS: u64 = 60;
+/// Orders under way to one worker at a time; each needs a connection.
+const ORDERS_AT_ONCE: usize = 3;
+/// Refused connections in a row that show that a leaving worker is gone.
+const REFUSALS_GONE: u32 = 3;
+
+/// A worker that is looked at.
+struct Watched {
+    client: Arc<worker::Worker>,
+    orders: Arc<Semaphore>,
+    looks: AbortHandle,
+}
+
+/// All workers that are looked at, and the orders under way.
+pub struct Workers {
+    shared: Arc<shared::Shared>,
+    holding: Arc<holding::Holding>,
+    watched: HashMap<id::Worker, Watched>,
+    tasks: JoinSet<()>,
+}
+
+impl Workers {
+    /// No workers yet.
+    pub fn new(shared: Arc<shared::Shared>, holding: Arc<holding::Holding>) -> Self {
+        Self {
+            shared,
+            holding,
+            watched: HashMap::new(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Carries out what the holder wants.
+    pub fn carry_out(&mut self, output: Output) {
+        while self.tasks.try_join_next().is_some() {}
+        match output {
+            Output::Watch(listing) => self.watch(&listing),
+            Output::Forget(worker) => {
+                if let Some(watched) = self.watched.remove(&worker) {
+                    watched.looks.abort();
+                }
+            }
+            Output::Start(order) => self.start(order),
+            Output::Stop { worker, task, run } => self.stop(worker, task, run),
+            Output::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => self.pace(&worker, task, run, percent),
+            Output::Superseded | Output::Line(_) => {}
+        }
+    }
+
+    fn watch(&mut self, listing: &book::Listing) {
+        let client = Arc::new(worker::Worker::new(listing.worker.clone(), listing.address));
+        let looks = self.tasks.spawn(look(
+            Arc::clone(&self.holding),
+            listing.worker.clone(),
+            Arc::clone(&client),
+        ));
+        let watched = Watched {
+            client,
+            orders: Arc::new(Semaphore::new(ORDERS_AT_ONCE)),
+            looks,
+        };
+        if let Some(before) = self.watched.insert(listing.worker.clone(), watched) {
+            before.looks.abort();
+        }
+    }
+
+    fn start(&mut self, order: Start) {
+        let holding = Arc::clone(&self.holding);
+        let watched = self.watched.get(&order.worker);
+        let watched =
+            watched.map(|watched| (Arc::clone(&watched.client), Arc::clone(&watched.orders)));
+        self.tasks.spawn(async move {
+            let outcome = match watched {
+                Some((client, orders)) => {
+                    // The semaphore is never closed, so a permit always comes.
+                    let _permit = orders.acquire().await;
+                    start(&client, &order, holding.epoch).await
+                }
+                None => StartOutcome::NotSent,
+            };
+            holding.holder().start_answered(
+                &order.worker,
+                order.task,
+                order.run,
+                outcome,
+                clock::since_boot(),
+            );
+            holding.wake.notify_one();
+        });
+    }
+
+    fn stop(&mut self, worker: id::Worker, task: TaskId, run: u32) {
+        let holding = Arc::clone(&self.holding);
+        let Some(client) = self
+            .watched
+            .get(&worker)
+            .map(|watched| Arc::clone(&watched.client))
+        else {
+            return;
+        };
+        self.tasks.spawn(async move {
+            match client
+                .stop(task, run, holding.epoch, ORDER_TIMEOUT_MS)
+                .await
+            {
+                Ok(true) => {
+                    let now = clock::since_boot();
+                    holding.holder().stop_answered(&worker, task, run, now);
+                }
+                Ok(false) => log::info(
+                    "order",
+                    &format!("stop refused task={task} worker={worker}"),
+                ),
+                Err(error) => log::info(
+                    "order",
+                    &format!("stop unanswered task={task} worker={worker} reason={error}"),
+                ),
+            }
+        });
+    }
+
+    fn pace(&mut self, worker: &id::Worker, task: TaskId, run: u32, percent: u32) {
+        let epoch = self.holding.epoch;
+        let Some(client) = self
+            .watched
+            .get(worker)
+            .map(|watched| Arc::clone(&watched.client))
+        else {
+            return;
+        };
+        let worker = worker.clone();
+        self.tasks.spawn(async move {
+            let paced = client
+                .pace(task, run, percent, epoch, ORDER_TIMEOUT_MS)
+                .await;
+            if !matches!(paced, Ok(true)) {
+                log::info(
+                    "order",
+                    &format!("pace not taken task={task} worker={worker} outcome={paced:?}"),
+                );
+            }
+        });
+    }
+
+    /// Ends all looks and orders.
+    pub async fn end(&mut self) {
+        let _ = &self.shared;
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn start(client: &worker::Worker, order: &Start, epoch: u64) -> StartOutcome {
+    let mut may_have_run = false;
+    for send in 1..=START_SENDS {
+        match client.start(order, epoch, None, ORDER_TIMEOUT_MS).await {
+            Ok(worker::Started::Yes) => return StartOutcome::Started,
+            Ok(worker::Started::No(reason)) => {
+                let sends = if may_have_run { send } else { 1 };
+                return StartOutcome::Refused { reason, sends };
+            }
+            Err(error) => {
+                log::info(
+                    "order",
+                    &format!(
+                        "start unanswered task={} run={} worker={} send={send} reason={error}",
+                        order.task, order.run, order.worker
+                    ),
+                );
+                if error.verdict != Verdict::NotRun {
+                    may_have_run = true;
+                } else if !may_have_run {
+                    return StartOutcome::NotSent;
+                }
+            }
+        }
+    }
+    StartOutcome::NoAnswer
+}
+
+/// Looks at a worker until it is forgotten.
+async fn look(holding: Arc<holding::Holding>, id: id::Worker, client: Arc<worker::Worker>) {
+    let mut retry_ms = LOOK_RETRY_MS.0;
+    let mut refusals = 0;
+    loop {
+        let sent_at = clock::since_boot();
+        let Some(look) = holding.holder().look(&id, sent_at) else {
+            return;
+        };
+        let timeout_ms = look.wait_ms + LOOK_SLACK_MS;
+        match client.look(&look, holding.epoch, timeout_ms).await {
+            Ok(worker::Looked::Report(report)) => {
+                retry_ms = LOOK_RETRY_MS.0;
+                refusals = 0;
+                take_in(&holding, &id, &report, sent_at).await;
+                continue;
+            }
+            Ok(worker::Looked::Fenced) => {
+                log::info("duty", &format!("fenced worker={id}"));
+                holding.over.cancel();
+                return;
+            }
+            Ok(worker::Looked::OtherLife) => {
+                let now = clock::since_boot();
+                holding.holder().life_ended(&id, now, "other-life");
+                holding.wake.notify_one();
+                return;
+            }
+            Ok(worker::Looked::Unwell(status)) => {
+                log::info(
+                    "holder",
+                    &format!("look refused worker={id} status={status}"),
+                );
+            }
+            Err(error) => {
+                refusals = if error.refused { refusals + 1 } else { 0 };
+                if retry_ms == LOOK_RETRY_MS.0 {
+                    log::info(
+                        "holder",
+                        &format!("worker silent worker={id} reason={error}"),
+                    );
+                }
+                if refusals >= REFUSALS_GONE && has_left(&holding, &id) {
+                    let now = clock::since_boot();
+                    holding.holder().life_ended(&id, now, "left");
+                    holding.wake.notify_one();
+                    return;
+                }
+            }
+        }
+        time::sleep(Duration::from_millis(retry_ms)).await;
+        retry_ms = (retry_ms * 2).min(LOOK_RETRY_MS.1);
+    }
+}
+
+fn has_left(holding: &holding::Holding, id: &id::Worker) -> bool {
+    let holder = holding.holder();
+    let worker = holder.workers().get(id);
+    worker.is_some_and(|worker| worker.listing.leaving && !worker.listed)
+}
+
+async fn take_in(
+    holding: &holding::Holding,
+    id: &id::Worker,
+    report: &book::Report,
+    sent_at: wasabiloft::clock::Instant,
+) {
+    let now = clock::since_boot();
+    let committed = holding.committed.notified();
+    holding
+        .holder()
+        .reported(id, report, sent_at, now, clock::unix_ms());
+    holding.wake.notify_one();
+    if report.ends.is_empty() {
+        return;
+    }
+    // Until its ends are acknowledged, the worker answers each look at once.
+    let _ = time::timeout(Duration::from_millis(UNCOMMITTED_PAUSE_MS), committed).await;
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`node::Node`] is a whole entry node in one value; `wasabiloftd` runs one, `wasabiloft dev` runs several.
 
 pub mod admin;
+pub mod batch;
 pub mod clock;
 pub mod control;
 pub mod documents;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,12 +1,13 @@
 //! `wasabiloftd`: the daemon of an entry node.
 
+use std::env;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::signal::unix;
-use wasabiloft_node::node;
-use wasabiloft_node::settings;
+use wasabiloft_node::{batch, log, node, settings};
+use wasabiloft_platform::settings as platform_settings;
 
 const USAGE: &str = "\
 Runs an entry node until SIGTERM or SIGINT.
@@ -14,11 +15,14 @@
 Usage:
     wasabiloftd --config FILE
     wasabiloftd --check --config FILE
+    wasabiloftd --platform [--config FILE]
 
 The first line that it prints is the address for callers and operators.
 
 Options:
     -c, --config FILE    The node's settings, in TOML.
+    --platform           Run batch jobs on the users' platform; without --config,
+                         the platform says in WASABILOFT_CONFIG where the settings lie.
     --check              Read the settings, say what is wrong with them, and end.
     -h, --help           Show this text.
 ";
@@ -26,6 +30,7 @@
 struct Args {
     config: PathBuf,
     check: bool,
+    platform: bool,
 }
 
 fn main() -> ExitCode {
@@ -51,6 +56,7 @@
 
     let mut config = None;
     let mut check = false;
+    let mut platform = false;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().map_err(|error| error.to_string())? {
         match arg {
@@ -59,15 +65,26 @@
                 config = Some(PathBuf::from(value));
             }
             Long("check") => check = true,
+            Long("platform") => platform = true,
             Short('h') | Long("help") => return Ok(None),
             other => return Err(other.unexpected().to_string()),
         }
     }
+    if platform && config.is_none() {
+        config = env::var_os(platform_settings::PATH_VARIABLE).map(PathBuf::from);
+    }
     let config = config.ok_or("--config FILE is missing; see --help")?;
-    Ok(Some(Args { config, check }))
+    Ok(Some(Args {
+        config,
+        check,
+        platform,
+    }))
 }
 
 fn run(args: &Args) -> Result<(), String> {
+    if args.platform {
+        return run_on_platform(args);
+    }
     let settings = read(&args.config)?;
     if args.check {
         println!("{}: ok", args.config.display());
@@ -77,6 +94,24 @@
     runtime.block_on(serve(settings))
 }
 
+fn run_on_platform(args: &Args) -> Result<(), String> {
+    if args.check {
+        platform_settings::read(&args.config).map_err(|error| error.to_string())?;
+        println!("{}: ok", args.config.display());
+        return Ok(());
+    }
+    log::to_stdout().map_err(|error| error.to_string())?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| error.to_string())?;
+    // One thread: the VMs of this platform have a part of one core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    runtime.block_on(batch::run(&args.config, metrics))
+}
+
 fn read(path: &Path) -> Result<settings::Settings, String> {
     settings::read(path).map_err(|error| error.to_string())
 }
--- /dev/null
+++ b/src/batch/holder/mod.rs
@@ -0,0 +1,532 @@
+//! The holder of the batch duty: places tasks on workers and follows them to their ends.
+//!
+//! What runs is not written down before it starts: workers keep leases and refuse orders of older epochs, so a
+//! successor raises the fence at each worker and reads there what runs and what has ended. Rows keep what workers
+//! forget: ends that were acknowledged, failed runs, checkpoints, and which workers may run anything at all.
+
+mod commit;
+mod gang;
+pub mod job;
+mod orders;
+mod plan;
+mod reports;
+mod stuck;
+mod vacate;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::batch::book;
+use crate::batch::queue;
+use crate::batch::record;
+use crate::batch::{JobId, TaskId};
+use crate::clock;
+use crate::id;
+
+pub use orders::{Refusal, StartOutcome};
+pub use vacate::Emptying;
+
+/// Work on workers that a predecessor may have used, and that answer nobody, has ended this long after the
+/// predecessor's last order: the longest lease, 2 % for slow clocks, and a stop, in milliseconds.
+const INHERITED_SLACK_MS: u64 = 500;
+/// Stops without an end are sent again after this long, in milliseconds; above the timeout of one call.
+const STOP_AGAIN_MS: u64 = 400;
+
+/// Bounds of the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Length of the leases given to workers, in milliseconds.
+    pub lease_ms: u64,
+    /// How long ended jobs stay known, in milliseconds.
+    pub status_ms: u64,
+    /// How much longer work away from its data takes, in thousandths.
+    pub far_milli: u64,
+    /// Until this long after our action a lasting task that isn't back counts as away, in milliseconds.
+    pub notice_ms: u64,
+    /// A serving task may be over its target for this long, in milliseconds.
+    pub harm_ms: u64,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The worker.
+    pub worker: id::Worker,
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: u32,
+    /// End of the lease, on the worker's clock.
+    pub until_ms: u64,
+    /// The checkpoint to go on from.
+    pub checkpoint: Option<String>,
+    /// What to run, with its queue.
+    pub accepted: Arc<record::Accepted>,
+}
+
+/// What the holder wants done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Start a run.
+    Start(Start),
+    /// Stop a run.
+    Stop {
+        /// The worker.
+        worker: id::Worker,
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: u32,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: id::Worker,
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: u32,
+        /// The share, 0 to 100.
+        percent: u32,
+    },
+    /// Begin to look at a worker.
+    Watch(book::Listing),
+    /// A worker's life has ended; stop looking.
+    Forget(id::Worker),
+    /// A newer holder's fence was met: this one is superseded.
+    Superseded,
+    /// A line for the log.
+    Line(String),
+}
+
+/// What to send with the next look at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// The lease's new end, on the worker's clock; `None` gives no lease.
+    pub until_ms: Option<u64>,
+    /// Ends up to this number may be forgotten.
+    pub acknowledged: u64,
+    /// How long the worker may wait for an end, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The rows that a holder begins with.
+#[derive(Clone, Debug, Default)]
+pub struct Inheritance {
+    /// Accepted jobs.
+    pub accepted: Vec<(JobId, record::Accepted)>,
+    /// Cancellations.
+    pub cancelled: Vec<JobId>,
+    /// Progress.
+    pub progress: Vec<(JobId, record::Progress)>,
+    /// Workers that may run tasks.
+    pub workers: Vec<(id::Worker, record::WorkerRow)>,
+}
+
+/// The holder's state.
+#[derive(Debug)]
+pub struct Holder {
+    terms: Terms,
+    /// Starts of tasks that predecessors may have started are numbered above theirs.
+    run_base: u32,
+    began_at: clock::Instant,
+    config: Arc<queue::Config>,
+    jobs: HashMap<JobId, job::Job>,
+    /// Jobs that aren't over.
+    open: BTreeSet<JobId>,
+    /// Cancellations whose job isn't known yet.
+    early_cancels: BTreeSet<JobId>,
+    workers: BTreeMap<id::Worker, book::Worker>,
+    /// Workers of the predecessor that haven't answered yet.
+    unresolved: BTreeMap<id::Worker, record::WorkerRow>,
+    /// Services in which something changed since the last planning.
+    stale: BTreeSet<id::Service>,
+    changed: BTreeSet<JobId>,
+    rows: commit::Rows,
+    outputs: Vec<Output>,
+    counts: Counts,
+}
+
+/// Counters of what the holder did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Starts sent.
+    pub starts: u64,
+    /// Starts refused for want of room.
+    pub refused: u64,
+    /// Runs that ended done.
+    pub done: u64,
+    /// Runs that ended otherwise.
+    pub lost: u64,
+}
+
+impl Holder {
+    /// A holder of an epoch, with the rows that it found.
+    pub fn new(
+        terms: Terms,
+        epoch: u64,
+        config: Arc<queue::Config>,
+        rows: Inheritance,
+        now: clock::Instant,
+    ) -> Self {
+        let mut holder = Self {
+            terms,
+            run_base: orders::run_base(epoch),
+            began_at: now,
+            config,
+            jobs: HashMap::new(),
+            open: BTreeSet::new(),
+            early_cancels: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            unresolved: rows.workers.iter().cloned().collect(),
+            stale: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            rows: commit::Rows::new(rows.workers.into_iter().map(|(worker, _)| worker)),
+            outputs: Vec::new(),
+            counts: Counts::default(),
+        };
+        for (id, accepted) in rows.accepted {
+            holder.adopt(id, accepted, true, now);
+        }
+        for (id, progress) in &rows.progress {
+            if let Some(job) = holder.jobs.get_mut(id) {
+                job.restore(progress);
+                if job.state.is_final() {
+                    holder.open.remove(id);
+                }
+            }
+        }
+        for id in rows.cancelled {
+            holder.cancelled(id, now, 0);
+        }
+        holder
+    }
+
+    /// Takes in a job that was accepted since the holder began.
+    pub fn accepted(&mut self, id: JobId, accepted: record::Accepted, now: clock::Instant) {
+        self.adopt(id, accepted, false, now);
+        if self.early_cancels.remove(&id) {
+            self.cancelled(id, now, 0);
+        }
+    }
+
+    fn adopt(
+        &mut self,
+        id: JobId,
+        accepted: record::Accepted,
+        inherited: bool,
+        now: clock::Instant,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let service = accepted.queue.service.clone();
+        let mut job = job::Job::new(id, Arc::new(accepted), inherited, now);
+        if job.accepted.spec.schedule.is_none() {
+            job.open(0);
+        }
+        self.jobs.insert(id, job);
+        self.open.insert(id);
+        self.stale.insert(service);
+    }
+
+    /// Takes in a cancellation.
+    pub fn cancelled(&mut self, id: JobId, now: clock::Instant, unix_ms: u64) {
+        match self.jobs.get(&id) {
+            None => {
+                self.early_cancels.insert(id);
+            }
+            Some(job) if job.state.is_final() => {}
+            Some(_) => {
+                self.line(format!("cancel job={id}"));
+                self.finish(id, record::State::Cancelled, now, unix_ms);
+            }
+        }
+    }
+
+    /// Ends a job and stops what runs of it.
+    fn finish(&mut self, id: JobId, state: record::State, now: clock::Instant, unix_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.state = state;
+        job.ended_unix_ms = unix_ms;
+        self.open.remove(&id);
+        self.changed.insert(id);
+        let live: Vec<TaskId> = job
+            .tasks()
+            .filter(|(_, task)| task.live.is_some())
+            .map(|(task, _)| task)
+            .collect();
+        for task in live {
+            self.stop(task, job::StopReason::Over, now);
+        }
+    }
+
+    /// Takes in a version of the configuration.
+    pub fn configured(&mut self, config: Arc<queue::Config>) {
+        self.config = config;
+        self.stale.extend(self.config.services.keys().cloned());
+    }
+
+    /// Takes in a worker's entry of the registry.
+    pub fn listed(&mut self, listing: book::Listing, now: clock::Instant) {
+        self.stale.insert(listing.service.clone());
+        if let Some(worker) = self.workers.get_mut(&listing.worker) {
+            if listing.leaving && !worker.listing.leaving {
+                self.outputs.push(Output::Line(format!(
+                    "worker leaves worker={}",
+                    listing.worker
+                )));
+            }
+            worker.listed = true;
+            worker.listing = listing;
+            return;
+        }
+        if listing.leaving && !self.unresolved.contains_key(&listing.worker) {
+            return;
+        }
+        self.line(format!(
+            "worker listed worker={} service={} address={}",
+            listing.worker, listing.service, listing.address
+        ));
+        let mut worker = book::Worker::new(listing.clone(), now);
+        worker.recorded = self.rows.is_recorded(&listing.worker);
+        self.rows.want(&listing.worker, &listing.service);
+        self.workers.insert(listing.worker.clone(), worker);
+        self.outputs.push(Output::Watch(listing));
+    }
+
+    /// Takes in that a worker's entry is gone from the registry, which proves nothing about what runs there.
+    pub fn unlisted(&mut self, id: &id::Worker) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+        }
+    }
+
+    /// Takes in proof that a worker's life is over: all that ran there has ended.
+    pub fn life_ended(&mut self, id: &id::Worker, now: clock::Instant, why: &str) {
+        self.unresolved.remove(id);
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.line(format!(
+            "worker gone worker={id} reason={why} tasks={}",
+            worker.tasks.len()
+        ));
+        self.rows.drop_worker(id);
+        self.outputs.push(Output::Forget(id.clone()));
+        self.stale.insert(worker.listing.service.clone());
+        for task in worker.tasks {
+            self.release(task, now);
+        }
+    }
+
+    /// Makes a task whose run is over wait for its next start.
+    fn release(&mut self, id: TaskId, now: clock::Instant) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.accepted);
+        let Some(task) = job.task_mut(&id) else {
+            return;
+        };
+        let Some(live) = task.live.take() else {
+            return;
+        };
+        let need = plan::need(&spec.spec.steps[id.step as usize]);
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
+            worker.vacate(&id, &need, now);
+        }
+        self.stale.insert(spec.queue.service.clone());
+    }
+
+    /// Asks for a run to be stopped.
+    fn stop(&mut self, id: TaskId, reason: job::StopReason, now: clock::Instant) {
+        let Some(live) = self
+            .jobs
+            .get_mut(&id.job)
+            .and_then(|job| job.task_mut(&id))
+            .and_then(|task| task.live.as_mut())
+        else {
+            return;
+        };
+        live.stop_reason = Some(reason);
+        live.stop_sent_at = Some(now);
+        let (worker, run) = (live.worker.clone(), live.run);
+        self.line(format!(
+            "stop task={id} run={run} worker={worker} reason={reason:?}"
+        ));
+        self.outputs.push(Output::Stop {
+            worker,
+            task: id,
+            run,
+        });
+    }
+
+    /// Moves time on: due occurrences, lapsed leases, stops that were not heard.
+    pub fn tick(&mut self, now: clock::Instant, unix_ms: u64) {
+        self.open_due(unix_ms);
+        self.resolve_inherited(now);
+        self.lapse(now);
+        self.repeat_stops(now);
+        self.watch_progress(now);
+        self.forget_old(unix_ms);
+    }
+
+    fn open_due(&mut self, unix_ms: u64) {
+        for id in &self.open {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.accepted.spec.schedule.is_some() && job.open_due(unix_ms) {
+                self.stale.insert(job.accepted.queue.service.clone());
+            }
+        }
+    }
+
+    fn resolve_inherited(&mut self, now: clock::Instant) {
+        if self.unresolved.is_empty() {
+            return;
+        }
+        let longest = self.terms.lease_ms * 102 / 100 + INHERITED_SLACK_MS;
+        if now.since_ms(self.began_at) < longest {
+            return;
+        }
+        for (worker, row) in std::mem::take(&mut self.unresolved) {
+            self.line(format!("worker of predecessor lapsed worker={worker}"));
+            self.stale.insert(row.service);
+            if !self.workers.contains_key(&worker) {
+                self.rows.drop_worker(&worker);
+            }
+        }
+    }
+
+    fn lapse(&mut self, now: clock::Instant) {
+        let lapsed: Vec<id::Worker> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                now.since_ms(worker.answered_at) > book::SILENT_MS && worker.is_lapsed(now)
+            })
+            .filter(|(_, worker)| !worker.tasks.is_empty() || !worker.listed)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            if self.unresolved.contains_key(&id) {
+                continue;
+            }
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
+            if !worker.listed {
+                self.life_ended(&id, now, "lapsed-unlisted");
+                continue;
+            }
+            let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
+            self.line(format!(
+                "worker lapsed worker={id} silent_ms={} tasks={}",
+                now.since_ms(worker.answered_at),
+                tasks.len()
+            ));
+            for task in tasks {
+                self.release(task, now);
+            }
+        }
+    }
+
+    fn repeat_stops(&mut self, now: clock::Instant) {
+        let mut again = Vec::new();
+        for (worker, book) in &self.workers {
+            for id in &book.tasks {
+                let live = self
+                    .jobs
+                    .get_mut(&id.job)
+                    .and_then(|job| job.task_mut(id))
+                    .and_then(|task| task.live.as_mut());
+                let Some(live) = live else { continue };
+                let due = live.stop_reason.is_some()
+                    && live.stopped_at.is_none()
+                    && live
+                        .stop_sent_at
+                        .is_none_or(|at| now.since_ms(at) >= STOP_AGAIN_MS);
+                if due {
+                    live.stop_sent_at = Some(now);
+                    again.push((worker.clone(), *id, live.run));
+                }
+            }
+        }
+        for (worker, task, run) in again {
+            self.outputs.push(Output::Stop { worker, task, run });
+        }
+    }
+
+    fn forget_old(&mut self, unix_ms: u64) {
+        // Twice the promised time, as callers' clocks and ours differ.
+        let keep_ms = self.terms.status_ms * 2;
+        let old: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| {
+                job.stored.is_final()
+                    && job.ended_unix_ms > 0
+                    && job.ended_unix_ms + keep_ms < unix_ms
+            })
+            .map(|job| job.id)
+            .take(commit::ROWS_MAX / 4)
+            .collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.rows.forget(id);
+        }
+    }
+
+    fn line(&mut self, text: String) {
+        self.outputs.push(Output::Line(text));
+    }
+
+    /// Takes what is to be done.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The state of a job as callers may see it; `None` for one that isn't known here.
+    pub fn state(&self, id: JobId) -> Option<record::State> {
+        let job = self.jobs.get(&id)?;
+        if job.stored.is_final() {
+            return Some(job.stored);
+        }
+        if job.state == record::State::Cancelled {
+            return Some(record::State::Cancelled);
+        }
+        if job.has_begun() {
+            Some(record::State::Running)
+        } else {
+            Some(record::State::Queued)
+        }
+    }
+
+    /// How many accepted jobs of a queue have no task that has started.
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.open
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| job.accepted.queue.name == queue && !job.has_begun())
+            .count()
+    }
+
+    /// Counters of what was done.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> &BTreeMap<id::Worker, book::Worker> {
+        &self.workers
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &queue::Config {
+        &self.config
+    }
+}
--- /dev/null
+++ b/src/batch/holder/vacate.rs
@@ -0,0 +1,83 @@
+//! Emptying workers before a move, an upkeep or their departure, within what lasting steps tolerate.
+
+use crate::batch::TaskId;
+use crate::batch::holder::Holder;
+use crate::batch::holder::job;
+use crate::clock;
+use crate::id;
+
+/// How far a worker is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Emptying {
+    /// It isn't in the book.
+    Unknown,
+    /// Nothing runs there.
+    Empty,
+    /// Something still runs there.
+    Busy,
+}
+
+impl Holder {
+    /// Stops giving new tasks to a worker, and moves its lasting tasks away.
+    pub fn vacate(&mut self, id: &id::Worker, on: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            if worker.vacating != on {
+                worker.vacating = on;
+                let service = worker.listing.service.clone();
+                self.stale.insert(service);
+            }
+        }
+    }
+
+    /// How far a worker is emptied.
+    pub fn emptying(&self, id: &id::Worker) -> Emptying {
+        match self.workers.get(id) {
+            None => Emptying::Unknown,
+            Some(worker) if worker.tasks.is_empty() => Emptying::Empty,
+            Some(_) => Emptying::Busy,
+        }
+    }
+
+    /// Moves lasting tasks off workers that are emptied or leave.
+    pub fn move_lasting(&mut self, now: clock::Instant) {
+        let mut moving = Vec::new();
+        for worker in self.workers.values() {
+            if worker.vacating || worker.listing.leaving {
+                let free = worker.listing.leaving;
+                moving.extend(worker.tasks.iter().map(|task| (*task, free)));
+            }
+        }
+        for (id, free) in moving {
+            if self.may_move(&id, free) {
+                self.stop(id, job::StopReason::Vacate, now);
+            }
+        }
+    }
+
+    /// Whether a lasting task may be stopped to be started elsewhere.
+    fn may_move(&self, id: &TaskId, leaving: bool) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let step = &job.accepted.spec.steps[id.step as usize];
+        let running = job
+            .task(id)
+            .and_then(|task| task.live.as_ref())
+            .is_some_and(|live| live.stop_reason.is_none() && live.known_at.is_some());
+        if !step.lasting || !running {
+            return false;
+        }
+        if leaving {
+            return true;
+        }
+        let Some(open) = job.occurrences.get(&id.occurrence) else {
+            return false;
+        };
+        let away = (0_u32..)
+            .zip(&open.steps[id.step as usize].tasks)
+            .filter(|(index, task)| *index != id.index && !task.at_work())
+            .count();
+        // Without a stated tolerance one at a time.
+        away < step.unavailable_max.map_or(1, |max| max as usize)
+    }
+}
--- a/src/id.rs
+++ b/src/id.rs
@@ -62,6 +62,10 @@
     /// A VM: a worker that also hosts the runner of its pool's service.
     Vm
 );
+name!(
+    /// A worker: one life of a VM's runner in one pool.
+    Worker
+);
 name!(
     /// A rack; its VMs fail together.
     Rack
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! and the platform's client live in `wasabiloft-node`.
 
 pub mod admission;
+pub mod batch;
 pub mod clock;
 pub mod config;
 pub mod connection;
