--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -139,6 +139,13 @@
             row,
         )?;
     }
+    for (number, wave) in &batch.waves {
+        put(
+            &mut transaction,
+            name(record::WAVE_TABLE, &number.to_string()),
+            wave,
+        )?;
+    }
     for worker in &batch.workers_removed {
         transaction
             .removes
--- a/node/src/batch/configuration.rs
+++ b/node/src/batch/configuration.rs
@@ -101,8 +101,20 @@
             Err(error) => log::warn("config", &format!("kept reason={error}")),
         }
     } else if upkeep::is_wave(row) {
-        if let Some(holding) = shared.holding() {
-            holding.wave_asked(row);
+        match upkeep::decode(row) {
+            Ok(request) => {
+                let line = format!(
+                    "wave asked wave={} machines={} deadline_ms={} at_once_max={}",
+                    request.number,
+                    request.vms.len(),
+                    request.deadline_ms,
+                    request.at_once_max
+                );
+                if shared.wave_asked(request) {
+                    log::info("fleet", &line);
+                }
+            }
+            Err(error) => log::warn("fleet", &format!("wave ignored reason={error}")),
         }
     }
 }
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -47,7 +47,9 @@
             Step::Again => time::sleep(Duration::from_millis(BEAT_MS / 5)).await,
             Step::Claim => {
                 if let Some((duty, version)) = claim(&shared).await {
+                    shared.set_own_epoch(duty.epoch);
                     holding::run(&shared, duty, version).await;
+                    shared.set_own_epoch(0);
                     follower = Follower::default();
                 }
             }
--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -1,33 +1,508 @@
-//! Machines of the pools: moves and waves of upkeep.
+//! Machines of the pools: moves after demand, and waves of upkeep.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
 
-use wasabiloft::batch::waves;
+use tokio::task::JoinSet;
+use tokio::time;
+use wasabiloft::batch::holder::Emptying;
+use wasabiloft::batch::{pools, record, waves};
+use wasabiloft::id;
+use wasabiloft_platform::machines::{Authority, Changed, Machines};
 use wasabiloft_platform::{store, upkeep};
 
 use crate::batch::{holding, shared};
+use crate::clock;
 use crate::log;
 
-/// What was asked of the fleet.
-#[derive(Debug, Default)]
-pub struct State {
-    asked: Mutex<Vec<waves::Request>>,
+/// Time between two rounds, in milliseconds.
+const ROUND_MS: u64 = 150;
+/// Kept of the duty's lease before an order for a machine, in milliseconds: an order's way and a node's pause.
+const LEASE_MARGIN_MS: u64 = 1_000;
+/// Longest wait for the store, in milliseconds.
+const STORE_TIMEOUT_MS: u64 = 1_500;
+/// On top of a machine's time away until a list may show it as back, in milliseconds.
+const BACK_SLACK_MS: u64 = 100;
+/// A machine whose change was refused is left alone for this long, in milliseconds.
+const REFUSED_PAUSE_MS: u64 = 1_000;
+/// Changes of machines under way at once; the platform takes some tens a second.
+const CHANGES_AT_ONCE: usize = 8;
+
+/// An order for a machine.
+#[derive(Clone, Debug)]
+enum Order {
+    Move { to: id::Service },
+    Upkeep { wave: u64 },
+}
+
+/// An order's answer.
+#[derive(Debug)]
+struct Answered {
+    vm: id::Vm,
+    worker: Option<id::Worker>,
+    order: Order,
+    changed: Option<Changed>,
 }
 
-impl State {
-    /// Takes in a row that asks for a wave.
-    pub fn wave_asked(&self, row: &store::Row) {
-        match upkeep::decode(row) {
-            Ok(request) => {
-                let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-                asked.push(request);
+struct Fleet {
+    shared: Arc<shared::Shared>,
+    holding: Arc<holding::Holding>,
+    machines: Arc<Machines>,
+    authority: Authority,
+    forecast: pools::Forecast,
+    waves: BTreeMap<u64, waves::Wave>,
+    records: BTreeMap<u64, waves::Record>,
+    list: Vec<pools::Machine>,
+    /// Machines with an order under way.
+    busy: BTreeSet<id::Vm>,
+    /// Where machines were sent, until a list shows them there.
+    sent: BTreeMap<id::Vm, id::Service>,
+    paused: BTreeMap<id::Vm, wasabiloft::clock::Instant>,
+    orders: JoinSet<Answered>,
+}
+
+/// Cares for the fleet until the duty is over.
+pub async fn run(shared: Arc<shared::Shared>, holding: Arc<holding::Holding>) {
+    let settings = shared.settings();
+    let Some(address) = settings.machines else {
+        holding.over.cancelled().await;
+        return;
+    };
+    let mut fleet = Fleet {
+        machines: Arc::new(Machines::new(address)),
+        authority: Authority {
+            holder: settings.node.clone(),
+            epoch: holding.epoch,
+        },
+        forecast: pools::Forecast::default(),
+        waves: BTreeMap::new(),
+        records: read_records(&shared, &holding).await,
+        list: Vec::new(),
+        busy: BTreeSet::new(),
+        sent: BTreeMap::new(),
+        paused: BTreeMap::new(),
+        orders: JoinSet::new(),
+        shared,
+        holding,
+    };
+    let over = fleet.holding.over.clone();
+    let mut round = time::interval(Duration::from_millis(ROUND_MS));
+    round.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = over.cancelled() => break,
+            Some(answer) = fleet.orders.join_next(), if !fleet.orders.is_empty() => {
+                if let Ok(answer) = answer {
+                    fleet.answered(answer);
+                }
             }
-            Err(error) => log::warn("fleet", &format!("wave ignored reason={error}")),
+            _ = round.tick() => fleet.round().await,
         }
     }
+    fleet.orders.shutdown().await;
 }
 
-/// Cares for the fleet until the duty is over.
-pub async fn run(_shared: Arc<shared::Shared>, holding: Arc<holding::Holding>) {
-    holding.over.cancelled().await;
+async fn read_records(
+    shared: &shared::Shared,
+    holding: &holding::Holding,
+) -> BTreeMap<u64, waves::Record> {
+    loop {
+        let page = shared
+            .store
+            .rows(record::WAVE_TABLE, record::HOLDER_PART, STORE_TIMEOUT_MS)
+            .await;
+        match page {
+            Ok(page) => return page.rows.iter().filter_map(read_record).collect(),
+            Err(error) => log::info("fleet", &format!("waves unread reason={error}")),
+        }
+        if holding.over.is_cancelled() {
+            return BTreeMap::new();
+        }
+        time::sleep(Duration::from_millis(ROUND_MS)).await;
+    }
+}
+
+fn read_record(row: &store::Row) -> Option<(u64, waves::Record)> {
+    let number = row.name.key.parse().ok()?;
+    let record = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    Some((number, record))
+}
+
+impl Fleet {
+    /// Whether an order for a machine may go out: this holder's lease covers its way, and no predecessor that may
+    /// still act has ordered within its own.
+    fn may_order(&self) -> bool {
+        let lease_ms = self.shared.settings().machine_lease_ms;
+        let waited = clock::since_boot().since_ms(self.holding.began_at) > lease_ms;
+        waited && self.holding.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
+    }
+
+    async fn round(&mut self) {
+        let asked_at = clock::since_boot();
+        match self.machines.list().await {
+            Ok(list) => self.listed(list, asked_at),
+            Err(error) => {
+                log::info("fleet", &format!("machines unread reason={error}"));
+                return;
+            }
+        }
+        for asked in self.shared.waves() {
+            let number = asked.request.number;
+            if !self.waves.contains_key(&number) {
+                let record = self.records.remove(&number).unwrap_or_default();
+                let wave = waves::Wave::new(asked.request, record, asked.at);
+                self.waves.insert(number, wave);
+            }
+        }
+        if self.may_order() {
+            self.repeat_unanswered();
+            let reserved = self.take_for_waves();
+            self.follow_demand(&reserved);
+        }
+        self.tell_operators().await;
+    }
+
+    fn listed(&mut self, list: Vec<pools::Machine>, asked_at: wasabiloft::clock::Instant) {
+        let settings = self.shared.settings();
+        let up: BTreeSet<id::Vm> = list
+            .iter()
+            .filter(|machine| machine.state == pools::State::Up)
+            .map(|machine| machine.vm.clone())
+            .collect();
+        let known: BTreeSet<id::Vm> = list.iter().map(|machine| machine.vm.clone()).collect();
+        for wave in self.waves.values_mut() {
+            wave.seen_up(&up, asked_at, settings.upkeep_ms + BACK_SLACK_MS);
+            let gone: Vec<id::Vm> = wave
+                .left()
+                .filter(|vm| !known.contains(*vm))
+                .cloned()
+                .collect();
+            for vm in gone {
+                log::info(
+                    "fleet",
+                    &format!("machine gone vm={vm} wave={}", wave.request.number),
+                );
+                wave.excused(&vm);
+            }
+        }
+        for machine in &list {
+            if machine.state == pools::State::Up
+                && self.sent.get(&machine.vm) == Some(&machine.pool)
+            {
+                self.sent.remove(&machine.vm);
+            }
+        }
+        self.list = list;
+    }
+
+    /// Repeats orders without an answer; the platform takes a repeat as the same.
+    fn repeat_unanswered(&mut self) {
+        let mut again = Vec::new();
+        for (number, wave) in &self.waves {
+            for vm in wave.unanswered().filter(|vm| !self.busy.contains(*vm)) {
+                again.push((vm.clone(), *number));
+            }
+        }
+        for (vm, wave) in again {
+            self.order(&vm, Order::Upkeep { wave });
+        }
+    }
+
+    /// Begins upkeeps where it does no harm; returns the machines that a wave wants soon.
+    fn take_for_waves(&mut self) -> BTreeSet<id::Vm> {
+        let now = clock::since_boot();
+        let upkeep_ms = self.shared.settings().upkeep_ms;
+        let mut reserved = BTreeSet::new();
+        let mut go = Vec::new();
+        for (number, wave) in &self.waves {
+            let mut places = wave.free_places();
+            let hurries = wave.hurries(now, upkeep_ms);
+            let left: BTreeSet<&id::Vm> = wave.left().collect();
+            let mut due: Vec<(u64, &pools::Machine)> = self
+                .list
+                .iter()
+                .filter(|machine| {
+                    left.contains(&machine.vm)
+                        && machine.state == pools::State::Up
+                        && !self.is_paused(&machine.vm, now)
+                })
+                .map(|machine| (self.load(machine), machine))
+                .collect();
+            due.sort_by_key(|(load, _)| *load);
+            for (load, machine) in due {
+                if places == 0 {
+                    break;
+                }
+                if load == 0 {
+                    places -= 1;
+                    go.push((machine.vm.clone(), *number));
+                } else if hurries {
+                    places -= 1;
+                    reserved.insert(machine.vm.clone());
+                }
+            }
+        }
+        for (vm, wave) in go {
+            if self.is_empty(&vm) {
+                if let Some(wave) = self.waves.get_mut(&wave) {
+                    wave.ordered(&vm, now);
+                }
+                self.order(&vm, Order::Upkeep { wave });
+            } else {
+                reserved.insert(vm);
+            }
+        }
+        for vm in &reserved {
+            self.set_vacating(vm, true);
+        }
+        reserved
+    }
+
+    fn follow_demand(&mut self, reserved: &BTreeSet<id::Vm>) {
+        let now = clock::since_boot();
+        let Some(size) = self.list.first().map(|machine| machine.size) else {
+            return;
+        };
+        let (demands, spare) = {
+            let holder = self.holding.holder();
+            (holder.demands(&size, now), holder.config().spare_pool().cloned())
+        };
+        let mut coming: BTreeMap<id::Service, u32> = BTreeMap::new();
+        for to in self.sent.values() {
+            *coming.entry(to.clone()).or_default() += 1;
+        }
+        let mut candidates = Vec::new();
+        for machine in &self.list {
+            let away = machine.state != pools::State::Up
+                || self.busy.contains(&machine.vm)
+                || self.sent.contains_key(&machine.vm);
+            if away {
+                continue;
+            }
+            let usage = machine
+                .worker
+                .as_ref()
+                .and_then(|worker| self.holding.holder().usage(worker));
+            let off = Some(&machine.pool) == spare.as_ref();
+            if usage.is_none() && !off {
+                // Its worker isn't in the book yet; it counts as on its way.
+                *coming.entry(machine.pool.clone()).or_default() += 1;
+                continue;
+            }
+            let (used, vacating) = usage.unwrap_or_default();
+            candidates.push(pools::Candidate {
+                machine,
+                empty: off || self.is_empty(&machine.vm),
+                used,
+                vacating,
+            });
+        }
+        let mut wanted = BTreeMap::new();
+        for (service, demand) in &demands {
+            let has = candidates
+                .iter()
+                .filter(|candidate| {
+                    candidate.machine.pool == *service && !reserved.contains(&candidate.machine.vm)
+                })
+                .count();
+            let has = u32::try_from(has).unwrap_or(u32::MAX)
+                + coming.get(service).copied().unwrap_or(0);
+            let want = self.forecast.wanted(service, demand, has, now);
+            wanted.insert(service.clone(), want);
+        }
+        let paused = |vm: &id::Vm| reserved.contains(vm) || self.is_paused(vm, now);
+        let steps = pools::assign(&candidates, &wanted, &coming, &paused, spare.as_ref());
+        for step in steps {
+            match step {
+                pools::Step::Vacate(vm) => self.set_vacating(&vm, true),
+                pools::Step::Keep(vm) => self.set_vacating(&vm, false),
+                pools::Step::Move { vm, to } => {
+                    if self.is_empty(&vm) && self.orders.len() < CHANGES_AT_ONCE {
+                        log::info(
+                            "fleet",
+                            &format!("move vm={vm} to={to} wanted={wanted:?}"),
+                        );
+                        self.order(&vm, Order::Move { to });
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_paused(&self, vm: &id::Vm, now: wasabiloft::clock::Instant) -> bool {
+        self.busy.contains(vm) || self.paused.get(vm).is_some_and(|until| now < *until)
+    }
+
+    fn machine(&self, vm: &id::Vm) -> Option<&pools::Machine> {
+        self.list.iter().find(|machine| machine.vm == *vm)
+    }
+
+    fn is_off(&self, machine: &pools::Machine) -> bool {
+        self.holding.holder().config().spare_pool() == Some(&machine.pool)
+    }
+
+    /// Room in use on a machine, plus one if it isn't empty; 0 for one that can go at once.
+    fn load(&self, machine: &pools::Machine) -> u64 {
+        if self.is_off(machine) {
+            return 0;
+        }
+        let Some(worker) = &machine.worker else {
+            return 1;
+        };
+        let holder = self.holding.holder();
+        match holder.emptying(worker) {
+            Emptying::Empty => 0,
+            Emptying::Busy => 1 + holder.usage(worker).map_or(0, |(used, _)| used),
+            Emptying::Unknown => u64::MAX,
+        }
+    }
+
+    /// Stops new tasks on a machine and tells whether nothing runs there; in one step, so that it stays so.
+    fn is_empty(&self, vm: &id::Vm) -> bool {
+        let Some(machine) = self.machine(vm) else {
+            return false;
+        };
+        if self.is_off(machine) {
+            return true;
+        }
+        let Some(worker) = &machine.worker else {
+            return false;
+        };
+        self.holding.holder().emptying(worker) == Emptying::Empty
+    }
+
+    fn set_vacating(&self, vm: &id::Vm, on: bool) {
+        let worker = self.machine(vm).and_then(|machine| machine.worker.as_ref());
+        if let Some(worker) = worker {
+            self.holding.holder().vacate(worker, on);
+        }
+    }
+
+    fn order(&mut self, vm: &id::Vm, order: Order) {
+        let worker = self.machine(vm).and_then(|machine| machine.worker.clone());
+        if let Some(worker) = &worker {
+            // From here on nothing may start there, whatever the answer.
+            self.holding.holder().vacate(worker, true);
+        }
+        self.busy.insert(vm.clone());
+        let machines = Arc::clone(&self.machines);
+        let authority = self.authority.clone();
+        let vm = vm.clone();
+        self.orders.spawn(async move {
+            let outcome = match &order {
+                Order::Move { to } => machines.change_pool(&vm, to, &authority).await,
+                Order::Upkeep { wave } => machines.begin_upkeep(&vm, *wave, &authority).await,
+            };
+            let changed = match outcome {
+                Ok(changed) => Some(changed),
+                Err(error) => {
+                    log::info("fleet", &format!("order unanswered vm={vm} reason={error}"));
+                    None
+                }
+            };
+            Answered {
+                vm,
+                worker,
+                order,
+                changed,
+            }
+        });
+    }
+
+    fn answered(&mut self, answer: Answered) {
+        let now = clock::since_boot();
+        log::info(
+            "fleet",
+            &format!(
+                "order answered vm={} order={:?} outcome={:?}",
+                answer.vm, answer.order, answer.changed
+            ),
+        );
+        self.busy.remove(&answer.vm);
+        let done = answer.changed == Some(Changed::Yes);
+        if done {
+            if let Some(worker) = &answer.worker {
+                self.holding.holder().life_ended(worker, now, "machine-order");
+                self.holding.wake.notify_one();
+            }
+        }
+        match (&answer.order, answer.changed) {
+            (Order::Move { to }, Some(Changed::Yes)) => {
+                self.sent.insert(answer.vm.clone(), to.clone());
+            }
+            (Order::Upkeep { wave }, Some(Changed::Yes)) => {
+                self.upkeep_begun(*wave, &answer.vm);
+            }
+            (Order::Upkeep { wave }, Some(Changed::Impossible | Changed::NotOfWave)) => {
+                if let Some(wave) = self.waves.get_mut(wave) {
+                    wave.excused(&answer.vm);
+                }
+                self.release(&answer, now);
+            }
+            (Order::Upkeep { wave }, Some(_)) => {
+                if let Some(wave) = self.waves.get_mut(wave) {
+                    wave.refused(&answer.vm);
+                }
+                self.release(&answer, now);
+            }
+            (Order::Move { .. }, Some(_)) => self.release(&answer, now),
+            // It may have happened: the machine stays as it is until a repeat or a list tells.
+            (Order::Upkeep { .. }, None) => {}
+            (Order::Move { .. }, None) => {
+                self.paused
+                    .insert(answer.vm.clone(), now.after_ms(REFUSED_PAUSE_MS));
+            }
+        }
+        if answer.changed == Some(Changed::Fenced) {
+            self.holding.over.cancel();
+        }
+    }
+
+    fn release(&mut self, answer: &Answered, now: wasabiloft::clock::Instant) {
+        self.paused
+            .insert(answer.vm.clone(), now.after_ms(REFUSED_PAUSE_MS));
+        self.set_vacating(&answer.vm, false);
+    }
+
+    fn upkeep_begun(&mut self, number: u64, vm: &id::Vm) {
+        let now = clock::since_boot();
+        let Some(wave) = self.waves.get_mut(&number) else {
+            return;
+        };
+        wave.begun(vm, now);
+        let record = wave.record.clone();
+        self.holding.holder().record_wave(number, record);
+        self.holding.write.notify_one();
+    }
+
+    async fn tell_operators(&mut self) {
+        for (number, wave) in &mut self.waves {
+            let completed = wave.is_completed();
+            if wave.told_completed || (wave.told_running && !completed) {
+                continue;
+            }
+            let (name, value) = upkeep::status_row(*number, completed);
+            let transaction = store::Transaction {
+                writes: vec![(name, value)],
+                ..store::Transaction::default()
+            };
+            match self
+                .shared
+                .store
+                .transact(&transaction, STORE_TIMEOUT_MS)
+                .await
+            {
+                Ok(_) => {
+                    wave.told_running = true;
+                    wave.told_completed = completed;
+                    log::info("fleet", &format!("wave told wave={number} completed={completed}"));
+                }
+                Err(error) => log::info(
+                    "fleet",
+                    &format!("wave untold wave={number} reason={error}"),
+                ),
+            }
+        }
+    }
 }
--- a/node/src/batch/holding.rs
+++ b/node/src/batch/holding.rs
@@ -49,8 +49,8 @@
     /// Cancelled when the duty is lost or given back.
     pub over: CancellationToken,
     committed_ms: AtomicU64,
-    /// Machines and waves.
-    pub fleet: fleet::State,
+    /// When the duty was taken over.
+    pub began_at: wasabiloft::clock::Instant,
 }
 
 impl Holding {
@@ -91,11 +91,6 @@
         self.wake.notify_one();
     }
 
-    /// Takes in a row that asks for a wave of upkeep.
-    pub fn wave_asked(&self, row: &store::Row) {
-        self.fleet.wave_asked(row);
-    }
-
     /// A job's state, if it is known here.
     pub fn state(&self, job: JobId) -> Option<record::State> {
         self.holder().state(job)
@@ -191,7 +186,7 @@
         committed: Notify::new(),
         over: CancellationToken::new(),
         committed_ms: AtomicU64::new(now.as_ms()),
-        fleet: fleet::State::default(),
+        began_at: now,
     });
     holding.configured(shared);
     Some((holding, version))
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -58,7 +58,7 @@
 /// The answer to a heartbeat.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct BeatAnswer {
-    /// The epoch of the duty if this node holds it, else 0.
+    /// The epoch of the duty if this node holds it or begins to, else 0.
     pub epoch: u64,
     /// Whether the holder wants the asking follower to take over.
     pub hand_over: bool,
@@ -100,8 +100,8 @@
     if version > beat.config_version {
         answer.config = String::from_utf8(configured.raw.to_vec()).ok();
     }
+    answer.epoch = shared.own_epoch();
     if let Some(holding) = shared.holding() {
-        answer.epoch = holding.epoch;
         answer.hand_over =
             holding.since_commit_ms() > HOLDER_STALE_MS && beat.store_silent_ms < FOLLOWER_FRESH_MS;
     }
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -7,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::queue;
 use wasabiloft::batch::record;
+use wasabiloft::batch::waves;
 use wasabiloft_platform::{settings, store};
 
 use crate::batch::holding;
@@ -32,6 +34,15 @@
     pub version: u64,
 }
 
+/// A wave that operators asked for, and when this node saw it first.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// What was asked.
+    pub request: waves::Request,
+    /// When it was seen.
+    pub at: wasabiloft::clock::Instant,
+}
+
 /// What the parts of a node share.
 #[derive(Debug)]
 pub struct Shared {
@@ -48,6 +59,8 @@
     duty: Mutex<DutySeen>,
     holding: Mutex<Option<Arc<holding::Holding>>>,
     store_answered_ms: AtomicU64,
+    own_epoch: AtomicU64,
+    waves: Mutex<BTreeMap<u64, Asked>>,
     pub(super) peers: super::peers::Links,
 }
 
@@ -66,6 +79,8 @@
             configured: Mutex::default(),
             duty: Mutex::default(),
             holding: Mutex::default(),
+            own_epoch: AtomicU64::new(0),
+            waves: Mutex::default(),
             store_answered_ms: AtomicU64::new(clock::since_boot().as_ms()),
             settings: Mutex::new(Arc::new(settings)),
             peers: super::peers::Links::default(),
@@ -135,6 +150,30 @@
         *lock(&self.holding) = holding;
     }
 
+    /// The epoch under which this node holds the duty or begins to, else 0.
+    pub fn own_epoch(&self) -> u64 {
+        self.own_epoch.load(Ordering::Relaxed)
+    }
+
+    /// Notes the epoch under which this node holds the duty; 0 when it no longer does.
+    pub fn set_own_epoch(&self, epoch: u64) {
+        self.own_epoch.store(epoch, Ordering::Relaxed);
+    }
+
+    /// Notes a wave; tells whether it is new.
+    pub fn wave_asked(&self, request: waves::Request) -> bool {
+        let mut waves = lock(&self.waves);
+        let new = !waves.contains_key(&request.number);
+        let at = clock::since_boot();
+        waves.entry(request.number).or_insert(Asked { request, at });
+        new
+    }
+
+    /// The waves that were asked for.
+    pub fn waves(&self) -> Vec<Asked> {
+        lock(&self.waves).values().cloned().collect()
+    }
+
     /// Notes an answer of the store.
     pub fn store_answered(&self) {
         self.store_answered_ms
--- a/src/batch/holder/commit.rs
+++ b/src/batch/holder/commit.rs
@@ -5,6 +5,7 @@
 use crate::batch::JobId;
 use crate::batch::holder::Holder;
 use crate::batch::record;
+use crate::batch::waves;
 use crate::id;
 
 /// Most rows of one batch; the table takes 100 with the duty's row and its check.
@@ -18,6 +19,7 @@
     dropped: BTreeSet<id::Worker>,
     forgotten: Vec<JobId>,
     noted: BTreeMap<id::Worker, u64>,
+    waves: BTreeMap<u64, waves::Record>,
 }
 
 impl Rows {
@@ -54,6 +56,10 @@
         self.forgotten.push(job);
     }
 
+    pub(super) fn record_wave(&mut self, number: u64, record: waves::Record) {
+        self.waves.insert(number, record);
+    }
+
     pub(super) fn note(&mut self, worker: &id::Worker, number: u64) {
         self.noted.insert(worker.clone(), number);
     }
@@ -92,6 +98,12 @@
             };
             batch.forgotten.push(job);
         }
+        while batch.rows() < ROWS_MAX {
+            let Some(wave) = rows.waves.pop_first() else {
+                break;
+            };
+            batch.waves.push(wave);
+        }
         if self.changed.is_empty() {
             batch.acknowledge = std::mem::take(&mut rows.noted);
         }
--- /dev/null
+++ b/src/batch/holder/demand.rs
@@ -0,0 +1,109 @@
+//! What the queues ask of the pools.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::batch::book;
+use crate::batch::holder::{Holder, plan};
+use crate::batch::pools;
+use crate::batch::spec;
+use crate::batch::waves;
+use crate::clock;
+use crate::id;
+use crate::platform::Resources;
+
+/// The larger share of a machine's processors or memory that a need takes, in thousandths.
+pub fn share(need: &Resources, size: &Resources) -> u64 {
+    let cpu = need.cpu_milli * pools::MACHINE / size.cpu_milli.max(1);
+    let memory = need.memory_mib * pools::MACHINE / size.memory_mib.max(1);
+    cpu.max(memory)
+}
+
+/// Processor and memory time that a job's ending steps take in all.
+pub(super) fn work(spec: &spec::Spec) -> (u64, u64) {
+    let mut work = (0, 0);
+    let occurrences = spec
+        .schedule
+        .map_or(1, |schedule| u64::from(schedule.occurrences));
+    for step in spec.steps.iter().filter(|step| !step.lasting) {
+        let need = plan::need(step);
+        let time_ms = step.estimate_ms * u64::from(step.tasks) * occurrences;
+        work.0 += need.cpu_milli * time_ms;
+        work.1 += need.memory_mib * time_ms;
+    }
+    work
+}
+
+impl Holder {
+    /// What each service's queues ask of its pool, counted in machines of a size.
+    pub fn demands(
+        &self,
+        size: &Resources,
+        now: clock::Instant,
+    ) -> BTreeMap<id::Service, pools::Demand> {
+        let mut demands: BTreeMap<id::Service, pools::Demand> = BTreeMap::new();
+        for (service, flags) in &self.config.services {
+            if flags.spare {
+                continue;
+            }
+            let (cpu, memory) = self.arrived.get(service).copied().unwrap_or_default();
+            let arrived = (cpu * pools::MACHINE / size.cpu_milli.max(1))
+                .max(memory * pools::MACHINE / size.memory_mib.max(1));
+            let demand = pools::Demand {
+                arrived,
+                ..pools::Demand::default()
+            };
+            demands.insert(service.clone(), demand);
+        }
+        for worker in self.workers.values() {
+            if let Some(demand) = demands.get_mut(&worker.listing.service) {
+                demand.running += share(&worker.used, size);
+            }
+        }
+        for id in &self.open {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let Some(demand) = demands.get_mut(&job.accepted.queue.service) else {
+                continue;
+            };
+            for (&occurrence, open) in &job.occurrences {
+                for (number, step) in (0_u32..).zip(&open.steps) {
+                    let spec = &job.accepted.spec.steps[number as usize];
+                    if spec.lasting && spec.per_worker_max > 0 {
+                        let apart = spec.tasks.div_ceil(spec.per_worker_max);
+                        demand.apart = demand.apart.max(apart);
+                    }
+                    if !job.step_is_ready(occurrence, number) {
+                        continue;
+                    }
+                    let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
+                    demand.waiting += share(&plan::need(spec), size) * waiting.count() as u64;
+                }
+            }
+        }
+        demands
+    }
+
+    /// Room that tasks take on a worker, in thousandths of it, and whether it is being emptied.
+    pub fn usage(&self, worker: &id::Worker) -> Option<(u64, bool)> {
+        let book = self.workers.get(worker)?;
+        Some((share(&book.used, &book.listing.size), book.vacating))
+    }
+
+    /// Keeps what a successor has to know of a wave.
+    pub fn record_wave(&mut self, number: u64, record: waves::Record) {
+        self.rows.record_wave(number, record);
+    }
+
+    /// Workers of a service that take tasks.
+    pub fn usable_workers(&self, service: &id::Service, now: clock::Instant) -> BTreeSet<id::Worker> {
+        let usable = |worker: &&book::Worker| {
+            worker.listing.service == *service && worker.is_usable(now)
+        };
+        self.workers
+            .values()
+            .filter(usable)
+            .map(|worker| worker.listing.worker.clone())
+            .collect()
+    }
+}
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -5,6 +5,7 @@
 //! forget: ends that were acknowledged, failed runs, checkpoints, and which workers may run anything at all.
 
 mod commit;
+mod demand;
 mod gang;
 pub mod job;
 mod orders;
@@ -142,6 +143,8 @@
     /// Services in which something changed since the last planning.
     stale: BTreeSet<id::Service>,
     changed: BTreeSet<JobId>,
+    /// Processor and memory time of all work that arrived, by service.
+    arrived: BTreeMap<id::Service, (u64, u64)>,
     rows: commit::Rows,
     outputs: Vec<Output>,
     counts: Counts,
@@ -181,6 +184,7 @@
             unresolved: rows.workers.iter().cloned().collect(),
             stale: BTreeSet::new(),
             changed: BTreeSet::new(),
+            arrived: BTreeMap::new(),
             rows: commit::Rows::new(rows.workers.into_iter().map(|(worker, _)| worker)),
             outputs: Vec::new(),
             counts: Counts::default(),
@@ -221,6 +225,12 @@
             return;
         }
         let service = accepted.queue.service.clone();
+        if !inherited {
+            let (cpu, memory) = demand::work(&accepted.spec);
+            let arrived = self.arrived.entry(service.clone()).or_default();
+            arrived.0 += cpu;
+            arrived.1 += memory;
+        }
         let mut job = job::Job::new(id, Arc::new(accepted), inherited, now);
         if job.accepted.spec.schedule.is_none() {
             job.open(0);
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -6,6 +6,7 @@
 //! | `job` | by the job's id | `ID.cancel` | any entry node |
 //! | `progress` | `holder` | `ID` | the holder |
 //! | `worker` | `holder` | the worker's id | the holder, before its first order to the worker |
+//! | `wave` | `holder` | the wave's number | the holder |
 //! | `duty` | `holder` | `holder` | the holder, with each of its transactions |
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 
 use crate::batch::queue;
 use crate::batch::spec;
+use crate::batch::waves;
 use crate::batch::{JobId, TaskId};
 use crate::id;
 
@@ -23,6 +25,8 @@
 pub const PROGRESS_TABLE: &str = "progress";
 /// The table of the workers that may run tasks.
 pub const WORKER_TABLE: &str = "worker";
+/// The table of waves of upkeep.
+pub const WAVE_TABLE: &str = "wave";
 /// The table of duties.
 pub const DUTY_TABLE: &str = "duty";
 /// The part of all that the holder writes: its transactions check the duty's row.
@@ -183,6 +187,8 @@
     pub workers_added: Vec<(id::Worker, WorkerRow)>,
     /// Workers that run nothing any more.
     pub workers_removed: Vec<id::Worker>,
+    /// Waves of upkeep.
+    pub waves: Vec<(u64, waves::Record)>,
     /// Jobs whose rows are no longer needed.
     pub forgotten: Vec<JobId>,
     /// Ends that may be acknowledged once the batch is committed: the newest number a worker.
@@ -200,6 +206,7 @@
         self.progress.len()
             + self.workers_added.len()
             + self.workers_removed.len()
+            + self.waves.len()
             + self.forgotten.len()
     }
 }
