--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -75,7 +75,7 @@
             holder: settings.node.clone(),
             epoch: holding.epoch,
         },
-        forecast: pools::Forecast::default(),
+        forecast: pools::Forecast::new(clock::since_boot()),
         waves: BTreeMap::new(),
         records: read_records(&shared, &holding).await,
         list: Vec::new(),
@@ -266,7 +266,7 @@
         };
         let (demands, spare) = {
             let holder = self.holding.holder();
-            (holder.demands(&size, now), holder.config().spare_pool().cloned())
+            (holder.demands(&size, now, clock::unix_ms()), holder.config().spare_pool().cloned())
         };
         let mut coming: BTreeMap<id::Service, u32> = BTreeMap::new();
         for to in self.sent.values() {
--- a/src/batch/holder/demand.rs
+++ b/src/batch/holder/demand.rs
@@ -18,19 +18,32 @@
     cpu.max(memory)
 }
 
-/// Processor and memory time that a job's ending steps take in all.
-pub(super) fn work(spec: &spec::Spec) -> (u64, u64) {
-    let mut work = (0, 0);
-    let occurrences = spec
-        .schedule
-        .map_or(1, |schedule| u64::from(schedule.occurrences));
-    for step in spec.steps.iter().filter(|step| !step.lasting) {
-        let need = plan::need(step);
-        let time_ms = step.estimate_ms * u64::from(step.tasks) * occurrences;
-        work.0 += need.cpu_milli * time_ms;
-        work.1 += need.memory_mib * time_ms;
+/// Work that has arrived for a service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Arrived {
+    /// Jobs that end.
+    pub(super) jobs: u64,
+    /// Thousandths of a core, times milliseconds.
+    pub(super) cpu_milli_ms: u64,
+    /// Memory in MiB, times milliseconds.
+    pub(super) memory_mib_ms: u64,
+}
+
+impl Arrived {
+    /// Adds a job's steps that end.
+    pub(super) fn add(&mut self, spec: &spec::Spec) {
+        let occurrences = spec
+            .schedule
+            .map_or(1, |schedule| u64::from(schedule.occurrences));
+        let ending = spec.steps.iter().filter(|step| !step.lasting);
+        for step in ending {
+            let need = plan::need(step);
+            let time_ms = step.estimate_ms * u64::from(step.tasks) * occurrences;
+            self.cpu_milli_ms += need.cpu_milli * time_ms;
+            self.memory_mib_ms += need.memory_mib * time_ms;
+        }
+        self.jobs += u64::from(!spec.is_lasting());
     }
-    work
 }
 
 impl Holder {
@@ -39,17 +52,19 @@
         &self,
         size: &Resources,
         now: clock::Instant,
+        unix_ms: u64,
     ) -> BTreeMap<id::Service, pools::Demand> {
         let mut demands: BTreeMap<id::Service, pools::Demand> = BTreeMap::new();
         for (service, flags) in &self.config.services {
             if flags.spare {
                 continue;
             }
-            let (cpu, memory) = self.arrived.get(service).copied().unwrap_or_default();
-            let arrived = (cpu * pools::MACHINE / size.cpu_milli.max(1))
-                .max(memory * pools::MACHINE / size.memory_mib.max(1));
+            let arrived = self.arrived.get(service).copied().unwrap_or_default();
+            let cpu = arrived.cpu_milli_ms * pools::MACHINE / size.cpu_milli.max(1);
+            let memory = arrived.memory_mib_ms * pools::MACHINE / size.memory_mib.max(1);
             let demand = pools::Demand {
-                arrived,
+                arrived: cpu.max(memory),
+                jobs: arrived.jobs,
                 ..pools::Demand::default()
             };
             demands.insert(service.clone(), demand);
@@ -67,13 +82,14 @@
                 continue;
             };
             for (&occurrence, open) in &job.occurrences {
+                let in_time = plan::class(job, occurrence, unix_ms) != plan::Class::Late;
                 for (number, step) in (0_u32..).zip(&open.steps) {
                     let spec = &job.accepted.spec.steps[number as usize];
                     if spec.lasting && spec.per_worker_max > 0 {
                         let apart = spec.tasks.div_ceil(spec.per_worker_max);
                         demand.apart = demand.apart.max(apart);
                     }
-                    if !job.step_is_ready(occurrence, number) {
+                    if !in_time || !job.step_is_ready(occurrence, number) {
                         continue;
                     }
                     let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -143,8 +143,8 @@
     /// Services in which something changed since the last planning.
     stale: BTreeSet<id::Service>,
     changed: BTreeSet<JobId>,
-    /// Processor and memory time of all work that arrived, by service.
-    arrived: BTreeMap<id::Service, (u64, u64)>,
+    /// All work that arrived, by service.
+    arrived: BTreeMap<id::Service, demand::Arrived>,
     rows: commit::Rows,
     outputs: Vec<Output>,
     counts: Counts,
@@ -226,10 +226,8 @@
         }
         let service = accepted.queue.service.clone();
         if !inherited {
-            let (cpu, memory) = demand::work(&accepted.spec);
             let arrived = self.arrived.entry(service.clone()).or_default();
-            arrived.0 += cpu;
-            arrived.1 += memory;
+            arrived.add(&accepted.spec);
         }
         let mut job = job::Job::new(id, Arc::new(accepted), inherited, now);
         if job.accepted.spec.schedule.is_none() {
--- a/src/batch/holder/plan.rs
+++ b/src/batch/holder/plan.rs
@@ -38,7 +38,7 @@
 
 /// Classes of work, first come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(super) enum Class {
     /// Runs until it is cancelled, so that each second without it is lost.
     Lasting,
     /// Can still meet its objective.
@@ -47,6 +47,18 @@
     Late,
 }
 
+/// The class of a job's occurrence at a moment.
+pub(super) fn class(job: &job::Job, occurrence: u32, unix_ms: u64) -> Class {
+    if job.accepted.spec.is_lasting() {
+        return Class::Lasting;
+    }
+    if unix_ms + job.chain_left_ms(occurrence) <= job.objective_unix_ms(occurrence) {
+        Class::InTime
+    } else {
+        Class::Late
+    }
+}
+
 impl Holder {
     /// Starts what can be started.
     pub fn plan(&mut self, now: clock::Instant, unix_ms: u64) {
@@ -125,15 +137,8 @@
                     continue;
                 }
                 let objective_unix_ms = job.objective_unix_ms(occurrence);
-                let class = if job.accepted.spec.is_lasting() {
-                    Class::Lasting
-                } else if unix_ms + job.chain_left_ms(occurrence) <= objective_unix_ms {
-                    Class::InTime
-                } else {
-                    Class::Late
-                };
                 turns.push(Turn {
-                    class,
+                    class: class(job, occurrence, unix_ms),
                     rank: job.accepted.queue.rank,
                     objective_unix_ms,
                     job: *id,
@@ -247,7 +252,7 @@
     }
 
     /// The best worker for a task, if any has room.
-    fn choose(
+    pub(super) fn choose(
         &self,
         service: &id::Service,
         id: TaskId,
--- a/src/batch/holder/vacate.rs
+++ b/src/batch/holder/vacate.rs
@@ -1,8 +1,7 @@
 //! Emptying workers before a move, an upkeep or their departure, within what lasting steps tolerate.
 
 use crate::batch::TaskId;
-use crate::batch::holder::Holder;
-use crate::batch::holder::job;
+use crate::batch::holder::{Holder, job, plan};
 use crate::clock;
 use crate::id;
 
@@ -48,14 +47,14 @@
             }
         }
         for (id, free) in moving {
-            if self.may_move(&id, free) {
+            if self.may_move(&id, free, now) {
                 self.stop(id, job::StopReason::Vacate, now);
             }
         }
     }
 
     /// Whether a lasting task may be stopped to be started elsewhere.
-    fn may_move(&self, id: &TaskId, leaving: bool) -> bool {
+    fn may_move(&self, id: &TaskId, leaving: bool, now: clock::Instant) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
@@ -70,6 +69,11 @@
         if leaving {
             return true;
         }
+        let service = &job.accepted.queue.service;
+        let need = plan::need(step);
+        if self.choose(service, *id, step, &need, None, now).is_none() {
+            return false;
+        }
         let Some(open) = job.occurrences.get(&id.occurrence) else {
             return false;
         };
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -8,17 +8,23 @@
 
 /// Thousandths of a machine.
 pub const MACHINE: u64 = 1_000;
-/// Time over which the arrival of work is measured, in milliseconds; one move's length or so.
-const WINDOW_MS: u64 = 1_000;
+/// Time over which the arrival of work is measured, in milliseconds; about one move, with its order and list.
+const WINDOW_MS: u64 = 1_500;
 /// How far ahead demand is foreseen by its trend, in milliseconds: a move, and the time until it is noticed.
-const AHEAD_MS: u64 = 2_500;
-/// Room above foreseen demand, in thousandths, as tasks don't pack perfectly and arrive unevenly.
-const HEADROOM_MILLI: u64 = 1_350;
-/// A pool gives machines up only after it has had too many for this long, in milliseconds; a move there and back
-/// costs as much as about two seconds in a pool.
-const SURPLUS_MS: u64 = 2_000;
+const AHEAD_MS: u64 = 2_000;
+/// Arrivals above an earlier window's count as a rise beyond this many standard deviations of random arrivals.
+const RISE_DEVIATIONS: f64 = 1.0;
+/// A rise is taken to go on to this multiple of the present rate at most.
+const RISE_MAX: u64 = 2;
+/// Room above demand, in thousandths, as tasks don't pack perfectly and arrive unevenly.
+const HEADROOM_MILLI: u64 = 1_300;
+/// A pool keeps what it needed at any time within this span, in milliseconds; a move there and back costs as much as
+/// about as long in a pool.
+const HOLD_MS: u64 = 4_000;
+/// A holder that has just begun knows no past and lets no machine go for this long, in milliseconds.
+const SETTLE_MS: u64 = 12_000;
 /// Machines that every pool in use keeps, for the first work of a rise.
-const LEAST: u32 = 2;
+const LEAST: u32 = 3;
 
 /// The state of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,22 +65,51 @@
 pub struct Demand {
     /// Room that running tasks take.
     pub running: u64,
-    /// Room that tasks want which could start now.
+    /// Room that tasks want which could start now and whose job can still meet its objective.
     pub waiting: u64,
     /// Machines that lasting tasks need to keep apart from each other.
     pub apart: u32,
     /// Room times milliseconds of all work that ever arrived.
     pub arrived: u64,
+    /// How many jobs that was.
+    pub jobs: u64,
+}
+
+/// Machines that a pool should have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// For all of its work.
+    pub machines: u32,
+    /// Before any other pool grows.
+    pub least: u32,
+}
+
+/// Arrivals up to a moment.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: clock::Instant,
+    arrived: u64,
+    jobs: u64,
 }
 
 /// Foresees how many machines each pool needs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Forecast {
-    seen: BTreeMap<id::Service, VecDeque<(clock::Instant, u64)>>,
-    enough_since: BTreeMap<id::Service, clock::Instant>,
+    began_at: clock::Instant,
+    samples: BTreeMap<id::Service, VecDeque<Sample>>,
+    needs: BTreeMap<id::Service, VecDeque<(clock::Instant, u32)>>,
 }
 
 impl Forecast {
+    /// A forecast without a past.
+    pub fn new(now: clock::Instant) -> Self {
+        Self {
+            began_at: now,
+            samples: BTreeMap::new(),
+            needs: BTreeMap::new(),
+        }
+    }
+
     /// Machines that a pool needs now or soon, given what it has.
     pub fn wanted(
         &mut self,
@@ -82,47 +117,64 @@
         demand: &Demand,
         has: u32,
         now: clock::Instant,
-    ) -> u32 {
-        let rate = self.rate_ahead(service, demand.arrived, now);
+    ) -> Wanted {
+        let least = demand.apart.max(LEAST);
+        let rate = self.rate_ahead(service, demand, now);
         let present = demand.running + demand.waiting;
         let needed = present.max(rate) * HEADROOM_MILLI / 1_000;
         let machines = u32::try_from(needed.div_ceil(MACHINE)).unwrap_or(u32::MAX);
-        let wanted = machines.max(demand.apart).max(LEAST);
-        if wanted >= has {
-            self.enough_since.remove(service);
-            return wanted;
+        let need = machines.max(least);
+        let needs = self.needs.entry(service.clone()).or_default();
+        // Only needs that no later one exceeds matter.
+        while needs.back().is_some_and(|(_, earlier)| *earlier <= need) {
+            needs.pop_back();
         }
-        let since = *self.enough_since.entry(service.clone()).or_insert(now);
-        if now.since_ms(since) >= SURPLUS_MS {
-            wanted
-        } else {
-            has
+        needs.push_back((now, need));
+        while needs
+            .front()
+            .is_some_and(|(at, _)| now.since_ms(*at) > HOLD_MS)
+        {
+            needs.pop_front();
         }
+        let held = needs.front().map_or(need, |(_, need)| *need);
+        let settles = now.since_ms(self.began_at) < SETTLE_MS;
+        let machines = if settles { held.max(has) } else { held };
+        Wanted { machines, least }
     }
 
     /// Room that arriving work will keep busy a little ahead, by the trend of the last two windows.
-    fn rate_ahead(&mut self, service: &id::Service, arrived: u64, now: clock::Instant) -> u64 {
-        let seen = self.seen.entry(service.clone()).or_default();
-        seen.push_back((now, arrived));
-        while seen
+    fn rate_ahead(&mut self, service: &id::Service, demand: &Demand, now: clock::Instant) -> u64 {
+        let present = Sample {
+            at: now,
+            arrived: demand.arrived,
+            jobs: demand.jobs,
+        };
+        let samples = self.samples.entry(service.clone()).or_default();
+        samples.push_back(present);
+        while samples
             .get(1)
-            .is_some_and(|(at, _)| now.since_ms(*at) >= 2 * WINDOW_MS)
+            .is_some_and(|next| now.since_ms(next.at) >= 2 * WINDOW_MS)
         {
-            seen.pop_front();
+            samples.pop_front();
         }
         let before = |ms: u64| {
-            seen.iter()
+            samples
+                .iter()
                 .rev()
-                .find(|(at, _)| now.since_ms(*at) >= ms)
-                .or(seen.front())
-                .map_or((now, arrived), |(at, work)| (*at, *work))
+                .find(|sample| now.since_ms(sample.at) >= ms)
+                .or(samples.front())
+                .copied()
+                .unwrap_or(present)
         };
-        let (middle_at, middle) = before(WINDOW_MS);
-        let (first_at, first) = before(2 * WINDOW_MS);
-        let recent = (arrived - middle) / now.since_ms(middle_at).max(1);
-        let earlier = (middle - first) / middle_at.since_ms(first_at).max(1);
-        let rise = recent.saturating_sub(earlier);
-        recent + rise * AHEAD_MS / WINDOW_MS
+        let (middle, first) = (before(WINDOW_MS), before(2 * WINDOW_MS));
+        let recent = (present.arrived - middle.arrived) / now.since_ms(middle.at).max(WINDOW_MS);
+        let (new, old) = (present.jobs - middle.jobs, middle.jobs - first.jobs);
+        let noise = RISE_DEVIATIONS * ((new + old) as f64).sqrt();
+        let rise = (new.saturating_sub(old) as f64 - noise).max(0.0);
+        // The rise in jobs, as a share of the recent ones, goes on for the time ahead.
+        let growth = rise / (new.max(1) as f64) * (AHEAD_MS as f64 / WINDOW_MS as f64);
+        let ahead = recent as f64 * (1.0 + growth);
+        (ahead as u64).min(recent * RISE_MAX)
     }
 }
 
@@ -160,16 +212,16 @@
 /// `coming` counts machines that are on their way to a pool, `reserved` says which machines a wave is about to take.
 pub fn assign(
     candidates: &[Candidate<'_>],
-    wanted: &BTreeMap<id::Service, u32>,
+    wanted: &BTreeMap<id::Service, Wanted>,
     coming: &BTreeMap<id::Service, u32>,
     reserved: &dyn Fn(&id::Vm) -> bool,
     spare: Option<&id::Service>,
 ) -> Vec<Step> {
     let mut steps = Vec::new();
     let usable = |candidate: &&Candidate<'_>| !reserved(&candidate.machine.vm);
-    let mut missing: BTreeMap<&id::Service, u32> = BTreeMap::new();
+    let mut missing: BTreeMap<&id::Service, Missing> = BTreeMap::new();
     let mut free: Vec<&Candidate<'_>> = Vec::new();
-    for (service, &want) in wanted {
+    for (service, want) in wanted {
         let mut here: Vec<&Candidate<'_>> = candidates
             .iter()
             .filter(|candidate| candidate.machine.pool == *service)
@@ -177,11 +229,13 @@
             .collect();
         // The emptiest go first; of those the ones that are being emptied already.
         here.sort_by_key(|candidate| (!candidate.empty, !candidate.vacating, candidate.used));
-        let have = u32::try_from(here.len()).unwrap_or(u32::MAX)
-            + coming.get(service).copied().unwrap_or(0);
-        let surplus = have.saturating_sub(want).min(here.len() as u32) as usize;
-        if want > have {
-            missing.insert(service, want - have);
+        let count = u32::try_from(here.len()).unwrap_or(u32::MAX);
+        let have = count + coming.get(service).copied().unwrap_or(0);
+        let surplus = have.saturating_sub(want.machines).min(count) as usize;
+        if want.machines > have {
+            let least = want.least.saturating_sub(have);
+            let more = want.machines - have - least;
+            missing.insert(service, Missing { least, more });
         }
         for (index, candidate) in here.iter().enumerate() {
             let gives = index < surplus;
@@ -201,15 +255,13 @@
     let mut sources: Vec<&Candidate<'_>> = free.clone();
     sources.extend(resting);
     let mut taken = Vec::new();
-    for (service, count) in missing {
-        for _ in 0..count {
-            let Some(source) = sources.pop() else { break };
-            taken.push(source.machine.vm.clone());
-            steps.push(Step::Move {
-                vm: source.machine.vm.clone(),
-                to: service.clone(),
-            });
-        }
+    for service in order(missing, sources.len()) {
+        let Some(source) = sources.pop() else { break };
+        taken.push(source.machine.vm.clone());
+        steps.push(Step::Move {
+            vm: source.machine.vm.clone(),
+            to: service.clone(),
+        });
     }
     if let Some(spare) = spare {
         for candidate in free {
@@ -223,3 +275,32 @@
     }
     steps
 }
+
+/// Machines that a pool lacks.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    /// Up to the least that it must have.
+    least: u32,
+    /// Beyond that.
+    more: u32,
+}
+
+/// Who gets machines, one after another: first each pool its least, then those that lack most.
+fn order(mut missing: BTreeMap<&id::Service, Missing>, count: usize) -> Vec<&id::Service> {
+    let mut order = Vec::new();
+    while order.len() < count {
+        let next = missing
+            .iter_mut()
+            .max_by_key(|(_, missing)| (missing.least, missing.more));
+        let Some((service, missing)) = next else { break };
+        if missing.least > 0 {
+            missing.least -= 1;
+        } else if missing.more > 0 {
+            missing.more -= 1;
+        } else {
+            break;
+        }
+        order.push(*service);
+    }
+    order
+}
