pools: lend to pools in need, rest only what was long unneeded

Cause: one pool's peak held all machines for seconds while the next pool's peak began; late work counted as need.

--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -311,8 +311,16 @@
             let want = self.forecast.wanted(service, demand, has, now);
             wanted.insert(service.clone(), want);
         }
-        let paused = |vm: &id::Vm| reserved.contains(vm) || self.is_paused(vm, now);
-        let steps = pools::assign(&candidates, &wanted, &coming, &paused, spare.as_ref());
+        candidates.retain(|candidate| {
+            let vm = &candidate.machine.vm;
+            !reserved.contains(vm) && !self.is_paused(vm, now)
+        });
+        let needs = pools::Needs {
+            wanted: &wanted,
+            coming: &coming,
+            spare: spare.as_ref(),
+        };
+        let steps = pools::assign(&candidates, &needs);
         for step in steps {
             match step {
                 pools::Step::Vacate(vm) => self.set_vacating(&vm, true),
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -15,7 +15,7 @@
 /// Arrivals above an earlier window's count as a rise beyond this many standard deviations of random arrivals.
 const RISE_DEVIATIONS: f64 = 1.0;
 /// A rise is taken to go on to this multiple of the present rate at most.
-const RISE_MAX: u64 = 2;
+const RISE_MAX: u64 = 3;
 /// Room above demand, in thousandths, as tasks don't pack perfectly and arrive unevenly.
 const HEADROOM_MILLI: u64 = 1_300;
 /// A pool keeps what it needed at any time within this span, in milliseconds; a move there and back costs as much as
@@ -78,10 +78,12 @@
 /// Machines that a pool should have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wanted {
-    /// For all of its work.
-    pub machines: u32,
+    /// For all of its work, now or soon.
+    pub need: u32,
     /// Before any other pool grows.
     pub least: u32,
+    /// What it isn't to fall below only to rest machines.
+    pub keep: u32,
 }
 
 /// Arrivals up to a moment.
@@ -138,8 +140,8 @@
         }
         let held = needs.front().map_or(need, |(_, need)| *need);
         let settles = now.since_ms(self.began_at) < SETTLE_MS;
-        let machines = if settles { held.max(has) } else { held };
-        Wanted { machines, least }
+        let keep = if settles { held.max(has) } else { held };
+        Wanted { need, least, keep }
     }
 
     /// Room that arriving work will keep busy a little ahead, by the trend of the last two windows.
@@ -167,12 +169,14 @@
                 .unwrap_or(present)
         };
         let (middle, first) = (before(WINDOW_MS), before(2 * WINDOW_MS));
-        let recent = (present.arrived - middle.arrived) / now.since_ms(middle.at).max(WINDOW_MS);
+        // Over both windows, as jobs differ widely in size.
+        let recent = (present.arrived - first.arrived) / now.since_ms(first.at).max(2 * WINDOW_MS);
         let (new, old) = (present.jobs - middle.jobs, middle.jobs - first.jobs);
         let noise = RISE_DEVIATIONS * ((new + old) as f64).sqrt();
         let rise = (new.saturating_sub(old) as f64 - noise).max(0.0);
-        // The rise in jobs, as a share of the recent ones, goes on for the time ahead.
-        let growth = rise / (new.max(1) as f64) * (AHEAD_MS as f64 / WINDOW_MS as f64);
+        // The rise goes on from the middle of the two windows for the time ahead.
+        let growth = rise / ((new + old).max(1) as f64) * 2.0;
+        let growth = growth * ((AHEAD_MS + WINDOW_MS) as f64 / WINDOW_MS as f64);
         let ahead = recent as f64 * (1.0 + growth);
         (ahead as u64).min(recent * RISE_MAX)
     }
@@ -207,75 +211,123 @@
     },
 }
 
+/// What `assign` knows besides the machines.
+pub struct Needs<'a> {
+    /// What each pool should have.
+    pub wanted: &'a BTreeMap<id::Service, Wanted>,
+    /// Machines that are on their way to a pool.
+    pub coming: &'a BTreeMap<id::Service, u32>,
+    /// The pool of machines that are off.
+    pub spare: Option<&'a id::Service>,
+}
+
 /// Decides which machines change their pool.
 ///
-/// `coming` counts machines that are on their way to a pool, `reserved` says which machines a wave is about to take.
-pub fn assign(
-    candidates: &[Candidate<'_>],
-    wanted: &BTreeMap<id::Service, Wanted>,
-    coming: &BTreeMap<id::Service, u32>,
-    reserved: &dyn Fn(&id::Vm) -> bool,
-    spare: Option<&id::Service>,
-) -> Vec<Step> {
-    let mut steps = Vec::new();
-    let usable = |candidate: &&Candidate<'_>| !reserved(&candidate.machine.vm);
-    let mut missing: BTreeMap<&id::Service, Missing> = BTreeMap::new();
-    let mut free: Vec<&Candidate<'_>> = Vec::new();
-    for (service, want) in wanted {
+/// A pool gives what it doesn't need at once to pools that lack machines, and to the spare pool only what it hasn't
+/// needed for a while.
+pub fn assign(candidates: &[Candidate<'_>], needs: &Needs<'_>) -> Vec<Step> {
+    let mut missing = BTreeMap::new();
+    let mut pools = BTreeMap::new();
+    for (service, want) in needs.wanted {
         let mut here: Vec<&Candidate<'_>> = candidates
             .iter()
             .filter(|candidate| candidate.machine.pool == *service)
-            .filter(usable)
             .collect();
         // The emptiest go first; of those the ones that are being emptied already.
         here.sort_by_key(|candidate| (!candidate.empty, !candidate.vacating, candidate.used));
-        let count = u32::try_from(here.len()).unwrap_or(u32::MAX);
-        let have = count + coming.get(service).copied().unwrap_or(0);
-        let surplus = have.saturating_sub(want.machines).min(count) as usize;
-        if want.machines > have {
+        let have = count(&here) + needs.coming.get(service).copied().unwrap_or(0);
+        if want.need > have {
             let least = want.least.saturating_sub(have);
-            let more = want.machines - have - least;
+            let more = want.need - have - least;
             missing.insert(service, Missing { least, more });
         }
-        for (index, candidate) in here.iter().enumerate() {
-            let gives = index < surplus;
-            if gives && candidate.empty && candidate.vacating {
-                free.push(candidate);
-            } else if gives && !candidate.vacating {
-                steps.push(Step::Vacate(candidate.machine.vm.clone()));
-            } else if !gives && candidate.vacating {
-                steps.push(Step::Keep(candidate.machine.vm.clone()));
-            }
-        }
+        let pool = Pool {
+            lendable: have.saturating_sub(want.need).min(count(&here)) as usize,
+            idle: have.saturating_sub(want.keep).min(count(&here)) as usize,
+            here,
+        };
+        pools.insert(service, pool);
     }
     let resting = candidates
         .iter()
-        .filter(|candidate| Some(&candidate.machine.pool) == spare)
-        .filter(usable);
-    let mut sources: Vec<&Candidate<'_>> = free.clone();
+        .filter(|candidate| Some(&candidate.machine.pool) == needs.spare);
+    let lendable = pools.values().flat_map(|pool| &pool.here[..pool.lendable]);
+    // Machines that are up already first: they need no way through the spare pool later.
+    let mut sources: Vec<&Candidate<'_>> = lendable.filter(|lent| lent.empty).copied().collect();
     sources.extend(resting);
-    let mut taken = Vec::new();
-    for service in order(missing, sources.len()) {
-        let Some(source) = sources.pop() else { break };
-        taken.push(source.machine.vm.clone());
-        steps.push(Step::Move {
-            vm: source.machine.vm.clone(),
-            to: service.clone(),
-        });
-    }
-    if let Some(spare) = spare {
-        for candidate in free {
-            if !taken.contains(&candidate.machine.vm) {
+    let mut steps = Vec::new();
+    let mut taken: Vec<&id::Vm> = Vec::new();
+    let receivers = order(missing);
+    let mut sources = sources.into_iter();
+    let mut unmet = 0;
+    for service in receivers {
+        match sources.next() {
+            Some(source) => {
+                taken.push(&source.machine.vm);
                 steps.push(Step::Move {
-                    vm: candidate.machine.vm.clone(),
-                    to: spare.clone(),
+                    vm: source.machine.vm.clone(),
+                    to: service.clone(),
                 });
             }
+            None => unmet += 1,
         }
     }
+    for pool in pools.values() {
+        steps.extend(pool.steps(&taken, &mut unmet, needs.spare));
+    }
     steps
 }
 
+fn count(candidates: &[&Candidate<'_>]) -> u32 {
+    u32::try_from(candidates.len()).unwrap_or(u32::MAX)
+}
+
+/// A pool's machines, the emptiest first.
+struct Pool<'a> {
+    here: Vec<&'a Candidate<'a>>,
+    /// How many it doesn't need now.
+    lendable: usize,
+    /// How many it hasn't needed for a while.
+    idle: usize,
+}
+
+impl Pool<'_> {
+    /// What to do with the machines that nobody has taken; `unmet` counts machines that other pools still lack.
+    fn steps(
+        &self,
+        taken: &[&id::Vm],
+        unmet: &mut usize,
+        spare: Option<&id::Service>,
+    ) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, candidate) in self.here.iter().enumerate() {
+            let vm = &candidate.machine.vm;
+            if taken.contains(&vm) {
+                continue;
+            }
+            let is_idle = index < self.idle && spare.is_some();
+            let lends = index < self.lendable && !candidate.empty && *unmet > 0;
+            if lends {
+                *unmet -= 1;
+            }
+            match (is_idle, candidate.empty, spare) {
+                (true, true, Some(spare)) => steps.push(Step::Move {
+                    vm: vm.clone(),
+                    to: spare.clone(),
+                }),
+                _ if (is_idle || lends) && !candidate.vacating => {
+                    steps.push(Step::Vacate(vm.clone()));
+                }
+                _ if !is_idle && !lends && candidate.vacating => {
+                    steps.push(Step::Keep(vm.clone()));
+                }
+                _ => {}
+            }
+        }
+        steps
+    }
+}
+
 /// Machines that a pool lacks.
 #[derive(Clone, Copy, Debug)]
 struct Missing {
@@ -286,21 +338,22 @@
 }
 
 /// Who gets machines, one after another: first each pool its least, then those that lack most.
-fn order(mut missing: BTreeMap<&id::Service, Missing>, count: usize) -> Vec<&id::Service> {
+fn order(mut missing: BTreeMap<&id::Service, Missing>) -> Vec<&id::Service> {
     let mut order = Vec::new();
-    while order.len() < count {
+    loop {
         let next = missing
             .iter_mut()
             .max_by_key(|(_, missing)| (missing.least, missing.more));
-        let Some((service, missing)) = next else { break };
+        let Some((service, missing)) = next else {
+            return order;
+        };
         if missing.least > 0 {
             missing.least -= 1;
         } else if missing.more > 0 {
             missing.more -= 1;
         } else {
-            break;
+            return order;
         }
         order.push(*service);
     }
-    order
 }
