holder: leases of silent workers lapse, tasks on them count as away

Change: no lease with a look after an unanswered one; a task is at work only if its worker answered within 1 s.

--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -266,7 +266,10 @@
         };
         let (demands, spare) = {
             let holder = self.holding.holder();
-            (holder.demands(&size, now, clock::unix_ms()), holder.config().spare_pool().cloned())
+            (
+                holder.demands(&size, now, clock::unix_ms()),
+                holder.config().spare_pool().cloned(),
+            )
         };
         let mut coming: BTreeMap<id::Service, u32> = BTreeMap::new();
         for to in self.sent.values() {
@@ -306,8 +309,8 @@
                     candidate.machine.pool == *service && !reserved.contains(&candidate.machine.vm)
                 })
                 .count();
-            let has = u32::try_from(has).unwrap_or(u32::MAX)
-                + coming.get(service).copied().unwrap_or(0);
+            let has =
+                u32::try_from(has).unwrap_or(u32::MAX) + coming.get(service).copied().unwrap_or(0);
             let want = self.forecast.wanted(service, demand, has, now);
             wanted.insert(service.clone(), want);
         }
@@ -327,10 +330,7 @@
                 pools::Step::Keep(vm) => self.set_vacating(&vm, false),
                 pools::Step::Move { vm, to } => {
                     if self.is_empty(&vm) && self.orders.len() < CHANGES_AT_ONCE {
-                        log::info(
-                            "fleet",
-                            &format!("move vm={vm} to={to} wanted={wanted:?}"),
-                        );
+                        log::info("fleet", &format!("move vm={vm} to={to} wanted={wanted:?}"));
                         self.order(&vm, Order::Move { to });
                     }
                 }
@@ -431,7 +431,9 @@
         let done = answer.changed == Some(Changed::Yes);
         if done {
             if let Some(worker) = &answer.worker {
-                self.holding.holder().life_ended(worker, now, "machine-order");
+                self.holding
+                    .holder()
+                    .life_ended(worker, now, "machine-order");
                 self.holding.wake.notify_one();
             }
         }
@@ -504,7 +506,10 @@
                 Ok(_) => {
                     wave.told_running = true;
                     wave.told_completed = completed;
-                    log::info("fleet", &format!("wave told wave={number} completed={completed}"));
+                    log::info(
+                        "fleet",
+                        &format!("wave told wave={number} completed={completed}"),
+                    );
                 }
                 Err(error) => log::info(
                     "fleet",
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -246,6 +246,7 @@
                 );
             }
             Err(error) => {
+                holding.holder().unanswered(&id);
                 refusals = if error.refused { refusals + 1 } else { 0 };
                 if retry_ms == LOOK_RETRY_MS.0 {
                     log::info(
--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -121,6 +121,8 @@
     pub clock: Option<(u64, clock::Instant)>,
     /// When it last answered.
     pub answered_at: clock::Instant,
+    /// Whether the newest look had no answer.
+    pub unanswered: bool,
     /// The end of the longest lease that may have reached it, on its own clock.
     pub lease_until_ms: u64,
     /// Tasks that may be running there.
@@ -155,6 +157,7 @@
             recorded: false,
             clock: None,
             answered_at: now,
+            unanswered: false,
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
--- a/src/batch/holder/demand.rs
+++ b/src/batch/holder/demand.rs
@@ -112,10 +112,13 @@
     }
 
     /// Workers of a service that take tasks.
-    pub fn usable_workers(&self, service: &id::Service, now: clock::Instant) -> BTreeSet<id::Worker> {
-        let usable = |worker: &&book::Worker| {
-            worker.listing.service == *service && worker.is_usable(now)
-        };
+    pub fn usable_workers(
+        &self,
+        service: &id::Service,
+        now: clock::Instant,
+    ) -> BTreeSet<id::Worker> {
+        let usable =
+            |worker: &&book::Worker| worker.listing.service == *service && worker.is_usable(now);
         self.workers
             .values()
             .filter(usable)
--- a/src/batch/holder/job.rs
+++ b/src/batch/holder/job.rs
@@ -78,13 +78,6 @@
     pub fn is_waiting(&self, now: clock::Instant) -> bool {
         !self.done && self.live.is_none() && now >= self.not_before
     }
-
-    /// Whether a lasting task is at work.
-    pub fn at_work(&self) -> bool {
-        self.live
-            .as_ref()
-            .is_some_and(|live| live.percent >= 100 && live.stop_reason.is_none())
-    }
 }
 
 /// The tasks of one step.
--- a/src/batch/holder/reports.rs
+++ b/src/batch/holder/reports.rs
@@ -28,7 +28,8 @@
         let unsure = self.has_unsure_runs(id);
         let worker = self.workers.get_mut(id)?;
         let mut until_ms = None;
-        if !worker.tasks.is_empty() {
+        // An unanswered look may have given a lease; more of them would put off the moment at which all have lapsed.
+        if !worker.tasks.is_empty() && !worker.unanswered {
             until_ms = worker.lease_end_ms(now, lease_ms);
         }
         if let Some(until_ms) = until_ms {
@@ -86,6 +87,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.unanswered = false;
         worker.heard(report.clock_ms, now);
         if !worker.adopted {
             worker.adopted = true;
@@ -110,6 +112,13 @@
         self.pace(id, now);
     }
 
+    /// Takes in that a look had no answer.
+    pub fn unanswered(&mut self, id: &id::Worker) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unanswered = true;
+        }
+    }
+
     fn running(&mut self, id: &id::Worker, run: &book::Run, now: clock::Instant) {
         let over = self
             .jobs
--- a/src/batch/holder/vacate.rs
+++ b/src/batch/holder/vacate.rs
@@ -5,6 +5,9 @@
 use crate::clock;
 use crate::id;
 
+/// A task counts as at work if its worker has answered within this time, in milliseconds; two looks.
+const HEARD_MS: u64 = 1_000;
+
 /// How far a worker is emptied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Emptying {
@@ -79,9 +82,21 @@
         };
         let away = (0_u32..)
             .zip(&open.steps[id.step as usize].tasks)
-            .filter(|(index, task)| *index != id.index && !task.at_work())
+            .filter(|(index, task)| *index != id.index && !self.is_at_work(task, now))
             .count();
         // Without a stated tolerance one at a time.
         away < step.unavailable_max.map_or(1, |max| max as usize)
     }
+
+    /// Whether a lasting task is at work, as far as its worker has told lately.
+    fn is_at_work(&self, task: &job::Task, now: clock::Instant) -> bool {
+        let Some(live) = &task.live else {
+            return false;
+        };
+        let heard = self
+            .workers
+            .get(&live.worker)
+            .is_some_and(|worker| now.since_ms(worker.answered_at) < HEARD_MS);
+        heard && live.percent >= 100 && live.stop_reason.is_none()
+    }
 }
