--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -193,9 +193,28 @@
                 self.sent.remove(&machine.vm);
             }
         }
+        self.end_lives(&list);
         self.list = list;
     }
 
+    /// Ends the lives of workers whose machine no longer runs them: crashed, moved, away, or gone.
+    fn end_lives(&mut self, list: &[pools::Machine]) {
+        let now = clock::since_boot();
+        let current: BTreeSet<&id::Worker> = list
+            .iter()
+            .filter_map(|machine| machine.worker.as_ref())
+            .collect();
+        let mut holder = self.holding.holder();
+        for before in &self.list {
+            if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
+                holder.life_ended(worker, now, "machine-without");
+            }
+        }
+        holder.resolve_absent(&current, now);
+        drop(holder);
+        self.holding.wake.notify_one();
+    }
+
     /// Repeats orders without an answer; the platform takes a repeat as the same.
     fn repeat_unanswered(&mut self) {
         let mut again = Vec::new();
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -20,8 +20,9 @@
 
 /// A follower that reached the store this recently may take over from a holder that can't, in milliseconds.
 const FOLLOWER_FRESH_MS: u64 = 500;
-/// A holder without a commit for this long gives the duty to a follower that reaches the store, in milliseconds.
-const HOLDER_STALE_MS: u64 = 1_500;
+/// A holder without a commit for this long gives the duty to a follower that reaches the store, in milliseconds; twice
+/// the pause between its commits.
+const HOLDER_STALE_MS: u64 = 900;
 
 /// Clients of other nodes, by address.
 #[derive(Debug, Default)]
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -30,6 +30,9 @@
 /// Work on workers that a predecessor may have used, and that answer nobody, has ended this long after the
 /// predecessor's last order: the longest lease, 2 % for slow clocks, and a stop, in milliseconds.
 const INHERITED_SLACK_MS: u64 = 500;
+/// A predecessor's worker that lists of machines don't show for this long has ended, in milliseconds; more than two
+/// lists.
+const ABSENT_MS: u64 = 400;
 /// Stops without an end are sent again after this long, in milliseconds; above the timeout of one call.
 const STOP_AGAIN_MS: u64 = 400;
 
@@ -143,6 +146,8 @@
     workers: BTreeMap<id::Worker, book::Worker>,
     /// Workers of the predecessor that haven't answered yet.
     unresolved: BTreeMap<id::Worker, record::WorkerRow>,
+    /// Since when lists of machines have not shown some of them.
+    absent_since: BTreeMap<id::Worker, clock::Instant>,
     /// Services in which something changed since the last planning.
     stale: BTreeSet<id::Service>,
     changed: BTreeSet<JobId>,
@@ -186,6 +191,7 @@
             early_cancels: BTreeSet::new(),
             workers: BTreeMap::new(),
             unresolved: rows.workers.iter().cloned().collect(),
+            absent_since: BTreeMap::new(),
             stale: BTreeSet::new(),
             changed: BTreeSet::new(),
             arrived: BTreeMap::new(),
@@ -414,6 +420,36 @@
         }
     }
 
+    /// Takes in which workers the machines run: a predecessor's worker that none runs has ended.
+    ///
+    /// A worker that has just started may be missing from one list, so two lists some time apart are needed.
+    pub fn resolve_absent(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
+        let absent: Vec<id::Worker> = self
+            .unresolved
+            .keys()
+            .filter(|worker| !current.contains(worker))
+            .cloned()
+            .collect();
+        self.absent_since
+            .retain(|worker, _| absent.contains(worker));
+        for worker in absent {
+            let since = *self.absent_since.entry(worker.clone()).or_insert(now);
+            if now.since_ms(since) < ABSENT_MS {
+                continue;
+            }
+            self.absent_since.remove(&worker);
+            if let Some(row) = self.unresolved.remove(&worker) {
+                self.line(format!("worker of predecessor gone worker={worker}"));
+                self.stale.insert(row.service);
+            }
+            if self.workers.contains_key(&worker) {
+                self.life_ended(&worker, now, "machine-without");
+            } else {
+                self.rows.drop_worker(&worker);
+            }
+        }
+    }
+
     fn lapse(&mut self, now: clock::Instant) {
         let lapsed: Vec<id::Worker> = self
             .workers
