--- a/node/src/batch/holding.rs
+++ b/node/src/batch/holding.rs
@@ -156,7 +156,7 @@
     ));
     parts.spawn(follow_registry(Arc::clone(shared), Arc::clone(&holding)));
     parts.spawn(fleet::run(Arc::clone(shared), Arc::clone(&holding)));
-    let mut workers = watch::Workers::new(Arc::clone(shared), Arc::clone(&holding));
+    let mut workers = watch::Workers::new(Arc::clone(&holding));
     tokio::select! {
         () = drive(&holding, &mut workers) => {}
         () = holding.over.cancelled() => log::info("duty", &format!("lost epoch={}", holding.epoch)),
@@ -165,9 +165,9 @@
         }
     }
     shared.hold(None);
-    holding.over.cancel();
     workers.end().await;
-    // The committer ends by itself: it settles its last transaction and gives the duty back.
+    // Only now: the committer gives the duty back, and a successor may start tasks of its own.
+    holding.over.cancel();
     while parts.join_next().await.is_some() {}
 }
 
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -20,7 +20,7 @@
 
 /// A follower that reached the store this recently may take over from a holder that can't, in milliseconds.
 const FOLLOWER_FRESH_MS: u64 = 500;
-/// A holder without a commit for this long gives the duty to a follower that reaches the store, in milliseconds; twice
+/// A holder without a commit or any other answer of the store for this long gives the duty to a follower that reaches the store, in milliseconds; twice
 /// the pause between its commits.
 const HOLDER_STALE_MS: u64 = 900;
 
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -14,7 +14,7 @@
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::worker;
 
-use crate::batch::{holding, shared};
+use crate::batch::holding;
 use crate::clock;
 use crate::log;
 
@@ -42,26 +42,27 @@
 
 /// All workers that are looked at, and the orders under way.
 pub struct Workers {
-    shared: Arc<shared::Shared>,
     holding: Arc<holding::Holding>,
     watched: HashMap<id::Worker, Watched>,
-    tasks: JoinSet<()>,
+    looks: JoinSet<()>,
+    orders: JoinSet<()>,
 }
 
 impl Workers {
     /// No workers yet.
-    pub fn new(shared: Arc<shared::Shared>, holding: Arc<holding::Holding>) -> Self {
+    pub fn new(holding: Arc<holding::Holding>) -> Self {
         Self {
-            shared,
             holding,
             watched: HashMap::new(),
-            tasks: JoinSet::new(),
+            looks: JoinSet::new(),
+            orders: JoinSet::new(),
         }
     }
 
     /// Carries out what the holder wants.
     pub fn carry_out(&mut self, output: Output) {
-        while self.tasks.try_join_next().is_some() {}
+        while self.orders.try_join_next().is_some() {}
+        while self.looks.try_join_next().is_some() {}
         match output {
             Output::Watch(listing) => self.watch(&listing),
             Output::Forget(worker) => {
@@ -83,7 +84,7 @@
 
     fn watch(&mut self, listing: &book::Listing) {
         let client = Arc::new(worker::Worker::new(listing.worker.clone(), listing.address));
-        let looks = self.tasks.spawn(look(
+        let looks = self.looks.spawn(look(
             Arc::clone(&self.holding),
             listing.worker.clone(),
             Arc::clone(&client),
@@ -103,7 +104,7 @@
         let watched = self.watched.get(&order.worker);
         let watched =
             watched.map(|watched| (Arc::clone(&watched.client), Arc::clone(&watched.orders)));
-        self.tasks.spawn(async move {
+        self.orders.spawn(async move {
             let outcome = match watched {
                 Some((client, orders)) => {
                     // The semaphore is never closed, so a permit always comes.
@@ -132,7 +133,7 @@
         else {
             return;
         };
-        self.tasks.spawn(async move {
+        self.orders.spawn(async move {
             match client
                 .stop(task, run, holding.epoch, ORDER_TIMEOUT_MS)
                 .await
@@ -163,7 +164,7 @@
             return;
         };
         let worker = worker.clone();
-        self.tasks.spawn(async move {
+        self.orders.spawn(async move {
             let paced = client
                 .pace(task, run, percent, epoch, ORDER_TIMEOUT_MS)
                 .await;
@@ -176,10 +177,18 @@
         });
     }
 
-    /// Ends all looks and orders.
+    /// Ends all looks, and waits a little for the orders under way: one that is answered can't meet a successor's.
     pub async fn end(&mut self) {
-        let _ = &self.shared;
-        self.tasks.shutdown().await;
+        let orders = &mut self.orders;
+        let ended = time::timeout(Duration::from_millis(ORDER_TIMEOUT_MS), async {
+            while orders.join_next().await.is_some() {}
+        })
+        .await;
+        if ended.is_err() {
+            log::info("order", &format!("left unanswered orders={}", orders.len()));
+        }
+        orders.shutdown().await;
+        self.looks.shutdown().await;
     }
 }
 
