fleet: a successor of a dead holder orders machines at once

Change: only a predecessor that may still act is waited for; a line a second tells what pools have and need.

--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -26,6 +26,8 @@
 const BACK_SLACK_MS: u64 = 100;
 /// A machine whose change was refused is left alone for this long, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 1_000;
+/// Time between two lines about the pools, in milliseconds.
+const TELL_MS: u64 = 1_000;
 /// Changes of machines under way at once; the platform takes some tens a second.
 const CHANGES_AT_ONCE: usize = 8;
 
@@ -60,6 +62,7 @@
     sent: BTreeMap<id::Vm, id::Service>,
     paused: BTreeMap<id::Vm, wasabiloft::clock::Instant>,
     orders: JoinSet<Answered>,
+    told_at: wasabiloft::clock::Instant,
 }
 
 /// Cares for the fleet until the duty is over.
@@ -83,6 +86,7 @@
         sent: BTreeMap::new(),
         paused: BTreeMap::new(),
         orders: JoinSet::new(),
+        told_at: wasabiloft::clock::Instant::ZERO,
         shared,
         holding,
     };
@@ -135,7 +139,8 @@
     fn may_order(&self) -> bool {
         let lease_ms = self.shared.settings().machine_lease_ms;
         let waited = clock::since_boot().since_ms(self.holding.began_at) > lease_ms;
-        waited && self.holding.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
+        let alone = waited || !self.holding.predecessor_may_act;
+        alone && self.holding.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
     }
 
     async fn round(&mut self) {
@@ -295,7 +300,8 @@
             *coming.entry(to.clone()).or_default() += 1;
         }
         let mut candidates = Vec::new();
-        for machine in &self.list {
+        let list = self.list.clone();
+        for machine in &list {
             let away = machine.state != pools::State::Up
                 || self.busy.contains(&machine.vm)
                 || self.sent.contains_key(&machine.vm);
@@ -331,8 +337,16 @@
             let has =
                 u32::try_from(has).unwrap_or(u32::MAX) + coming.get(service).copied().unwrap_or(0);
             let want = self.forecast.wanted(service, demand, has, now);
-            wanted.insert(service.clone(), want);
+            wanted.insert(service.clone(), (has, want));
+        }
+        if now.since_ms(self.told_at) >= TELL_MS {
+            self.told_at = now;
+            tell_pools(&demands, &wanted);
         }
+        let wanted: BTreeMap<id::Service, pools::Wanted> = wanted
+            .into_iter()
+            .map(|(service, (_, want))| (service, want))
+            .collect();
         candidates.retain(|candidate| {
             let vm = &candidate.machine.vm;
             !reserved.contains(vm) && !self.is_paused(vm, now)
@@ -538,3 +552,20 @@
         }
     }
 }
+
+/// Logs what the pools have and need.
+fn tell_pools(
+    demands: &BTreeMap<id::Service, pools::Demand>,
+    wanted: &BTreeMap<id::Service, (u32, pools::Wanted)>,
+) {
+    for (service, (has, want)) in wanted {
+        let demand = demands.get(service).copied().unwrap_or_default();
+        log::info(
+            "fleet",
+            &format!(
+                "pool service={service} has={has} need={} keep={} running={} waiting={}",
+                want.need, want.keep, demand.running, demand.waiting
+            ),
+        );
+    }
+}
