pools: a successor moves no worker that it has not heard; shorter holds

Pools held the highest of short peaks for 4 s. Change: a worker counts as empty only after its first answer; holds of 2 s; a forecast is bounded by the room in use.

--- a/src/batch/holder/demand.rs
+++ b/src/batch/holder/demand.rs
@@ -1,8 +1,7 @@
 //! What the queues ask of the pools.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use crate::batch::book;
 use crate::batch::holder::{Holder, plan};
 use crate::batch::pools;
 use crate::batch::spec;
@@ -100,9 +99,10 @@
         demands
     }
 
-    /// Room that tasks take on a worker, in thousandths of it, and whether it is being emptied.
+    /// Room that tasks take on a worker, in thousandths of it, and whether it is being emptied; `None` until the
+    /// worker has answered.
     pub fn usage(&self, worker: &id::Worker) -> Option<(u64, bool)> {
-        let book = self.workers.get(worker)?;
+        let book = self.workers.get(worker).filter(|book| book.adopted)?;
         Some((share(&book.used, &book.listing.size), book.vacating))
     }
 
@@ -110,19 +110,4 @@
     pub fn record_wave(&mut self, number: u64, record: waves::Record) {
         self.rows.record_wave(number, record);
     }
-
-    /// Workers of a service that take tasks.
-    pub fn usable_workers(
-        &self,
-        service: &id::Service,
-        now: clock::Instant,
-    ) -> BTreeSet<id::Worker> {
-        let usable =
-            |worker: &&book::Worker| worker.listing.service == *service && worker.is_usable(now);
-        self.workers
-            .values()
-            .filter(usable)
-            .map(|worker| worker.listing.worker.clone())
-            .collect()
-    }
 }
--- a/src/batch/holder/vacate.rs
+++ b/src/batch/holder/vacate.rs
@@ -11,7 +11,7 @@
 /// How far a worker is emptied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Emptying {
-    /// It isn't in the book.
+    /// It isn't in the book, or hasn't answered yet.
     Unknown,
     /// Nothing runs there.
     Empty,
@@ -35,6 +35,8 @@
     pub fn emptying(&self, id: &id::Worker) -> Emptying {
         match self.workers.get(id) {
             None => Emptying::Unknown,
+            // A predecessor may have started tasks there.
+            Some(worker) if !worker.adopted => Emptying::Unknown,
             Some(worker) if worker.tasks.is_empty() => Emptying::Empty,
             Some(_) => Emptying::Busy,
         }
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -14,17 +14,17 @@
 const AHEAD_MS: u64 = 2_000;
 /// Arrivals above an earlier window's count as a rise beyond this many standard deviations of random arrivals.
 const RISE_DEVIATIONS: f64 = 1.0;
-/// A rise is taken to go on to this multiple of the present rate at most.
-const RISE_MAX: u64 = 3;
+/// A rise is taken to go on to this multiple of the room in use at most, and of the rate of arrivals.
+const RISE_MAX: u64 = 2;
 /// Room above demand, in thousandths, as tasks don't pack perfectly and arrive unevenly.
-const HEADROOM_MILLI: u64 = 1_300;
+const HEADROOM_MILLI: u64 = 1_250;
 /// A pool keeps what it needed at any time within this span, in milliseconds; a move there and back costs as much as
 /// about as long in a pool.
-const HOLD_MS: u64 = 4_000;
+const HOLD_MS: u64 = 2_000;
 /// A holder that has just begun knows no past and lets no machine go for this long, in milliseconds.
-const SETTLE_MS: u64 = 12_000;
+const SETTLE_MS: u64 = 10_000;
 /// Machines that every pool in use keeps, for the first work of a rise.
-const LEAST: u32 = 3;
+const LEAST: u32 = 2;
 
 /// The state of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,6 +123,7 @@
         let least = demand.apart.max(LEAST);
         let rate = self.rate_ahead(service, demand, now);
         let present = demand.running + demand.waiting;
+        let rate = rate.min(present * RISE_MAX + u64::from(LEAST) * MACHINE);
         let needed = present.max(rate) * HEADROOM_MILLI / 1_000;
         let machines = u32::try_from(needed.div_ceil(MACHINE)).unwrap_or(u32::MAX);
         let need = machines.max(least);
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -179,3 +179,21 @@
     let look = world.holder().look(&id, later).expect("a look");
     assert_eq!(look.acknowledged, 0);
 }
+
+/// Found by a score: a successor moved a machine whose worker it had not heard yet, with tasks of its predecessor.
+#[test]
+fn a_worker_that_was_not_heard_is_not_taken_for_empty() {
+    let now = Instant::from_ms(1_000);
+    let mut holder = Holder::new(terms(), 2, config(), Inheritance::default(), now);
+    holder.listed(listing("unheard"), now);
+    let id = id::Worker::new("unheard");
+    assert_eq!(holder.emptying(&id), Emptying::Unknown);
+    let report = book::Report {
+        clock_ms: 5,
+        born_unix_ms: Some(1),
+        running: Vec::new(),
+        ends: Vec::new(),
+    };
+    holder.reported(&id, &report, now, now, 0);
+    assert_eq!(holder.emptying(&id), Emptying::Empty);
+}
