standins, node: the daemon on the platform beside stand-ins, as processes

Change: stand-ins of the store and of workers; ten tests of real daemons (lost answers, store away, killed holder, stop, cancel, bad input).

--- /dev/null
+++ b/node/tests/hosted.rs
@@ -0,0 +1,268 @@
+//! Daemons on a stand-in of the users' platform: a store, workers, and nodes as processes of their own.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::time;
+use wasabiloft_platform::call::Client;
+use wasabiloft_standins::hosted::Listening;
+use wasabiloft_standins::hosted::store::Store;
+use wasabiloft_standins::hosted::worker::Worker;
+
+/// The host of the one queue.
+pub const HOST: &str = "counter.example";
+/// The prefix of the one queue.
+pub const PREFIX: &str = "/quotes/";
+/// Longest wait for something to come true, in milliseconds.
+const WAIT_MS: u64 = 20_000;
+/// Time between two looks, in milliseconds.
+const LOOK_MS: u64 = 20;
+/// Ports for the links between nodes; two are used.
+const PORTS: u16 = 4;
+
+/// The platform and the nodes on it.
+pub struct World {
+    /// The store.
+    pub store: Listening<Store>,
+    /// The workers.
+    pub workers: Vec<Listening<Worker>>,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    folder: TempDir,
+}
+
+/// A daemon.
+pub struct Node {
+    /// Its process.
+    pub process: Child,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready: SocketAddr,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// A call's answer.
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its body.
+    pub body: String,
+}
+
+/// A range of free ports; another process may take one before the daemon does, then the start fails loudly.
+fn free_ports(count: u16) -> u16 {
+    loop {
+        let probe = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let first = probe.local_addr().expect("an address").port();
+        let rest: Vec<_> = (1..count)
+            .map_while(|n| TcpListener::bind((Ipv4Addr::LOCALHOST, first.checked_add(n)?)).ok())
+            .collect();
+        if rest.len() + 1 == count as usize {
+            return first;
+        }
+    }
+}
+
+impl World {
+    /// A platform with workers whose tasks take a time, and nodes that are ready.
+    pub async fn start(nodes: usize, workers: usize, task_ms: u64) -> Self {
+        let mut world = Self {
+            store: Store::start().await.expect("a store"),
+            workers: Vec::new(),
+            nodes: Vec::new(),
+            folder: tempfile::tempdir().expect("a folder"),
+        };
+        world.configure(1, &[PREFIX]);
+        for number in 0..workers {
+            let worker = Worker::start(task_ms).await.expect("a worker");
+            let entry = json!({
+                "service": "counter", "address": worker.address, "zone": "andes", "version": "v1",
+                "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "clockMs": 1,
+                "capacity": {"cpu": 8_000, "memMb": 16_000, "gpu": 0}, "labels": ["a", "r1"],
+            });
+            world.put("servers", &format!("i-{number}"), &entry.to_string());
+            world.workers.push(worker);
+        }
+        for number in 0..nodes {
+            let node = world.start_node(number);
+            world.nodes.push(node);
+        }
+        for node in 0..nodes {
+            world.until_ready(node).await;
+        }
+        world
+    }
+
+    /// Puts a configuration in force, with a queue for each prefix.
+    pub fn configure(&self, version: u64, prefixes: &[&str]) {
+        let routes: Vec<_> = prefixes
+            .iter()
+            .map(|prefix| {
+                json!({
+                    "name": prefix, "host": HOST, "pathPrefix": prefix, "kind": "unsafe",
+                    "timeoutMs": 3_000, "targetLatencyMs": 600, "priority": 0, "service": "counter",
+                    "maxAttempts": 2, "stretch": 1.6,
+                })
+            })
+            .collect();
+        let services = json!([{"name": "counter", "enforcesCapacity": true, "spare": false}]);
+        let limits = json!({"maxBodyBytes": 10_000, "idleTimeoutMs": 15_000});
+        let config = json!({
+            "version": version, "routes": routes, "services": services, "limits": limits,
+        });
+        self.put("op", "config", &config.to_string());
+    }
+
+    /// Writes a row as the platform would.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.store.state.put(table, key, &STANDARD.encode(value));
+    }
+
+    fn start_node(&self, number: usize) -> Node {
+        let first = free_ports(PORTS);
+        let (front, ready) = (free_ports(1), free_ports(1));
+        let settings = format!(
+            "nodeName = \"node-{number}\"\nip = \"127.0.0.1\"\nzone = \"andes\"\n\
+             internalPorts = [{first},{}]\n[listen]\nfront = \"127.0.0.1:{front}\"\n\
+             ready = \"127.0.0.1:{ready}\"\n[platform]\naddress = \"{}\"\n",
+            first + PORTS - 1,
+            self.store.address
+        );
+        let path = self.folder.path().join(format!("node-{number}.toml"));
+        fs::write(&path, settings).expect("settings are written");
+        let log = fs::File::create(self.folder.path().join(format!("node-{number}.log")));
+        let process = Command::new(env!("CARGO_BIN_EXE_wasabiloftd"))
+            .args(["--platform", "--config"])
+            .arg(&path)
+            .stdout(log.expect("a log file"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the daemon starts");
+        Node {
+            process,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, front)),
+            ready: SocketAddr::from((Ipv4Addr::LOCALHOST, ready)),
+        }
+    }
+
+    async fn until_ready(&self, node: usize) {
+        let ready = Client::new(self.nodes[node].ready);
+        until("the node is ready", async || {
+            let answer = ready.get("/ready", 500).await;
+            answer.is_ok_and(|answer| answer.status.as_u16() == 200)
+        })
+        .await;
+    }
+
+    /// Sends a request to a node.
+    pub async fn call(&self, node: usize, method: &str, path: &str, body: &str) -> Answer {
+        call(self.nodes[node].address, method, path, body).await
+    }
+
+    /// Submits a job of one step.
+    pub async fn submit(&self, node: usize, id: &str, tasks: u32) -> u16 {
+        let body = json!({"spec": "text", "steps": [
+            {"count": tasks, "cpu": 500, "memMb": 256, "estimateMs": 300}
+        ]});
+        let path = format!("{PREFIX}{id}");
+        self.call(node, "POST", &path, &body.to_string()).await.status
+    }
+
+    /// Waits until a job is in a state.
+    pub async fn until_state(&self, node: usize, id: &str, state: &str) {
+        let path = format!("{PREFIX}{id}");
+        let wanted = json!({ "state": state }).to_string();
+        until(state, async || {
+            self.call(node, "GET", &path, "").await.body == wanted
+        })
+        .await;
+    }
+
+    /// The log of a node so far.
+    pub fn log(&self, node: usize) -> String {
+        let path = self.folder.path().join(format!("node-{node}.log"));
+        fs::read_to_string(path).expect("a log")
+    }
+
+    /// The node that holds the duty, by its log.
+    pub fn holder(&self) -> usize {
+        (0..self.nodes.len())
+            .max_by_key(|node| {
+                let log = self.log(*node);
+                let held = log.lines().filter_map(|line| line.split("holds epoch=").nth(1));
+                held.filter_map(|rest| rest.split(' ').next()?.parse::<u64>().ok())
+                    .max()
+                    .unwrap_or(0)
+            })
+            .expect("nodes")
+    }
+}
+
+/// Sends a request; status 0 says that no answer came.
+pub async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Answer {
+    use http_body_util::{BodyExt, Full};
+    use hyper_util::rt::TokioIo;
+
+    let none = |reason: String| Answer {
+        status: 0,
+        body: reason,
+    };
+    let stream = match tokio::net::TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(error) => return none(error.to_string()),
+    };
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = match handshake {
+        Ok(pair) => pair,
+        Err(error) => return none(error.to_string()),
+    };
+    tokio::spawn(connection);
+    let request = http::Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("x-deadline-ms", "3000")
+        .body(Full::new(bytes::Bytes::from(body.to_owned())))
+        .expect("a request");
+    match sender.send_request(request).await {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            let retry_after = response.headers().contains_key("retry-after");
+            let body = response.into_body().collect().await;
+            let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+            let body = String::from_utf8_lossy(&body).into_owned();
+            let told = if retry_after { "retry-after" } else { "" };
+            Answer {
+                status,
+                body: format!("{body}{told}"),
+            }
+        }
+        Err(error) => none(error.to_string()),
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until<F>(what: &str, mut condition: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let patience = time::Instant::now() + Duration::from_millis(WAIT_MS);
+    while !condition().await {
+        assert!(time::Instant::now() < patience, "not in time: {what}");
+        time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
--- /dev/null
+++ b/node/tests/test_hosted.rs
@@ -0,0 +1,162 @@
+//! The daemon on the users' platform, as processes of their own beside stand-ins.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::hosted::{PREFIX, World, until};
+
+const ID: &str = "00000000000000a1";
+const OTHER: &str = "00000000000000a2";
+
+fn signal(world: &World, node: usize, signal: Signal) {
+    let pid = i32::try_from(world.nodes[node].process.id()).expect("a pid");
+    kill_process(Pid::from_raw(pid).expect("a pid"), signal).expect("a signal");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_runs_and_each_node_tells_of_it() {
+    let world = World::start(2, 2, 100).await;
+    assert_eq!(world.submit(0, ID, 5).await, 200);
+    assert_eq!(world.submit(1, ID, 5).await, 200, "the same job again");
+    for node in 0..2 {
+        world.until_state(node, ID, "completed").await;
+    }
+    let starts: u32 = world
+        .workers
+        .iter()
+        .flat_map(|worker| worker.state.started().into_values())
+        .sum();
+    assert_eq!(starts, 5);
+    let unknown = world.call(1, "GET", &format!("{PREFIX}{OTHER}"), "").await;
+    assert_eq!(unknown.status, 410);
+    let waiting = world.call(1, "GET", PREFIX, "").await;
+    assert_eq!((waiting.status, waiting.body.as_str()), (200, "{\"waiting\":0}"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_clear_answers() {
+    let world = World::start(1, 1, 100).await;
+    let path = format!("{PREFIX}{ID}");
+    let no_queue = world.call(0, "GET", "/nothing/here", "").await;
+    assert_eq!(no_queue.status, 404);
+    let bad_id = world.call(0, "POST", &format!("{PREFIX}xyz"), "{}").await;
+    assert_eq!(bad_id.status, 400);
+    let no_json = world.call(0, "POST", &path, "steps").await;
+    assert_eq!(no_json.status, 400);
+    let forward = r#"{"spec":"","steps":[{"count":1,"cpu":1,"after":[0]}]}"#;
+    let forward = world.call(0, "POST", &path, forward).await;
+    assert_eq!(forward.status, 400);
+    assert!(forward.body.contains("step 0 waits"), "{}", forward.body);
+    let long = world.call(0, "POST", &path, &"x".repeat(20_000)).await;
+    assert_eq!(long.status, 413);
+    assert_eq!(world.call(0, "GET", &path, "").await.status, 410);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_survive_the_loss_of_the_holder_and_start_no_task_twice() {
+    let mut world = World::start(2, 2, 1_500).await;
+    assert_eq!(world.submit(0, ID, 4).await, 200);
+    world.until_state(0, ID, "running").await;
+    let holder = world.holder();
+    world.nodes[holder].process.kill().expect("it is killed");
+    let other = 1 - holder;
+    world.until_state(other, ID, "completed").await;
+    for worker in &world.workers {
+        let twice = worker.state.started();
+        assert!(twice.values().all(|starts| *starts == 1), "{twice:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_the_store_is_settled() {
+    let world = World::start(1, 1, 50).await;
+    world.store.state.lost_answers.store(1, Ordering::Relaxed);
+    assert_eq!(world.submit(0, ID, 1).await, 200);
+    world.until_state(0, ID, "completed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_store_is_away_requests_are_refused_at_once_and_did_not_run() {
+    let world = World::start(1, 1, 50).await;
+    world.store.state.away.store(true, Ordering::Relaxed);
+    let asked = Instant::now();
+    let path = format!("{PREFIX}{ID}");
+    let body = r#"{"spec":"","steps":[{"count":1,"cpu":1}]}"#;
+    let refused = world.call(0, "POST", &path, body).await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.body.ends_with("retry-after"), "{}", refused.body);
+    assert!(asked.elapsed() < Duration::from_millis(1_000), "{:?}", asked.elapsed());
+    world.store.state.away.store(false, Ordering::Relaxed);
+    until("the job is unknown", async || {
+        world.call(0, "GET", &path, "").await.status == 410
+    })
+    .await;
+    assert!(world.workers[0].state.started().is_empty());
+    assert_eq!(world.submit(0, ID, 1).await, 200);
+    world.until_state(0, ID, "completed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_ends_and_stays_so() {
+    let world = World::start(2, 1, 60_000).await;
+    assert_eq!(world.submit(0, ID, 2).await, 200);
+    world.until_state(1, ID, "running").await;
+    let path = format!("{PREFIX}{ID}");
+    assert_eq!(world.call(1, "DELETE", &path, "").await.status, 200);
+    world.until_state(0, ID, "cancelled").await;
+    let unknown = format!("{PREFIX}{OTHER}");
+    assert_eq!(world.call(0, "DELETE", &unknown, "").await.status, 410);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_queue_is_in_force_and_a_dropped_one_is_gone() {
+    let world = World::start(2, 1, 50).await;
+    world.configure(2, &["/other/"]);
+    for node in 0..2 {
+        until("the new queue is in force", async || {
+            world.call(node, "GET", "/other/", "").await.status == 200
+        })
+        .await;
+        assert_eq!(world.call(node, "GET", PREFIX, "").await.status, 404);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_another_writer_disturb_nothing() {
+    let world = World::start(1, 1, 50).await;
+    world.put("servers", "i-strange", "{\"service\":7}");
+    world.store.state.put("servers", "i-bytes", "////");
+    assert_eq!(world.submit(0, ID, 2).await, 200);
+    world.until_state(0, ID, "completed").await;
+    assert!(world.log(0).contains("entry i-strange can't be used"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_mute_worker_is_left_for_another() {
+    let world = World::start(1, 2, 100).await;
+    world.workers[0].state.mute.store(true, Ordering::Relaxed);
+    assert_eq!(world.submit(0, ID, 4).await, 200);
+    world.until_state(0, ID, "completed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_hands_the_duty_over_and_ends_in_time() {
+    let mut world = World::start(2, 1, 100).await;
+    assert_eq!(world.submit(0, ID, 1).await, 200);
+    let holder = world.holder();
+    signal(&world, holder, Signal::HUP);
+    signal(&world, holder, Signal::TERM);
+    let asked = Instant::now();
+    let other = 1 - holder;
+    assert_eq!(world.submit(other, OTHER, 1).await, 200);
+    world.until_state(other, OTHER, "completed").await;
+    until("the process has ended", async || {
+        let ended = world.nodes[holder].process.try_wait();
+        ended.expect("its state").is_some()
+    })
+    .await;
+    assert!(asked.elapsed() < Duration::from_secs(6), "{:?}", asked.elapsed());
+    assert!(world.log(other).contains("duty: holds epoch=2"));
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod endpoint;
 pub mod faults;
+pub mod hosted;
 pub mod jobs;
 pub mod load;
 pub mod platform;
