--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -144,14 +144,6 @@
     }
 
     async fn round(&mut self) {
-        let asked_at = clock::since_boot();
-        match self.machines.list().await {
-            Ok(list) => self.listed(list, asked_at),
-            Err(error) => {
-                log::info("fleet", &format!("machines unread reason={error}"));
-                return;
-            }
-        }
         for asked in self.shared.waves() {
             let number = asked.request.number;
             if !self.waves.contains_key(&number) {
@@ -160,6 +152,14 @@
                 self.waves.insert(number, wave);
             }
         }
+        let asked_at = clock::since_boot();
+        match self.machines.list().await {
+            Ok(list) => self.listed(list, asked_at),
+            Err(error) => {
+                log::info("fleet", &format!("machines unread reason={error}"));
+                return;
+            }
+        }
         if self.may_order() {
             self.repeat_unanswered();
             let reserved = self.take_for_waves();
@@ -175,8 +175,14 @@
             .filter(|machine| machine.state == pools::State::Up)
             .map(|machine| machine.vm.clone())
             .collect();
+        let away: BTreeSet<id::Vm> = list
+            .iter()
+            .filter(|machine| machine.state == pools::State::Upkeep)
+            .map(|machine| machine.vm.clone())
+            .collect();
         let known: BTreeSet<id::Vm> = list.iter().map(|machine| machine.vm.clone()).collect();
         for wave in self.waves.values_mut() {
+            wave.seen_away(&away, asked_at);
             wave.seen_up(&up, asked_at, settings.upkeep_ms + BACK_SLACK_MS);
             let gone: Vec<id::Vm> = wave
                 .left()
--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -179,7 +179,9 @@
             {"count": tasks, "cpu": 500, "memMb": 256, "estimateMs": 300}
         ]});
         let path = format!("{PREFIX}{id}");
-        self.call(node, "POST", &path, &body.to_string()).await.status
+        self.call(node, "POST", &path, &body.to_string())
+            .await
+            .status
     }
 
     /// Waits until a job is in a state.
@@ -203,7 +205,9 @@
         (0..self.nodes.len())
             .max_by_key(|node| {
                 let log = self.log(*node);
-                let held = log.lines().filter_map(|line| line.split("holds epoch=").nth(1));
+                let held = log
+                    .lines()
+                    .filter_map(|line| line.split("holds epoch=").nth(1));
                 held.filter_map(|rest| rest.split(' ').next()?.parse::<u64>().ok())
                     .max()
                     .unwrap_or(0)
--- a/node/tests/test_hosted.rs
+++ b/node/tests/test_hosted.rs
@@ -32,7 +32,10 @@
     let unknown = world.call(1, "GET", &format!("{PREFIX}{OTHER}"), "").await;
     assert_eq!(unknown.status, 410);
     let waiting = world.call(1, "GET", PREFIX, "").await;
-    assert_eq!((waiting.status, waiting.body.as_str()), (200, "{\"waiting\":0}"));
+    assert_eq!(
+        (waiting.status, waiting.body.as_str()),
+        (200, "{\"waiting\":0}")
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -87,7 +90,11 @@
     let refused = world.call(0, "POST", &path, body).await;
     assert_eq!(refused.status, 503);
     assert!(refused.body.ends_with("retry-after"), "{}", refused.body);
-    assert!(asked.elapsed() < Duration::from_millis(1_000), "{:?}", asked.elapsed());
+    assert!(
+        asked.elapsed() < Duration::from_millis(1_000),
+        "{:?}",
+        asked.elapsed()
+    );
     world.store.state.away.store(false, Ordering::Relaxed);
     until("the job is unknown", async || {
         world.call(0, "GET", &path, "").await.status == 410
@@ -157,6 +164,10 @@
         ended.expect("its state").is_some()
     })
     .await;
-    assert!(asked.elapsed() < Duration::from_secs(6), "{:?}", asked.elapsed());
+    assert!(
+        asked.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        asked.elapsed()
+    );
     assert!(world.log(other).contains("duty: holds epoch=2"));
 }
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -131,6 +131,17 @@
         self.record.begun.insert(vm.clone());
     }
 
+    /// Notes machines that are away for an upkeep, also if a predecessor sent them. Whether it is this wave's shows
+    /// when the order is repeated, which the platform takes as the same.
+    pub fn seen_away(&mut self, away: &BTreeSet<id::Vm>, now: clock::Instant) {
+        for vm in self.request.vms.iter().filter(|vm| away.contains(*vm)) {
+            self.away.entry(vm.clone()).or_insert(Away {
+                called_at: now,
+                answered_at: Some(now),
+            });
+        }
+    }
+
     /// Notes machines that are up again, from a list that was asked for at a moment.
     pub fn seen_up(&mut self, up: &BTreeSet<id::Vm>, asked_at: clock::Instant, upkeep_ms: u64) {
         self.away.retain(|vm, away| {
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -219,7 +219,9 @@
     let outcome = store.apply(transaction);
     let lost = store
         .lost_answers
-        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+            left.checked_sub(1)
+        });
     if lost.is_ok() {
         // Longer than any caller waits.
         time::sleep(Duration::from_secs(60)).await;
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -210,3 +210,16 @@
     assert_eq!(pacing::next_share(50, &[(10, 100)]), 60);
     assert_eq!(pacing::next_share(0, &[]), 10);
 }
+
+/// Found by a hunt: a successor did not count the machines that its predecessor had sent away.
+#[test]
+fn a_successor_counts_machines_that_are_away_already() {
+    let mut wave = wave(2);
+    let away: BTreeSet<id::Vm> = ["a", "b"].map(id::Vm::new).into();
+    wave.seen_away(&away, Instant::from_ms(100));
+    assert_eq!(wave.free_places(), 0);
+    assert_eq!(wave.left().count(), 1);
+    let up: BTreeSet<id::Vm> = ["a", "b", "c"].map(id::Vm::new).into();
+    wave.seen_up(&up, Instant::from_ms(2_500), 2_000);
+    assert_eq!(wave.free_places(), 2);
+}
