--- a/node/src/batch/holding.rs
+++ b/node/src/batch/holding.rs
@@ -158,7 +158,7 @@
     ));
     parts.spawn(follow_registry(Arc::clone(shared), Arc::clone(&holding)));
     parts.spawn(fleet::run(Arc::clone(shared), Arc::clone(&holding)));
-    let mut workers = watch::Workers::new(Arc::clone(&holding));
+    let mut workers = watch::Workers::new(Arc::clone(&holding), shared.settings().advice);
     tokio::select! {
         () = drive(&holding, &mut workers) => {}
         () = holding.over.cancelled() => log::info("duty", &format!("lost epoch={}", holding.epoch)),
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -1,6 +1,7 @@
 //! Workers: looks that renew leases and bring news, and orders.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use wasabiloft::batch::holder::{Output, Start, StartOutcome};
 use wasabiloft::id;
 use wasabiloft::verdict::Verdict;
+use wasabiloft_platform::tickets::Tickets;
 use wasabiloft_platform::worker;
 
 use crate::batch::holding;
@@ -20,6 +22,8 @@
 
 /// Longest wait for the answer to an order, in milliseconds; workers answer in a few.
 const ORDER_TIMEOUT_MS: u64 = 250;
+/// Longest wait for advice, in milliseconds; it grows with the workers that are named.
+const ADVICE_TIMEOUT_MS: u64 = 2_000;
 /// Sends of a start until its outcome counts as unknown; the same start twice is one run.
 const START_SENDS: u32 = 3;
 /// Time on top of a look's wait until it counts as unanswered, in milliseconds.
@@ -43,6 +47,8 @@
 /// All workers that are looked at, and the orders under way.
 pub struct Workers {
     holding: Arc<holding::Holding>,
+    tickets: Option<Arc<Tickets>>,
+    turn: Arc<Semaphore>,
     watched: HashMap<id::Worker, Watched>,
     looks: JoinSet<()>,
     orders: JoinSet<()>,
@@ -50,9 +56,11 @@
 
 impl Workers {
     /// No workers yet.
-    pub fn new(holding: Arc<holding::Holding>) -> Self {
+    pub fn new(holding: Arc<holding::Holding>, advice: Option<SocketAddr>) -> Self {
         Self {
             holding,
+            tickets: advice.map(|address| Arc::new(Tickets::new(address))),
+            turn: Arc::new(Semaphore::new(1)),
             watched: HashMap::new(),
             looks: JoinSet::new(),
             orders: JoinSet::new(),
@@ -72,6 +80,7 @@
             }
             Output::Start(order) => self.start(order),
             Output::Stop { worker, task, run } => self.stop(worker, task, run),
+            Output::Ask { task, workers } => self.ask(task, workers),
             Output::Pace {
                 worker,
                 task,
@@ -154,6 +163,25 @@
         });
     }
 
+    fn ask(&mut self, task: TaskId, workers: Vec<id::Worker>) {
+        let holding = Arc::clone(&self.holding);
+        let (tickets, turn) = (self.tickets.clone(), Arc::clone(&self.turn));
+        self.orders.spawn(async move {
+            // The service takes one question of a node at a time. The semaphore is never closed.
+            let _permit = turn.acquire().await;
+            let answer = match &tickets {
+                Some(tickets) => ask(tickets, &task, &workers).await,
+                None => {
+                    log::warn("order", &format!("no advice service task={task}"));
+                    None
+                }
+            };
+            let now = clock::since_boot();
+            holding.holder().advised(&task, &workers, answer, now);
+            holding.wake.notify_one();
+        });
+    }
+
     fn pace(&mut self, worker: &id::Worker, task: TaskId, run: u32, percent: u32) {
         let epoch = self.holding.epoch;
         let Some(client) = self
@@ -192,10 +220,42 @@
     }
 }
 
+async fn ask(
+    tickets: &Tickets,
+    task: &TaskId,
+    workers: &[id::Worker],
+) -> Option<(Vec<(id::Worker, String)>, u64)> {
+    match tickets.ask(task, workers, ADVICE_TIMEOUT_MS).await {
+        Ok(Some(advice)) => {
+            log::info(
+                "order",
+                &format!(
+                    "advice task={task} asked={} allowed={} valid_ms={}",
+                    workers.len(),
+                    advice.allowed.len(),
+                    advice.valid_ms
+                ),
+            );
+            Some((advice.allowed, advice.valid_ms))
+        }
+        Ok(None) => {
+            log::info("order", &format!("advice refused task={task}"));
+            None
+        }
+        Err(error) => {
+            log::info(
+                "order",
+                &format!("advice unanswered task={task} reason={error}"),
+            );
+            None
+        }
+    }
+}
+
 async fn start(client: &worker::Worker, order: &Start, epoch: u64) -> StartOutcome {
     let mut may_have_run = false;
     for send in 1..=START_SENDS {
-        match client.start(order, epoch, None, ORDER_TIMEOUT_MS).await {
+        match client.start(order, epoch, ORDER_TIMEOUT_MS).await {
             Ok(worker::Started::Yes) => return StartOutcome::Started,
             Ok(worker::Started::No(reason)) => {
                 let sends = if may_have_run { send } else { 1 };
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -4,6 +4,7 @@
 //! successor raises the fence at each worker and reads there what runs and what has ended. Rows keep what workers
 //! forget: ends that were acknowledged, failed runs, checkpoints, and which workers may run anything at all.
 
+mod advice;
 mod commit;
 mod demand;
 mod gang;
@@ -66,6 +67,8 @@
     pub checkpoint: Option<String>,
     /// What to run, with its queue.
     pub accepted: Arc<record::Accepted>,
+    /// The ticket of a queue with a policy.
+    pub ticket: Option<String>,
 }
 
 /// What the holder wants done.
@@ -82,6 +85,13 @@
         /// Which start of it.
         run: u32,
     },
+    /// Ask which workers a queue's policy allows for a task's step.
+    Ask {
+        /// A task of the step.
+        task: TaskId,
+        /// The workers.
+        workers: Vec<id::Worker>,
+    },
     /// Let a run work at a share of its speed.
     Pace {
         /// The worker.
@@ -148,6 +158,8 @@
     unresolved: BTreeMap<id::Worker, record::WorkerRow>,
     /// Since when lists of machines have not shown some of them.
     absent_since: BTreeMap<id::Worker, clock::Instant>,
+    /// What is known of steps of queues with a policy.
+    advised: HashMap<advice::StepKey, advice::Advised>,
     /// Services in which something changed since the last planning.
     stale: BTreeSet<id::Service>,
     changed: BTreeSet<JobId>,
@@ -192,6 +204,7 @@
             workers: BTreeMap::new(),
             unresolved: rows.workers.iter().cloned().collect(),
             absent_since: BTreeMap::new(),
+            advised: HashMap::new(),
             stale: BTreeSet::new(),
             changed: BTreeSet::new(),
             arrived: BTreeMap::new(),
@@ -271,6 +284,7 @@
         job.ended_unix_ms = unix_ms;
         self.open.remove(&id);
         self.changed.insert(id);
+        self.advised.retain(|(job, ..), _| *job != id);
         let live: Vec<TaskId> = job
             .tasks()
             .filter(|(_, task)| task.live.is_some())
@@ -336,6 +350,7 @@
         self.outputs.push(Output::Forget(id.clone()));
         self.stale.insert(worker.listing.service.clone());
         for task in worker.tasks {
+            self.line(format!("run lost task={task} worker={id} reason={why}"));
             self.release(task, now);
         }
     }
@@ -478,6 +493,9 @@
                 tasks.len()
             ));
             for task in tasks {
+                self.line(format!(
+                    "run lost task={task} worker={id} reason=lease-lapsed"
+                ));
                 self.release(task, now);
             }
         }
--- a/src/batch/holder/orders.rs
+++ b/src/batch/holder/orders.rs
@@ -157,12 +157,19 @@
                 } => book.paused_until = now.after_ms(UNWELL_PAUSE_MS),
                 StartOutcome::NotSent => book.paused_until = now.after_ms(NO_ANSWER_PAUSE_MS),
                 StartOutcome::Refused {
-                    reason: Refusal::Malformed | Refusal::Ticket,
+                    reason: Refusal::Malformed,
                     ..
                 } => pause_ms = MALFORMED_PAUSE_MS,
                 _ => {}
             }
         }
+        if let StartOutcome::Refused {
+            reason: Refusal::Ticket,
+            ..
+        } = outcome
+        {
+            self.drop_ticket(&id, worker);
+        }
         self.release(id, now);
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(&id)) {
             task.not_before = now.after_ms(pause_ms);
--- a/src/batch/holder/plan.rs
+++ b/src/batch/holder/plan.rs
@@ -101,7 +101,10 @@
                 }
                 for id in ids {
                     if !self.start(service, id, spec, &need, now) {
-                        let plain = spec.label.is_none() && spec.per_worker_max == 0;
+                        self.ask(service, &id, now);
+                        let plain = spec.label.is_none()
+                            && spec.per_worker_max == 0
+                            && accepted.queue.advice.is_none();
                         if plain {
                             too_big = Some(need);
                         }
@@ -209,6 +212,7 @@
         now: clock::Instant,
     ) {
         let lease_ms = self.terms.lease_ms;
+        let ticket = self.ticket(&id, worker, now);
         let Some(book) = self.workers.get_mut(worker) else {
             return;
         };
@@ -218,6 +222,8 @@
         book.lease_until_ms = book.lease_until_ms.max(until_ms);
         book.occupy(id, need);
         book.busy_at = now;
+        let heard_ms = now.since_ms(book.answered_at);
+        let used_milli = book.used.cpu_milli;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -240,8 +246,11 @@
             pace: 100,
         });
         let checkpoint = task.checkpoint.clone();
+        let failures = task.failed_runs.len();
         self.counts.starts += 1;
-        self.line(format!("start task={id} run={run} worker={worker}"));
+        self.line(format!(
+            "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures}"
+        ));
         self.outputs.push(Output::Start(Start {
             worker: worker.clone(),
             task: id,
@@ -249,6 +258,7 @@
             until_ms,
             checkpoint,
             accepted,
+            ticket,
         }));
     }
 
@@ -274,6 +284,7 @@
             worker.listing.service == *service
                 && worker.is_usable(now)
                 && worker.has_room(need)
+                && self.is_allowed(&id, &worker.listing.worker, now)
                 && step
                     .label
                     .as_ref()
@@ -324,6 +335,9 @@
             .find_map(|rack| self.places(service, ids, step, &need, Some(rack), now))
             .or_else(|| self.places(service, ids, step, &need, None, now));
         let Some(places) = places else {
+            if let Some(id) = ids.first() {
+                self.ask(service, id, now);
+            }
             return;
         };
         let (mut run, mut checkpoint) = (self.run_base, None);
@@ -384,6 +398,7 @@
                 .iter_mut()
                 .filter(|worker| {
                     worker.has_room(need)
+                        && self.is_allowed(id, &worker.listing.worker, now)
                         && (step.per_worker_max == 0
                             || self.count_on(worker, id) < step.per_worker_max as usize)
                 })
--- a/src/batch/holder/reports.rs
+++ b/src/batch/holder/reports.rs
@@ -277,10 +277,12 @@
         self.stale.insert(service);
         if !job.state.is_final() && job.is_done() {
             let began = job.accepted.submitted_unix_ms;
+            let objective = job.objective_unix_ms(id.occurrence);
             self.line(format!(
-                "job done job={} took_ms={}",
+                "job done job={} took_ms={} objective_ms={}",
                 id.job,
-                unix_ms.saturating_sub(began)
+                unix_ms.saturating_sub(began),
+                objective.saturating_sub(began)
             ));
             self.finish(id.job, record::State::Completed, now, unix_ms);
         }
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -480,7 +480,7 @@
                         println!("{} h{index}: {line}", self.now_ms);
                     }
                 }
-                Output::Pace { .. } => {}
+                Output::Pace { .. } | Output::Ask { .. } => {}
             }
         }
         self.send_starts(index);
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -197,3 +197,55 @@
     holder.reported(&id, &report, now, now, 0);
     assert_eq!(holder.emptying(&id), Emptying::Empty);
 }
+
+#[test]
+fn a_queue_with_a_policy_starts_only_with_a_valid_ticket() {
+    let now = Instant::from_ms(1_000);
+    let mut holder = Holder::new(terms(), 1, config(), Inheritance::default(), now);
+    let names = ["allowed", "refused"].map(id::Worker::new);
+    let report = book::Report {
+        clock_ms: 5,
+        born_unix_ms: Some(1),
+        running: Vec::new(),
+        ends: Vec::new(),
+    };
+    for name in &names {
+        holder.listed(listing(name.as_str()), now);
+    }
+    let batch = holder.take_batch();
+    holder.committed(&batch);
+    for name in &names {
+        holder.reported(name, &report, now, now, 0);
+    }
+    let mut job = accepted(vec![step(2, &[])], 3);
+    job.queue.advice = Some(wasabiloft::batch::queue::Advice {
+        base_ms: 5,
+        per_worker_ms: 1,
+        valid_ms: 3_000,
+    });
+    holder.accepted(JobId(1), job, now);
+    holder.plan(now, 0);
+    let asked = holder
+        .take_outputs()
+        .into_iter()
+        .find_map(|output| match output {
+            Output::Ask { task, workers } => Some((task, workers)),
+            Output::Start(start) => panic!("started without a ticket: {start:?}"),
+            _ => None,
+        });
+    let (task, workers) = asked.expect("a question");
+    assert_eq!(workers.len(), 2);
+    let ticket = vec![(names[0].clone(), "c81e".to_owned())];
+    holder.advised(&task, &workers, Some((ticket, 3_000)), now);
+    holder.plan(now, 0);
+    let started: Vec<_> = holder
+        .take_outputs()
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Start(start) => Some((start.worker, start.ticket)),
+            _ => None,
+        })
+        .collect();
+    let expected = (names[0].clone(), Some("c81e".to_owned()));
+    assert_eq!(started, vec![expected.clone(), expected]);
+}
