holder: workers that leave give lasting tasks up within the step's tolerance

Change: a leaving worker's tasks move within the allowance for 1 s, then all unless one of the step is being stopped.

--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -133,6 +133,8 @@
     pub noted: u64,
     /// The newest end that may be acknowledged.
     pub acknowledged: u64,
+    /// When it was first seen to leave.
+    pub leaving_since: Option<clock::Instant>,
     /// Whether it is being emptied for a move or upkeep.
     pub vacating: bool,
     /// No new tasks before this moment.
@@ -164,6 +166,7 @@
             used: Resources::default(),
             noted: 0,
             acknowledged: 0,
+            leaving_since: None,
             vacating: false,
             paused_until: clock::Instant::ZERO,
             failures: 0,
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -312,6 +312,9 @@
                 )));
             }
             worker.listed = true;
+            if listing.leaving {
+                worker.leaving_since.get_or_insert(now);
+            }
             worker.listing = listing;
             return;
         }
@@ -323,6 +326,7 @@
             listing.worker, listing.service, listing.address
         ));
         let mut worker = book::Worker::new(listing.clone(), now);
+        worker.leaving_since = listing.leaving.then_some(now);
         worker.recorded = self.rows.is_recorded(&listing.worker);
         self.rows.want(&listing.worker, &listing.service);
         self.workers.insert(listing.worker.clone(), worker);
--- a/src/batch/holder/vacate.rs
+++ b/src/batch/holder/vacate.rs
@@ -8,6 +8,10 @@
 /// A task counts as at work if its worker has answered within this time, in milliseconds; two looks.
 const HEARD_MS: u64 = 1_000;
 
+/// A worker that leaves keeps its lasting tasks this long while others of their steps are away, in milliseconds; half
+/// of the time that the platform grants.
+const LEAVING_PATIENCE_MS: u64 = 1_000;
+
 /// How far a worker is emptied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Emptying {
@@ -46,20 +50,22 @@
     pub fn move_lasting(&mut self, now: clock::Instant) {
         let mut moving = Vec::new();
         for worker in self.workers.values() {
+            let hurries = worker
+                .leaving_since
+                .is_some_and(|since| now.since_ms(since) >= LEAVING_PATIENCE_MS);
             if worker.vacating || worker.listing.leaving {
-                let free = worker.listing.leaving;
-                moving.extend(worker.tasks.iter().map(|task| (*task, free)));
+                moving.extend(worker.tasks.iter().map(|task| (*task, hurries)));
             }
         }
-        for (id, free) in moving {
-            if self.may_move(&id, free, now) {
+        for (id, hurries) in moving {
+            if self.may_move(&id, hurries, now) {
                 self.stop(id, job::StopReason::Vacate, now);
             }
         }
     }
 
     /// Whether a lasting task may be stopped to be started elsewhere.
-    fn may_move(&self, id: &TaskId, leaving: bool, now: clock::Instant) -> bool {
+    fn may_move(&self, id: &TaskId, hurries: bool, now: clock::Instant) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
@@ -71,9 +77,6 @@
         if !step.lasting || !running {
             return false;
         }
-        if leaving {
-            return true;
-        }
         let service = &job.accepted.queue.service;
         let need = plan::need(step);
         if self.choose(service, *id, step, &need, None, now).is_none() {
@@ -86,8 +89,15 @@
             .zip(&open.steps[id.step as usize].tasks)
             .filter(|(index, task)| *index != id.index && !self.is_at_work(task, now))
             .count();
+        // A worker that is about to go takes its tasks with it; but a stop that is under way elsewhere goes first, as
+        // it was allowed on the strength of the others.
+        let stopping = open.steps[id.step as usize].tasks.iter().any(|task| {
+            task.live
+                .as_ref()
+                .is_some_and(|live| live.stop_reason == Some(job::StopReason::Vacate))
+        });
         // Without a stated tolerance one at a time.
-        away < step.unavailable_max.map_or(1, |max| max as usize)
+        away < step.unavailable_max.map_or(1, |max| max as usize) || (hurries && !stopping)
     }
 
     /// Whether a lasting task is at work, as far as its worker has told lately.
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -249,3 +249,30 @@
     let expected = (names[0].clone(), Some("c81e".to_owned()));
     assert_eq!(started, vec![expected.clone(), expected]);
 }
+
+/// Found by a hunt: workers that leave took two tasks of a step while a third was being moved.
+#[test]
+fn workers_that_leave_give_their_lasting_tasks_up_within_what_the_step_tolerates() {
+    let mut world = world(5);
+    let mut lasting = step(3, &[]);
+    lasting.lasting = true;
+    lasting.per_worker_max = 1;
+    lasting.unavailable_max = Some(1);
+    world.submit(1, accepted(vec![lasting], 2));
+    world.run(500);
+    let places = world.running();
+    let now = world.now();
+    for (_, name) in &places[..2] {
+        let mut entry = listing(name);
+        entry.leaving = true;
+        world.holder().listed(entry, now);
+    }
+    world.holder().move_lasting(now);
+    let stops = world
+        .holder()
+        .take_outputs()
+        .into_iter()
+        .filter(|output| matches!(output, Output::Stop { .. }))
+        .count();
+    assert_eq!(stops, 1);
+}
