--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -184,11 +184,11 @@
             () = time::sleep(Duration::from_millis(RENEW_MS)) => {}
         }
         let batch = holding.holder().take_batch();
-        if batch.rows() > 0 || holding.since_commit_ms() >= RENEW_MS {
-            if !committer.commit(&shared, &holding, &batch).await {
-                holding.over.cancel();
-                return;
-            }
+        if (batch.rows() > 0 || holding.since_commit_ms() >= RENEW_MS)
+            && !committer.commit(&shared, &holding, &batch).await
+        {
+            holding.over.cancel();
+            return;
         }
         if !batch.is_empty() {
             remove_jobs(&shared, &batch).await;
--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -468,13 +468,11 @@
         );
         self.busy.remove(&answer.vm);
         let done = answer.changed == Some(Changed::Yes);
-        if done {
-            if let Some(worker) = &answer.worker {
-                self.holding
-                    .holder()
-                    .life_ended(worker, now, "machine-order");
-                self.holding.wake.notify_one();
-            }
+        if done && let Some(worker) = &answer.worker {
+            self.holding
+                .holder()
+                .life_ended(worker, now, "machine-order");
+            self.holding.wake.notify_one();
         }
         match (&answer.order, answer.changed) {
             (Order::Move { to }, Some(Changed::Yes)) => {
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -200,10 +200,10 @@
     let progress = progress
         .and_then(|row| row.value)
         .and_then(|value| serde_json::from_slice::<record::Progress>(&value).ok());
-    if let Some(progress) = &progress {
-        if progress.state.is_final() {
-            return Ok(Some(progress.state));
-        }
+    if let Some(progress) = &progress
+        && progress.state.is_final()
+    {
+        return Ok(Some(progress.state));
     }
     let cancelled = job_row(job, record::JobKey::Cancelled(job));
     if read(shared, &cancelled, deadline).await?.is_some() {
--- a/src/batch/holder/reports.rs
+++ b/src/batch/holder/reports.rs
@@ -242,11 +242,11 @@
             return false;
         };
         task.run = task.run.max(end.run);
-        if let Some(checkpoint) = end.checkpoint.as_ref().filter(|text| !text.is_empty()) {
-            if !task.done {
-                task.checkpoint = Some(checkpoint.clone());
-                self.changed.insert(end.task.job);
-            }
+        if let Some(checkpoint) = end.checkpoint.as_ref().filter(|text| !text.is_empty())
+            && !task.done
+        {
+            task.checkpoint = Some(checkpoint.clone());
+            self.changed.insert(end.task.job);
         }
         let ours = task
             .live
--- a/src/batch/holder/vacate.rs
+++ b/src/batch/holder/vacate.rs
@@ -26,12 +26,12 @@
 impl Holder {
     /// Stops giving new tasks to a worker, and moves its lasting tasks away.
     pub fn vacate(&mut self, id: &id::Worker, on: bool) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            if worker.vacating != on {
-                worker.vacating = on;
-                let service = worker.listing.service.clone();
-                self.stale.insert(service);
-            }
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.vacating != on
+        {
+            worker.vacating = on;
+            let service = worker.listing.service.clone();
+            self.stale.insert(service);
         }
     }
 
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -458,7 +458,7 @@
         let now = self.now();
         let unix_ms = self.now_ms;
         let holder = &mut self.acting[index].holder;
-        if self.now_ms % 50 == 0 {
+        if self.now_ms.is_multiple_of(50) {
             holder.tick(now, unix_ms);
             holder.move_lasting(now);
         }
