--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -218,7 +218,7 @@
         let mut holder = self.holding.holder();
         for before in &self.list {
             if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
-                holder.life_ended(worker, now, "machine-without");
+                holder.life_ended(worker, "machine-without");
             }
         }
         holder.resolve_absent(&current, now);
@@ -469,9 +469,7 @@
         self.busy.remove(&answer.vm);
         let done = answer.changed == Some(Changed::Yes);
         if done && let Some(worker) = &answer.worker {
-            self.holding
-                .holder()
-                .life_ended(worker, now, "machine-order");
+            self.holding.holder().life_ended(worker, "machine-order");
             self.holding.wake.notify_one();
         }
         match (&answer.order, answer.changed) {
--- a/node/src/batch/holding.rs
+++ b/node/src/batch/holding.rs
@@ -108,9 +108,6 @@
     Terms {
         lease_ms: LEASE_MS.min(settings.worker_lease_max_ms),
         status_ms: settings.status_ms,
-        far_milli: settings.far_milli,
-        notice_ms: settings.notice_ms,
-        harm_ms: settings.harm_ms,
     }
 }
 
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -303,8 +303,7 @@
                 return;
             }
             Ok(worker::Looked::OtherLife) => {
-                let now = clock::since_boot();
-                holding.holder().life_ended(&id, now, "other-life");
+                holding.holder().life_ended(&id, "other-life");
                 holding.wake.notify_one();
                 return;
             }
@@ -324,8 +323,7 @@
                     );
                 }
                 if refusals >= REFUSALS_GONE && has_left(&holding, &id) {
-                    let now = clock::since_boot();
-                    holding.holder().life_ended(&id, now, "left");
+                    holding.holder().life_ended(&id, "left");
                     holding.wake.notify_one();
                     return;
                 }
--- a/src/batch/book.rs
+++ b/src/batch/book.rs
@@ -143,10 +143,6 @@
     failures: u32,
     last_failed_job: Option<crate::batch::JobId>,
     doubt_ms: u64,
-    /// When it last got a task or had one end; tells how long it has rested.
-    pub busy_at: clock::Instant,
-    /// Its slowness against the caller's estimates, in thousandths; 1,000 is as estimated.
-    pub pace_milli: u64,
 }
 
 impl Worker {
@@ -172,8 +168,6 @@
             failures: 0,
             last_failed_job: None,
             doubt_ms: 0,
-            busy_at: now,
-            pace_milli: 1_000,
         }
     }
 
@@ -227,12 +221,11 @@
     }
 
     /// Gives a task's room back.
-    pub fn vacate(&mut self, task: &TaskId, need: &Resources, now: clock::Instant) {
+    pub fn vacate(&mut self, task: &TaskId, need: &Resources) {
         if self.tasks.remove(task) {
             self.used.cpu_milli = self.used.cpu_milli.saturating_sub(need.cpu_milli);
             self.used.memory_mib = self.used.memory_mib.saturating_sub(need.memory_mib);
             self.used.accelerators = self.used.accelerators.saturating_sub(need.accelerators);
-            self.busy_at = now;
         }
     }
 
--- a/src/batch/holder/job.rs
+++ b/src/batch/holder/job.rs
@@ -15,8 +15,6 @@
     pub worker: id::Worker,
     /// Which start of the task.
     pub run: u32,
-    /// When the start was first sent; `None` for a run that was found on its worker.
-    pub sent_at: Option<clock::Instant>,
     /// When the worker was known to have it.
     pub known_at: Option<clock::Instant>,
     /// When a stop was last sent.
@@ -69,8 +67,6 @@
     pub not_before: clock::Instant,
     /// The worker where it last failed.
     pub avoid: Option<id::Worker>,
-    /// Whether it was at work on its worker and was stopped by our own action.
-    pub away_by_us: bool,
 }
 
 impl Task {
@@ -124,18 +120,11 @@
     pub ended_unix_ms: u64,
     /// The longest chain of estimated work from each step on, in milliseconds.
     pub chains_ms: Vec<u64>,
-    /// Whether it waits to be accepted longer than callers may see.
-    pub accepted_at: clock::Instant,
 }
 
 impl Job {
     /// A job that no task of is known yet.
-    pub fn new(
-        id: JobId,
-        accepted: Arc<record::Accepted>,
-        inherited: bool,
-        now: clock::Instant,
-    ) -> Self {
+    pub fn new(id: JobId, accepted: Arc<record::Accepted>, inherited: bool) -> Self {
         let chains_ms = accepted.spec.chains_ms();
         Self {
             id,
@@ -146,7 +135,6 @@
             stored: record::State::Queued,
             ended_unix_ms: 0,
             chains_ms,
-            accepted_at: now,
         }
     }
 
--- a/src/batch/holder/mod.rs
+++ b/src/batch/holder/mod.rs
@@ -44,12 +44,6 @@
     pub lease_ms: u64,
     /// How long ended jobs stay known, in milliseconds.
     pub status_ms: u64,
-    /// How much longer work away from its data takes, in thousandths.
-    pub far_milli: u64,
-    /// Until this long after our action a lasting task that isn't back counts as away, in milliseconds.
-    pub notice_ms: u64,
-    /// A serving task may be over its target for this long, in milliseconds.
-    pub harm_ms: u64,
 }
 
 /// An order to start a run.
@@ -213,7 +207,7 @@
             counts: Counts::default(),
         };
         for (id, accepted) in rows.accepted {
-            holder.adopt(id, accepted, true, now);
+            holder.adopt(id, accepted, true);
         }
         for (id, progress) in &rows.progress {
             if let Some(job) = holder.jobs.get_mut(id) {
@@ -231,19 +225,13 @@
 
     /// Takes in a job that was accepted since the holder began.
     pub fn accepted(&mut self, id: JobId, accepted: record::Accepted, now: clock::Instant) {
-        self.adopt(id, accepted, false, now);
+        self.adopt(id, accepted, false);
         if self.early_cancels.remove(&id) {
             self.cancelled(id, now, 0);
         }
     }
 
-    fn adopt(
-        &mut self,
-        id: JobId,
-        accepted: record::Accepted,
-        inherited: bool,
-        now: clock::Instant,
-    ) {
+    fn adopt(&mut self, id: JobId, accepted: record::Accepted, inherited: bool) {
         if self.jobs.contains_key(&id) {
             return;
         }
@@ -252,7 +240,7 @@
             let arrived = self.arrived.entry(service.clone()).or_default();
             arrived.add(&accepted.spec);
         }
-        let mut job = job::Job::new(id, Arc::new(accepted), inherited, now);
+        let mut job = job::Job::new(id, Arc::new(accepted), inherited);
         if job.accepted.spec.schedule.is_none() {
             job.open(0);
         }
@@ -341,7 +329,7 @@
     }
 
     /// Takes in proof that a worker's life is over: all that ran there has ended.
-    pub fn life_ended(&mut self, id: &id::Worker, now: clock::Instant, why: &str) {
+    pub fn life_ended(&mut self, id: &id::Worker, why: &str) {
         self.unresolved.remove(id);
         let Some(worker) = self.workers.remove(id) else {
             return;
@@ -355,12 +343,12 @@
         self.stale.insert(worker.listing.service.clone());
         for task in worker.tasks {
             self.line(format!("run lost task={task} worker={id} reason={why}"));
-            self.release(task, now);
+            self.release(task);
         }
     }
 
     /// Makes a task whose run is over wait for its next start.
-    fn release(&mut self, id: TaskId, now: clock::Instant) {
+    fn release(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -373,7 +361,7 @@
         };
         let need = plan::need(&spec.spec.steps[id.step as usize]);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
-            worker.vacate(&id, &need, now);
+            worker.vacate(&id, &need);
         }
         self.stale.insert(spec.queue.service.clone());
     }
@@ -462,7 +450,7 @@
                 self.stale.insert(row.service);
             }
             if self.workers.contains_key(&worker) {
-                self.life_ended(&worker, now, "machine-without");
+                self.life_ended(&worker, "machine-without");
             } else {
                 self.rows.drop_worker(&worker);
             }
@@ -487,7 +475,7 @@
                 continue;
             };
             if !worker.listed {
-                self.life_ended(&id, now, "lapsed-unlisted");
+                self.life_ended(&id, "lapsed-unlisted");
                 continue;
             }
             let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
@@ -500,7 +488,7 @@
                 self.line(format!(
                     "run lost task={task} worker={id} reason=lease-lapsed"
                 ));
-                self.release(task, now);
+                self.release(task);
             }
         }
     }
--- a/src/batch/holder/orders.rs
+++ b/src/batch/holder/orders.rs
@@ -80,7 +80,7 @@
                 reason: Refusal::OtherLife,
                 ..
             } => {
-                self.life_ended(worker, now, "other-life");
+                self.life_ended(worker, "other-life");
                 return;
             }
             _ => {}
@@ -170,7 +170,7 @@
         {
             self.drop_ticket(&id, worker);
         }
-        self.release(id, now);
+        self.release(id);
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(&id)) {
             task.not_before = now.after_ms(pause_ms);
         }
--- a/src/batch/holder/plan.rs
+++ b/src/batch/holder/plan.rs
@@ -15,8 +15,6 @@
 const FAR_WEIGHT: u64 = 10_000;
 /// Weight of a worker on which the task failed before.
 const AVOID_WEIGHT: u64 = 20_000;
-/// Weight of a worker that runs slower than its peers.
-const SLOW_WEIGHT: u64 = 5_000;
 
 /// Room that a task of a step takes on a worker.
 pub(super) fn need(step: &spec::Step) -> Resources {
@@ -221,7 +219,6 @@
         };
         book.lease_until_ms = book.lease_until_ms.max(until_ms);
         book.occupy(id, need);
-        book.busy_at = now;
         let heard_ms = now.since_ms(book.answered_at);
         let used_milli = book.used.cpu_milli;
         let Some(job) = self.jobs.get_mut(&id.job) else {
@@ -235,7 +232,6 @@
         task.live = Some(job::Live {
             worker: worker.clone(),
             run,
-            sent_at: Some(now),
             known_at: None,
             stop_sent_at: None,
             stopped_at: None,
@@ -410,7 +406,7 @@
     }
 }
 
-/// How ill a worker suits a task: away from its data, slow, or with much room left that a larger task may need.
+/// How ill a worker suits a task: away from its data, known to fail it, or with much room left that a larger task may need.
 fn weight(
     worker: &book::Worker,
     task: &job::Task,
@@ -425,14 +421,10 @@
         .is_some_and(|data| !listing.labels.contains(data))
         || rack.is_some_and(|rack| listing.rack.as_ref() != Some(rack));
     let avoid = task.avoid.as_ref() == Some(&listing.worker);
-    let slow = worker.pace_milli > 2_000;
     let left = listing
         .size
         .cpu_milli
         .saturating_sub(worker.used.cpu_milli + need.cpu_milli);
     let share = left * 1_000 / listing.size.cpu_milli.max(1);
-    u64::from(far) * FAR_WEIGHT
-        + u64::from(avoid) * AVOID_WEIGHT
-        + u64::from(slow) * SLOW_WEIGHT
-        + share
+    u64::from(far) * FAR_WEIGHT + u64::from(avoid) * AVOID_WEIGHT + share
 }
--- a/src/batch/holder/reports.rs
+++ b/src/batch/holder/reports.rs
@@ -105,7 +105,7 @@
             self.ended(id, end, now, unix_ms);
         }
         if report.ends.len() < ENDS_MAX {
-            self.find_missing(id, report, sent_at, now);
+            self.find_missing(id, report, sent_at);
         }
         self.pace(id, now);
     }
@@ -143,9 +143,6 @@
                     live.percent_at = now;
                 }
                 live.usage = run.usage;
-                if run.percent >= 100 {
-                    task.away_by_us = false;
-                }
                 if over && live.stop_reason.is_none() {
                     self.stop(run.task, job::StopReason::Over, now);
                 }
@@ -154,7 +151,6 @@
                 task.live = Some(job::Live {
                     worker: id.clone(),
                     run: run.run,
-                    sent_at: None,
                     known_at: Some(now),
                     stop_sent_at: None,
                     stopped_at: None,
@@ -198,7 +194,7 @@
         worker.noted = end.number;
         let life = worker.born_unix_ms;
         self.rows.note(id, life, end.number);
-        let ours = self.close_run(id, end, now);
+        let ours = self.close_run(id, end);
         self.line(format!(
             "end task={} run={} worker={id} how={:?} number={}",
             end.task, end.run, end.how, end.number
@@ -234,7 +230,7 @@
     }
 
     /// Frees what an ended run held; tells whether it was the run that we followed.
-    fn close_run(&mut self, id: &id::Worker, end: &book::End, now: clock::Instant) -> bool {
+    fn close_run(&mut self, id: &id::Worker, end: &book::End) -> bool {
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return false;
         };
@@ -253,10 +249,7 @@
             .as_ref()
             .is_some_and(|live| live.worker == *id && live.run == end.run);
         if ours {
-            task.away_by_us = task.live.as_ref().is_some_and(|live| {
-                live.stop_reason == Some(job::StopReason::Vacate) && live.percent >= 100
-            });
-            self.release(end.task, now);
+            self.release(end.task);
         }
         ours
     }
@@ -348,13 +341,7 @@
 
     /// Releases tasks whose run the worker surely doesn't have: neither runs nor ended, in an answer to a look that
     /// was sent after the run was known there or was stopped there.
-    fn find_missing(
-        &mut self,
-        id: &id::Worker,
-        report: &book::Report,
-        sent_at: clock::Instant,
-        now: clock::Instant,
-    ) {
+    fn find_missing(&mut self, id: &id::Worker, report: &book::Report, sent_at: clock::Instant) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -383,7 +370,7 @@
         for task in missing {
             self.line(format!("run missing task={task} worker={id}"));
             self.counts.lost += 1;
-            self.release(task, now);
+            self.release(task);
         }
     }
 
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -32,9 +32,6 @@
     Terms {
         lease_ms: LEASE_MS,
         status_ms: 120_000,
-        far_milli: 1_500,
-        notice_ms: 4_500,
-        harm_ms: 4_000,
     }
 }
 
