--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -134,13 +134,12 @@
 }
 
 impl Fleet {
-    /// Whether an order for a machine may go out: this holder's lease covers its way, and no predecessor that may
-    /// still act has ordered within its own.
+    /// Whether an order for a machine may go out: this holder's lease covers its way, and the last orders of the
+    /// predecessor are a lease old, whatever became of it.
     fn may_order(&self) -> bool {
         let lease_ms = self.shared.settings().machine_lease_ms;
         let waited = clock::since_boot().since_ms(self.holding.began_at) > lease_ms;
-        let alone = waited || !self.holding.predecessor_may_act;
-        alone && self.holding.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
+        waited && self.holding.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
     }
 
     async fn round(&mut self) {
--- a/node/src/batch/holding.rs
+++ b/node/src/batch/holding.rs
@@ -51,8 +51,6 @@
     committed_ms: AtomicU64,
     /// When the duty was taken over.
     pub began_at: wasabiloft::clock::Instant,
-    /// Whether the last holder may still give orders.
-    pub predecessor_may_act: bool,
 }
 
 impl Holding {
@@ -206,7 +204,6 @@
         over: CancellationToken::new(),
         committed_ms: AtomicU64::new(now.as_ms()),
         began_at: now,
-        predecessor_may_act,
     });
     holding.configured(shared);
     Some((holding, version))
