batch: one check each for a claim and for a place; unread rows leave a line

Whether a claim is ours stood twice, whether a worker suits a step stood twice (single tasks and gangs); three unreadable rows or failed readings were passed over without a log line; two functions had no caller. Change: if_ours, has_place and has_label serve both places; lines for the rows; the two functions go. No decision changed.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -253,30 +253,37 @@
         }
         Ok(store::Committed::No(rows)) => {
             let now = read(rows.into_iter().next());
-            let ours = now
-                .duty
-                .as_ref()
-                .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
-            let version = now.version;
-            shared.saw_duty(now);
-            ours.then_some((duty, version))
+            if_ours(shared, duty, now)
         }
         Err(error) => {
             log::info("duty", &format!("claim unanswered reason={error}"));
-            settle(shared, &duty).await
+            settle(shared, duty).await
         }
     }
 }
 
 /// Finds out whether a claim without an answer was committed.
-async fn settle(shared: &shared::Shared, duty: &record::Duty) -> Option<(record::Duty, u64)> {
-    let row = shared.store.row(&row_name(), CALL_TIMEOUT_MS).await.ok()?;
-    let now = read(row);
+async fn settle(shared: &shared::Shared, duty: record::Duty) -> Option<(record::Duty, u64)> {
+    match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
+        Ok(row) => if_ours(shared, duty, read(row)),
+        Err(error) => {
+            log::info("duty", &format!("claim unsettled reason={error}"));
+            None
+        }
+    }
+}
+
+/// The claim and its version, if the row that was read is the claim.
+fn if_ours(
+    shared: &shared::Shared,
+    duty: record::Duty,
+    now: shared::DutySeen,
+) -> Option<(record::Duty, u64)> {
     let ours = now
         .duty
         .as_ref()
         .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
     let version = now.version;
     shared.saw_duty(now);
-    ours.then(|| (duty.clone(), version))
+    ours.then_some((duty, version))
 }
--- a/node/src/batch/fleet.rs
+++ b/node/src/batch/fleet.rs
@@ -128,9 +128,19 @@
 }
 
 fn read_record(row: &store::Row) -> Option<(u64, waves::Record)> {
-    let number = row.name.key.parse().ok()?;
-    let record = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some((number, record))
+    let number = row.name.key.parse().ok();
+    let record = row.value.as_deref().map(serde_json::from_slice);
+    match (number, record) {
+        (Some(number), Some(Ok(record))) => Some((number, record)),
+        _ => {
+            // Its upkeeps are ordered again, which the platform takes as the same.
+            log::warn(
+                "fleet",
+                &format!("wave's row can't be read key={}", row.name.key),
+            );
+            None
+        }
+    }
 }
 
 impl Fleet {
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -199,7 +199,7 @@
     let progress = read(shared, &progress, deadline).await?;
     let progress = progress
         .and_then(|row| row.value)
-        .and_then(|value| serde_json::from_slice::<record::Progress>(&value).ok());
+        .and_then(|value| read_progress(job, &value));
     if let Some(progress) = &progress
         && progress.state.is_final()
     {
@@ -214,6 +214,19 @@
     ))
 }
 
+fn read_progress(job: JobId, value: &[u8]) -> Option<record::Progress> {
+    match serde_json::from_slice(value) {
+        Ok(progress) => Some(progress),
+        Err(error) => {
+            log::warn(
+                "front",
+                &format!("progress can't be read job={job} reason={error}"),
+            );
+            None
+        }
+    }
+}
+
 /// Cancels a job: once the row is committed, it starts nothing more.
 pub async fn cancel(
     shared: &Arc<shared::Shared>,
--- a/src/batch/holder/plan.rs
+++ b/src/batch/holder/plan.rs
@@ -279,14 +279,8 @@
         let fits = |worker: &book::Worker| {
             worker.listing.service == *service
                 && worker.is_usable(now)
-                && worker.has_room(need)
-                && self.is_allowed(&id, &worker.listing.worker, now)
-                && step
-                    .label
-                    .as_ref()
-                    .is_none_or(|label| worker.listing.labels.contains(label))
-                && (step.per_worker_max == 0
-                    || self.count_on(worker, &id) < step.per_worker_max as usize)
+                && has_label(worker, step)
+                && self.has_place(worker, &id, step, need, now)
                 // A doubtful worker is tried with one task that may fail.
                 && (!worker.is_doubtful()
                     || (worker.tasks.is_empty() && (attempts_left > 1 || step.lasting)))
@@ -298,6 +292,21 @@
             .map(|(id, _)| id.clone())
     }
 
+    /// Whether a worker has room for a task, and its queue's policy and its step's spread let it go there.
+    fn has_place(
+        &self,
+        worker: &book::Worker,
+        id: &TaskId,
+        step: &spec::Step,
+        need: &Resources,
+        now: clock::Instant,
+    ) -> bool {
+        worker.has_room(need)
+            && self.is_allowed(id, &worker.listing.worker, now)
+            && (step.per_worker_max == 0
+                || self.count_on(worker, id) < step.per_worker_max as usize)
+    }
+
     /// Tasks of the same step and occurrence on a worker.
     fn count_on(&self, worker: &book::Worker, id: &TaskId) -> usize {
         worker
@@ -381,10 +390,7 @@
                     && worker.is_usable(now)
                     && !worker.is_doubtful()
                     && (rack.is_none() || worker.listing.rack.as_ref() == rack)
-                    && step
-                        .label
-                        .as_ref()
-                        .is_none_or(|label| worker.listing.labels.contains(label))
+                    && has_label(worker, step)
             })
             .cloned()
             .collect();
@@ -392,12 +398,7 @@
         for id in ids {
             let worker = free
                 .iter_mut()
-                .filter(|worker| {
-                    worker.has_room(need)
-                        && self.is_allowed(id, &worker.listing.worker, now)
-                        && (step.per_worker_max == 0
-                            || self.count_on(worker, id) < step.per_worker_max as usize)
-                })
+                .filter(|worker| self.has_place(worker, id, step, need, now))
                 .min_by_key(|worker| worker.listing.size.cpu_milli - worker.used.cpu_milli)?;
             worker.occupy(*id, need);
             places.push(worker.listing.worker.clone());
@@ -406,6 +407,13 @@
     }
 }
 
+/// Whether a worker has the label that a step asks for, if it asks for one.
+fn has_label(worker: &book::Worker, step: &spec::Step) -> bool {
+    step.label
+        .as_ref()
+        .is_none_or(|label| worker.listing.labels.contains(label))
+}
+
 /// How ill a worker suits a task: away from its data, known to fail it, or with much room left that a larger task may need.
 fn weight(
     worker: &book::Worker,
--- a/src/batch/holder/reports.rs
+++ b/src/batch/holder/reports.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 
+use crate::batch::TaskId;
 use crate::batch::book;
 use crate::batch::holder::job;
 use crate::batch::holder::{Holder, Look, plan};
 use crate::batch::record;
-use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
 
@@ -373,9 +373,4 @@
             self.release(task);
         }
     }
-
-    /// Jobs that aren't over, for tests and reports.
-    pub fn open_jobs(&self) -> impl Iterator<Item = JobId> {
-        self.open.iter().copied()
-    }
 }
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -13,10 +13,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::JobId;
 use crate::batch::queue;
 use crate::batch::spec;
 use crate::batch::waves;
-use crate::batch::{JobId, TaskId};
 use crate::id;
 
 /// The table of accepted jobs and cancellations.
@@ -219,8 +219,3 @@
             + self.forgotten.len()
     }
 }
-
-/// Names one task's record within a job.
-pub fn place(task: &TaskId) -> (u32, u32, u32) {
-    (task.occurrence, task.step, task.index)
-}
