scheduler: place tasks by free capacity, skip jobs without a startable step

Cause: with 1,100 workers and thousands of starts a second, each placement compared all workers, each planning round looked at all tasks of all open jobs for every service, and each tick searched a place for every long-running task of a draining machine before it checked the tolerance of its step. Change: usable workers of a service are sorted by free capacity once a round (room.rs); open jobs are kept by service; steps count their tasks without a run; the tolerance is checked before the search. Ruled out: a worker index kept up to date by every event, as leases and silences change it without one.

--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -77,7 +77,7 @@
                 demand.running += machine_share(&worker.used, size);
             }
         }
-        for id in &self.open_jobs {
+        for id in self.open_jobs.iter() {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -1,8 +1,10 @@
 //! Draining workers before a move, maintenance or their departure, within the unavailability that long-running steps
 //! tolerate.
 
+use std::collections::BTreeMap;
+
 use crate::batch::TaskId;
-use crate::batch::scheduler::{Scheduler, job, plan};
+use crate::batch::scheduler::{Scheduler, job, plan, room};
 use crate::clock;
 use crate::id;
 
@@ -67,15 +69,29 @@
                 evictions.extend(worker.tasks.iter().map(|task| (*task, is_urgent)));
             }
         }
+        let mut rooms: BTreeMap<id::Service, room::Room> = BTreeMap::new();
         for (id, is_urgent) in evictions {
-            if self.can_evict(&id, is_urgent, now) {
+            let Some(job) = self.jobs.get(&id.job) else {
+                continue;
+            };
+            let service = &job.accepted.queue.service;
+            let room = rooms
+                .entry(service.clone())
+                .or_insert_with(|| self.room(service, now));
+            if self.can_evict(room, &id, is_urgent, now) {
                 self.stop_task(id, job::StopReason::Vacate, now);
             }
         }
     }
 
     /// Returns whether a long-running task can be stopped now, to be started on another worker.
-    fn can_evict(&self, id: &TaskId, is_urgent: bool, now: clock::Instant) -> bool {
+    fn can_evict(
+        &self,
+        room: &room::Room,
+        id: &TaskId,
+        is_urgent: bool,
+        now: clock::Instant,
+    ) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
@@ -95,13 +111,6 @@
         {
             return false;
         }
-        let need = plan::need(step);
-        if self
-            .choose_worker(service, *id, step, &need, None, now)
-            .is_none()
-        {
-            return false;
-        }
         let Some(occurrence_state) = job.occurrences.get(&id.occurrence) else {
             return false;
         };
@@ -121,7 +130,12 @@
                     .is_some_and(|active| active.stop_reason == Some(job::StopReason::Vacate))
             });
         // Without a stated tolerance, one task at a time can be unavailable.
-        unavailable < step.unavailable_max.map_or(1, |max| max as usize) || (is_urgent && !stopping)
+        let is_tolerated = unavailable < step.unavailable_max.map_or(1, |max| max as usize)
+            || (is_urgent && !stopping);
+        is_tolerated
+            && self
+                .choose_worker(room, *id, step, &plan::need(step), now)
+                .is_some()
     }
 
     /// Returns whether a long-running task is available according to a recent answer of its worker.
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -83,6 +83,8 @@
     pub tasks: Vec<Task>,
     /// Number of tasks that are done.
     pub done: u32,
+    /// Number of tasks that are neither done nor have an active run.
+    pub idle: u32,
 }
 
 /// Scheduling state of one repetition of a job's steps.
@@ -167,6 +169,7 @@
                     .map(|step| Step {
                         tasks: vec![Task::default(); step.tasks as usize],
                         done: 0,
+                        idle: step.tasks,
                     })
                     .collect(),
             })
@@ -229,11 +232,52 @@
         }
         task.done = true;
         task.checkpoint = None;
-        if let Some(occurrence) = self.occurrences.get_mut(&id.occurrence) {
-            occurrence.steps[id.step as usize].done += 1;
+        let was_idle = task.active.is_none();
+        if let Some(step) = self.step_mut(id) {
+            step.done += 1;
+            step.idle -= u32::from(was_idle);
         }
     }
 
+    /// Records that a run of a task is under way.
+    pub fn set_active(&mut self, id: &TaskId, run: ActiveRun) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        let was_idle = task.active.replace(run).is_none() && !task.done;
+        if let Some(step) = self.step_mut(id) {
+            step.idle -= u32::from(was_idle);
+        }
+    }
+
+    /// Removes and returns the active run of a task.
+    pub fn take_active(&mut self, id: &TaskId) -> Option<ActiveRun> {
+        let task = self.task_mut(id)?;
+        let run = task.active.take()?;
+        let is_idle = !task.done;
+        if let Some(step) = self.step_mut(id) {
+            step.idle += u32::from(is_idle);
+        }
+        Some(run)
+    }
+
+    fn step_mut(&mut self, id: &TaskId) -> Option<&mut Step> {
+        self.occurrences
+            .get_mut(&id.occurrence)?
+            .steps
+            .get_mut(id.step as usize)
+    }
+
+    /// Returns whether a step of an occurrence can start and has tasks without a run.
+    pub fn has_startable(&self, occurrence: u32) -> bool {
+        let Some(occurrence_state) = self.occurrences.get(&occurrence) else {
+            return false;
+        };
+        (0_u32..)
+            .zip(&occurrence_state.steps)
+            .any(|(number, step)| step.idle > 0 && self.is_step_ready(occurrence, number))
+    }
+
     /// Returns whether all steps that a step depends on are done.
     pub fn is_step_ready(&self, occurrence: u32, step: u32) -> bool {
         let Some(occurrence_state) = self.occurrences.get(&occurrence) else {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -9,8 +9,10 @@
 mod gang;
 pub mod job;
 mod message;
+mod open_jobs;
 mod plan;
 mod reports;
+mod room;
 mod stuck;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -49,7 +51,7 @@
     config: Arc<queue::Config>,
     jobs: HashMap<JobId, job::Job>,
     /// Jobs without a final state.
-    open_jobs: BTreeSet<JobId>,
+    open_jobs: open_jobs::OpenJobs,
     /// Cancellations received before their job.
     early_cancels: BTreeSet<JobId>,
     workers: BTreeMap<id::Worker, worker_state::Worker>,
@@ -88,7 +90,7 @@
             started_at: now,
             config,
             jobs: HashMap::new(),
-            open_jobs: BTreeSet::new(),
+            open_jobs: open_jobs::OpenJobs::default(),
             early_cancels: BTreeSet::new(),
             workers: BTreeMap::new(),
             unresolved: recovered.workers.iter().cloned().collect(),
@@ -111,7 +113,7 @@
             if let Some(job) = scheduler.jobs.get_mut(id) {
                 job.restore(progress);
                 if job.state.is_final() {
-                    scheduler.open_jobs.remove(id);
+                    scheduler.open_jobs.remove(*id, &job.accepted.queue.service);
                 }
             }
         }
@@ -144,7 +146,7 @@
             job.open_occurrence(0);
         }
         self.jobs.insert(id, job);
-        self.open_jobs.insert(id);
+        self.open_jobs.insert(id, &service);
         self.dirty_services.insert(service);
     }
 
@@ -169,7 +171,7 @@
         };
         job.state = state;
         job.ended_unix_ms = unix_ms;
-        self.open_jobs.remove(&id);
+        self.open_jobs.remove(id, &job.accepted.queue.service);
         self.changed_jobs.insert(id);
         self.step_tickets.retain(|(job, ..), _| *job != id);
         let active_tasks: Vec<TaskId> = job
@@ -235,10 +237,7 @@
             return;
         };
         let spec = Arc::clone(&job.accepted);
-        let Some(task) = job.task_mut(&id) else {
-            return;
-        };
-        let Some(active) = task.active.take() else {
+        let Some(active) = job.take_active(&id) else {
             return;
         };
         let need = plan::need(&spec.spec.steps[id.step as usize]);
@@ -283,7 +282,7 @@
     }
 
     fn open_due_occurrences(&mut self, unix_ms: u64) {
-        for id in &self.open_jobs {
+        for id in self.open_jobs.iter() {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -1,7 +1,7 @@
 //! Planning: which waiting tasks start, in which order, and on which worker.
 
-use crate::batch::scheduler::job;
 use crate::batch::scheduler::{Output, Scheduler, Start};
+use crate::batch::scheduler::{job, room};
 use crate::batch::spec;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
@@ -10,11 +10,6 @@
 use crate::platform::Resources;
 use std::sync::Arc;
 
-/// Cost of a worker away from the task's data; a worker's share of free capacity costs at most 1000.
-const REMOTE_COST: u64 = 10_000;
-/// Cost of the worker on which the task failed before.
-const FAILED_BEFORE_COST: u64 = 20_000;
-
 /// Returns the capacity that a task of a step takes on a worker. A filler task takes no processor share.
 pub(super) fn need(step: &spec::Step) -> Resources {
     Resources {
@@ -73,8 +68,12 @@
             .unresolved
             .values()
             .any(|worker| worker.service == *service);
-        let mut candidates = self.candidates(service, has_unresolved, now, unix_ms);
+        let mut candidates = self.candidates(service, has_unresolved, unix_ms);
+        if candidates.is_empty() {
+            return;
+        }
         candidates.sort_unstable();
+        let mut room = self.room(service, now);
         // After a task was not placed, tasks of the same service that need at least as much are skipped.
         let mut unplaced: Option<Resources> = None;
         for candidate in candidates {
@@ -98,10 +97,11 @@
                 }
                 if spec.gang {
                     self.start_gang(service, &ids, spec, now);
+                    room = self.room(service, now);
                     continue;
                 }
                 for id in ids {
-                    if !self.start_task(service, id, spec, &need, now) {
+                    if !self.start_task(&mut room, id, spec, &need, now) {
                         self.request_tickets(service, &id, now);
                         let unconstrained = spec.label.is_none()
                             && spec.per_worker_max == 0
@@ -120,25 +120,18 @@
         &self,
         service: &id::Service,
         has_unresolved: bool,
-        now: clock::Instant,
         unix_ms: u64,
     ) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        for id in &self.open_jobs {
+        for id in self.open_jobs.of_service(service) {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            let must_wait = has_unresolved && (job.recovered || self.predecessor_may_act);
-            if job.accepted.queue.service != *service || must_wait {
+            if has_unresolved && (job.recovered || self.predecessor_may_act) {
                 continue;
             }
-            for (&occurrence, occurrence_state) in &job.occurrences {
-                let has_waiting = occurrence_state
-                    .steps
-                    .iter()
-                    .flat_map(|step| &step.tasks)
-                    .any(|task| task.is_waiting(now));
-                if !has_waiting {
+            for &occurrence in job.occurrences.keys() {
+                if !job.has_startable(occurrence) {
                     continue;
                 }
                 let objective_unix_ms = job.objective_unix_ms(occurrence);
@@ -184,13 +177,13 @@
 
     fn start_task(
         &mut self,
-        service: &id::Service,
+        room: &mut room::Room,
         id: TaskId,
         step: &spec::Step,
         need: &Resources,
         now: clock::Instant,
     ) -> bool {
-        let Some(worker) = self.choose_worker(service, id, step, need, None, now) else {
+        let Some(worker) = self.choose_worker(room, id, step, need, now) else {
             return false;
         };
         let base = self.run_base;
@@ -201,6 +194,7 @@
             .map_or(base, |task| task.last_run.max(base))
             + 1;
         self.send_start(&worker, id, run, need, now);
+        room.reserve(&worker, need.cpu_milli);
         true
     }
 
@@ -232,7 +226,9 @@
             return;
         };
         task.last_run = run;
-        task.active = Some(job::ActiveRun {
+        let checkpoint = task.checkpoint.clone();
+        let failures = task.failed_runs.len();
+        let active = job::ActiveRun {
             worker: worker.clone(),
             run,
             confirmed_at: None,
@@ -243,9 +239,8 @@
             percent_at: now,
             usage: 0,
             pace_percent: 100,
-        });
-        let checkpoint = task.checkpoint.clone();
-        let failures = task.failed_runs.len();
+        };
+        job.set_active(&id, active);
         self.log(format!(
             "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures}"
         ));
@@ -260,75 +255,6 @@
         }));
     }
 
-    /// Returns the best worker for a task, or `None` if no worker can take it.
-    pub(super) fn choose_worker(
-        &self,
-        service: &id::Service,
-        id: TaskId,
-        step: &spec::Step,
-        need: &Resources,
-        rack: Option<&id::Rack>,
-        now: clock::Instant,
-    ) -> Option<id::Worker> {
-        let task = self.jobs.get(&id.job)?.task(&id)?;
-        let attempts_left = self
-            .jobs
-            .get(&id.job)?
-            .accepted
-            .queue
-            .attempts_max
-            .saturating_sub(u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX));
-        // The last attempt waits for a healthy worker; if there is none, it is made on a suspect one.
-        let can_retry =
-            attempts_left > 1 || step.long_running || !self.has_healthy_worker(service, now);
-        let fits = |worker: &worker_state::Worker| {
-            worker.listing.service == *service
-                && worker.is_usable(now)
-                && has_label(worker, step)
-                && self.can_place(worker, &id, step, need, now)
-                // A suspect worker gets one task at a time, and only a task that can be retried.
-                && (!worker.is_suspect() || (worker.tasks.is_empty() && can_retry))
-        };
-        self.workers
-            .iter()
-            .filter(|(_, worker)| fits(worker))
-            .min_by_key(|(_, worker)| placement_cost(worker, task, step, need, rack))
-            .map(|(id, _)| id.clone())
-    }
-
-    fn has_healthy_worker(&self, service: &id::Service, now: clock::Instant) -> bool {
-        self.workers
-            .values()
-            .any(|worker| worker.listing.service == *service && worker.is_healthy(now))
-    }
-
-    /// Returns whether a worker has the free capacity for a task, and the policy of the queue and the spread of the
-    /// step allow the task there.
-    fn can_place(
-        &self,
-        worker: &worker_state::Worker,
-        id: &TaskId,
-        step: &spec::Step,
-        need: &Resources,
-        now: clock::Instant,
-    ) -> bool {
-        worker.has_capacity(need)
-            && self.is_allowed(id, &worker.listing.worker, now)
-            && (step.per_worker_max == 0
-                || self.step_tasks_on(worker, id) < step.per_worker_max as usize)
-    }
-
-    /// Returns the number of tasks of the same step and occurrence on a worker.
-    fn step_tasks_on(&self, worker: &worker_state::Worker, id: &TaskId) -> usize {
-        worker
-            .tasks
-            .iter()
-            .filter(|task| {
-                task.job == id.job && task.occurrence == id.occurrence && task.step == id.step
-            })
-            .count()
-    }
-
     /// Starts all tasks of a gang, or none.
     fn start_gang(
         &mut self,
@@ -419,32 +345,8 @@
 }
 
 /// Returns whether a worker has the label that a step requires, if any.
-fn has_label(worker: &worker_state::Worker, step: &spec::Step) -> bool {
+pub(super) fn has_label(worker: &worker_state::Worker, step: &spec::Step) -> bool {
     step.label
         .as_ref()
         .is_none_or(|label| worker.listing.labels.contains(label))
 }
-
-/// Returns the cost of placing a task on a worker: away from its data or rack, where it failed before, or with much
-/// capacity left over that a larger task could use. Lower is better.
-fn placement_cost(
-    worker: &worker_state::Worker,
-    task: &job::Task,
-    step: &spec::Step,
-    need: &Resources,
-    rack: Option<&id::Rack>,
-) -> u64 {
-    let listing = &worker.listing;
-    let is_remote = step
-        .data_rack
-        .as_ref()
-        .is_some_and(|data| !listing.labels.contains(data))
-        || rack.is_some_and(|rack| listing.rack.as_ref() != Some(rack));
-    let failed_before = task.last_failed_on.as_ref() == Some(&listing.worker);
-    let cpu_left = listing
-        .size
-        .cpu_milli
-        .saturating_sub(worker.used.cpu_milli + need.cpu_milli);
-    let left_share = cpu_left * 1_000 / listing.size.cpu_milli.max(1);
-    u64::from(is_remote) * REMOTE_COST + u64::from(failed_before) * FAILED_BEFORE_COST + left_share
-}
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -187,7 +187,7 @@
                 }
             }
             None if !task.done && !is_over => {
-                task.active = Some(job::ActiveRun {
+                let active = job::ActiveRun {
                     worker: id.clone(),
                     run: run.run,
                     confirmed_at: Some(now),
@@ -198,7 +198,8 @@
                     percent_at: now,
                     usage: run.usage,
                     pace_percent: 100,
-                });
+                };
+                job.set_active(&run.task, active);
                 let need = plan::need(&accepted.spec.steps[run.task.step as usize]);
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.reserve(run.task, &need);
--- /dev/null
+++ b/src/batch/scheduler/room.rs
@@ -0,0 +1,153 @@
+//! Placement: which worker takes a task.
+//!
+//! Answers the load in which most of a pool is full and thousands of tasks are started a second. The usable workers are
+//! sorted by free capacity once a round, so that finding the one that a task fills best takes a search in place of a
+//! comparison of all workers, and a task that fits nowhere is recognised at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::batch::TaskId;
+use crate::batch::scheduler::{Scheduler, job, plan};
+use crate::batch::spec;
+use crate::batch::worker_state;
+use crate::clock;
+use crate::id;
+use crate::platform::Resources;
+
+/// Cost of a worker away from the task's data; a worker's share of free capacity costs at most 1000.
+const REMOTE_COST: u64 = 10_000;
+/// Cost of the worker on which the task failed before.
+const FAILED_BEFORE_COST: u64 = 20_000;
+
+/// The workers of a service that can take tasks, by free processor capacity in thousandths of a core.
+#[derive(Debug, Default)]
+pub(super) struct Room {
+    by_free: BTreeSet<(u64, id::Worker)>,
+    free: BTreeMap<id::Worker, u64>,
+    has_healthy: bool,
+}
+
+impl Room {
+    fn insert(&mut self, worker: &worker_state::Worker) {
+        let size = worker.listing.size.cpu_milli;
+        let free = size.saturating_sub(worker.used.cpu_milli);
+        let id = worker.listing.worker.clone();
+        self.by_free.insert((free, id.clone()));
+        self.free.insert(id, free);
+    }
+
+    /// Takes capacity of a worker for a task that was placed there.
+    pub(super) fn reserve(&mut self, worker: &id::Worker, cpu_milli: u64) {
+        if let Some(free) = self.free.get_mut(worker) {
+            self.by_free.remove(&(*free, worker.clone()));
+            *free = free.saturating_sub(cpu_milli);
+            self.by_free.insert((*free, worker.clone()));
+        }
+    }
+
+    /// Iterates over the workers with the free processor capacity for a task, the fullest first.
+    fn fitting(&self, cpu_milli: u64) -> impl Iterator<Item = &id::Worker> {
+        let first = (cpu_milli, id::Worker::new(""));
+        self.by_free.range(first..).map(|(_, worker)| worker)
+    }
+}
+
+impl Scheduler {
+    /// Returns the workers of a service that can take tasks now.
+    pub(super) fn room(&self, service: &id::Service, now: clock::Instant) -> Room {
+        let mut room = Room::default();
+        for worker in self.workers.values() {
+            if worker.listing.service != *service {
+                continue;
+            }
+            room.has_healthy |= worker.is_healthy(now);
+            if worker.is_usable(now) {
+                room.insert(worker);
+            }
+        }
+        room
+    }
+
+    /// Returns the best worker for a task, or `None` if no worker can take it.
+    pub(super) fn choose_worker(
+        &self,
+        room: &Room,
+        id: TaskId,
+        step: &spec::Step,
+        need: &Resources,
+        now: clock::Instant,
+    ) -> Option<id::Worker> {
+        let job = self.jobs.get(&id.job)?;
+        let task = job.task(&id)?;
+        let failed_runs = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
+        let attempts_left = job.accepted.queue.attempts_max.saturating_sub(failed_runs);
+        // The last attempt waits for a healthy worker; if there is none, it is made on a suspect one.
+        let can_retry = attempts_left > 1 || step.long_running || !room.has_healthy;
+        let fits = |worker: &&worker_state::Worker| {
+            plan::has_label(worker, step)
+                && self.can_place(worker, &id, step, need, now)
+                // A suspect worker gets one task at a time, and only a task that can be retried.
+                && (!worker.is_suspect() || (can_retry && worker.tasks.is_empty()))
+        };
+        let mut fitting = room
+            .fitting(need.cpu_milli)
+            .filter_map(|worker| self.workers.get(worker))
+            .filter(fits);
+        let has_preference = step.data_rack.is_some() || task.last_failed_on.is_some();
+        let best = if has_preference {
+            fitting.min_by_key(|worker| placement_cost(worker, task, step, need))
+        } else {
+            fitting.next()
+        };
+        best.map(|worker| worker.listing.worker.clone())
+    }
+
+    /// Returns whether a worker has the free capacity for a task, and the policy of the queue and the spread of the
+    /// step allow the task there.
+    pub(super) fn can_place(
+        &self,
+        worker: &worker_state::Worker,
+        id: &TaskId,
+        step: &spec::Step,
+        need: &Resources,
+        now: clock::Instant,
+    ) -> bool {
+        worker.has_capacity(need)
+            && (step.per_worker_max == 0
+                || self.step_tasks_on(worker, id) < step.per_worker_max as usize)
+            && self.is_allowed(id, &worker.listing.worker, now)
+    }
+
+    /// Returns the number of tasks of the same step and occurrence on a worker.
+    fn step_tasks_on(&self, worker: &worker_state::Worker, id: &TaskId) -> usize {
+        worker
+            .tasks
+            .iter()
+            .filter(|task| {
+                task.job == id.job && task.occurrence == id.occurrence && task.step == id.step
+            })
+            .count()
+    }
+}
+
+/// Returns the cost of placing a task on a worker: away from its data, where it failed before, or with much capacity
+/// left over that a larger task could use. Lower is better.
+fn placement_cost(
+    worker: &worker_state::Worker,
+    task: &job::Task,
+    step: &spec::Step,
+    need: &Resources,
+) -> u64 {
+    let listing = &worker.listing;
+    let is_remote = step
+        .data_rack
+        .as_ref()
+        .is_some_and(|data| !listing.labels.contains(data));
+    let failed_before = task.last_failed_on.as_ref() == Some(&listing.worker);
+    let cpu_left = listing
+        .size
+        .cpu_milli
+        .saturating_sub(worker.used.cpu_milli + need.cpu_milli);
+    let left_share = cpu_left * 1_000 / listing.size.cpu_milli.max(1);
+    u64::from(is_remote) * REMOTE_COST + u64::from(failed_before) * FAILED_BEFORE_COST + left_share
+}
