scheduler: a suspect worker gets a trial beside long-running tasks that are at work

With all workers of a pool suspect and each with a long-running task, a job's last attempt was never made. Change: a long-running task at work is no trial.

--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -268,6 +268,13 @@
             .get_mut(id.step as usize)
     }
 
+    /// Returns whether a long-running task is at work.
+    pub fn is_working(&self, id: &TaskId) -> bool {
+        let step = &self.accepted.spec.steps[id.step as usize];
+        let active = self.task(id).and_then(|task| task.active.as_ref());
+        step.long_running && active.is_some_and(|active| active.percent >= 100)
+    }
+
     /// Returns whether a step of an occurrence can start and has tasks without a run.
     pub fn has_startable(&self, occurrence: u32) -> bool {
         let Some(occurrence_state) = self.occurrences.get(&occurrence) else {
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -87,7 +87,7 @@
             plan::has_label(worker, step)
                 && self.can_place(worker, &id, step, need, now)
                 // A suspect worker gets one task at a time, and only a task that can be retried.
-                && (!worker.is_suspect() || (can_retry && worker.tasks.is_empty()))
+                && (!worker.is_suspect() || (can_retry && self.can_try(worker)))
         };
         let mut fitting = room
             .fitting(need.cpu_milli)
@@ -102,6 +102,16 @@
         best.map(|worker| worker.listing.worker.clone())
     }
 
+    /// Returns whether a suspect worker has no trial under way.
+    ///
+    /// Long-running tasks that are at work are no trials: they would keep the worker from ever getting one.
+    fn can_try(&self, worker: &worker_state::Worker) -> bool {
+        worker.tasks.iter().all(|id| {
+            let job = self.jobs.get(&id.job);
+            job.is_some_and(|job| job.is_working(id))
+        })
+    }
+
     /// Returns whether a worker has the free capacity for a task, and the policy of the queue and the spread of the
     /// step allow the task there.
     pub(super) fn can_place(
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -110,6 +110,29 @@
     }
 }
 
+/// Guards against a job that stays running without a run (soak seed 7): all workers were suspect, each had a
+/// long-running task, and a suspect worker took a task only while it had none.
+#[test]
+fn the_last_attempt_is_made_beside_long_running_tasks() {
+    let mut sim = sim(2);
+    let mut long_running = step(2, &[]);
+    long_running.long_running = true;
+    long_running.per_worker_max = 1;
+    sim.submit(100, accepted(vec![long_running], 2));
+    sim.run(1_000);
+    assert_eq!(sim.running().len(), 2);
+    for worker in sim.workers.values_mut() {
+        worker.always_fails = true;
+    }
+    for id in 1..=4 {
+        sim.submit(id, accepted(vec![step(1, &[])], 3));
+    }
+    sim.run(40_000);
+    for id in 1..=4 {
+        assert_eq!(sim.state(id), Some(record::State::Failed), "job {id}");
+    }
+}
+
 #[test]
 fn a_job_that_fails_everywhere_does_not_make_its_workers_suspect() {
     let now = Instant::from_ms(1_000);
