scheduler: acknowledge ends in the order of the changes that they caused

Cause: ends were acknowledged only by a batch after which nothing was left to write. Change: jobs are written in the order of their changes; an end is acknowledged with the batch that covers it.

--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -4,7 +4,7 @@
 
 use crate::batch::JobId;
 use crate::batch::record;
-use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::{Scheduler, ends};
 use crate::batch::waves;
 use crate::id;
 
@@ -18,7 +18,7 @@
     added: BTreeMap<id::Worker, record::WorkerRow>,
     removed: BTreeSet<id::Worker>,
     forgotten_jobs: Vec<JobId>,
-    handled_ends: BTreeMap<id::Worker, record::HandledRuns>,
+    handled_ends: ends::HandledEnds,
     waves: BTreeMap<u64, waves::Record>,
     machine_commands: BTreeMap<id::Vm, record::MachineRow>,
     /// Machines whose command was committed.
@@ -49,7 +49,7 @@
 
     pub(super) fn remove_worker(&mut self, worker: &id::Worker) {
         self.added.remove(worker);
-        self.handled_ends.remove(worker);
+        self.handled_ends.forget(worker);
         if self.recorded.remove(worker) {
             self.removed.insert(worker.clone());
         }
@@ -76,19 +76,20 @@
         worker: &id::Worker,
         born_unix_ms: u64,
         number: u64,
+        change: u64,
     ) {
-        let noted = record::HandledRuns {
+        let runs = record::HandledRuns {
             started_unix_ms: born_unix_ms,
             number,
         };
-        self.handled_ends.insert(worker.clone(), noted);
+        self.handled_ends.push(worker, runs, change);
     }
 }
 
 impl Scheduler {
     /// Returns the next batch to write. The caller has to commit it or give up the scheduler.
     ///
-    /// Ends are acknowledged only in a batch after which no change of a job is left to write.
+    /// An end is acknowledged in the batch after which no earlier change of a job is left to write.
     pub fn take_batch(&mut self) -> record::WriteBatch {
         let mut batch = record::WriteBatch::default();
         // Machine commands come first, because they are sent soon after they are persisted or not at all.
@@ -131,9 +132,7 @@
             };
             batch.waves.push(wave);
         }
-        if self.changed_jobs.is_empty() {
-            batch.acknowledge = std::mem::take(&mut pending.handled_ends);
-        }
+        batch.acknowledge = pending.handled_ends.take(&self.changed_jobs);
         batch
     }
 
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -6,6 +6,7 @@
 
 mod commit;
 mod demand;
+mod ends;
 mod gang;
 pub mod job;
 mod message;
@@ -65,7 +66,7 @@
     step_tickets: HashMap<tickets::StepKey, tickets::StepTickets>,
     /// Services to plan again, because something changed since they were last planned.
     dirty_services: BTreeSet<id::Service>,
-    changed_jobs: BTreeSet<JobId>,
+    changed_jobs: ends::ChangedJobs,
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
     pending_rows: commit::PendingRows,
@@ -98,7 +99,7 @@
             orphans: orphans::Orphans::default(),
             step_tickets: HashMap::new(),
             dirty_services: BTreeSet::new(),
-            changed_jobs: BTreeSet::new(),
+            changed_jobs: ends::ChangedJobs::default(),
             submitted_work: BTreeMap::new(),
             pending_rows: commit::PendingRows::new(
                 recovered.workers.into_iter().map(|(worker, _)| worker),
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -239,8 +239,20 @@
         }
         worker.handled = end.number;
         let born_unix_ms = worker.started_unix_ms;
+        self.apply_end(id, end, now, unix_ms);
+        let change = self.changed_jobs.newest();
         self.pending_rows
-            .record_handled_end(id, born_unix_ms, end.number);
+            .record_handled_end(id, born_unix_ms, end.number, change);
+    }
+
+    /// Applies the outcome of an ended run to its task.
+    fn apply_end(
+        &mut self,
+        id: &id::Worker,
+        end: &worker_state::EndedRun,
+        now: clock::Instant,
+        unix_ms: u64,
+    ) {
         let was_active = self.close_run(id, end);
         self.log(format!(
             "end task={} run={} worker={id} how={:?} number={}",
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -371,3 +371,56 @@
         .count();
     assert_eq!(stops, 1);
 }
+
+/// Ends arrive for seconds faster than they can be written: each batch is followed by more changes than it holds.
+#[test]
+fn ends_are_acknowledged_while_more_arrive_than_a_batch_holds() {
+    const JOBS_PER_ROUND: u64 = 120;
+    const ROUNDS: u64 = 20;
+    let now = Instant::from_ms(1_000);
+    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
+    let name = id::Worker::new("a");
+    scheduler.worker_listed(listing("a"), now);
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    let mut report = worker_state::Report {
+        clock_ms: 5,
+        started_unix_ms: Some(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    scheduler.poll_answered(&name, &report, now, now, 0);
+    let mut acknowledged = Vec::new();
+    for round in 0..ROUNDS {
+        report.ended.clear();
+        for job in round * JOBS_PER_ROUND..(round + 1) * JOBS_PER_ROUND {
+            scheduler.job_accepted(JobId(job), accepted(vec![step(1, &[])], 9), now);
+            let task = TaskId {
+                job: JobId(job),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            };
+            report.ended.push(worker_state::EndedRun {
+                number: job + 1,
+                task,
+                run: 1,
+                outcome: worker_state::Outcome::Done,
+                checkpoint: None,
+            });
+        }
+        scheduler.poll_answered(&name, &report, now, now, 0);
+        let batch = scheduler.take_batch();
+        scheduler.batch_committed(&batch);
+        let poll = scheduler.next_poll(&name, now).expect("a poll");
+        let written: u64 = acknowledged.iter().map(|(_, rows)| rows).sum();
+        acknowledged.push((poll.acknowledged, batch.progress.len() as u64));
+        assert!(
+            poll.acknowledged >= written,
+            "round {round}: {} acknowledged of {written} written",
+            poll.acknowledged
+        );
+    }
+    let (last, _) = acknowledged.last().expect("rounds");
+    assert!(*last > JOBS_PER_ROUND * ROUNDS / 2, "{last} acknowledged");
+}
