relays: followers exchange the leader's messages with the workers of a large fleet

Cause: the leader's processor and link bound the large site. Its connections to 1,100 workers took 154 of 160 MB. On the small twin the same messages exceed a link of 2 Mbit/s. Change: all decisions stay with the leader (src/batch/relays.rs decides who sends). Followers offer themselves with their heartbeats; the leader sends them batches of commands and gets batches of responses over one connection each. How many workers a node takes follows from its processor and link, so that the leader of a small fleet uses no relay. Ruled out: a leader for each service, which in its turn carries the whole peak (docs/design/overload.md).

--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
-use wasabiloft::batch::{JobId, queue, record};
+use wasabiloft::batch::{JobId, queue, record, relays};
 use wasabiloft::id;
 use wasabiloft_platform::{registry, settings, store};
 
@@ -44,6 +44,7 @@
     /// Epoch of the duty; commands to workers and machines carry it as the fencing token.
     pub epoch: u64,
     scheduler: Mutex<Scheduler>,
+    relays: Mutex<relays::Relays>,
     /// Notified when something changed that planning depends on.
     pub wake: Notify,
     /// Notified when changes wait to be committed.
@@ -70,6 +71,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks and returns the division of the workers among relays.
+    pub fn relays(&self) -> MutexGuard<'_, relays::Relays> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time since the newest commit was sent, in milliseconds.
     pub fn since_commit_ms(&self) -> u64 {
         let at = self.committed_ms.load(Ordering::Relaxed);
@@ -236,9 +242,15 @@
         recovered,
         now,
     );
+    let strength = relays::Strength {
+        data_centre: id::DataCentre::new(&settings.data_centre),
+        cpu_milli: settings.cpu_milli,
+        link_kbit_per_s: settings.link_kbit_per_s,
+    };
     let leadership = Arc::new(Leadership {
         epoch: duty.epoch,
         scheduler: Mutex::new(scheduler),
+        relays: Mutex::new(relays::Relays::new(strength)),
         wake: Notify::new(),
         write: Notify::new(),
         committed: Notify::new(),
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! A node on the users' platform: accepts jobs from callers and leads the batch duty when elected.
 
+mod channels;
 mod commit;
 mod configuration;
 mod duty;
@@ -9,6 +10,7 @@
 mod leadership;
 mod peers;
 mod recovery;
+mod relay;
 mod requests;
 mod server;
 mod shared;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -13,7 +13,8 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{record, succession};
+use wasabiloft::batch::{record, relays, succession};
+use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
 use crate::batch::shared;
@@ -59,6 +60,20 @@
     /// CPU of the follower, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// How the follower can relay commands; absent if it stops.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay: Option<RelayOffer>,
+}
+
+/// A follower's offer to relay commands to workers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RelayOffer {
+    /// Address at which the follower takes the leader's connection.
+    pub address: SocketAddr,
+    /// Data centre of the follower.
+    pub data_centre: id::DataCentre,
+    /// Bandwidth of the follower's link, in kbit/s.
+    pub link_kbit_per_s: u64,
 }
 
 /// Response to a heartbeat.
@@ -108,6 +123,14 @@
     }
     reply.epoch = shared.own_epoch();
     if let Some(leadership) = shared.leadership() {
+        if let Some(offer) = heartbeat.relay {
+            let strength = relays::Strength {
+                data_centre: offer.data_centre,
+                cpu_milli: heartbeat.cpu_milli,
+                link_kbit_per_s: offer.link_kbit_per_s,
+            };
+            leadership.relays().heard(offer.address, strength, now);
+        }
         let store_reachable = heartbeat.store_silent_ms < FOLLOWER_FRESH_MS;
         // A slow store delays the commits of any leader, so only a leader without any response of the store steps down.
         reply.hand_over = store_reachable
@@ -201,13 +224,20 @@
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
     let configured = shared.current_config();
+    let settings = shared.settings();
+    let relay = RelayOffer {
+        address: settings.relay,
+        data_centre: id::DataCentre::new(&settings.data_centre),
+        link_kbit_per_s: settings.link_kbit_per_s,
+    };
     let heartbeat = Heartbeat {
         config_version: configured
             .config
             .as_ref()
             .map_or(0, |config| config.version),
         store_silent_ms: shared.store_silent_ms(),
-        cpu_milli: shared.settings().cpu_milli,
+        cpu_milli: settings.cpu_milli,
+        relay: (!shared.stop.is_cancelled()).then_some(relay),
     };
     let sent_at = clock::since_boot();
     let client = shared.peers.to(address);
--- a/node/src/batch/server.rs
+++ b/node/src/batch/server.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
-use crate::batch::{front, gauges, peers, shared};
+use crate::batch::{front, gauges, peers, relay, shared};
 use crate::log;
 use crate::sockets;
 
@@ -42,6 +42,8 @@
     let ready = listen(settings.ready)?;
     let peers = listen(settings.peers)?;
     let metrics = listen(settings.metrics)?;
+    let relay = listen(settings.relay)?;
+    tasks.spawn(relay::server::serve(relay, Arc::clone(shared)));
     let routes = [
         (callers, front::router()),
         (ready, Router::new().route("/ready", routing::get(is_ready))),
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -13,9 +13,10 @@
 use wasabiloft::id;
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::tickets::Tickets;
-use wasabiloft_platform::worker;
 
+use crate::batch::channels::{Channels, Recipient};
 use crate::batch::leadership;
+use crate::batch::relay::message::{Command, Failure, Response};
 use crate::clock;
 use crate::log;
 use wasabiloft::batch::scheduler::{Output, Refusal, Start, StartOutcome};
@@ -39,7 +40,7 @@
 
 /// A worker that is polled.
 struct PolledWorker {
-    client: Arc<worker::Worker>,
+    recipient: Recipient,
     commands: Arc<Semaphore>,
     poll_task: AbortHandle,
 }
@@ -47,6 +48,7 @@
 /// All polled workers and the commands in progress.
 pub struct Workers {
     leadership: Arc<leadership::Leadership>,
+    channels: Arc<Channels>,
     tickets: Option<Arc<Tickets>>,
     ticket_permit: Arc<Semaphore>,
     polled: HashMap<id::Worker, PolledWorker>,
@@ -61,6 +63,7 @@
         ticket_service: Option<SocketAddr>,
     ) -> Self {
         Self {
+            channels: Arc::new(Channels::new(Arc::clone(&leadership))),
             leadership,
             tickets: ticket_service.map(|address| Arc::new(Tickets::new(address))),
             ticket_permit: Arc::new(Semaphore::new(1)),
@@ -80,6 +83,7 @@
                 if let Some(polled) = self.polled.remove(&worker) {
                     polled.poll_task.abort();
                 }
+                self.channels.forget(&worker);
             }
             Output::Start(command) => self.start(command),
             Output::Stop { worker, task, run } => self.stop(worker, task, run),
@@ -95,14 +99,14 @@
     }
 
     fn start_polling(&mut self, listing: &worker_state::Listing) {
-        let client = Arc::new(worker::Worker::new(listing.worker.clone(), listing.address));
+        let recipient = Recipient::new(listing);
         let poll_task = self.polls.spawn(poll(
             Arc::clone(&self.leadership),
-            listing.worker.clone(),
-            Arc::clone(&client),
+            Arc::clone(&self.channels),
+            recipient.clone(),
         ));
         let polled = PolledWorker {
-            client,
+            recipient,
             commands: Arc::new(Semaphore::new(CONCURRENT_COMMANDS_MAX)),
             poll_task,
         };
@@ -113,16 +117,16 @@
 
     fn start(&mut self, command: Start) {
         let leadership = Arc::clone(&self.leadership);
+        let channels = Arc::clone(&self.channels);
         let polled = self.polled.get(&command.worker);
-        let polled =
-            polled.map(|polled| (Arc::clone(&polled.client), Arc::clone(&polled.commands)));
+        let polled = polled.map(|polled| (polled.recipient.clone(), Arc::clone(&polled.commands)));
         let begun_at = clock::since_boot();
         self.commands.spawn(async move {
             let outcome = match polled {
-                Some((client, commands)) => {
+                Some((recipient, commands)) => {
                     // The semaphore is never closed, so a permit is always granted.
                     let _permit = commands.acquire().await;
-                    start(&client, &command, leadership.epoch).await
+                    start(&channels, &recipient, &command).await
                 }
                 None => StartOutcome::NotSent,
             };
@@ -141,33 +145,37 @@
         });
     }
 
+    fn recipient(&self, worker: &id::Worker) -> Option<Recipient> {
+        self.polled
+            .get(worker)
+            .map(|polled| polled.recipient.clone())
+    }
+
     fn stop(&mut self, worker: id::Worker, task: TaskId, run: u32) {
         let leadership = Arc::clone(&self.leadership);
-        let Some(client) = self
-            .polled
-            .get(&worker)
-            .map(|polled| Arc::clone(&polled.client))
-        else {
+        let channels = Arc::clone(&self.channels);
+        let Some(recipient) = self.recipient(&worker) else {
             return;
         };
         self.commands.spawn(async move {
-            match client
-                .stop(task, run, leadership.epoch, COMMAND_TIMEOUT_MS)
-                .await
-            {
-                Ok(true) => {
+            let command = Command::Stop { task, run };
+            match channels.call(&recipient, command, COMMAND_TIMEOUT_MS).await {
+                Ok(Response::Done(true)) => {
                     let now = clock::since_boot();
                     leadership
                         .scheduler()
                         .stop_answered(&worker, task, run, now);
                 }
-                Ok(false) => log::info(
+                Ok(_) => log::info(
                     "order",
                     &format!("stop refused task={task} worker={worker}"),
                 ),
                 Err(error) => log::info(
                     "order",
-                    &format!("stop got no response task={task} worker={worker} reason={error}"),
+                    &format!(
+                        "stop got no response task={task} worker={worker} reason={}",
+                        error.reason
+                    ),
                 ),
             }
         });
@@ -195,20 +203,15 @@
     }
 
     fn pace(&mut self, worker: &id::Worker, task: TaskId, run: u32, percent: u32) {
-        let epoch = self.leadership.epoch;
-        let Some(client) = self
-            .polled
-            .get(worker)
-            .map(|polled| Arc::clone(&polled.client))
-        else {
+        let channels = Arc::clone(&self.channels);
+        let Some(recipient) = self.recipient(worker) else {
             return;
         };
         let worker = worker.clone();
         self.commands.spawn(async move {
-            let paced = client
-                .pace(task, run, percent, epoch, COMMAND_TIMEOUT_MS)
-                .await;
-            if !matches!(paced, Ok(true)) {
+            let command = Command::Pace { task, run, percent };
+            let paced = channels.call(&recipient, command, COMMAND_TIMEOUT_MS).await;
+            if !matches!(paced, Ok(Response::Done(true))) {
                 log::info(
                     "order",
                     &format!("pace refused task={task} worker={worker} outcome={paced:?}"),
@@ -233,6 +236,7 @@
         }
         commands.shutdown().await;
         self.polls.shutdown().await;
+        self.channels.end().await;
     }
 }
 
@@ -287,86 +291,108 @@
     }
 }
 
-async fn start(client: &worker::Worker, command: &Start, epoch: u64) -> StartOutcome {
+async fn start(channels: &Channels, recipient: &Recipient, command: &Start) -> StartOutcome {
     let mut may_have_run = false;
     for send in 1..=START_ATTEMPTS_MAX {
-        match client.start(command, epoch, COMMAND_TIMEOUT_MS).await {
-            Ok(worker::StartReply::Accepted) => return StartOutcome::Started,
-            Ok(worker::StartReply::Refused(reason)) => {
+        let start = Command::Start {
+            task: command.task,
+            run: command.run,
+            text: command.accepted.spec.text.clone(),
+            until_ms: command.until_ms,
+            checkpoint: command.checkpoint.clone(),
+            ticket: command.ticket.clone(),
+        };
+        let error = match channels.call(recipient, start, COMMAND_TIMEOUT_MS).await {
+            Ok(Response::Started) => return StartOutcome::Started,
+            Ok(Response::StartRefused(reason)) => {
                 let sends = if may_have_run { send } else { 1 };
                 return StartOutcome::Refused { reason, sends };
             }
-            Err(error) => {
-                log::info(
-                    "order",
-                    &format!(
-                        "start unanswered task={} run={} worker={} send={send} reason={error}",
-                        command.task, command.run, command.worker
-                    ),
-                );
-                if error.verdict != Verdict::NotRun {
-                    may_have_run = true;
-                } else if !may_have_run {
-                    return StartOutcome::NotSent;
-                }
-            }
+            Ok(response) => unexpected(&response),
+            Err(error) => error,
+        };
+        log::info(
+            "order",
+            &format!(
+                "start unanswered task={} run={} worker={} send={send} reason={}",
+                command.task, command.run, command.worker, error.reason
+            ),
+        );
+        if error.verdict != Verdict::NotRun {
+            may_have_run = true;
+        } else if !may_have_run {
+            return StartOutcome::NotSent;
         }
     }
     StartOutcome::NoAnswer
 }
 
+/// The failure of a command that got the response to another kind of command.
+fn unexpected(response: &Response) -> Failure {
+    Failure {
+        verdict: Verdict::MayHaveRun,
+        refused: false,
+        reason: format!("unexpected response {response:?}"),
+    }
+}
+
 /// Polls a worker until the scheduler forgets it.
 async fn poll(
     leadership: Arc<leadership::Leadership>,
-    id: id::Worker,
-    client: Arc<worker::Worker>,
+    channels: Arc<Channels>,
+    recipient: Recipient,
 ) {
+    let id = &recipient.target.worker;
     let mut retry_ms = POLL_RETRY_MS.0;
     let mut refusals = 0;
     loop {
         let sent_at = clock::since_boot();
-        let Some(poll) = leadership.scheduler().next_poll(&id, sent_at) else {
+        let Some(poll) = leadership.scheduler().next_poll(id, sent_at) else {
             return;
         };
         let timeout_ms = poll.wait_ms + POLL_TIMEOUT_MARGIN_MS;
-        match client.poll(&poll, leadership.epoch, timeout_ms).await {
-            Ok(worker::PollReply::Report(report)) => {
+        let outcome = channels.call(&recipient, Command::Poll(poll), timeout_ms);
+        let error = match outcome.await {
+            Ok(Response::Report(report)) => {
                 retry_ms = POLL_RETRY_MS.0;
                 refusals = 0;
-                apply_report(&leadership, &id, &report, sent_at).await;
+                apply_report(&leadership, id, &report, sent_at).await;
                 continue;
             }
-            Ok(worker::PollReply::Fenced) => {
+            Ok(Response::Fenced) => {
                 log::info("duty", &format!("fenced worker={id}"));
                 leadership.ended.cancel();
                 return;
             }
-            Ok(worker::PollReply::OtherIncarnation) => {
-                leadership.scheduler().incarnation_ended(&id, "other-life");
+            Ok(Response::OtherIncarnation) => {
+                leadership.scheduler().incarnation_ended(id, "other-life");
                 leadership.wake.notify_one();
                 return;
             }
-            Ok(worker::PollReply::Failed(status)) => {
+            Ok(Response::PollFailed(status)) => {
                 log::info(
                     "holder",
                     &format!("poll refused worker={id} status={status}"),
                 );
+                None
             }
-            Err(error) => {
-                metrics::counter!("wasabiloft_looks_unanswered_total").increment(1);
-                leadership.scheduler().poll_failed(&id);
-                refusals = if error.refused { refusals + 1 } else { 0 };
-                if retry_ms == POLL_RETRY_MS.0 {
-                    log::info(
-                        "holder",
-                        &format!("worker silent worker={id} reason={error}"),
-                    );
-                }
-                if refusals >= REFUSALS_UNTIL_REMOVED && has_left(&leadership, &id) {
-                    leadership.scheduler().incarnation_ended(&id, "left");
-                    leadership.wake.notify_one();
-                    return;
-                }
+            Ok(response) => Some(unexpected(&response)),
+            Err(error) => Some(error),
+        };
+        if let Some(error) = error {
+            metrics::counter!("wasabiloft_looks_unanswered_total").increment(1);
+            leadership.scheduler().poll_failed(id);
+            refusals = if error.refused { refusals + 1 } else { 0 };
+            if retry_ms == POLL_RETRY_MS.0 {
+                log::info(
+                    "holder",
+                    &format!("worker silent worker={id} reason={}", error.reason),
+                );
+            }
+            if refusals >= REFUSALS_UNTIL_REMOVED && has_left(&leadership, id) {
+                leadership.scheduler().incarnation_ended(id, "left");
+                leadership.wake.notify_one();
+                return;
             }
         }
         time::sleep(Duration::from_millis(retry_ms)).await;
--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -33,6 +33,7 @@
     /// Node processes.
     pub nodes: Vec<Node>,
     folder: TempDir,
+    link_kbit_per_s: u64,
 }
 
 /// Response to a request.
@@ -46,7 +47,18 @@
 impl Cluster {
     /// Starts the platform with workers whose tasks take `task_ms`, and nodes, and waits until the nodes are ready.
     pub async fn start(nodes: usize, workers: usize, task_ms: u64) -> Self {
+        Self::start_on_links(nodes, workers, task_ms, 1_000_000).await
+    }
+
+    /// Starts a cluster whose nodes have links of a bandwidth in kbit/s; over thin ones the leader uses relays.
+    pub async fn start_on_links(
+        nodes: usize,
+        workers: usize,
+        task_ms: u64,
+        link_kbit_per_s: u64,
+    ) -> Self {
         let mut cluster = Self {
+            link_kbit_per_s,
             store: Store::start().await.expect("a store"),
             workers: Vec::new(),
             nodes: Vec::new(),
@@ -103,6 +115,7 @@
         let platform = Platform {
             store: self.store.address,
             machines: None,
+            link_kbit_per_s: self.link_kbit_per_s,
         };
         Node::start(daemon, self.folder.path(), number, platform).expect("the daemon starts")
     }
--- a/node/tests/test_hosted.rs
+++ b/node/tests/test_hosted.rs
@@ -35,6 +35,66 @@
     );
 }
 
+/// Returns the number of workers that the leader reaches by relays.
+async fn relayed(cluster: &Cluster) -> String {
+    let leader = cluster.leader();
+    let metrics = call(cluster.nodes[leader].metrics, "GET", "/metrics", "").await;
+    let prefix = "wasabiloft_workers_routed{route=\"relay\"} ";
+    let value = metrics
+        .body
+        .lines()
+        .find_map(|line| line.strip_prefix(prefix));
+    value.unwrap_or("none").to_owned()
+}
+
+/// The leader's link is too thin for all workers. Two of the four relays are paused, then one is killed, while a job
+/// runs through them.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_tasks_survive_paused_and_killed_relays() {
+    let mut cluster = Cluster::start_on_links(5, 6, 600, 160).await;
+    until("relays are used", async || relayed(&cluster).await == "4").await;
+    assert_eq!(cluster.submit(0, ID, 60).await, 200);
+    let leader = cluster.leader();
+    let followers: Vec<usize> = (0..5).filter(|node| *node != leader).collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for &node in &followers[..2] {
+        cluster.nodes[node].signal(Signal::STOP);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for &node in &followers[..2] {
+        cluster.nodes[node].signal(Signal::CONT);
+    }
+    cluster.nodes[followers[2]].signal(Signal::KILL);
+    cluster.until_state(leader, ID, "completed").await;
+    let lapsed: usize = cluster
+        .workers
+        .iter()
+        .map(|worker| worker.state.lapsed_count())
+        .sum();
+    assert_eq!(lapsed, 0, "leases were renewed by another route in time");
+    assert!(
+        cluster.log(leader).contains("relay: lost"),
+        "no relay was lost"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_relay_hands_its_workers_over() {
+    let mut cluster = Cluster::start_on_links(3, 4, 300, 160).await;
+    until("relays are used", async || relayed(&cluster).await == "2").await;
+    let leader = cluster.leader();
+    assert_eq!(cluster.submit(leader, ID, 40).await, 200);
+    let follower = (0..3).find(|node| *node != leader).expect("a follower");
+    cluster.nodes[follower].signal(Signal::TERM);
+    cluster.until_state(leader, ID, "completed").await;
+    let starts: u32 = cluster
+        .workers
+        .iter()
+        .flat_map(|worker| worker.state.start_counts().into_values())
+        .sum();
+    assert_eq!(starts, 40, "a task was started again");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests_get_specific_status_codes() {
     let cluster = Cluster::start(1, 1, 100).await;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -10,6 +10,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod record;
+pub mod relays;
 pub mod spec;
 pub mod succession;
 pub mod waves;
--- /dev/null
+++ b/src/batch/relays.rs
@@ -0,0 +1,205 @@
+//! Division of the workers among the nodes that send the leader's commands.
+//!
+//! Answers the load in which thousands of commands and reports a second exceed the processor or the link of the node
+//! that leads the batch duty. All decisions stay with the leader; other nodes exchange the messages with the workers on
+//! its behalf and pass them on in batches. A small fleet is commanded by the leader alone, so that no other node has to
+//! be alive for it. Each service in its turn needs most of the fleet, so a leader for each service would carry the
+//! same peak.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use crate::clock;
+use crate::id;
+
+/// Processor time that the exchange of messages with one worker takes at full load, in thousandths of a core.
+const EXCHANGE_CPU_MILLI: u64 = 1;
+/// Processor time that deciding for one worker takes at full load, in millionths of a core.
+const DECIDE_CPU_MICRO: u64 = 250;
+/// Link bandwidth that the exchange of messages with one worker takes at full load, in kbit/s.
+const EXCHANGE_KBIT_PER_S: u64 = 40;
+/// The leader spends at most one part in this many of its processor on its workers, and of its link.
+const LEADER_SHARE: u64 = 2;
+/// A relay spends at most one part in this many of its processor and of its link; it answers callers too.
+const RELAY_SHARE: u64 = 4;
+/// A node that was not heard from for this long gets no commands to relay, in milliseconds; three of the slowest
+/// heartbeats.
+const SILENT_MS: u64 = 2_500;
+/// A node that failed as a relay is not used again for this long, in milliseconds; about the length of a pause.
+const FAILED_PAUSE_MS: u64 = 3_000;
+
+/// Age above which a relay refuses a command, in milliseconds: the relay was suspended, and the worker may have
+/// restarted since.
+const STALE_MS: u64 = 1_000;
+
+/// Returns whether a relay refuses a command that was sent this long ago by the wall clock.
+pub fn is_stale(age_ms: u64) -> bool {
+    age_ms > STALE_MS
+}
+
+/// The resources of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Strength {
+    /// Data centre of the node.
+    pub data_centre: id::DataCentre,
+    /// CPU that the node may use, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Bandwidth of the node's link, in kbit/s.
+    pub link_kbit_per_s: u64,
+}
+
+impl Strength {
+    fn relayed_max(&self) -> usize {
+        let by_cpu = self.cpu_milli / RELAY_SHARE / EXCHANGE_CPU_MILLI;
+        let by_link = self.link_kbit_per_s / RELAY_SHARE / EXCHANGE_KBIT_PER_S;
+        usize::try_from(by_cpu.min(by_link)).unwrap_or(usize::MAX)
+    }
+
+    /// Returns how many of `workers` the leader itself exchanges messages with.
+    fn direct_max(&self, workers: usize) -> usize {
+        let deciding = workers as u64 * DECIDE_CPU_MICRO / 1_000;
+        let cpu_milli = (self.cpu_milli / LEADER_SHARE).saturating_sub(deciding);
+        let by_cpu = cpu_milli / EXCHANGE_CPU_MILLI;
+        let by_link = self.link_kbit_per_s / LEADER_SHARE / EXCHANGE_KBIT_PER_S;
+        usize::try_from(by_cpu.min(by_link)).unwrap_or(usize::MAX)
+    }
+}
+
+/// Who sends the commands for a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// The leader.
+    Direct,
+    /// The node that relays at this address.
+    Relay(SocketAddr),
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    strength: Strength,
+    heard_at: clock::Instant,
+    /// The node is not used before this time.
+    paused_until: clock::Instant,
+    workers: usize,
+}
+
+/// The nodes that can relay, and the route to each worker.
+#[derive(Clone, Debug)]
+pub struct Relays {
+    leader: Strength,
+    nodes: BTreeMap<SocketAddr, Node>,
+    routes: HashMap<id::Worker, Route>,
+    direct: usize,
+}
+
+impl Relays {
+    /// Creates the division for a leader of the given strength, without other nodes.
+    pub fn new(leader: Strength) -> Self {
+        Self {
+            leader,
+            nodes: BTreeMap::new(),
+            routes: HashMap::new(),
+            direct: 0,
+        }
+    }
+
+    /// Records that a follower that relays at `address` is alive.
+    pub fn heard(&mut self, address: SocketAddr, strength: Strength, now: clock::Instant) {
+        let node = self.nodes.entry(address).or_insert_with(|| Node {
+            strength: strength.clone(),
+            heard_at: now,
+            paused_until: clock::Instant::ZERO,
+            workers: 0,
+        });
+        node.strength = strength;
+        node.heard_at = now;
+    }
+
+    /// Records that a relay failed or stops; its workers get other routes.
+    pub fn failed(&mut self, address: SocketAddr, now: clock::Instant) {
+        if let Some(node) = self.nodes.get_mut(&address) {
+            node.paused_until = now.after_ms(FAILED_PAUSE_MS);
+        }
+    }
+
+    /// Returns the route to a worker; it stays the same while its relay is alive and the leader can carry its share.
+    pub fn route(
+        &mut self,
+        worker: &id::Worker,
+        data_centre: &id::DataCentre,
+        now: clock::Instant,
+    ) -> Route {
+        let current = self.routes.get(worker).copied();
+        let total = self.routes.len() + usize::from(current.is_none());
+        let direct_max = self.leader.direct_max(total);
+        let is_kept = match current {
+            Some(Route::Direct) => self.direct <= direct_max,
+            Some(Route::Relay(address)) => self.is_alive(&address, now),
+            None => false,
+        };
+        if let Some(current) = current.filter(|_| is_kept) {
+            return current;
+        }
+        self.remove(worker);
+        let route = if self.direct < direct_max {
+            Route::Direct
+        } else {
+            self.best_relay(data_centre, now)
+                .map_or(Route::Direct, Route::Relay)
+        };
+        match route {
+            Route::Direct => self.direct += 1,
+            Route::Relay(address) => {
+                if let Some(node) = self.nodes.get_mut(&address) {
+                    node.workers += 1;
+                }
+            }
+        }
+        self.routes.insert(worker.clone(), route);
+        route
+    }
+
+    /// Forgets a worker.
+    pub fn remove(&mut self, worker: &id::Worker) {
+        match self.routes.remove(worker) {
+            Some(Route::Direct) => self.direct -= 1,
+            Some(Route::Relay(address)) => {
+                if let Some(node) = self.nodes.get_mut(&address) {
+                    node.workers -= 1;
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Returns the number of workers with a direct route and of those with a relay.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.direct, self.routes.len() - self.direct)
+    }
+
+    fn is_alive(&self, address: &SocketAddr, now: clock::Instant) -> bool {
+        self.nodes
+            .get(address)
+            .is_some_and(|node| is_usable(node, now))
+    }
+
+    /// Returns the strongest usable node with capacity to spare, in the worker's data centre if there is one.
+    fn best_relay(&self, data_centre: &id::DataCentre, now: clock::Instant) -> Option<SocketAddr> {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| is_usable(node, now) && node.workers < node.strength.relayed_max())
+            .max_by_key(|(_, node)| {
+                let load = node.workers * 1_000 / node.strength.relayed_max().max(1);
+                (
+                    node.strength.data_centre == *data_centre,
+                    node.strength.cpu_milli,
+                    std::cmp::Reverse(load),
+                )
+            })
+            .map(|(address, _)| *address)
+    }
+}
+
+fn is_usable(node: &Node, now: clock::Instant) -> bool {
+    now.since_ms(node.heard_at) < SILENT_MS && now >= node.paused_until
+}
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -1,5 +1,7 @@
 //! Outcomes of commands: which runs exist, which certainly do not, and which are uncertain.
 
+use serde::{Deserialize, Serialize};
+
 use crate::batch::TaskId;
 use crate::batch::scheduler::job;
 use crate::batch::scheduler::{Output, Scheduler};
@@ -23,7 +25,7 @@
 }
 
 /// Why a worker refused a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has received a command of a newer epoch.
     Fenced,
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::batch::record;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
@@ -78,7 +80,7 @@
 }
 
 /// Contents of the next poll of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Poll {
     /// New end of the lease, in milliseconds on the worker's clock; `None` does not renew it.
     pub until_ms: Option<u64>,
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::batch::TaskId;
 use crate::clock;
 use crate::id;
@@ -45,7 +47,7 @@
 }
 
 /// A run in progress on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
     /// Task that the run executes.
     pub task: TaskId,
@@ -60,7 +62,7 @@
 }
 
 /// The outcome of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The run completed its task.
     Done,
@@ -77,7 +79,7 @@
 }
 
 /// An ended run that the scheduler has not acknowledged yet.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// Sequence number among the ended runs of this incarnation of the worker, from 1.
     pub number: u64,
@@ -92,7 +94,7 @@
 }
 
 /// A worker's response to a poll.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Time on the worker's monotonic clock, in milliseconds.
     pub clock_ms: u64,
--- a/standins/src/hosted/process.rs
+++ b/standins/src/hosted/process.rs
@@ -19,6 +19,8 @@
     pub store: SocketAddr,
     /// Address of the machine API; absent if the platform has none.
     pub machines: Option<SocketAddr>,
+    /// Bandwidth that the nodes' settings state for their links, in kbit/s.
+    pub link_kbit_per_s: u64,
 }
 
 /// A running daemon. Dropping it kills the process.
@@ -109,8 +111,10 @@
         let text = format!(
             "nodeName = \"node-{number}\"\nip = \"127.0.0.1\"\nzone = \"andes\"\n\
              internalPorts = [{first},{}]\n[listen]\nfront = \"127.0.0.1:{front}\"\n\
-             ready = \"127.0.0.1:{ready}\"\n[bounds]\nupkeepS = 0.8\n[platform]\naddress = \"{}\"\n{machines}",
+             ready = \"127.0.0.1:{ready}\"\n[bounds]\nupkeepS = 0.8\n[limits]\nlinkMbps = {}\n\
+             [platform]\naddress = \"{}\"\n{machines}",
             first + PEER_PORTS - 1,
+            platform.link_kbit_per_s as f64 / 1_000.0,
             platform.store
         );
         let settings = folder.join(format!("node-{number}.toml"));
--- a/standins/src/hosted/worker.rs
+++ b/standins/src/hosted/worker.rs
@@ -2,7 +2,7 @@
 //! capacity, and can be unresponsive, switched off, or restarted with a new incarnation.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -134,6 +134,7 @@
     pub unresponsive: AtomicBool,
     /// If set, the worker is switched off and answers every request with status 503.
     pub off: AtomicBool,
+    lapsed: AtomicUsize,
 }
 
 #[derive(Deserialize)]
@@ -192,6 +193,7 @@
             incarnation: Mutex::new(Incarnation::new(id, 1)),
             unresponsive: AtomicBool::new(false),
             off: AtomicBool::new(false),
+            lapsed: AtomicUsize::new(0),
         });
         let router = Router::new()
             .route("/run-start", routing::post(run_start))
@@ -221,6 +223,11 @@
         (incarnation.id.clone(), incarnation.born_unix_ms)
     }
 
+    /// Returns the number of runs that ended because the lease lapsed.
+    pub fn lapsed_count(&self) -> usize {
+        self.lapsed.load(Ordering::Relaxed)
+    }
+
     /// Returns whether no runs are in progress.
     pub fn is_empty(&self) -> bool {
         lock(&self.incarnation).running.is_empty()
@@ -283,6 +290,9 @@
 
     fn end(&self, incarnation: &mut Incarnation, task: &str, outcome: &'static str) {
         if let Some(running) = incarnation.running.remove(task) {
+            if outcome == "lapsed" {
+                self.lapsed.fetch_add(1, Ordering::Relaxed);
+            }
             incarnation.last_end_number += 1;
             let end = (
                 incarnation.last_end_number,
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -36,6 +36,10 @@
 const ENTRY_INTERVAL_MS: u64 = 300;
 /// CPU of a machine, in thousandths of a core.
 const CPU_MILLI: u64 = 4_000;
+/// Bandwidth that the nodes' settings state, in kbit/s, in a soak with an odd seed: no relays are needed.
+const LINK_WIDE_KBIT_PER_S: u64 = 1_000_000;
+/// The same in a soak with an even seed: the leader commands two workers itself and each relay one.
+const LINK_THIN_KBIT_PER_S: u64 = 160;
 /// Number of the maintenance wave that operators request.
 const WAVE: u64 = 1;
 /// Limit of machines of the wave in maintenance at the same time.
@@ -121,6 +125,11 @@
             let platform = Platform {
                 store: store_proxy.address(),
                 machines: Some(world.machines.address),
+                link_kbit_per_s: if options.seed.is_multiple_of(2) {
+                    LINK_THIN_KBIT_PER_S
+                } else {
+                    LINK_WIDE_KBIT_PER_S
+                },
             };
             let folder = world.folder().to_owned();
             nodes.push(Node::start(&options.daemon, &folder, number, platform)?);
--- /dev/null
+++ b/tests/test_batch_relays.rs
@@ -0,0 +1,132 @@
+//! Division of the workers among relays.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use wasabiloft::batch::relays::{Relays, Route, Strength};
+use wasabiloft::clock::Instant;
+use wasabiloft::id;
+
+fn strength(data_centre: &str, cpu_milli: u64, link_mbps: u64) -> Strength {
+    Strength {
+        data_centre: id::DataCentre::new(data_centre),
+        cpu_milli,
+        link_kbit_per_s: link_mbps * 1_000,
+    }
+}
+
+fn address(node: u16) -> SocketAddr {
+    ([10, 0, 0, 1], 7_000 + node).into()
+}
+
+fn now() -> Instant {
+    Instant::from_ms(10_000)
+}
+
+/// Routes `count` workers in turn over data centres until nothing changes, and returns the number on each route.
+fn route_all(
+    relays: &mut Relays,
+    count: usize,
+    at: Instant,
+) -> BTreeMap<Option<SocketAddr>, usize> {
+    let mut routes = BTreeMap::new();
+    for _ in 0..2 {
+        routes.clear();
+        for number in 0..count {
+            let worker = id::Worker::new(&format!("w{number}"));
+            let data_centre = id::DataCentre::new(["a", "b", "c"][number % 3]);
+            let route = match relays.route(&worker, &data_centre, at) {
+                Route::Direct => None,
+                Route::Relay(address) => Some(address),
+            };
+            *routes.entry(route).or_default() += 1;
+        }
+    }
+    routes
+}
+
+#[test]
+fn the_leader_of_a_small_fleet_uses_no_relay() {
+    let mut relays = Relays::new(strength("a", 250, 1_000));
+    for node in 0..7 {
+        relays.heard(address(node), strength("a", 250, 1_000), now());
+    }
+    let routes = route_all(&mut relays, 56, now());
+    assert_eq!(routes, [(None, 56)].into());
+}
+
+/// The load of hundreds of machines: 1,100 workers, 14 strong followers and many weak ones.
+#[test]
+fn a_large_fleet_is_spread_over_strong_nodes_near_the_workers() {
+    let mut relays = Relays::new(strength("a", 500, 200));
+    for node in 0..14 {
+        let data_centre = ["a", "b", "c"][usize::from(node) % 3];
+        relays.heard(address(node), strength(data_centre, 500, 200), now());
+    }
+    for node in 14..147 {
+        let data_centre = ["a", "b", "c"][usize::from(node) % 3];
+        relays.heard(address(node), strength(data_centre, 120, 20), now());
+    }
+    let routes = route_all(&mut relays, 1_100, now());
+    assert_eq!(routes.get(&None), None, "the leader only decides");
+    assert!(routes.len() <= 14, "{} connections", routes.len());
+    let most = routes.values().max().copied().unwrap_or(0);
+    assert!(most <= 125, "{most} workers on one relay");
+    for number in 0..3_u16 {
+        let worker = id::Worker::new(&format!("w{number}"));
+        let name = ["a", "b", "c"][usize::from(number)];
+        let data_centre = id::DataCentre::new(name);
+        let Route::Relay(relay) = relays.route(&worker, &data_centre, now()) else {
+            panic!("no relay");
+        };
+        assert_eq!(
+            relay.port() % 3,
+            (7_000 + number) % 3,
+            "another data centre"
+        );
+    }
+}
+
+#[test]
+fn a_thin_link_carries_few_workers() {
+    let mut relays = Relays::new(strength("a", 120, 2));
+    for node in 0..17 {
+        relays.heard(address(node), strength("a", 120, 2), now());
+    }
+    let routes = route_all(&mut relays, 130, now());
+    for (route, count) in &routes {
+        assert!(*count <= 25, "{count} workers on {route:?}");
+    }
+}
+
+#[test]
+fn workers_of_a_failed_or_silent_relay_get_another_route() {
+    let mut relays = Relays::new(strength("a", 20, 1_000));
+    for node in 0..3 {
+        relays.heard(address(node), strength("a", 250, 1_000), now());
+    }
+    let before = route_all(&mut relays, 100, now());
+    assert!(before.len() >= 3, "{before:?}");
+    relays.failed(address(0), now());
+    let after = route_all(&mut relays, 100, now());
+    assert_eq!(after.get(&Some(address(0))), None);
+    assert_eq!(after.values().sum::<usize>(), 100);
+    // Nobody is heard any more: the leader sends all commands itself.
+    let later = now().after_ms(10_000);
+    assert_eq!(route_all(&mut relays, 100, later), [(None, 100)].into());
+    let (direct, relayed) = relays.counts();
+    assert_eq!((direct, relayed), (100, 0));
+}
+
+#[test]
+fn workers_leave_an_overloaded_leader_when_followers_appear() {
+    let mut relays = Relays::new(strength("a", 120, 20));
+    assert_eq!(route_all(&mut relays, 300, now()), [(None, 300)].into());
+    for node in 0..10 {
+        relays.heard(address(node), strength("a", 120, 20), now());
+    }
+    let routes = route_all(&mut relays, 300, now());
+    let direct = routes.get(&None).copied().unwrap_or(0);
+    assert!(direct <= 60, "{direct} of 300 workers on the leader");
+    assert!(routes.values().all(|count| *count <= 60));
+}
