fleet: read the list of machines as often as the node can bear; no quadratic searches

Cause: the leader reads the whole list every 150 ms, 275 KB at 1,100 machines and 32 KB at 130: more than a link of 2 Mbit/s carries. Each round searched the list again for each machine. Change: the pause follows from the length of the list, the link and the processor (list_pause.rs); machines are found by an index; sets in place of lists where one list is compared with another.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -3,13 +3,13 @@
 mod commands;
 mod recovery;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::task::JoinSet;
 use tokio::time;
-use wasabiloft::batch::{pools, rate_limit, waves};
+use wasabiloft::batch::{list_pause, pools, rate_limit, waves};
 use wasabiloft::id;
 use wasabiloft_platform::machines::{Credentials, Machines};
 use wasabiloft_platform::{store, upkeep};
@@ -19,8 +19,6 @@
 use crate::log;
 use wasabiloft::batch::scheduler::DrainState;
 
-/// Interval between two rounds, in milliseconds.
-const ROUND_MS: u64 = 150;
 /// Remaining time of the duty's lease that a command to a machine requires, in milliseconds; covers the command's
 /// transmission and a pause of the node.
 const LEASE_MARGIN_MS: u64 = 1_000;
@@ -40,7 +38,9 @@
     budget: rate_limit::RateLimiter,
     waves: BTreeMap<u64, waves::Wave>,
     records: BTreeMap<u64, waves::Record>,
-    list: Vec<pools::Machine>,
+    list: Arc<Vec<pools::Machine>>,
+    /// Position of each machine in the list.
+    positions: HashMap<id::Vm, usize>,
     /// Machines with a command in progress or pending.
     busy: BTreeSet<id::Vm>,
     /// Commands that wait until their records are committed.
@@ -70,7 +70,8 @@
         budget: rate_limit::RateLimiter::new(settings.machine_changes_per_s, clock::since_boot()),
         waves: BTreeMap::new(),
         records: recovered.waves,
-        list: Vec::new(),
+        list: Arc::default(),
+        positions: HashMap::new(),
         busy: BTreeSet::new(),
         sent: BTreeMap::new(),
         paused: recovered.held_off,
@@ -82,8 +83,7 @@
     };
     let leadership = Arc::clone(&fleet.leadership);
     let ended = leadership.ended.clone();
-    let mut round = time::interval(Duration::from_millis(ROUND_MS));
-    round.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut next_round = time::Instant::now();
     loop {
         tokio::select! {
             () = ended.cancelled() => break,
@@ -93,7 +93,10 @@
                 }
             }
             () = leadership.commands_committed.notified() => fleet.send_committed(),
-            _ = round.tick() => fleet.round().await,
+            () = time::sleep_until(next_round) => {
+                let pause_ms = fleet.round().await;
+                next_round = time::Instant::now() + Duration::from_millis(pause_ms);
+            }
         }
     }
     fleet.commands.shutdown().await;
@@ -106,7 +109,8 @@
         self.leadership.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
     }
 
-    async fn round(&mut self) {
+    /// Reads the list of machines and acts on it; returns the pause until the next round, in milliseconds.
+    async fn round(&mut self) -> u64 {
         for asked in self.shared.waves() {
             let number = asked.request.number;
             if !self.waves.contains_key(&number) {
@@ -127,19 +131,30 @@
             }
         }
         let requested_at = clock::since_boot();
-        match self.machines.list().await {
-            Ok(list) => self.apply_list(list, requested_at),
+        let pause_ms = match self.machines.list().await {
+            Ok(listing) => {
+                let settings = self.shared.settings();
+                let pause_ms = list_pause::pause_ms(
+                    listing.machines.len() as u64,
+                    listing.bytes,
+                    settings.cpu_milli,
+                    settings.link_kbit_per_s,
+                );
+                self.apply_list(listing.machines, requested_at);
+                pause_ms
+            }
             Err(error) => {
                 log::info("fleet", &format!("cannot list machines reason={error}"));
-                return;
+                return list_pause::PAUSE_MIN_MS;
             }
-        }
+        };
         if self.can_send() {
             self.repeat_unanswered();
             let reserved = self.start_maintenance();
             self.follow_demand(&reserved);
         }
         self.report_waves().await;
+        pause_ms
     }
 
     fn apply_list(&mut self, list: Vec<pools::Machine>, requested_at: wasabiloft::clock::Instant) {
@@ -183,7 +198,12 @@
             }
         }
         self.end_missing_incarnations(&list);
-        self.list = list;
+        self.positions = list
+            .iter()
+            .enumerate()
+            .map(|(position, machine)| (machine.vm.clone(), position))
+            .collect();
+        self.list = Arc::new(list);
     }
 
     /// Ends the incarnations of workers whose machine no longer runs them: crashed, moved, in maintenance, or removed.
@@ -194,7 +214,7 @@
             .filter_map(|machine| machine.worker.as_ref())
             .collect();
         let mut scheduler = self.leadership.scheduler();
-        for before in &self.list {
+        for before in self.list.iter() {
             if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
                 scheduler.incarnation_ended(worker, "machine-without");
             }
@@ -284,8 +304,8 @@
             *incoming.entry(to.clone()).or_default() += 1;
         }
         let mut candidates = Vec::new();
-        let list = self.list.clone();
-        for machine in &list {
+        let list = Arc::clone(&self.list);
+        for machine in list.iter() {
             let unavailable = machine.state != pools::State::Up
                 || self.busy.contains(&machine.vm)
                 || self.sent.contains_key(&machine.vm);
@@ -360,7 +380,7 @@
     }
 
     fn machine(&self, vm: &id::Vm) -> Option<&pools::Machine> {
-        self.list.iter().find(|machine| machine.vm == *vm)
+        self.list.get(*self.positions.get(vm)?)
     }
 
     fn is_spare(&self, machine: &pools::Machine) -> bool {
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -1,6 +1,6 @@
 //! Leads the batch duty: runs the library's scheduler and connects it to the store, the registry and the workers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -418,7 +418,7 @@
             trusted_at = now.after_ms(ENTRIES_BACK_MS);
         }
         if after.is_none() {
-            let present: Vec<id::Worker> = page
+            let present: BTreeSet<id::Worker> = page
                 .rows
                 .iter()
                 .map(|row| id::Worker::new(&row.name.key))
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -1,6 +1,6 @@
 //! Assignment of machines to pools: enough machines where work arrives, the rest powered off.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::clock;
 use crate::id;
@@ -284,14 +284,14 @@
         .collect();
     sources.extend(powered_off);
     let mut actions = Vec::new();
-    let mut taken: Vec<&id::Vm> = Vec::new();
+    let mut taken: BTreeSet<&id::Vm> = BTreeSet::new();
     let receivers = allocation_order(shortages);
     let mut sources = sources.into_iter();
     let mut unmet = 0;
     for service in receivers {
         match sources.next() {
             Some(source) => {
-                taken.push(&source.machine.vm);
+                taken.insert(&source.machine.vm);
                 actions.push(Action::Move {
                     vm: source.machine.vm.clone(),
                     to: service.clone(),
@@ -325,14 +325,14 @@
     /// `unmet` counts the machines that other pools still lack; it is reduced for each machine drained for them.
     fn actions(
         &self,
-        taken: &[&id::Vm],
+        taken: &BTreeSet<&id::Vm>,
         unmet: &mut usize,
         spare: Option<&id::Service>,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         for (index, candidate) in self.members.iter().enumerate() {
             let vm = &candidate.machine.vm;
-            if taken.contains(&vm) {
+            if taken.contains(vm) {
                 continue;
             }
             let is_unused = index < self.unused && spare.is_some();
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -59,7 +59,7 @@
     /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
     /// apart.
     pub fn resolve_missing(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
-        let missing: Vec<id::Worker> = self
+        let missing: BTreeSet<id::Worker> = self
             .unresolved
             .keys()
             .filter(|worker| !current.contains(worker))
--- a/tests/test_batch_relays.rs
+++ b/tests/test_batch_relays.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use wasabiloft::batch::list_pause;
 use wasabiloft::batch::relays::{Relays, Route, Strength};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
@@ -130,3 +131,20 @@
     assert!(direct <= 60, "{direct} of 300 workers on the leader");
     assert!(routes.values().all(|count| *count <= 60));
 }
+
+#[test]
+fn a_long_list_is_read_less_often_on_a_weak_node() {
+    let pause_ms = list_pause::pause_ms;
+    assert_eq!(
+        pause_ms(56, 15_000, 250, 1_000_000),
+        list_pause::PAUSE_MIN_MS
+    );
+    let (machines, bytes) = (1_100, 275_000);
+    let strong_ms = pause_ms(machines, bytes, 500, 200_000);
+    let weak_ms = pause_ms(machines, bytes, 120, 20_000);
+    assert!(strong_ms <= 300, "{strong_ms}");
+    assert!((500..=1_000).contains(&weak_ms), "{weak_ms}");
+    // 130 machines on 2 Mbit/s: a fifth of the link at most.
+    let thin_ms = pause_ms(130, 32_000, 120, 2_000);
+    assert!(32_000 * 8 * 1_000 / thin_ms <= 400_000, "{thin_ms}");
+}
