front: a node that the store turns away is served through the leader

Change: a transaction or a read that the store doesn't answer is forwarded to the leader, with its conditions, so that a direct copy can't run besides it. A leader that doesn't reply gets nothing for a second, and callers are refused at once. Checked: hosted tests (refusals at once while the store is away for all, lost responses settled).

--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod duty;
 mod fleet;
+mod forward;
 mod front;
 mod gauges;
 mod leadership;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -17,7 +17,7 @@
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
-use crate::batch::shared;
+use crate::batch::{forward, shared};
 use crate::clock;
 
 /// Maximum time since a follower's last response from the store for it to take over from a leader that cannot reach
@@ -102,6 +102,7 @@
         .route("/beat", routing::post(heartbeat))
         .route("/jobs/{job}", routing::get(state))
         .route("/waiting", routing::get(waiting))
+        .merge(forward::router())
 }
 
 async fn heartbeat(
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -10,7 +10,7 @@
 use wasabiloft_platform::{store, submission};
 
 use crate::batch::front::Outcome;
-use crate::batch::{peers, shared};
+use crate::batch::{forward, peers, shared};
 use crate::clock;
 use crate::log;
 
@@ -38,26 +38,39 @@
     transaction: &store::Transaction,
     deadline: wasabiloft::clock::Instant,
 ) -> Result<store::CommitOutcome, Outcome> {
-    if shared.store_silent_ms() > STORE_UNAVAILABLE_MS {
-        return Err(Outcome::NotRun("store-away"));
-    }
     let began_at = clock::since_boot();
     let mut verdict = Verdict::NotRun;
     while let Some(timeout_ms) = call_timeout_ms(deadline) {
-        match shared.store.transact(transaction, timeout_ms).await {
-            Ok(outcome) => {
-                shared.record_store_response();
-                return Ok(outcome);
-            }
-            Err(error) => {
-                if error.verdict() != Verdict::NotRun {
-                    verdict = Verdict::MayHaveRun;
+        let is_away = shared.store_silent_ms() > STORE_UNAVAILABLE_MS;
+        if !is_away {
+            match shared.store.transact(transaction, timeout_ms).await {
+                Ok(outcome) => {
+                    shared.record_store_response();
+                    return Ok(outcome);
+                }
+                Err(error) => {
+                    if error.verdict() != Verdict::NotRun {
+                        verdict = Verdict::MayHaveRun;
+                    }
+                    metrics::counter!("wasabiloft_store_retries_total").increment(1);
                 }
-                metrics::counter!("wasabiloft_store_retries_total").increment(1);
-                let refused_ms = clock::since_boot().since_ms(began_at);
-                if verdict == Verdict::NotRun && refused_ms > REFUSED_RETRY_MS {
-                    return Err(Outcome::NotRun("store-refused"));
+            }
+        }
+        let refused_ms = clock::since_boot().since_ms(began_at);
+        if is_away || refused_ms > REFUSED_RETRY_MS {
+            // The store may turn away this node only.
+            match forward::write(shared, transaction, deadline).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(Verdict::NotRun) if verdict == Verdict::NotRun => {
+                    let reason = if is_away {
+                        "store-away"
+                    } else {
+                        "store-refused"
+                    };
+                    return Err(Outcome::NotRun(reason));
                 }
+                Err(Verdict::NotRun) => {}
+                Err(_) => verdict = Verdict::MayHaveRun,
             }
         }
         time::sleep(Duration::from_millis(RETRY_MS)).await;
@@ -123,22 +136,24 @@
     name: &store::Name,
     deadline: wasabiloft::clock::Instant,
 ) -> Result<Option<store::Row>, Outcome> {
-    if shared.store_silent_ms() > STORE_UNAVAILABLE_MS {
-        return Err(Outcome::NotRun("store-away"));
-    }
+    let began_at = clock::since_boot();
     while let Some(timeout_ms) = call_timeout_ms(deadline) {
-        match shared.store.row(name, timeout_ms).await {
-            Ok(row) => {
-                shared.record_store_response();
-                return Ok(row.filter(|row| row.value.is_some()));
-            }
-            Err(error) => {
-                metrics::counter!("wasabiloft_store_retries_total").increment(1);
-                if error.verdict() == Verdict::NotRun
-                    && shared.store_silent_ms() > STORE_UNAVAILABLE_MS
-                {
-                    return Err(Outcome::NotRun("store-away"));
+        let is_away = shared.store_silent_ms() > STORE_UNAVAILABLE_MS;
+        if !is_away {
+            match shared.store.row(name, timeout_ms).await {
+                Ok(row) => {
+                    shared.record_store_response();
+                    return Ok(row.filter(|row| row.value.is_some()));
                 }
+                Err(_) => metrics::counter!("wasabiloft_store_retries_total").increment(1),
+            }
+        }
+        let refused_ms = clock::since_boot().since_ms(began_at);
+        if is_away || refused_ms > REFUSED_RETRY_MS {
+            match forward::read(shared, name, deadline).await {
+                Ok(row) => return Ok(row),
+                Err(()) if is_away => return Err(Outcome::NotRun("store-away")),
+                Err(()) => {}
             }
         }
         time::sleep(Duration::from_millis(RETRY_MS)).await;
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -64,6 +64,7 @@
     own_epoch: AtomicU64,
     waves: Mutex<BTreeMap<u64, RequestedWave>>,
     pub(super) peers: super::peers::Clients,
+    pub(super) forwarding: super::forward::Breaker,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -87,6 +88,7 @@
             store_clock: Mutex::default(),
             settings: Mutex::new(Arc::new(settings)),
             peers: super::peers::Clients::default(),
+            forwarding: super::forward::Breaker::default(),
         }
     }
 
