rejection: Retry-After grows with the age of an outage and is spread

Cause: every refusal said one second. With a few attempts, a caller of the first seconds of a long outage used them all up during it, and all others returned in the same second. Change: the wait is as long as the outage has lasted, within one and four seconds, and half as much at random.

--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use metrics::{counter, histogram};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::queue;
+use wasabiloft::batch::{queue, rejection};
 use wasabiloft_platform::submission;
 
 use crate::batch::{requests, shared};
@@ -25,8 +25,6 @@
 const RESPONSE_RESERVE_MS: u64 = 100;
 /// Maximum wait that a caller can request, in milliseconds.
 const DEADLINE_MAX_MS: u64 = 60_000;
-/// Value of the `retry-after` header of a refused request, in seconds; the header allows no shorter time.
-const RETRY_AFTER_S: &str = "1";
 /// Request header with the time that the caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
@@ -96,10 +94,8 @@
         );
     }
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(
-            header::RETRY_AFTER,
-            header::HeaderValue::from_static(RETRY_AFTER_S),
-        );
+        let wait_s = rejection::retry_after_s(shared.store_silent_ms(), rand::random());
+        headers.insert(header::RETRY_AFTER, header::HeaderValue::from(wait_s));
     }
     if shared.stop.is_cancelled() {
         headers.insert(
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -11,6 +11,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod record;
+pub mod rejection;
 pub mod relays;
 pub mod spec;
 pub mod succession;
