relays: the texts of jobs go once to a relay, or not at all over a thin link

Change: a start carries the text only with the first task of a job for a relay. If the leader's link doesn't carry the texts of the fleet, relays read the job's row from the store once. The leader's own workers take a sixteenth of its link. Checked: relays tests; hosted tests, whose relays read the texts.

--- a/node/src/batch/channels.rs
+++ b/node/src/batch/channels.rs
@@ -82,13 +82,18 @@
     pub async fn call(
         &self,
         recipient: &Recipient,
-        command: Command,
+        mut command: Command,
         timeout_ms: u64,
     ) -> Result<Response, Failure> {
         let epoch = self.leadership.epoch;
         match self.channel(recipient) {
             Channel::Direct(client) => message::execute(&client, &command, epoch, timeout_ms).await,
             Channel::Relay(link) => {
+                if let Command::Start { task, text, .. } = &mut command
+                    && (!self.leadership.relays().sends_texts() || !link.is_first_start(task.job))
+                {
+                    *text = None;
+                }
                 let target = recipient.target.clone();
                 link.call(target, command, epoch, timeout_ms).await
             }
--- a/node/src/batch/relay/link.rs
+++ b/node/src/batch/relay/link.rs
@@ -1,6 +1,6 @@
 //! The leader's side: a connection to a relay.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,8 +13,10 @@
 use tokio::time;
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
+use wasabiloft::batch::JobId;
 use wasabiloft::verdict::Verdict;
 
+use crate::batch::relay::TEXTS_MAX;
 use crate::batch::relay::message::{
     Command, Failure, Replies, Request, Requests, Response, Target,
 };
@@ -42,6 +44,8 @@
     requests: mpsc::Sender<Request>,
     waiting: Mutex<HashMap<u64, oneshot::Sender<Outcome>>>,
     next_number: AtomicU64,
+    /// Jobs of which the relay got the text.
+    jobs: Mutex<HashSet<JobId>>,
     /// Cancelled when the relay has failed.
     pub failed: CancellationToken,
     /// Cancelled when the relay stops and takes no further commands.
@@ -56,6 +60,7 @@
             requests,
             waiting: Mutex::default(),
             next_number: AtomicU64::new(0),
+            jobs: Mutex::default(),
             failed: CancellationToken::new(),
             stopping: CancellationToken::new(),
         };
@@ -66,6 +71,15 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the relay got no start of a job yet, and records that it gets one.
+    pub fn is_first_start(&self, job: JobId) -> bool {
+        let mut jobs = self.jobs.lock().unwrap_or_else(PoisonError::into_inner);
+        if jobs.len() >= TEXTS_MAX {
+            jobs.clear();
+        }
+        jobs.insert(job)
+    }
+
     /// Sends a command by the relay and waits for its outcome.
     ///
     /// # Errors
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the leader and a relay.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::TaskId;
@@ -19,8 +20,8 @@
         task: TaskId,
         /// Number of this start of the task.
         run: u32,
-        /// The job's text, which the worker gets as it was submitted.
-        text: String,
+        /// The job's text, which the worker gets as it was submitted; a relay knows it or reads it if it is absent.
+        text: Option<Arc<str>>,
         /// End of the lease granted with the start, in milliseconds on the worker's clock.
         until_ms: u64,
         /// Checkpoint to continue from.
@@ -159,6 +160,13 @@
             checkpoint,
             ticket,
         } => {
+            let Some(text) = text else {
+                return Err(Failure {
+                    verdict: Verdict::NotRun,
+                    refused: false,
+                    reason: format!("no text of job {}", task.job),
+                });
+            };
             let start = worker::StartCommand {
                 task: *task,
                 run: *run,
--- a/node/src/batch/relay/mod.rs
+++ b/node/src/batch/relay/mod.rs
@@ -8,10 +8,14 @@
 pub mod link;
 pub mod message;
 pub mod server;
+mod texts;
 
 /// Maximum length of a frame, in bytes: a batch of the largest reports.
 const FRAME_BYTES_MAX: usize = 8 << 20;
 
+/// Maximum number of jobs whose text a relay keeps.
+const TEXTS_MAX: usize = 1_024;
+
 /// Returns the codec of both directions.
 fn codec() -> tokio_util::codec::LengthDelimitedCodec {
     tokio_util::codec::LengthDelimitedCodec::builder()
--- a/node/src/batch/relay/server.rs
+++ b/node/src/batch/relay/server.rs
@@ -15,7 +15,10 @@
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::worker;
 
-use crate::batch::relay::message::{self, Failure, Replies, Reply, Request, Requests, Target};
+use crate::batch::relay::message::{
+    self, Command, Failure, Replies, Reply, Request, Requests, Target,
+};
+use crate::batch::relay::texts::Texts;
 use crate::batch::shared;
 use crate::clock;
 use crate::log;
@@ -57,6 +60,8 @@
     clients: HashMap<Target, Arc<worker::Worker>>,
     commands: JoinSet<()>,
     replies: mpsc::Sender<Reply>,
+    texts: Arc<Texts>,
+    shared: Arc<shared::Shared>,
 }
 
 async fn serve_leader(stream: TcpStream, shared: Arc<shared::Shared>) {
@@ -67,6 +72,8 @@
         clients: HashMap::new(),
         commands: JoinSet::new(),
         replies,
+        texts: Arc::default(),
+        shared: Arc::clone(&shared),
     };
     let mut said_stopping = false;
     let mut batch = Vec::new();
@@ -134,7 +141,7 @@
                 ),
             );
         }
-        for request in requests.requests {
+        for mut request in requests.requests {
             let replies = self.replies.clone();
             if relays::is_stale(age_ms) {
                 self.commands.spawn(async move {
@@ -143,7 +150,14 @@
                 continue;
             }
             let client = self.client(&request.target);
+            let (texts, shared) = (Arc::clone(&self.texts), Arc::clone(&self.shared));
             self.commands.spawn(async move {
+                if let Command::Start { task, text, .. } = &mut request.command {
+                    match text {
+                        Some(text) => texts.insert(task.job, text),
+                        None => *text = texts.get(&shared, task.job).await,
+                    }
+                }
                 let outcome =
                     message::execute(&client, &request.command, request.epoch, request.timeout_ms)
                         .await;
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -293,11 +293,12 @@
 
 async fn start(channels: &Channels, recipient: &Recipient, command: &Start) -> StartOutcome {
     let mut may_have_run = false;
+    let text: Arc<str> = Arc::from(command.accepted.spec.text.as_str());
     for send in 1..=START_ATTEMPTS_MAX {
         let start = Command::Start {
             task: command.task,
             run: command.run,
-            text: command.accepted.spec.text.clone(),
+            text: Some(Arc::clone(&text)),
             until_ms: command.until_ms,
             checkpoint: command.checkpoint.clone(),
             ticket: command.ticket.clone(),
--- a/src/batch/list_pause.rs
+++ b/src/batch/list_pause.rs
@@ -8,7 +8,7 @@
 /// Longest pause, in milliseconds; crashed workers show in the list first.
 const PAUSE_MAX_MS: u64 = 1_000;
 /// The readings take at most one part in this many of the link.
-const LINK_SHARE: u64 = 5;
+const LINK_SHARE: u64 = 8;
 /// The readings take at most one part in this many of the processor.
 const CPU_SHARE: u64 = 20;
 /// Processor time that the entry of a machine takes on a full core, in microseconds.
--- a/src/batch/relays.rs
+++ b/src/batch/relays.rs
@@ -18,8 +18,14 @@
 const DECIDE_CPU_MICRO: u64 = 250;
 /// Link bandwidth that the exchange of messages with one worker takes at full load, in kbit/s.
 const EXCHANGE_KBIT_PER_S: u64 = 40;
-/// The leader spends at most one part in this many of its processor on its workers, and of its link.
-const LEADER_SHARE: u64 = 2;
+/// Link bandwidth that the texts of the jobs of one worker take at full load, in kbit/s.
+const TEXT_KBIT_PER_S: u64 = 40;
+/// The leader spends at most one part in this many of its processor on deciding and on workers of its own.
+const LEADER_CPU_SHARE: u64 = 2;
+/// The leader's own workers take at most one part in this many of its link, which the store's feeds need.
+const LEADER_LINK_SHARE: u64 = 16;
+/// The texts of jobs take at most one part in this many of the leader's link.
+const TEXT_LINK_SHARE: u64 = 4;
 /// A relay spends at most one part in this many of its processor and of its link; it answers callers too.
 const RELAY_SHARE: u64 = 4;
 /// A node that was not heard from for this long gets no commands to relay, in milliseconds; three of the slowest
@@ -58,9 +64,9 @@
     /// Returns how many of `workers` the leader itself exchanges messages with.
     fn direct_max(&self, workers: usize) -> usize {
         let deciding = workers as u64 * DECIDE_CPU_MICRO / 1_000;
-        let cpu_milli = (self.cpu_milli / LEADER_SHARE).saturating_sub(deciding);
+        let cpu_milli = (self.cpu_milli / LEADER_CPU_SHARE).saturating_sub(deciding);
         let by_cpu = cpu_milli / EXCHANGE_CPU_MILLI;
-        let by_link = self.link_kbit_per_s / LEADER_SHARE / EXCHANGE_KBIT_PER_S;
+        let by_link = self.link_kbit_per_s / LEADER_LINK_SHARE / EXCHANGE_KBIT_PER_S;
         usize::try_from(by_cpu.min(by_link)).unwrap_or(usize::MAX)
     }
 }
@@ -172,6 +178,12 @@
         }
     }
 
+    /// Returns whether the leader's link carries the texts of jobs; if not, relays read them from the store.
+    pub fn sends_texts(&self) -> bool {
+        let texts_kbit_per_s = self.routes.len() as u64 * TEXT_KBIT_PER_S;
+        self.leader.link_kbit_per_s / TEXT_LINK_SHARE >= texts_kbit_per_s
+    }
+
     /// Returns the number of workers with a direct route and of those with a relay.
     pub fn counts(&self) -> (usize, usize) {
         (self.direct, self.routes.len() - self.direct)
