log: collect lines and write them together

Cause: a leader of 1,100 workers logs thousands of lines a second; each woke a thread and took a system call. Change: lines are collected up to a limit and written every 20 ms by a thread that the writer joins; lines beyond the limit are dropped and counted, as before. Checked: hosted tests and the soak read these logs.

--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -1,13 +1,22 @@
 //! Logging to standard output; every line starts with the prefix of its component.
+//!
+//! Lines are collected in memory and written together by a thread of their own: a busy leader logs thousands of
+//! decisions a second, and a system call for each would cost it more than the decisions.
 
-use std::num::NonZeroUsize;
+use std::io::{self, Write};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
 
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
-use spdlog::{LevelFilter, Logger, ThreadPool};
+use spdlog::sink::WriteSink;
+use spdlog::{LevelFilter, Logger};
 
-/// Capacity of the queue of lines; further ones are dropped and counted, so that no task blocks on a slow reader.
-const QUEUE_LINES: usize = 4_096;
+/// Maximum length of the lines that wait to be written, in bytes; further ones are dropped and counted, so that no task
+/// blocks on a slow reader.
+const WAITING_BYTES_MAX: usize = 1 << 20;
+/// Time for which lines are collected, in milliseconds.
+const COLLECT_MS: u64 = 20;
 
 /// Logs a line at level info, prefixed with `part`.
 pub fn info(part: &str, line: &str) {
@@ -19,32 +28,132 @@
     spdlog::warn!("{part}: {line}");
 }
 
-/// Sets up the logger to write to standard output through a bounded queue.
+#[derive(Debug, Default)]
+struct Lines {
+    waiting: Vec<u8>,
+    stopped: bool,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    lines: Mutex<Lines>,
+    changed: Condvar,
+}
+
+impl Queue {
+    fn lines(&self) -> MutexGuard<'_, Lines> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes the lines that wait; another caller's lines may be written first.
+    fn write_out(&self) {
+        let waiting = std::mem::take(&mut self.lines().waiting);
+        let mut stdout = io::stdout().lock();
+        if stdout
+            .write_all(&waiting)
+            .and_then(|()| stdout.flush())
+            .is_err()
+        {
+            metrics::counter!("wasabiloft_log_writes_failed_total").increment(1);
+        }
+    }
+
+    /// Writes lines as they come until the queue is stopped.
+    fn run(&self) {
+        loop {
+            let mut lines = self.lines();
+            while lines.waiting.is_empty() && !lines.stopped {
+                lines = self
+                    .changed
+                    .wait(lines)
+                    .unwrap_or_else(PoisonError::into_inner);
+            }
+            let stopped = lines.stopped;
+            drop(lines);
+            if stopped {
+                self.write_out();
+                return;
+            }
+            thread::sleep(Duration::from_millis(COLLECT_MS));
+            self.write_out();
+        }
+    }
+}
+
+/// The sink's end of the queue.
+struct Collector {
+    queue: Arc<Queue>,
+}
+
+impl Write for Collector {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut lines = self.queue.lines();
+        if lines.waiting.len() + line.len() > WAITING_BYTES_MAX {
+            metrics::counter!("wasabiloft_log_lines_dropped_total").increment(1);
+            return Ok(line.len());
+        }
+        let is_first = lines.waiting.is_empty();
+        lines.waiting.extend_from_slice(line);
+        drop(lines);
+        if is_first {
+            self.queue.changed.notify_one();
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.queue.write_out();
+        Ok(())
+    }
+}
+
+/// Writes the collected lines; when dropped, it writes the last ones and ends its thread.
+#[derive(Debug)]
+pub struct Writer {
+    queue: Arc<Queue>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.queue.lines().stopped = true;
+        self.queue.changed.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread was printed by itself.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Sets up the logger to write to standard output until the returned writer is dropped.
 ///
 /// # Errors
 ///
-/// Returns an error if the writer thread can't be started.
-pub fn to_stdout() -> Result<(), spdlog::Error> {
-    let capacity = NonZeroUsize::new(QUEUE_LINES).unwrap_or(NonZeroUsize::MIN);
-    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
-    let stdout = StdStreamSink::builder()
-        .stdout()
+/// Returns an error if the writer's thread or the logger can't be set up.
+pub fn to_stdout() -> Result<Writer, String> {
+    let queue = Arc::new(Queue::default());
+    let thread = thread::Builder::new().name("log".into()).spawn({
+        let queue = Arc::clone(&queue);
+        move || queue.run()
+    });
+    let thread = thread.map_err(|error| error.to_string())?;
+    let sink = WriteSink::builder()
+        .target(Collector {
+            queue: Arc::clone(&queue),
+        })
         .formatter(PatternFormatter::new(pattern!(
             "{date} {time}.{millisecond} {level} {payload}{eol}"
         )))
-        .build_arc()?;
-    let sink = AsyncPoolSink::builder()
-        .sink(stdout)
-        .thread_pool(pool)
-        .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(|_| {
-            metrics::counter!("wasabiloft_log_lines_dropped_total").increment(1);
-        })
-        .build_arc()?;
+        .build_arc()
+        .map_err(|error| error.to_string())?;
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(LevelFilter::All)
-        .build_arc()?;
+        .build_arc()
+        .map_err(|error| error.to_string())?;
     spdlog::set_default_logger(logger);
-    Ok(())
+    Ok(Writer {
+        queue,
+        thread: Some(thread),
+    })
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -100,7 +100,7 @@
         println!("{}: ok", args.config.display());
         return Ok(());
     }
-    log::to_stdout().map_err(|error| error.to_string())?;
+    let _writer = log::to_stdout()?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| error.to_string())?;
