scheduler: planning leaves time for reports; runs are checked less often

Cause: planning ran again 4 ms after it ended, also while a round over a long queue took longer than that, and a tick of 50 ms looked at every run twice. Change: the pause after a round is three times its length, within 4 and 60 ms; runs are checked every 200 ms.

--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -21,8 +21,12 @@
 /// Length of the workers' leases, in milliseconds: long enough to outlast a takeover, and short enough that the tasks
 /// of an unreachable worker are soon started elsewhere.
 const LEASE_MS: u64 = 4_000;
-/// Minimum interval between two planning rounds, in milliseconds; batches events that arrive together.
-const PLAN_EVERY_MS: u64 = 4;
+/// Minimum pause between two planning rounds, in milliseconds; batches events that arrive together.
+const PLAN_PAUSE_MIN_MS: u64 = 4;
+/// Maximum pause between two planning rounds, in milliseconds; short against the length of a task.
+const PLAN_PAUSE_MAX_MS: u64 = 60;
+/// The pause after a round is at least this many times its length, so that reports and commits are handled meanwhile.
+const PLAN_PAUSE_FACTOR: u64 = 3;
 /// Interval at which timers are checked, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Wait of a long poll for changes of a table, in milliseconds.
@@ -284,6 +288,7 @@
                 previous_counts = counts;
             }
         }
+        let round_at = time::Instant::now();
         let outputs = {
             let mut scheduler = leadership.scheduler();
             scheduler.plan(clock::since_boot(), clock::unix_ms());
@@ -300,7 +305,11 @@
             }
         }
         leadership.write.notify_one();
-        time::sleep(Duration::from_millis(PLAN_EVERY_MS)).await;
+        let took_ms = u64::try_from(round_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let pause_ms = took_ms
+            .saturating_mul(PLAN_PAUSE_FACTOR)
+            .clamp(PLAN_PAUSE_MIN_MS, PLAN_PAUSE_MAX_MS);
+        time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -39,6 +39,9 @@
 /// call.
 const STOP_RESEND_MS: u64 = 400;
 
+/// Interval at which all runs are checked for progress and unanswered stops, in milliseconds; half a resend.
+const RUNS_CHECK_MS: u64 = 200;
+
 /// State machine that schedules the tasks of all services.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -49,6 +52,8 @@
     /// Whether a previous leader had recorded workers.
     has_predecessor: bool,
     started_at: clock::Instant,
+    /// When the runs of all workers were last checked for progress and unanswered stops.
+    runs_checked_at: clock::Instant,
     config: Arc<queue::Config>,
     jobs: HashMap<JobId, job::Job>,
     /// Jobs without a final state.
@@ -89,6 +94,7 @@
             predecessor_may_act: recovered.predecessor_may_act,
             has_predecessor: !recovered.workers.is_empty(),
             started_at: now,
+            runs_checked_at: now,
             config,
             jobs: HashMap::new(),
             open_jobs: open_jobs::OpenJobs::default(),
@@ -277,8 +283,11 @@
         self.open_due_occurrences(unix_ms);
         self.resolve_expired(now);
         self.expire_leases(now);
-        self.resend_stops(now);
-        self.stop_stuck_runs(now);
+        if now.since_ms(self.runs_checked_at) >= RUNS_CHECK_MS {
+            self.runs_checked_at = now;
+            self.resend_stops(now);
+            self.stop_stuck_runs(now);
+        }
         self.remove_expired_jobs(unix_ms);
     }
 
