pools: late work gives its machines to work in time

Change: running tasks of late jobs no longer count as need. A pool keeps its machines for them unless another pool needs them for work in time, and gets powered-off ones for them last.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -469,8 +469,8 @@
         log::info(
             "fleet",
             &format!(
-                "pool service={service} has={has} need={} keep={} running={} waiting={}",
-                want.need, want.retain, demand.running, demand.waiting
+                "pool service={service} has={has} need={} keep={} running={} waiting={} late={}",
+                want.need, want.retain, demand.running, demand.waiting, demand.late
             ),
         );
     }
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -71,10 +71,12 @@
 /// The demand of a service's queues on its pool; capacity is in thousandths of a machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
-    /// Capacity used by running tasks.
+    /// Capacity used by running tasks, except those of late jobs.
     pub running: u64,
     /// Capacity needed by tasks that could start now and whose job can still meet its objective.
     pub waiting: u64,
+    /// Capacity that tasks of jobs use, or need now, that can no longer meet their objective.
+    pub late: u64,
     /// Machines that long-running tasks need so that they run on separate ones.
     pub separate_machines: u32,
     /// Total of all work that ever arrived, as capacity times milliseconds.
@@ -92,6 +94,8 @@
     pub min: u32,
     /// Machines below which the pool doesn't shrink only to power machines off.
     pub retain: u32,
+    /// Machines for late work, beyond `need`; the pool gets them if no other pool needs them for work in time.
+    pub late: u32,
 }
 
 /// The total arrivals up to a point in time.
@@ -158,13 +162,19 @@
             None => now.since_ms(self.began_at) < NO_WORK_MS,
             Some(at) => now.since_ms(at) < FIRST_WORK_MS,
         };
+        let late = u32::try_from(demand.late.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
         let settling = uncertain || now.since_ms(self.began_at) < NEW_LEADER_MS;
         let retain = if settling {
             recent_max.max(has)
         } else {
-            recent_max
+            recent_max.max(need.saturating_add(late).min(has))
         };
-        Target { need, min, retain }
+        Target {
+            need,
+            min,
+            retain,
+            late,
+        }
     }
 
     /// Returns the capacity that arriving work will use [`AHEAD_MS`] from now, by the trend of the last two windows.
@@ -246,10 +256,14 @@
 
 /// Decides which machines change their pool.
 ///
+/// Answers the load in which one queue's jobs are late while the next queue asks for more than its pool holds: late work
+/// keeps only the machines that no work in time needs, so that one queue's peak doesn't make the following ones late.
+///
 /// A pool gives machines that it doesn't need now to pools with a shortage. It gives machines to the spare pool only
 /// if it hasn't needed them for a while.
 pub fn assign(candidates: &[Candidate<'_>], input: &Input<'_>) -> Vec<Action> {
     let mut shortages = BTreeMap::new();
+    let mut late_shortages = BTreeMap::new();
     let mut pools = BTreeMap::new();
     for (service, target) in input.targets {
         let mut members: Vec<&Candidate<'_>> = candidates
@@ -264,6 +278,14 @@
             let beyond_min = target.need - have - min;
             shortages.insert(service, Shortage { min, beyond_min });
         }
+        let late = target.need.saturating_add(target.late);
+        if late > have.max(target.need) {
+            let shortage = Shortage {
+                min: 0,
+                beyond_min: late - have.max(target.need),
+            };
+            late_shortages.insert(service, shortage);
+        }
         let pool = Pool {
             surplus: have.saturating_sub(target.need).min(count(&members)) as usize,
             unused: have.saturating_sub(target.retain).min(count(&members)) as usize,
@@ -300,6 +322,15 @@
             None => unmet += 1,
         }
     }
+    // Late work gets what is left; no machine is drained for it.
+    let late_receivers = allocation_order(late_shortages).into_iter();
+    for (service, source) in late_receivers.zip(sources) {
+        taken.insert(&source.machine.vm);
+        actions.push(Action::Move {
+            vm: source.machine.vm.clone(),
+            to: service.clone(),
+        });
+    }
     for pool in pools.values() {
         actions.extend(pool.actions(&taken, &mut unmet, input.spare));
     }
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -92,12 +92,23 @@
                         let workers_needed = spec.tasks.div_ceil(spec.per_worker_max);
                         demand.separate_machines = demand.separate_machines.max(workers_needed);
                     }
-                    if !in_time || !job.is_step_ready(occurrence, number) {
+                    let share = machine_share(&plan::need(spec), size);
+                    if !in_time {
+                        let active = step.tasks.iter().filter(|task| task.active.is_some());
+                        let active = share * active.count() as u64;
+                        demand.running = demand.running.saturating_sub(active);
+                        demand.late += active;
+                    }
+                    if step.idle == 0 || !job.is_step_ready(occurrence, number) {
                         continue;
                     }
                     let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
-                    demand.waiting +=
-                        machine_share(&plan::need(spec), size) * waiting.count() as u64;
+                    let waiting = share * waiting.count() as u64;
+                    if in_time {
+                        demand.waiting += waiting;
+                    } else {
+                        demand.late += waiting;
+                    }
                 }
             }
         }
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -42,7 +42,13 @@
     let targets: BTreeMap<id::Service, Target> = targets
         .iter()
         .map(|&(service, need, min, retain)| {
-            (id::Service::new(service), Target { need, min, retain })
+            let target = Target {
+                need,
+                min,
+                retain,
+                late: 0,
+            };
+            (id::Service::new(service), target)
         })
         .collect();
     let spare = id::Service::new(SPARE);
@@ -271,3 +277,67 @@
     wave.on_seen_up(&up, Instant::from_ms(2_500), 2_000);
     assert_eq!(wave.free_slots(), 2);
 }
+
+/// The load of the small twin of the large site: one queue's late jobs fill most machines while the next queue's turn
+/// begins and its jobs are still in time.
+#[test]
+fn late_work_gives_its_machines_to_work_in_time() {
+    let now = Instant::from_ms(100_000);
+    let mut forecast = Forecast::new(Instant::ZERO);
+    let late = Demand {
+        late: 120_000,
+        ..demand(0, 1_000, 10)
+    };
+    let in_time = Demand {
+        waiting: 60_000,
+        ..demand(16_000, 1_000, 10)
+    };
+    let machines: Vec<Machine> = (0..80)
+        .map(|number| machine(&format!("a{number:02}"), "late"))
+        .chain((0..16).map(|number| machine(&format!("b{number:02}"), "in-time")))
+        .collect();
+    let candidates: Vec<Candidate<'_>> = machines
+        .iter()
+        .map(|machine| candidate(machine, 900))
+        .collect();
+    let mut targets = BTreeMap::new();
+    for (name, demand, has) in [("late", late, 80), ("in-time", in_time, 16)] {
+        let service = id::Service::new(name);
+        let target = forecast.target(&service, &demand, has, now);
+        targets.insert(service, target);
+    }
+    let spare = id::Service::new(SPARE);
+    let input = Input {
+        targets: &targets,
+        incoming: &BTreeMap::new(),
+        spare: Some(&spare),
+    };
+    let drained = pools::assign(&candidates, &input)
+        .iter()
+        .filter(|action| matches!(action, Action::Drain(vm) if vm.as_str().starts_with('a')))
+        .count();
+    assert!(drained >= 60, "{drained} machines drained");
+    // Without other work the late jobs keep their machines, and get powered-off ones.
+    let late_service = id::Service::new("late");
+    targets.retain(|service, _| *service == late_service);
+    let mut all = machines.clone();
+    all.truncate(80);
+    all.extend((0..50).map(|number| machine(&format!("s{number:02}"), SPARE)));
+    let candidates: Vec<Candidate<'_>> = all
+        .iter()
+        .map(|machine| candidate(machine, if machine.pool == spare { 0 } else { 900 }))
+        .collect();
+    let input = Input {
+        targets: &targets,
+        incoming: &BTreeMap::new(),
+        spare: Some(&spare),
+    };
+    let actions = pools::assign(&candidates, &input);
+    assert_eq!(moved(&actions, "late"), 42, "120 machines, at least 2 more");
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Drain(_))),
+        "drained for nobody"
+    );
+}
