--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! Seeded measurements of the decision code; each run prints one JSON object.
 
 mod baseline;
+mod batch;
 mod config;
 mod entry;
 mod fleet;
@@ -29,6 +30,7 @@
     measure <command> [options]
 
 Commands:
+    batch       Processor time of the batch scheduler while each pool in turn is overloaded.
     config      Configuration changes: lag, store reads and writes, messages, bytes and CPU a node.
     fleet       Maintenance waves: roll-out time and breaches under faults.
     flood       What the other kinds keep while some kinds flood in.
@@ -47,6 +49,7 @@
     let command = args.next().unwrap_or_default();
     let argv: Vec<_> = args.collect();
     let done: Result<(), Box<dyn error::Error>> = match command.to_str() {
+        Some("batch") => batch::run(argv).map_err(Into::into),
         Some("config") => config::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
         Some("fleet") => fleet::run(argv).map_err(Into::into),
         Some("flood") => flood::run(argv).map_err(Into::into),
