--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -18,6 +18,11 @@
 /// Time for which lines are collected, in milliseconds.
 const COLLECT_MS: u64 = 20;
 
+/// Maximum length of one write, in bytes; a pipe takes up to this length in one piece.
+const WRITE_BYTES_MAX: usize = 4 << 10;
+/// Pause before a write to a full pipe is repeated, in milliseconds.
+const FULL_PAUSE_MS: u64 = 5;
+
 /// Logs a line at level info, prefixed with `part`.
 pub fn info(part: &str, line: &str) {
     spdlog::info!("{part}: {line}");
@@ -48,12 +53,7 @@
     /// Writes the lines that wait; another caller's lines may be written first.
     fn write_out(&self) {
         let waiting = std::mem::take(&mut self.lines().waiting);
-        let mut stdout = io::stdout().lock();
-        if stdout
-            .write_all(&waiting)
-            .and_then(|()| stdout.flush())
-            .is_err()
-        {
+        if write_all(&waiting).is_err() {
             metrics::counter!("wasabiloft_log_writes_failed_total").increment(1);
         }
     }
@@ -80,6 +80,30 @@
     }
 }
 
+/// Writes to standard output, which may be a pipe that is full for a moment.
+fn write_all(mut bytes: &[u8]) -> io::Result<()> {
+    let mut stdout = io::stdout().lock();
+    while !bytes.is_empty() {
+        match stdout.write(&bytes[..whole_lines(bytes)]) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                thread::sleep(Duration::from_millis(FULL_PAUSE_MS));
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    stdout.flush()
+}
+
+/// Returns the length of the lines that fit into one write; a longer line is split.
+fn whole_lines(bytes: &[u8]) -> usize {
+    let most = bytes.len().min(WRITE_BYTES_MAX);
+    let end = bytes[..most].iter().rposition(|byte| *byte == b'\n');
+    end.map_or(most, |end| end + 1)
+}
+
 /// The sink's end of the queue.
 struct Collector {
     queue: Arc<Queue>,
