--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -140,6 +140,14 @@
                     settings.cpu_milli,
                     settings.link_kbit_per_s,
                 );
+                let list_ms = clock::since_boot().since_ms(requested_at);
+                log::info(
+                    "fleet",
+                    &format!(
+                        "machines listed count={} list_ms={list_ms} pause_ms={pause_ms}",
+                        listing.machines.len()
+                    ),
+                );
                 self.apply_list(listing.machines, requested_at);
                 pause_ms
             }
