recovery: a new leader renews the duty while it reads its rows, in reads that its link carries

Change: pages and the number of reads at a time follow from the link (recovery_pages.rs); a page is read again before the recovery fails; the duty's row is renewed while rows are read. A renewal runs to its end, as the version of the row is unknown otherwise. Checked: reads against links of 2 to 1,000 Mbit/s; a hosted test with a slow store in which the duty is taken over once.

--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::record;
 use wasabiloft_platform::store;
 
@@ -14,7 +15,7 @@
 
 /// Interval at which an idle leader rewrites the duty's row, in milliseconds; followers consider the leader dead after
 /// three times that.
-const RENEW_INTERVAL_MS: u64 = 250;
+pub const RENEW_INTERVAL_MS: u64 = 250;
 /// Minimum interval between two commits, in milliseconds; groups the ends of many tasks into one commit.
 const COMMIT_INTERVAL_MS: u64 = 12;
 /// Timeout of a call to the store, in milliseconds.
@@ -36,13 +37,14 @@
         Self { duty, version }
     }
 
-    /// Commits a batch; returns `false` if the duty is lost or the batch cannot be encoded.
+    /// Commits a batch and returns when it was sent; `None` if the duty is lost, the batch cannot be encoded, or `ended`
+    /// is cancelled.
     async fn commit(
         &mut self,
         shared: &shared::Shared,
-        leadership: &leadership::Leadership,
+        ended: &CancellationToken,
         batch: &record::WriteBatch,
-    ) -> bool {
+    ) -> Option<wasabiloft::clock::Instant> {
         let duty = record::Duty {
             commits: self.duty.commits + 1,
             ..self.duty.clone()
@@ -51,7 +53,7 @@
             Ok(transaction) => transaction,
             Err(error) => {
                 log::warn("commit", &format!("cannot encode the batch reason={error}"));
-                return false;
+                return None;
             }
         };
         let sent_at = clock::since_boot();
@@ -67,7 +69,7 @@
                     let version = seen.version;
                     shared.record_duty(seen);
                     if !committed {
-                        return false;
+                        return None;
                     }
                     // An earlier attempt was committed, but its response was lost.
                     self.version = version;
@@ -81,17 +83,25 @@
                     );
                 }
             }
-            if leadership.ended.is_cancelled() {
-                return false;
+            if ended.is_cancelled() {
+                return None;
             }
             time::sleep(Duration::from_millis(RETRY_MS)).await;
         }
         shared.record_store_response();
         metrics::histogram!("wasabiloft_commit_ms")
             .record(clock::since_boot().since_ms(sent_at) as f64);
-        leadership.commit_sent(sent_at);
         self.duty = duty;
-        true
+        Some(sent_at)
+    }
+
+    /// Rewrites the duty's row, so that followers see that the leader is alive; returns `false` if the duty is lost or
+    /// the node stops.
+    ///
+    /// A renewal must not be dropped before it returns, since the version of the row is unknown then.
+    pub async fn renew(&mut self, shared: &shared::Shared) -> bool {
+        let batch = record::WriteBatch::default();
+        self.commit(shared, &shared.stop, &batch).await.is_some()
     }
 
     /// Releases the duty so that another node can claim it at once.
@@ -199,11 +209,13 @@
             () = time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
         }
         let batch = leadership.scheduler().take_batch();
-        if (batch.rows() > 0 || leadership.since_commit_ms() >= RENEW_INTERVAL_MS)
-            && !committer.commit(&shared, &leadership, &batch).await
-        {
-            leadership.ended.cancel();
-            return;
+        if batch.rows() > 0 || leadership.since_commit_ms() >= RENEW_INTERVAL_MS {
+            let committed = committer.commit(&shared, &leadership.ended, &batch).await;
+            let Some(sent_at) = committed else {
+                leadership.ended.cancel();
+                return;
+            };
+            leadership.commit_sent(sent_at);
         }
         if !batch.is_empty() {
             remove_jobs(&shared, &batch).await;
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -160,8 +160,26 @@
         version,
         previous_leader_may_act,
     } = start;
-    let Some((leadership, jobs_version)) = begin(shared, &duty, previous_leader_may_act).await
-    else {
+    let mut committer = commit::Committer::new(duty.clone(), version);
+    let begun = {
+        let begin = begin(shared, &duty, previous_leader_may_act);
+        tokio::pin!(begin);
+        loop {
+            tokio::select! {
+                begun = &mut begin => break begun,
+                () = time::sleep(Duration::from_millis(commit::RENEW_INTERVAL_MS)) => {}
+            }
+            // Thousands of jobs on a thin link take seconds to read, after which others would claim the duty.
+            if !committer.renew(shared).await {
+                log::info(
+                    "duty",
+                    &format!("lost while reading rows epoch={}", duty.epoch),
+                );
+                return;
+            }
+        }
+    };
+    let Some((leadership, jobs_version)) = begun else {
         return;
     };
     metrics::counter!("wasabiloft_takeovers_total").increment(1);
@@ -177,7 +195,6 @@
     );
     shared.set_leadership(Some(Arc::clone(&leadership)));
     let mut tasks = JoinSet::new();
-    let committer = commit::Committer::new(duty, version);
     tasks.spawn(commit::run(
         Arc::clone(shared),
         Arc::clone(&leadership),
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -1,8 +1,10 @@
 //! Reads the rows from which a new leader recovers its state.
 
-use futures_util::future;
-use wasabiloft::batch::scheduler;
-use wasabiloft::batch::{JobId, record};
+use std::time::Duration;
+
+use futures_util::{StreamExt, TryStreamExt, stream};
+use tokio::time;
+use wasabiloft::batch::{JobId, record, recovery_pages, scheduler};
 use wasabiloft::id;
 use wasabiloft_platform::store;
 
@@ -11,6 +13,63 @@
 
 /// Timeout of a read from the store, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
+/// Attempts at a read before the recovery fails.
+const READ_ATTEMPTS_MAX: u32 = 4;
+/// Pause before a read is repeated, in milliseconds.
+const READ_RETRY_MS: u64 = 50;
+
+/// Reads all rows of a partition in pages that the node's link carries in time.
+async fn rows(
+    shared: &shared::Shared,
+    table: &str,
+    part: &str,
+    rows_max: u32,
+) -> Result<store::Page, store::Error> {
+    let mut all: Option<store::Page> = None;
+    loop {
+        let last = all.as_ref().and_then(|all| all.rows.last());
+        let from = last.map(|row| row.name.next_key());
+        let page = page(shared, table, part, from.as_deref(), rows_max).await?;
+        let more = page.more && !page.rows.is_empty();
+        match &mut all {
+            None => all = Some(page),
+            Some(all) => {
+                all.rows.extend(page.rows);
+                // Rows that changed after the first page was read are followed by their later versions.
+                all.version = all.version.min(page.version);
+            }
+        }
+        if let Some(all) = all.take_if(|_| !more) {
+            return Ok(all);
+        }
+    }
+}
+
+async fn page(
+    shared: &shared::Shared,
+    table: &str,
+    part: &str,
+    from: Option<&str>,
+    rows_max: u32,
+) -> Result<store::Page, store::Error> {
+    let mut attempts = 1;
+    loop {
+        let read = shared
+            .store
+            .page(table, part, from, rows_max, READ_TIMEOUT_MS);
+        match read.await {
+            Err(error) if attempts < READ_ATTEMPTS_MAX => {
+                attempts += 1;
+                log::info(
+                    "holder",
+                    &format!("rows read again table={table} part={part} reason={error}"),
+                );
+                time::sleep(Duration::from_millis(READ_RETRY_MS)).await;
+            }
+            outcome => return outcome,
+        }
+    }
+}
 
 /// Rows of the job table, with the version after which changes must be followed.
 pub struct Jobs {
@@ -30,13 +89,12 @@
 ///
 /// Fails if one of the partitions cannot be read.
 pub async fn jobs(shared: &shared::Shared) -> Result<Jobs, store::Error> {
-    let reads = record::job_partitions().map(|part| async move {
-        shared
-            .store
-            .rows(record::JOB_TABLE, &part, READ_TIMEOUT_MS)
-            .await
-    });
-    let pages = future::try_join_all(reads).await?;
+    let reads = recovery_pages::reads(shared.settings().link_kbit_per_s);
+    let pages: Vec<store::Page> = stream::iter(record::job_partitions())
+        .map(|part| async move { rows(shared, record::JOB_TABLE, &part, reads.rows_max).await })
+        .buffer_unordered(reads.at_once)
+        .try_collect()
+        .await?;
     let mut jobs = Jobs {
         accepted: Vec::new(),
         cancelled: Vec::new(),
@@ -81,21 +139,11 @@
 pub async fn all(
     shared: &shared::Shared,
 ) -> Result<(scheduler::RecoveredState, u64), store::Error> {
-    let store = &shared.store;
-    let (progress, workers, jobs) = future::try_join3(
-        store.rows(
-            record::PROGRESS_TABLE,
-            record::SCHEDULER_PARTITION,
-            READ_TIMEOUT_MS,
-        ),
-        store.rows(
-            record::WORKER_TABLE,
-            record::SCHEDULER_PARTITION,
-            READ_TIMEOUT_MS,
-        ),
-        jobs(shared),
-    )
-    .await?;
+    let rows_max = recovery_pages::reads(shared.settings().link_kbit_per_s).rows_max;
+    let own = |table| rows(shared, table, record::SCHEDULER_PARTITION, rows_max);
+    let workers = own(record::WORKER_TABLE).await?;
+    let jobs = jobs(shared).await?;
+    let progress = own(record::PROGRESS_TABLE).await?;
     let mut recovered = scheduler::RecoveredState {
         accepted: jobs.accepted,
         cancelled: jobs.cancelled,
--- a/node/tests/test_hosted.rs
+++ b/node/tests/test_hosted.rs
@@ -266,3 +266,41 @@
     })
     .await;
 }
+
+/// A new leader reads its rows for longer than a leader may be silent; no other node takes over meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_reads_its_rows_slowly_keeps_the_duty() {
+    let mut cluster = Cluster::start_on_links(3, 2, 200, 160).await;
+    for number in 0..40 {
+        let id = format!("{:016x}", 0xb00 + number);
+        assert_eq!(cluster.submit(number % 3, &id, 1).await, 200);
+    }
+    let first = cluster.leader();
+    let epoch = cluster.epoch(first);
+    cluster.store.state.delay_ms.store(110, Ordering::Relaxed);
+    cluster.nodes[first].signal(Signal::KILL);
+    until("the duty is taken over", async || {
+        cluster.epoch(cluster.leader()) > epoch
+    })
+    .await;
+    let second = cluster.leader();
+    assert_eq!(
+        cluster.epoch(second),
+        epoch + 1,
+        "taken over more than once"
+    );
+    let log = cluster.log(second);
+    let loaded = log.split("loaded_ms=").last().unwrap_or_default();
+    let loaded_ms: u64 = loaded
+        .split(char::is_whitespace)
+        .next()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    assert!(
+        loaded_ms > 1_600,
+        "read within {loaded_ms} ms, so nothing was tested"
+    );
+    cluster.store.state.delay_ms.store(0, Ordering::Relaxed);
+    assert_eq!(cluster.submit(second, ID, 4).await, 200);
+    cluster.until_state(second, ID, "completed").await;
+}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -11,6 +11,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod record;
+pub mod recovery_pages;
 pub mod rejection;
 pub mod relays;
 pub mod spec;
--- a/tests/test_batch_relays.rs
+++ b/tests/test_batch_relays.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use wasabiloft::batch::list_pause;
 use wasabiloft::batch::relays::{Relays, Route, Strength};
+use wasabiloft::batch::{list_pause, recovery_pages};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -148,3 +148,17 @@
     let thin_ms = pause_ms(130, 32_000, 120, 2_000);
     assert!(32_000 * 8 * 1_000 / thin_ms <= 400_000, "{thin_ms}");
 }
+
+#[test]
+fn rows_are_recovered_in_reads_that_the_link_carries() {
+    for (link_mbps, seconds) in [(2, 1), (20, 1), (200, 1), (1_000, 1)] {
+        let reads = recovery_pages::reads(link_mbps * 1_000);
+        let bytes = u64::from(reads.rows_max) * 2_000 * reads.at_once as u64;
+        assert!(
+            bytes * 8 <= link_mbps * 1_000_000 * seconds,
+            "{link_mbps} Mbit/s: {bytes} bytes at once"
+        );
+    }
+    let wide = recovery_pages::reads(1_000_000);
+    assert_eq!((wide.rows_max, wide.at_once), (500, 16));
+}
