--- a/node/src/batch/configuration.rs
+++ b/node/src/batch/configuration.rs
@@ -14,22 +14,25 @@
 const POLL_WAIT_MS: u64 = 400;
 /// Pause after a failed poll, in milliseconds.
 const RETRY_MS: u64 = 100;
-/// Timeout of a read of the whole table, in milliseconds.
-const READ_TIMEOUT_MS: u64 = 1_500;
+/// First and longest timeout of a read beyond its wait, in milliseconds. It doubles after each failure: a
+/// configuration with thousands of routes takes a thin link seconds, and would never arrive within the first.
+const TIMEOUT_MARGIN_MS: (u64, u64) = (700, 2_800);
 
 /// Follows the operators' table until the node stops.
 pub async fn follow(shared: Arc<shared::Shared>) {
     let mut after = None;
     let mut reachable = true;
+    let mut margin_ms = TIMEOUT_MARGIN_MS.0;
     while !shared.stop.is_cancelled() {
         let outcome = match after {
-            None => read_all(&shared).await,
-            Some(version) => poll(&shared, version).await,
+            None => read_all(&shared, margin_ms).await,
+            Some(version) => poll(&shared, version, margin_ms).await,
         };
         match outcome {
             Ok(version) => {
                 shared.record_store_response();
                 after = Some(version);
+                margin_ms = TIMEOUT_MARGIN_MS.0;
                 if !reachable {
                     reachable = true;
                     log::info("store", "regained");
@@ -45,17 +48,18 @@
                     reachable = false;
                     log::warn("store", &format!("lost reason={error}"));
                 }
+                margin_ms = (margin_ms * 2).min(TIMEOUT_MARGIN_MS.1);
                 time::sleep(Duration::from_millis(RETRY_MS)).await;
             }
         }
     }
 }
 
-async fn read_all(shared: &shared::Shared) -> Result<u64, store::Error> {
+async fn read_all(shared: &shared::Shared, margin_ms: u64) -> Result<u64, store::Error> {
     let sent_at = clock::since_boot();
     let page = shared
         .store
-        .rows(configuration::TABLE, "", READ_TIMEOUT_MS)
+        .rows(configuration::TABLE, "", POLL_WAIT_MS + margin_ms)
         .await?;
     for row in &page.rows {
         apply(shared, row);
@@ -65,11 +69,16 @@
     Ok(page.version)
 }
 
-async fn poll(shared: &shared::Shared, after: u64) -> Result<u64, store::Error> {
+async fn poll(shared: &shared::Shared, after: u64, margin_ms: u64) -> Result<u64, store::Error> {
     let sent_at = clock::since_boot();
     let page = shared
         .store
-        .changes(configuration::TABLE, after, POLL_WAIT_MS)
+        .changes_within(
+            configuration::TABLE,
+            after,
+            POLL_WAIT_MS,
+            POLL_WAIT_MS + margin_ms,
+        )
         .await?;
     shared.record_store_clock(page.now_ms);
     for row in &page.rows {
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
 use axum::routing;
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,14 @@
 /// reaches the store, in milliseconds; above three pauses between its commits, and above a poll of a slow store.
 const LEADER_STALE_MS: u64 = 900;
 
+/// A follower reads the configuration from the leader once the store has not answered for this long, in milliseconds;
+/// above the wait of the configuration's polls.
+const STORE_SILENT_MS: u64 = 700;
+/// Timeout of reading the configuration from the leader, in milliseconds; it can have thousands of routes.
+const CONFIG_TIMEOUT_MS: u64 = 3_000;
+/// Maximum number of followers that read the configuration from the leader at the same time.
+pub const CONFIG_TRANSFERS_MAX: usize = 4;
+
 /// Clients of other nodes, by address.
 #[derive(Debug, Default)]
 pub struct Clients {
@@ -83,8 +92,9 @@
     pub epoch: u64,
     /// Whether the leader requests that this follower takes over.
     pub hand_over: bool,
-    /// The leader's configuration, if the follower's is older.
-    pub config: Option<String>,
+    /// Version of the leader's configuration; 0 for none.
+    #[serde(default)]
+    pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
 }
@@ -102,6 +112,7 @@
         .route("/beat", routing::post(heartbeat))
         .route("/jobs/{job}", routing::get(state))
         .route("/waiting", routing::get(waiting))
+        .route("/config", routing::get(config))
         .merge(forward::router())
 }
 
@@ -117,11 +128,9 @@
     let now = clock::since_boot();
     let mut reply = HeartbeatReply {
         config_age_ms: configured.confirmed_at.map(|at| now.since_ms(at)),
+        config_version: version,
         ..HeartbeatReply::default()
     };
-    if version > heartbeat.config_version {
-        reply.config = String::from_utf8(configured.raw.to_vec()).ok();
-    }
     reply.epoch = shared.own_epoch();
     if let Some(leadership) = shared.leadership() {
         if let Some(offer) = heartbeat.relay {
@@ -149,6 +158,14 @@
     Json(reply)
 }
 
+/// Returns the newest configuration, to few followers at a time: it can be as long as the link carries in a second.
+async fn config(State(shared): State<Arc<shared::Shared>>) -> Result<Vec<u8>, StatusCode> {
+    let Ok(_permit) = shared.config_transfers.try_acquire() else {
+        return Err(StatusCode::TOO_MANY_REQUESTS);
+    };
+    Ok(shared.current_config().raw.to_vec())
+}
+
 async fn state(
     State(shared): State<Arc<shared::Shared>>,
     Path(job): Path<String>,
@@ -244,23 +261,48 @@
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
     let reply: HeartbeatReply = reply.json()?;
-    if let Some(raw) = &reply.config {
-        match configuration::decode_bytes(raw.as_bytes()) {
-            Ok(config) => {
-                let version = config.version;
-                if shared.apply_config(config, raw.clone().into_bytes()) {
-                    crate::log::info(
-                        "config",
-                        &format!("in force version={version} source={address}"),
-                    );
-                }
-            }
-            Err(error) => crate::log::warn("config", &format!("kept reason={error}")),
-        }
-    }
-    if let Some(age_ms) = reply.config_age_ms {
+    let own_version = configured.config.map_or(0, |config| config.version);
+    if reply.config_version > own_version && shared.store_silent_ms() > STORE_SILENT_MS {
+        fetch_config(shared, address).await;
+    } else if let Some(age_ms) = reply.config_age_ms
+        && reply.config_version == own_version
+    {
         let at = sent_at.as_ms().saturating_sub(age_ms);
         shared.confirm_config(wasabiloft::clock::Instant::from_ms(at));
     }
     Ok(reply)
 }
+
+/// Reads the configuration from the leader, in place of the store that does not answer this node.
+async fn fetch_config(shared: &shared::Shared, address: SocketAddr) {
+    let client = shared.peers.to(address);
+    let reply = match client.get("/config", CONFIG_TIMEOUT_MS).await {
+        Ok(reply) if reply.status.is_success() => reply,
+        Ok(reply) => {
+            crate::log::info(
+                "config",
+                &format!("leader is busy source={address} status={}", reply.status),
+            );
+            return;
+        }
+        Err(error) => {
+            crate::log::info(
+                "config",
+                &format!("not read source={address} reason={error}"),
+            );
+            return;
+        }
+    };
+    match configuration::decode_bytes(&reply.body) {
+        Ok(config) => {
+            let version = config.version;
+            if shared.apply_config(config, reply.body.to_vec()) {
+                crate::log::info(
+                    "config",
+                    &format!("in force version={version} source={address}"),
+                );
+            }
+        }
+        Err(error) => crate::log::warn("config", &format!("kept reason={error}")),
+    }
+}
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::queue;
 use wasabiloft::batch::record;
@@ -64,6 +65,8 @@
     own_epoch: AtomicU64,
     waves: Mutex<BTreeMap<u64, RequestedWave>>,
     pub(super) peers: super::peers::Clients,
+    /// Permits for followers that read the configuration from this node.
+    pub(super) config_transfers: Semaphore,
     pub(super) forwarding: super::forward::Breaker,
 }
 
@@ -88,6 +91,7 @@
             store_clock: Mutex::default(),
             settings: Mutex::new(Arc::new(settings)),
             peers: super::peers::Clients::default(),
+            config_transfers: Semaphore::new(super::peers::CONFIG_TRANSFERS_MAX),
             forwarding: super::forward::Breaker::default(),
         }
     }
