succession, relays: fewer heartbeats of weak followers; relays that fail together are kept

Cause: 146 followers sent 221 heartbeats a second, a tenth or more of the leader's processor. Change: a weak follower that the store answers sends a heartbeat every 2 s; one that the store doesn't answer, as before. If half of the relays fail within a second, none is given up. Checked: tests of both loads.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -29,6 +29,9 @@
 /// Range of the random pause after a failed claim, in milliseconds: claims queue at the store with the leader's
 /// commits, and many of them keep a slow store from completing either.
 const CLAIM_RETRY_MS: std::ops::Range<u64> = 200..600;
+/// The store answers a node if its last response is not older than this, in milliseconds; above the wait of the
+/// configuration's polls.
+const STORE_ANSWERS_MS: u64 = 700;
 /// Pause before the row is checked again while the leader's state is uncertain, in milliseconds; an eighth of the time
 /// after which a row counts as unchanged.
 const RECHECK_MS: u64 = 100;
@@ -51,6 +54,7 @@
                 let heartbeat_interval_ms = succession::heartbeat_ms(
                     shared.settings().cpu_milli,
                     expected_cpu_milli(&shared),
+                    shared.store_silent_ms() < STORE_ANSWERS_MS,
                 );
                 tokio::select! {
                     () = shared.stop.cancelled() => {}
--- a/src/batch/relays.rs
+++ b/src/batch/relays.rs
@@ -30,10 +30,14 @@
 const RELAY_SHARE: u64 = 4;
 /// A node that was not heard from for this long gets no commands to relay, in milliseconds; three of the slowest
 /// heartbeats.
-const SILENT_MS: u64 = 2_500;
+const SILENT_MS: u64 = 6_000;
 /// A node that failed as a relay is not used again for this long, in milliseconds; about the length of a pause.
 const FAILED_PAUSE_MS: u64 = 3_000;
 
+/// Relays fail together if they fail within this time, in milliseconds; a timeout and its margin.
+const FAILED_TOGETHER_MS: u64 = 1_000;
+/// Minimum number of relays that fail together for the leader's own link to be the likely cause.
+const FAILED_TOGETHER_MIN: usize = 4;
 /// Age above which a relay refuses a command, in milliseconds: the relay was suspended, and the worker may have
 /// restarted since.
 const STALE_MS: u64 = 1_000;
@@ -96,6 +100,8 @@
     nodes: BTreeMap<SocketAddr, Node>,
     routes: HashMap<id::Worker, Route>,
     direct: usize,
+    /// Relays that failed lately, and when.
+    failures: BTreeMap<SocketAddr, clock::Instant>,
 }
 
 impl Relays {
@@ -106,6 +112,7 @@
             nodes: BTreeMap::new(),
             routes: HashMap::new(),
             direct: 0,
+            failures: BTreeMap::new(),
         }
     }
 
@@ -122,8 +129,21 @@
     }
 
     /// Records that a relay failed or stops; its workers get other routes.
+    ///
+    /// If half of the relays fail at the same time, the leader's own link is the likely cause. They are kept then, as
+    /// direct commands would load that link further.
     pub fn failed(&mut self, address: SocketAddr, now: clock::Instant) {
-        if let Some(node) = self.nodes.get_mut(&address) {
+        self.failures
+            .retain(|_, at| now.since_ms(*at) < FAILED_TOGETHER_MS);
+        self.failures.insert(address, now);
+        let used = self.nodes.values().filter(|node| node.workers > 0).count();
+        if self.failures.len() >= FAILED_TOGETHER_MIN && self.failures.len() * 2 >= used {
+            for address in self.failures.keys() {
+                if let Some(node) = self.nodes.get_mut(address) {
+                    node.paused_until = clock::Instant::ZERO;
+                }
+            }
+        } else if let Some(node) = self.nodes.get_mut(&address) {
             node.paused_until = now.after_ms(FAILED_PAUSE_MS);
         }
     }
--- a/src/batch/succession.rs
+++ b/src/batch/succession.rs
@@ -11,9 +11,12 @@
 const FIRST_CLAIM_DELAY_MS: u64 = 60;
 /// Heartbeat interval of a node that can claim without delay, in milliseconds.
 const HEARTBEAT_MS: u64 = 250;
-/// Heartbeat interval of a weaker node, in milliseconds; short enough to get the configuration from the leader in
-/// time.
+/// Heartbeat interval of a weaker node that the store does not answer, in milliseconds; short enough to get the
+/// configuration from the leader in time.
 const HEARTBEAT_WEAKER_MS: u64 = 800;
+/// Heartbeat interval of a weaker node that the store answers, in milliseconds. Hundreds of such nodes would otherwise
+/// take a tenth of the leader's processor.
+const HEARTBEAT_IDLE_MS: u64 = 2_000;
 /// Minimum time that a leader leads before it steps down for a stronger node, in milliseconds; a change of leader
 /// takes about a second.
 const STEP_DOWN_AFTER_MS: u64 = 3_000;
@@ -35,9 +38,15 @@
 }
 
 /// Returns the interval of a node's heartbeats to the leader, in milliseconds.
-pub fn heartbeat_ms(cpu_milli: u64, expected_milli: Option<u64>) -> u64 {
+pub fn heartbeat_ms(cpu_milli: u64, expected_milli: Option<u64>, store_answers: bool) -> u64 {
     match expected_milli {
-        Some(expected) if is_weaker(cpu_milli, expected) => HEARTBEAT_WEAKER_MS,
+        Some(expected) if is_weaker(cpu_milli, expected) => {
+            if store_answers {
+                HEARTBEAT_IDLE_MS
+            } else {
+                HEARTBEAT_WEAKER_MS
+            }
+        }
         _ => HEARTBEAT_MS,
     }
 }
--- a/tests/test_batch_relays.rs
+++ b/tests/test_batch_relays.rs
@@ -162,3 +162,21 @@
     let wide = recovery_pages::reads(1_000_000);
     assert_eq!((wide.rows_max, wide.at_once), (500, 16));
 }
+
+/// The load of a leader whose own link is full: all relays time out within a second.
+#[test]
+fn relays_that_fail_together_are_kept() {
+    let mut relays = Relays::new(strength("a", 20, 1_000));
+    for node in 0..12 {
+        relays.heard(address(node), strength("a", 250, 1_000), now());
+    }
+    let before = route_all(&mut relays, 600, now());
+    let direct_before = before.get(&None).copied().unwrap_or(0);
+    for node in 0..10 {
+        relays.failed(address(node), now().after_ms(u64::from(node) * 50));
+    }
+    let after = route_all(&mut relays, 600, now().after_ms(600));
+    let direct = after.get(&None).copied().unwrap_or(0);
+    assert!(direct <= direct_before, "{direct} workers on the full link");
+    assert!(after.len() >= 8, "{after:?}");
+}
--- a/tests/test_batch_succession.rs
+++ b/tests/test_batch_succession.rs
@@ -28,8 +28,8 @@
         assert_eq!(succession::claim_delay_ms(milli, Some(milli)), 0);
         assert!(!succession::steps_down(milli, milli, u64::MAX / 2));
         assert_eq!(
-            succession::heartbeat_ms(milli, Some(milli)),
-            succession::heartbeat_ms(milli, None)
+            succession::heartbeat_ms(milli, Some(milli), true),
+            succession::heartbeat_ms(milli, None, true)
         );
     }
 }
@@ -53,3 +53,12 @@
     assert_eq!(succession::claim_delay_ms(WEAK, Some(0)), 0);
     assert!(succession::claim_delay_ms(0, None) >= succession::claim_delay_ms(WEAK, None));
 }
+
+/// The load of 132 weak followers on a leader of half a core.
+#[test]
+fn weak_followers_send_few_heartbeats_unless_the_store_is_silent() {
+    let per_s = |store_answers| 132_000 / succession::heartbeat_ms(120, Some(500), store_answers);
+    assert!(per_s(true) <= 70, "{} heartbeats a second", per_s(true));
+    // The configuration is proved often enough by the leader alone, within three quarters of two seconds.
+    assert!(succession::heartbeat_ms(120, Some(500), false) <= 1_500 / 2 + 100);
+}
