pools: a steep rise of arrivals is followed up to four times

Change: RISE_MAX 4. Checked: the new test replays the start of a turn; with 2 it orders two thirds of the machines after 600 ms, with 4 after 300 ms.

--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -17,7 +17,7 @@
 /// arrivals.
 const RISE_DEVIATIONS: f64 = 1.0;
 /// Limit of a forecast rise, as a multiple of the capacity in use and of the arrival rate.
-const RISE_MAX: u64 = 2;
+const RISE_MAX: u64 = 4;
 /// Capacity provided per unit of demand, in thousandths; above 1,000 because tasks don't pack perfectly and arrive
 /// unevenly.
 const HEADROOM_MILLI: u64 = 1_250;
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -341,3 +341,44 @@
         "drained for nobody"
     );
 }
+
+/// The start of a turn at hundreds of machines: arrivals rise from a twentieth of the mean to their peak at once. A
+/// machine takes 1.5 s to come up, so those ordered within 0.5 s serve the arrivals from the third second on.
+#[test]
+fn a_steep_rise_orders_most_machines_at_once() {
+    const PEAK_MACHINES: u64 = 300;
+    const ROUND_MS: u64 = 300;
+    let service = id::Service::new("counter");
+    let mut forecast = Forecast::new(Instant::ZERO);
+    let (mut arrived, mut jobs, mut has) = (0, 0, 60);
+    let begin_ms: u64 = 30_000;
+    let mut ordered_at = None;
+    for now_ms in (0..begin_ms + 3_000).step_by(usize::try_from(ROUND_MS).expect("small")) {
+        let in_turn = now_ms >= begin_ms;
+        let rate = if in_turn {
+            PEAK_MACHINES
+        } else {
+            PEAK_MACHINES / 100
+        };
+        arrived += rate * 1_000 * ROUND_MS;
+        jobs += rate * ROUND_MS / 1_000;
+        // A third of a job's work can start at once and takes 0.6 s.
+        let since_ms = now_ms.saturating_sub(begin_ms);
+        let present = rate * 1_000 * since_ms.min(600) / 600 / 3;
+        let demand = Demand {
+            waiting: if in_turn { present } else { 0 },
+            ..demand(10_000, arrived, jobs)
+        };
+        let now = Instant::from_ms(now_ms);
+        let target = forecast.target(&service, &demand, has, now);
+        has = has.max(target.need);
+        if in_turn && u64::from(target.need) * 3 >= PEAK_MACHINES * 2 {
+            ordered_at.get_or_insert(since_ms);
+        }
+    }
+    let ordered_ms = ordered_at.expect("ordered");
+    assert!(
+        ordered_ms <= 500,
+        "two thirds ordered after {ordered_ms} ms"
+    );
+}
