pools: a pool keeps and gets machines while long-running tasks wait

Change: while long-running tasks wait nothing is drained to be switched off; after 1 s one more machine is needed.

--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -31,6 +31,8 @@
 const NO_WORK_MS: u64 = 60_000;
 /// No machine is released for this long after the first work either, in milliseconds: two windows of arrivals.
 const FIRST_WORK_MS: u64 = 2 * WINDOW_MS;
+/// Long-running tasks that wait for this long don't fit on the machines that their pool keeps, in milliseconds.
+const BLOCKED_MS: u64 = 1_000;
 /// Minimum number of machines of every pool in use, which take the first work of a rise.
 const MACHINES_MIN: u32 = 2;
 
@@ -77,6 +79,8 @@
     pub waiting: u64,
     /// Capacity that tasks of jobs use, or need now, that can no longer meet their objective.
     pub late: u64,
+    /// Number of long-running tasks that wait for a worker.
+    pub blocked: u64,
     /// Machines that long-running tasks need so that they run on separate ones.
     pub separate_machines: u32,
     /// Total of all work that ever arrived, as capacity times milliseconds.
@@ -114,6 +118,8 @@
     first_work_at: Option<clock::Instant>,
     samples: BTreeMap<id::Service, VecDeque<Sample>>,
     needs: BTreeMap<id::Service, VecDeque<(clock::Instant, u32)>>,
+    /// Since when long-running tasks of a service wait.
+    blocked_since: BTreeMap<id::Service, clock::Instant>,
 }
 
 impl Forecast {
@@ -124,6 +130,7 @@
             first_work_at: None,
             samples: BTreeMap::new(),
             needs: BTreeMap::new(),
+            blocked_since: BTreeMap::new(),
         }
     }
 
@@ -141,7 +148,10 @@
         let rate = rate.min(present * RISE_MAX + u64::from(MACHINES_MIN) * MACHINE_MILLI);
         let needed = present.max(rate) * HEADROOM_MILLI / 1_000;
         let machines = u32::try_from(needed.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
-        let need = machines.max(min);
+        let is_blocked = self.is_blocked(service, demand, now);
+        // The machines that the pool would keep have no room for the tasks that wait.
+        let blocked_need = if is_blocked { has.saturating_add(1) } else { 0 };
+        let need = machines.max(min).max(blocked_need);
         let needs = self.needs.entry(service.clone()).or_default();
         // Keeps only needs that no later one exceeds, so the front is the maximum of the span.
         while needs.back().is_some_and(|(_, earlier)| *earlier <= need) {
@@ -163,7 +173,8 @@
             Some(at) => now.since_ms(at) < FIRST_WORK_MS,
         };
         let late = u32::try_from(demand.late.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
-        let settling = uncertain || now.since_ms(self.began_at) < NEW_LEADER_MS;
+        let settling =
+            uncertain || demand.blocked > 0 || now.since_ms(self.began_at) < NEW_LEADER_MS;
         let retain = if settling {
             recent_max.max(has)
         } else {
@@ -177,6 +188,16 @@
         }
     }
 
+    /// Returns whether long-running tasks have been waiting for [`BLOCKED_MS`].
+    fn is_blocked(&mut self, service: &id::Service, demand: &Demand, now: clock::Instant) -> bool {
+        if demand.blocked == 0 {
+            self.blocked_since.remove(service);
+            return false;
+        }
+        let since = self.blocked_since.entry(service.clone()).or_insert(now);
+        now.since_ms(*since) >= BLOCKED_MS
+    }
+
     /// Returns the capacity that arriving work will use [`AHEAD_MS`] from now, by the trend of the last two windows.
     fn rate_ahead(&mut self, service: &id::Service, demand: &Demand, now: clock::Instant) -> u64 {
         let present = Sample {
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -103,7 +103,9 @@
                         continue;
                     }
                     let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
-                    let waiting = share * waiting.count() as u64;
+                    let waiting = waiting.count() as u64;
+                    demand.blocked += if spec.long_running { waiting } else { 0 };
+                    let waiting = share * waiting;
                     if in_time {
                         demand.waiting += waiting;
                     } else {
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -382,3 +382,28 @@
         "two thirds ordered after {ordered_ms} ms"
     );
 }
+
+/// Guards against long-running tasks that wait for ever (hunt, jcs-sezona-grown mix 1005721054801): the machines that
+/// the pool kept were full or held their share of the step, the others were being drained.
+#[test]
+fn a_pool_keeps_and_gets_machines_while_long_running_tasks_wait() {
+    let service = id::Service::new("counter");
+    let mut forecast = Forecast::new(Instant::ZERO);
+    let blocked = Demand {
+        blocked: 2,
+        waiting: 286,
+        separate_machines: 18,
+        ..demand(10_566, 1_000, 10)
+    };
+    let at = |ms: u64| Instant::from_ms(200_000 + ms);
+    let first = forecast.target(&service, &blocked, 23, at(0));
+    assert_eq!(first.retain, 23, "no machine is drained to be switched off");
+    let later = forecast.target(&service, &blocked, 23, at(1_200));
+    assert_eq!(later.need, 24, "a further machine is ordered");
+    let placed = Demand {
+        blocked: 0,
+        ..blocked
+    };
+    let after = forecast.target(&service, &placed, 24, at(1_500));
+    assert_eq!(after.need, 18);
+}
