relays: the age of commands is measured without the wall clock

Cause (found by reading): a relay refused commands by the difference of two wall clocks. A node whose clock jumps would have refused all commands, and a leader whose clock jumps would have been refused by all relays. Change: the age is the growth of the difference of both clocks since boot over a connection, with drift allowed for; the leader sends commands only after its first frame was answered. Checked: the new test (offsets, 1 % drift over 50 minutes, a suspension); hosted tests.

--- a/node/src/batch/relay/link.rs
+++ b/node/src/batch/relay/link.rs
@@ -170,6 +170,21 @@
     };
     sockets::set_options(&stream, Duration::from_millis(RELAY_SILENT_MS));
     let (mut sink, mut frames) = Framed::new(stream, super::codec()).split();
+    // The relay measures the age of commands from its first frame, which therefore has to be answered in time.
+    let hello = Requests {
+        sent_ms: clock::since_boot().as_ms(),
+        requests: Vec::new(),
+    };
+    let hello = match postcard::to_stdvec(&hello) {
+        Ok(hello) => Bytes::from(hello),
+        Err(error) => return error.to_string(),
+    };
+    let answered = time::timeout(Duration::from_millis(RELAY_SILENT_MS), async {
+        sink.send(hello).await.is_ok() && matches!(frames.next().await, Some(Ok(_)))
+    });
+    if !matches!(answered.await, Ok(true)) {
+        return String::from("first frame not answered");
+    }
     let mut heard_at = time::Instant::now();
     let mut ping = time::interval(Duration::from_millis(PING_MS));
     ping.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -209,7 +224,7 @@
             }
         }
         let frame = Requests {
-            sent_unix_ms: clock::unix_ms(),
+            sent_ms: clock::since_boot().as_ms(),
             requests: batch,
         };
         let frame = match postcard::to_stdvec(&frame) {
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -125,8 +125,8 @@
 /// A frame from the leader to a relay.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Requests {
-    /// Wall-clock time at which the frame was sent, in milliseconds since 1970.
-    pub sent_unix_ms: u64,
+    /// When the frame was sent, in milliseconds since the leader's boot.
+    pub sent_ms: u64,
     /// The commands; none if the frame only asks for a sign of life.
     pub requests: Vec<Request>,
 }
--- a/node/src/batch/relay/server.rs
+++ b/node/src/batch/relay/server.rs
@@ -60,6 +60,7 @@
     clients: HashMap<Target, Arc<worker::Worker>>,
     commands: JoinSet<()>,
     replies: mpsc::Sender<Reply>,
+    frame_age: relays::FrameAge,
     texts: Arc<Texts>,
     shared: Arc<shared::Shared>,
 }
@@ -72,6 +73,7 @@
         clients: HashMap::new(),
         commands: JoinSet::new(),
         replies,
+        frame_age: relays::FrameAge::default(),
         texts: Arc::default(),
         shared: Arc::clone(&shared),
     };
@@ -131,19 +133,20 @@
 
 impl Connection {
     fn accept(&mut self, requests: Requests) {
-        let age_ms = clock::unix_ms().abs_diff(requests.sent_unix_ms);
-        if !requests.requests.is_empty() && relays::is_stale(age_ms) {
+        let received_ms = clock::since_boot().as_ms();
+        let is_stale = self.frame_age.is_stale(requests.sent_ms, received_ms);
+        if !requests.requests.is_empty() && is_stale {
             log::info(
                 "relay",
                 &format!(
-                    "commands refused reason=stale age_ms={age_ms} commands={}",
+                    "commands refused reason=stale commands={}",
                     requests.requests.len()
                 ),
             );
         }
         for mut request in requests.requests {
             let replies = self.replies.clone();
-            if relays::is_stale(age_ms) {
+            if is_stale {
                 self.commands.spawn(async move {
                     let _ = replies.send(stale_reply(&request)).await;
                 });
--- a/src/batch/relays.rs
+++ b/src/batch/relays.rs
@@ -38,13 +38,38 @@
 const FAILED_TOGETHER_MS: u64 = 1_000;
 /// Minimum number of relays that fail together for the leader's own link to be the likely cause.
 const FAILED_TOGETHER_MIN: usize = 4;
-/// Age above which a relay refuses a command, in milliseconds: the relay was suspended, and the worker may have
+/// Age above which a relay refuses a command, in milliseconds: the relay was suspended, and the worker can have
 /// restarted since.
 const STALE_MS: u64 = 1_000;
 
-/// Returns whether a relay refuses a command that was sent this long ago by the wall clock.
-pub fn is_stale(age_ms: u64) -> bool {
-    age_ms > STALE_MS
+/// Part of the elapsed time by which the clocks of two nodes can drift apart, as a divisor.
+const DRIFT_DIVISOR: u64 = 50;
+
+/// The age of the frames of one connection, from clocks that no time setting changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FrameAge {
+    /// Smallest difference of the clocks seen, in milliseconds, and when it was seen on the receiver's clock.
+    baseline: Option<(i64, u64)>,
+}
+
+impl FrameAge {
+    /// Returns whether a frame that was sent and received at these times, each on the clock of that node in
+    /// milliseconds since boot, is too old for its commands to be sent.
+    ///
+    /// The first frame of a connection counts as new; its sender waits for the reply before it sends commands.
+    pub fn is_stale(&mut self, sent_ms: u64, received_ms: u64) -> bool {
+        let difference = received_ms.cast_signed() - sent_ms.cast_signed();
+        let Some((baseline, at_ms)) = self.baseline else {
+            self.baseline = Some((difference, received_ms));
+            return false;
+        };
+        let drift = received_ms.saturating_sub(at_ms) / DRIFT_DIVISOR;
+        let age_ms = difference - baseline - drift.cast_signed();
+        if age_ms <= 0 {
+            self.baseline = Some((difference, received_ms));
+        }
+        age_ms > STALE_MS.cast_signed()
+    }
 }
 
 /// The resources of a node.
--- a/tests/test_batch_relays.rs
+++ b/tests/test_batch_relays.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use wasabiloft::batch::relays::{Relays, Route, Strength};
+use wasabiloft::batch::relays::{FrameAge, Relays, Route, Strength};
 use wasabiloft::batch::{list_pause, recovery_pages};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
@@ -180,3 +180,21 @@
     assert!(direct <= direct_before, "{direct} workers on the full link");
     assert!(after.len() >= 8, "{after:?}");
 }
+
+/// Commands that wait while a relay is suspended are refused, on any setting of the clocks, also after hours of drift.
+#[test]
+fn commands_older_than_a_second_are_refused() {
+    for offset_ms in [0, 5_000, 90_000_000] {
+        let mut age = FrameAge::default();
+        let mut sent_ms = 100_000_000;
+        // The receiver's clock runs 1 % fast.
+        let received = |sent_ms: u64| sent_ms * 101 / 100 - offset_ms;
+        for _ in 0..20_000 {
+            sent_ms += 150;
+            assert!(!age.is_stale(sent_ms, received(sent_ms) + sent_ms % 40));
+        }
+        assert!(!age.is_stale(sent_ms, received(sent_ms) + 700));
+        assert!(age.is_stale(sent_ms, received(sent_ms) + 1_500));
+        assert!(!age.is_stale(sent_ms + 1_500, received(sent_ms + 1_500)));
+    }
+}
