scheduler: a long-running task that fits nowhere reserves a worker

Cause: in a pool that is full and can't grow, each piece of capacity that became free went to a smaller task, so that a task with a larger need never found a worker. Class: a need was compared with what is free at one moment only. Change: such a task reserves capacity on the worker whose finite tasks are expected to leave it soonest; other tasks are placed beside the reservation or elsewhere.

--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod open_jobs;
 mod plan;
 mod reports;
+mod reservation;
 mod room;
 mod stuck;
 
@@ -69,6 +70,8 @@
     orphans: orphans::Orphans,
     /// Tickets for steps of queues with a policy.
     step_tickets: HashMap<tickets::StepKey, tickets::StepTickets>,
+    /// Capacity that is reserved for tasks that are to start next.
+    reservations: reservation::Reservations,
     /// Services to plan again, because something changed since they were last planned.
     dirty_services: BTreeSet<id::Service>,
     changed_jobs: ends::ChangedJobs,
@@ -104,6 +107,7 @@
             missing_since: BTreeMap::new(),
             orphans: orphans::Orphans::default(),
             step_tickets: HashMap::new(),
+            reservations: reservation::Reservations::default(),
             dirty_services: BTreeSet::new(),
             changed_jobs: ends::ChangedJobs::default(),
             submitted_work: BTreeMap::new(),
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -58,6 +58,7 @@
 impl Scheduler {
     /// Plans all services in which something changed, and starts every task that can be placed.
     pub fn plan(&mut self, now: clock::Instant, unix_ms: u64) {
+        self.release_reservations(now);
         for service in std::mem::take(&mut self.dirty_services) {
             self.plan_service(&service, now, unix_ms);
         }
@@ -91,7 +92,7 @@
                 if cannot_fit {
                     continue;
                 }
-                let ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
+                let mut ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
                 if ids.is_empty() {
                     continue;
                 }
@@ -100,10 +101,17 @@
                     room = self.room(service, now);
                     continue;
                 }
+                ids.sort_by_key(|id| !self.reservations.contains(id));
                 for id in ids {
                     if !self.start_task(&mut room, id, spec, &need, now) {
                         self.request_tickets(service, &id, now);
-                        let unconstrained = spec.label.is_none()
+                        if spec.long_running && self.reserve_worker(service, &id, spec, &need, now)
+                        {
+                            continue;
+                        }
+                        // A larger task may have a reservation.
+                        let unconstrained = !spec.long_running
+                            && spec.label.is_none()
                             && spec.per_worker_max == 0
                             && accepted.queue.advice.is_none();
                         if unconstrained {
@@ -193,6 +201,7 @@
             .and_then(|job| job.task(&id))
             .map_or(base, |task| task.last_run.max(base))
             + 1;
+        self.release_reservation(&id, "started");
         self.send_start(&worker, id, run, need, now);
         room.reserve(&worker, need.cpu_milli);
         true
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -122,17 +122,33 @@
         need: &Resources,
         now: clock::Instant,
     ) -> bool {
-        worker.has_capacity(need)
-            && (step.per_worker_max == 0
-                || self.step_tasks_on(worker, id) < step.per_worker_max as usize)
+        let mut need = *need;
+        for (_, reserved) in self.reservations.others_on(&worker.listing.worker, id) {
+            need = need.plus(reserved);
+        }
+        worker.has_capacity(&need)
+            && self.can_spread(worker, id, step)
             && self.is_allowed(id, &worker.listing.worker, now)
     }
 
-    /// Returns the number of tasks of the same step and occurrence on a worker.
+    /// Returns whether the spread of a step allows one more of its tasks on a worker.
+    pub(super) fn can_spread(
+        &self,
+        worker: &worker_state::Worker,
+        id: &TaskId,
+        step: &spec::Step,
+    ) -> bool {
+        step.per_worker_max == 0 || self.step_tasks_on(worker, id) < step.per_worker_max as usize
+    }
+
+    /// Returns the number of tasks of the same step and occurrence on a worker, or with a reservation there.
     fn step_tasks_on(&self, worker: &worker_state::Worker, id: &TaskId) -> usize {
+        let reserved = self.reservations.others_on(&worker.listing.worker, id);
+        let reserved = reserved.map(|(task, _)| task);
         worker
             .tasks
             .iter()
+            .chain(reserved.filter(|task| !worker.tasks.contains(task)))
             .filter(|task| {
                 task.job == id.job && task.occurrence == id.occurrence && task.step == id.step
             })
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -115,6 +115,33 @@
     pub accelerators: u32,
 }
 
+impl Resources {
+    /// Returns the sum of two amounts.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mib: self.memory_mib + other.memory_mib,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns what is left without another amount, at least nothing.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns whether every amount is at most that of `size`.
+    pub fn fits_in(&self, size: &Self) -> bool {
+        self.cpu_milli <= size.cpu_milli
+            && self.memory_mib <= size.memory_mib
+            && self.accelerators <= size.accelerators
+    }
+}
+
 /// A VM in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod test_batch_pools;
 mod test_batch_rejection;
 mod test_batch_relays;
+mod test_batch_room;
 mod test_batch_succession;
 mod test_config;
 mod test_connection;
