scheduler: log and count the long-running tasks that wait, with what withholds workers from them

The log had no line that tells whether a waiting task lacks capacity or the workers with capacity are withheld. After 1 s, at most once a second a service: the task that waits longest, its need, whether it has a reservation, how many workers have the capacity, and how many of those are unheard, silent, leaving, draining, suspect, paused, without the label, at the spread's limit or reserved. Gauge wasabiloft_long_running_tasks_waiting{service}.

--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -51,6 +51,11 @@
         let waiting = scheduler.waiting_jobs(&route.queue.name);
         gauge!("wasabiloft_jobs_waiting", "queue" => route.queue.name.clone()).set(waiting as f64);
     }
+    for service in scheduler.config().services.keys() {
+        let waiting = scheduler.long_running_waiting(service);
+        gauge!("wasabiloft_long_running_tasks_waiting", "service" => service.to_string())
+            .set(waiting as f64);
+    }
     let (direct, relayed) = leadership.relays().counts();
     gauge!("wasabiloft_workers_routed", "route" => "direct").set(direct as f64);
     gauge!("wasabiloft_workers_routed", "route" => "relay").set(relayed as f64);
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod drain;
 mod orphans;
 mod tickets;
+mod waiting;
 mod worker_loss;
 
 pub use commands::{Refusal, StartOutcome};
@@ -70,6 +71,8 @@
     orphans: orphans::Orphans,
     /// Tickets for steps of queues with a policy.
     step_tickets: HashMap<tickets::StepKey, tickets::StepTickets>,
+    /// Long-running tasks that wait for a worker.
+    waiting: waiting::WaitingTasks,
     /// Capacity that is reserved for tasks that are to start next.
     reservations: reservation::Reservations,
     /// Services to plan again, because something changed since they were last planned.
@@ -107,6 +110,7 @@
             missing_since: BTreeMap::new(),
             orphans: orphans::Orphans::default(),
             step_tickets: HashMap::new(),
+            waiting: waiting::WaitingTasks::default(),
             reservations: reservation::Reservations::default(),
             dirty_services: BTreeSet::new(),
             changed_jobs: ends::ChangedJobs::default(),
@@ -291,6 +295,7 @@
             self.runs_checked_at = now;
             self.resend_stops(now);
             self.stop_stuck_runs(now);
+            self.check_waiting(now);
         }
         self.remove_expired_jobs(unix_ms);
     }
