scheduler: a long-running task that fits nowhere else is tried on a suspect worker during its pause

Callers saw: a long-running task without a run beside free workers (LOST). Cause: suspect workers get nothing during their pause, which grows to 16 s. A long-running task for which only they have room waited for the end of the pause. Class: sound capacity that is withheld without a bound that the waiting task sets. Change: a long-running task that fits on no usable worker may be tried on a suspect one 2 s after its last failure or trial; one trial at a time. The pause has its own field; a refusal for lack of capacity no longer overwrites it with a shorter one.

--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -191,7 +191,10 @@
         need: &Resources,
         now: clock::Instant,
     ) -> bool {
-        let Some(worker) = self.choose_worker(room, id, step, need, now) else {
+        let worker = self
+            .choose_worker(room, id, step, need, now)
+            .or_else(|| self.choose_trial_worker(room, id, step, need, now));
+        let Some(worker) = worker else {
             return false;
         };
         let base = self.run_base;
@@ -225,6 +228,7 @@
         };
         state.lease_until_ms = state.lease_until_ms.max(until_ms);
         state.reserve(id, need);
+        state.on_start(now);
         let heard_ms = now.since_ms(state.last_response_at);
         let used_milli = state.used.cpu_milli;
         let Some(job) = self.jobs.get_mut(&id.job) else {
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -25,6 +25,8 @@
     by_free: BTreeSet<(u64, id::Worker)>,
     free: BTreeMap<id::Worker, u64>,
     has_healthy: bool,
+    /// Suspect workers that can get a long-running task as a trial although their pause has not ended.
+    trials: Vec<id::Worker>,
 }
 
 impl Room {
@@ -63,6 +65,8 @@
             room.has_healthy |= worker.is_healthy(now);
             if worker.is_usable(now) {
                 room.insert(worker);
+            } else if worker.is_open_to_trial(now) {
+                room.trials.push(worker.listing.worker.clone());
             }
         }
         room
@@ -102,6 +106,35 @@
         best.map(|worker| worker.listing.worker.clone())
     }
 
+    /// Returns a suspect worker that can take a long-running task during its pause, or `None` if there is none.
+    ///
+    /// The pauses of suspect workers grow far beyond the time that a long-running task may be down, so a task that
+    /// fits on no other worker doesn't wait for their end.
+    pub(super) fn choose_trial_worker(
+        &self,
+        room: &Room,
+        id: TaskId,
+        step: &spec::Step,
+        need: &Resources,
+        now: clock::Instant,
+    ) -> Option<id::Worker> {
+        if !step.long_running {
+            return None;
+        }
+        let last_failed_on = self.jobs.get(&id.job)?.task(&id)?.last_failed_on.as_ref();
+        room.trials
+            .iter()
+            .filter_map(|worker| self.workers.get(worker))
+            .filter(|worker| {
+                plan::has_label(worker, step)
+                    && self.can_place(worker, &id, step, need, now)
+                    && self.can_try(worker)
+            })
+            .map(|worker| &worker.listing.worker)
+            .min_by_key(|worker| last_failed_on == Some(worker))
+            .cloned()
+    }
+
     /// Returns whether a suspect worker has no trial under way.
     ///
     /// Long-running tasks that are at work are no trials: they would keep the worker from ever getting one.
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -141,6 +141,10 @@
     pub draining: bool,
     /// The worker gets no new tasks before this time.
     pub paused_until: clock::Instant,
+    /// The suspect worker gets no trial before this time.
+    trial_not_before: clock::Instant,
+    /// When the worker last failed a run or got a trial while it was suspect.
+    tried_at: clock::Instant,
     /// Consecutive failures of different jobs.
     failures: u32,
     last_failed_job: Option<crate::batch::JobId>,
@@ -168,6 +172,8 @@
             leaving_since: None,
             draining: false,
             paused_until: clock::Instant::ZERO,
+            trial_not_before: clock::Instant::ZERO,
+            tried_at: clock::Instant::ZERO,
             failures: 0,
             last_failed_job: None,
             suspect_pause_ms: 0,
@@ -197,6 +203,24 @@
 
     /// Returns whether the worker can get new tasks.
     pub fn is_usable(&self, now: clock::Instant) -> bool {
+        self.is_open(now) && now >= self.trial_not_before
+    }
+
+    /// Returns whether the worker is suspect and can get a long-running task that fits on no other worker, during a
+    /// pause that has grown beyond the first.
+    pub fn is_open_to_trial(&self, now: clock::Instant) -> bool {
+        self.is_suspect()
+            && self.is_open(now)
+            && now.since_ms(self.tried_at) >= SUSPECT_PAUSE_FIRST_MS
+    }
+
+    /// Records that the worker gets a task, which is a trial if the worker is suspect.
+    pub fn on_start(&mut self, now: clock::Instant) {
+        self.tried_at = now;
+    }
+
+    /// Returns whether nothing but the pause of a suspect worker keeps the worker from getting new tasks.
+    fn is_open(&self, now: clock::Instant) -> bool {
         self.adopted
             && self.recorded
             && self.listed
@@ -246,7 +270,8 @@
         if self.is_suspect() {
             self.suspect_pause_ms =
                 (self.suspect_pause_ms * 2).clamp(SUSPECT_PAUSE_FIRST_MS, SUSPECT_PAUSE_MAX_MS);
-            self.paused_until = now.after_ms(self.suspect_pause_ms);
+            self.trial_not_before = now.after_ms(self.suspect_pause_ms);
+            self.tried_at = now;
         }
     }
 
