scheduler: a last attempt waits only for a worker that can take it, and hides no room from other tasks

Cause: a task on its last attempt waits for a healthy worker. One that was draining, or that long-running tasks fill for ever, counted as such a worker. While it waited, its need counted as one for which the service has no room, so that tasks of other jobs, which may be tried on a suspect worker, were skipped; the suspect worker got no trial and stayed suspect. Class: a reason that holds for one task was applied to others. Change: it waits only for a healthy worker that isn't draining and on which it fits beside the long-running tasks; planning goes on with the next task. Checked: three new tests, each failing without the change (one job stays running, one stays queued) and passing with it; library tests 204 of 204.

--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -109,6 +109,10 @@
                         {
                             continue;
                         }
+                        // Other tasks can use suspect workers.
+                        if self.waits_for_healthy_worker(&room, &id, spec, &need, now) {
+                            continue;
+                        }
                         // A larger task may have a reservation.
                         let unconstrained = !spec.long_running
                             && spec.label.is_none()
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -4,6 +4,7 @@
 //! sorted by free capacity once a round, so that finding the one that a task fills best takes a search in place of a
 //! comparison of all workers, and a task that fits nowhere is recognised at once.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::TaskId;
@@ -24,7 +25,8 @@
 pub(super) struct Room {
     by_free: BTreeSet<(u64, id::Worker)>,
     free: BTreeMap<id::Worker, u64>,
-    has_healthy: bool,
+    /// Healthy workers with the capacity that their long-running tasks leave, computed when first needed.
+    healthy: OnceCell<Vec<(id::Worker, Resources)>>,
     /// Suspect workers that can get a long-running task as a trial although their pause has not ended.
     trials: Vec<id::Worker>,
 }
@@ -62,7 +64,6 @@
             if worker.listing.service != *service {
                 continue;
             }
-            room.has_healthy |= worker.is_healthy(now);
             if worker.is_usable(now) {
                 room.insert(worker);
             } else if worker.is_open_to_trial(now) {
@@ -81,12 +82,8 @@
         need: &Resources,
         now: clock::Instant,
     ) -> Option<id::Worker> {
-        let job = self.jobs.get(&id.job)?;
-        let task = job.task(&id)?;
-        let failed_runs = u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX);
-        let attempts_left = job.accepted.queue.attempts_max.saturating_sub(failed_runs);
-        // The last attempt waits for a healthy worker; if there is none, it is made on a suspect one.
-        let can_retry = attempts_left > 1 || step.long_running || !room.has_healthy;
+        let task = self.jobs.get(&id.job)?.task(&id)?;
+        let can_retry = !self.waits_for_healthy_worker(room, &id, step, need, now);
         let fits = |worker: &&worker_state::Worker| {
             plan::has_label(worker, step)
                 && self.can_place(worker, &id, step, need, now)
@@ -106,6 +103,56 @@
         best.map(|worker| worker.listing.worker.clone())
     }
 
+    /// Returns whether a task is on its last attempt, which waits for a healthy worker as long as the tasks that end by
+    /// themselves can make room for it on one.
+    pub(super) fn waits_for_healthy_worker(
+        &self,
+        room: &Room,
+        id: &TaskId,
+        step: &spec::Step,
+        need: &Resources,
+        now: clock::Instant,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let failed_runs = job.task(id).map_or(0, |task| task.failed_runs.len());
+        let attempts_left = (job.accepted.queue.attempts_max as usize).saturating_sub(failed_runs);
+        if attempts_left > 1 || step.long_running {
+            return false;
+        }
+        let healthy = room
+            .healthy
+            .get_or_init(|| self.healthy_workers(&job.accepted.queue.service, now));
+        healthy.iter().any(|(worker, size)| {
+            let worker = self.workers.get(worker);
+            need.fits_in(size) && worker.is_some_and(|worker| plan::has_label(worker, step))
+        })
+    }
+
+    /// Returns the healthy workers of a service, with the capacity that their long-running tasks leave.
+    fn healthy_workers(
+        &self,
+        service: &id::Service,
+        now: clock::Instant,
+    ) -> Vec<(id::Worker, Resources)> {
+        let workers = self.workers.values().filter(|worker| {
+            worker.listing.service == *service && worker.is_healthy(now) && !worker.draining
+        });
+        let with_size = workers.map(|worker| {
+            let mut size = worker.listing.size;
+            for task in &worker.tasks {
+                let job = self.jobs.get(&task.job);
+                let step = job.map(|job| &job.accepted.spec.steps[task.step as usize]);
+                if let Some(step) = step.filter(|step| step.long_running) {
+                    size = size.minus(&plan::need(step));
+                }
+            }
+            (worker.listing.worker.clone(), size)
+        });
+        with_size.collect()
+    }
+
     /// Returns a suspect worker that can take a long-running task during its pause, or `None` if there is none.
     ///
     /// The pauses of suspect workers grow far beyond the time that a long-running task may be down, so a task that
--- a/tests/test_batch_room.rs
+++ b/tests/test_batch_room.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wasabiloft::batch::spec;
+use wasabiloft::batch::{record, spec};
 use wasabiloft::id;
 
 use crate::fake_workers::{Faults, Simulation, accepted, listing, step};
@@ -113,6 +113,75 @@
     }
 }
 
+/// Makes the workers that are not full suspect by two jobs that fail there, and leaves each a last attempt.
+fn exhaust_attempts(sim: &mut Simulation) {
+    for worker in sim.workers.values_mut() {
+        worker.always_fails = true;
+    }
+    for id in 1..=2 {
+        sim.submit(id, accepted(vec![step(1, &[])], 2));
+    }
+    sim.run(1_500);
+    let workers = sim.scheduler().workers().values();
+    assert!(workers.filter(|worker| worker.is_suspect()).count() == 1);
+    for worker in sim.workers.values_mut() {
+        worker.always_fails = false;
+    }
+}
+
+/// Guards against free workers that get no task: a last attempt waited for a healthy worker, and tasks of other jobs
+/// were skipped as if there were no room for them.
+#[test]
+fn a_last_attempt_that_waits_does_not_hide_free_workers_from_other_jobs() {
+    let mut sim = Simulation::new(2, Faults::default(), 1);
+    sim.run(300);
+    sim.submit(LONG_RUNNING, accepted(vec![long_running(1, 3_000)], 2));
+    sim.submit(LONG_RUNNING + 1, accepted(vec![long_running(1, 1_000)], 2));
+    sim.run(500);
+    exhaust_attempts(&mut sim);
+    sim.submit(3, accepted(vec![step(1, &[])], 4));
+    sim.run(6_000);
+    assert_eq!(sim.state(3), Some(record::State::Completed));
+}
+
+/// Guards against last attempts that are never made: the only healthy worker was full of long-running tasks.
+#[test]
+fn a_last_attempt_does_not_wait_for_a_worker_that_long_running_tasks_fill() {
+    let mut sim = Simulation::new(2, Faults::default(), 1);
+    sim.run(300);
+    sim.submit(
+        LONG_RUNNING,
+        accepted(vec![long_running(1, WORKER_MILLI)], 2),
+    );
+    sim.run(500);
+    exhaust_attempts(&mut sim);
+    sim.run(8_000);
+    for id in 1..=2 {
+        let is_final = sim.state(id).is_some_and(record::State::is_final);
+        assert!(is_final, "job {id}");
+    }
+}
+
+/// Guards against last attempts that are never made: the only healthy worker was draining.
+#[test]
+fn a_last_attempt_does_not_wait_for_a_draining_worker() {
+    let mut last_attempts = 0;
+    for seed in 1..=20 {
+        let mut sim = Simulation::new(2, Faults::default(), seed);
+        sim.run(300);
+        sim.scheduler().set_draining(&id::Worker::new("w0"), true);
+        exhaust_attempts(&mut sim);
+        let is_open = |sim: &mut Simulation, id| sim.state(id) == Some(record::State::Running);
+        let open: Vec<u64> = (1..=2).filter(|id| is_open(&mut sim, *id)).collect();
+        last_attempts += open.len();
+        sim.run(8_000);
+        for id in open {
+            assert!(!is_open(&mut sim, id), "seed {seed} job {id}");
+        }
+    }
+    assert!(last_attempts > 0);
+}
+
 /// One randomised history: long-running and finite jobs, sick workers, drains, departures and takeovers, and then a
 /// calm time in which only finite jobs arrive.
 struct History {
