--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -58,6 +58,7 @@
 impl Scheduler {
     /// Plans all services in which something changed, and starts every task that can be placed.
     pub fn plan(&mut self, now: clock::Instant, unix_ms: u64) {
+        self.release_reservations(now);
         for service in std::mem::take(&mut self.dirty_services) {
             self.plan_service(&service, now, unix_ms);
         }
@@ -91,7 +92,7 @@
                 if cannot_fit {
                     continue;
                 }
-                let ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
+                let mut ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
                 if ids.is_empty() {
                     continue;
                 }
@@ -100,10 +101,21 @@
                     room = self.room(service, now);
                     continue;
                 }
+                ids.sort_by_key(|id| !self.reservations.contains(id));
                 for id in ids {
                     if !self.start_task(&mut room, id, spec, &need, now) {
                         self.request_tickets(service, &id, now);
-                        let unconstrained = spec.label.is_none()
+                        if spec.long_running && self.reserve_worker(service, &id, spec, &need, now)
+                        {
+                            continue;
+                        }
+                        // Other tasks can use suspect workers.
+                        if self.waits_for_healthy_worker(&room, &id, spec, &need, now) {
+                            continue;
+                        }
+                        // A larger task may have a reservation.
+                        let unconstrained = !spec.long_running
+                            && spec.label.is_none()
                             && spec.per_worker_max == 0
                             && accepted.queue.advice.is_none();
                         if unconstrained {
@@ -183,7 +195,10 @@
         need: &Resources,
         now: clock::Instant,
     ) -> bool {
-        let Some(worker) = self.choose_worker(room, id, step, need, now) else {
+        let worker = self
+            .choose_worker(room, id, step, need, now)
+            .or_else(|| self.choose_trial_worker(room, id, step, need, now));
+        let Some(worker) = worker else {
             return false;
         };
         let base = self.run_base;
@@ -193,6 +208,7 @@
             .and_then(|job| job.task(&id))
             .map_or(base, |task| task.last_run.max(base))
             + 1;
+        self.release_reservation(&id, "started");
         self.send_start(&worker, id, run, need, now);
         room.reserve(&worker, need.cpu_milli);
         true
@@ -216,6 +232,7 @@
         };
         state.lease_until_ms = state.lease_until_ms.max(until_ms);
         state.reserve(id, need);
+        state.on_start(now);
         let heard_ms = now.since_ms(state.last_response_at);
         let used_milli = state.used.cpu_milli;
         let Some(job) = self.jobs.get_mut(&id.job) else {
