pools: late work orders no machine that its own pool has

The leader of the last 25 s counted no machine in the pool "counter" (has=0 need=2): both were reserved for the wave, and each held one of two separate long-running tasks, which had nowhere to go. The one idle machine, m3, was up in the pool "desk" and was never given to it. Cause: a pool's late work was offered the surplus of all pools, its own included, although its shortage already counted it. The leader moved m3 from desk to desk. The platform answers 200 to a move that is already done; the leader took this for the end of m3's worker, which ran on, and forgot it: no tasks, no moves, until the next leader. Change: a pool offers other pools' late work only what its own late work doesn't need, so no machine is its own target. Checked: the new test fails on the code before (Move e to its own pool "later") and passes now.

--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -285,6 +285,7 @@
 pub fn assign(candidates: &[Candidate<'_>], input: &Input<'_>) -> Vec<Action> {
     let mut shortages = BTreeMap::new();
     let mut late_shortages = BTreeMap::new();
+    let mut kept_for_late: BTreeSet<&id::Vm> = BTreeSet::new();
     let mut pools = BTreeMap::new();
     for (service, target) in input.targets {
         let mut members: Vec<&Candidate<'_>> = candidates
@@ -307,8 +308,13 @@
             };
             late_shortages.insert(service, shortage);
         }
+        let surplus = have.saturating_sub(target.need).min(count(&members)) as usize;
+        // A pool's own late work comes before that of other pools.
+        let beyond_late = have.saturating_sub(late).min(count(&members)) as usize;
+        let kept = members[beyond_late..surplus].iter();
+        kept_for_late.extend(kept.map(|candidate| &candidate.machine.vm));
         let pool = Pool {
-            surplus: have.saturating_sub(target.need).min(count(&members)) as usize,
+            surplus,
             unused: have.saturating_sub(target.retain).min(count(&members)) as usize,
             members,
         };
@@ -345,7 +351,8 @@
     }
     // Late work gets what is left; no machine is drained for it.
     let late_receivers = allocation_order(late_shortages).into_iter();
-    for (service, source) in late_receivers.zip(sources) {
+    let late_sources = sources.filter(|source| !kept_for_late.contains(&source.machine.vm));
+    for (service, source) in late_receivers.zip(late_sources) {
         taken.insert(&source.machine.vm);
         actions.push(Action::Move {
             vm: source.machine.vm.clone(),
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -407,3 +407,49 @@
     let after = forecast.target(&service, &placed, 24, at(1_500));
     assert_eq!(after.need, 18);
 }
+
+/// Guards against machines that nobody uses any more (soak, seed 8): a pool ordered its own idle machine for its late
+/// work, and the unneeded command ended the machine's worker for the leader.
+#[test]
+fn late_work_orders_no_machine_that_its_own_pool_has() {
+    let machines = [
+        machine("a", "late"),
+        machine("b", "late"),
+        machine("c", "late"),
+        machine("d", "later"),
+        machine("e", "later"),
+    ];
+    let candidates: Vec<Candidate<'_>> = machines
+        .iter()
+        .zip([900, 900, 0, 900, 0])
+        .map(|(machine, used)| candidate(machine, used))
+        .collect();
+    let target = |need, late| Target {
+        need,
+        min: 1,
+        retain: 3,
+        late,
+    };
+    let spare = id::Service::new(SPARE);
+    let orders = |targets: &[(&str, Target)]| {
+        let targets = targets
+            .iter()
+            .map(|(service, target)| (id::Service::new(service), *target))
+            .collect();
+        pools::assign(
+            &candidates,
+            &Input {
+                targets: &targets,
+                incoming: &BTreeMap::new(),
+                spare: Some(&spare),
+            },
+        )
+    };
+    let both_late = orders(&[("late", target(2, 2)), ("later", target(1, 3))]);
+    assert_eq!(both_late, [], "each keeps what its own late work needs");
+    let one_late = orders(&[("late", target(2, 0)), ("later", target(1, 3))]);
+    assert_eq!(moved(&one_late, "later"), 1, "{one_late:?}");
+    assert_eq!(one_late.len(), 1, "{one_late:?}");
+    let in_time = orders(&[("late", target(2, 2)), ("later", target(3, 0))]);
+    assert_eq!(moved(&in_time, "later"), 1, "{in_time:?}");
+}
