--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -9,6 +9,7 @@
 use crate::batch::worker_state;
 use crate::clock;
 use crate::id;
+use crate::platform::Resources;
 
 /// Maximum time that a worker can hold a poll until a run ends, in milliseconds; a quarter of the lease.
 const WAIT_MS: u64 = 1_000;
@@ -112,9 +113,28 @@
         if complete && report.ended.len() < ENDS_MAX {
             self.release_missing(id, report, sent_at);
         }
+        let unreserved = self.unreserved_use(id, report);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unreserved = unreserved;
+        }
         self.pace_fillers(id, now);
     }
 
+    /// Returns the capacity of the reported runs that have none reserved, which take it until their end is listed.
+    fn unreserved_use(&self, id: &id::Worker, report: &worker_state::Report) -> Option<Resources> {
+        let worker = self.workers.get(id)?;
+        let mut total = Resources::default();
+        for run in &report.running {
+            if worker.tasks.contains(&run.task) {
+                continue;
+            }
+            let steps = &self.jobs.get(&run.task.job)?.accepted.spec.steps;
+            let step = steps.get(run.task.step as usize)?;
+            worker_state::add(&mut total, &plan::need(step));
+        }
+        Some(total)
+    }
+
     /// Records that a poll was not answered.
     pub fn poll_failed(&mut self, id: &id::Worker) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -131,6 +131,8 @@
     pub tasks: BTreeSet<TaskId>,
     /// Capacity reserved for these tasks.
     pub used: Resources,
+    /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
+    pub unreserved: Option<Resources>,
     /// Number of the newest ended run that was handled; 0 for none.
     pub handled: u64,
     /// Number of the newest ended run that can be acknowledged; 0 for none.
@@ -163,6 +165,7 @@
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
+            unreserved: Some(Resources::default()),
             handled: 0,
             acknowledged: 0,
             leaving_since: None,
@@ -208,18 +211,21 @@
 
     /// Returns whether the free capacity covers `need`.
     pub fn has_capacity(&self, need: &Resources) -> bool {
+        let Some(mut total) = self.unreserved else {
+            return false;
+        };
+        add(&mut total, &self.used);
+        add(&mut total, need);
         let size = &self.listing.size;
-        self.used.cpu_milli + need.cpu_milli <= size.cpu_milli
-            && self.used.memory_mib + need.memory_mib <= size.memory_mib
-            && self.used.accelerators + need.accelerators <= size.accelerators
+        total.cpu_milli <= size.cpu_milli
+            && total.memory_mib <= size.memory_mib
+            && total.accelerators <= size.accelerators
     }
 
     /// Reserves capacity for a task, once.
     pub fn reserve(&mut self, task: TaskId, need: &Resources) {
         if self.tasks.insert(task) {
-            self.used.cpu_milli += need.cpu_milli;
-            self.used.memory_mib += need.memory_mib;
-            self.used.accelerators += need.accelerators;
+            add(&mut self.used, need);
         }
     }
 
@@ -271,3 +277,10 @@
         self.failures >= SUSPECT_FAILURES
     }
 }
+
+/// Adds a need to a total.
+pub(super) fn add(total: &mut Resources, need: &Resources) {
+    total.cpu_milli += need.cpu_milli;
+    total.memory_mib += need.memory_mib;
+    total.accelerators += need.accelerators;
+}
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -1,7 +1,7 @@
 //! Workers whose capacity shrinks and grows while they run, and the capacity of runs that are being stopped.
 
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler, StartOutcome};
-use wasabiloft::batch::{JobId, TaskId, spec, worker_state};
+use wasabiloft::batch::{JobId, TaskId, record, spec, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -244,3 +244,64 @@
     answer(&mut scheduler, "a", later, &[], ended.collect());
     assert_eq!(start_all(&mut scheduler, later).len(), FULL);
 }
+
+/// Returns a scheduler of the next epoch, which recovers job 1 as cancelled and job 2 as accepted, and knows worker `a`.
+fn successor_after_cancel(now: Instant) -> Scheduler {
+    let job = accepted(vec![step(4, &[])], 3);
+    let row = record::WorkerRow {
+        service: listing("a").service,
+    };
+    let recovered = RecoveredState {
+        accepted: vec![(JobId(1), job.clone()), (JobId(2), job)],
+        cancelled: vec![JobId(1)],
+        workers: vec![(id::Worker::new("a"), row)],
+        ..RecoveredState::default()
+    };
+    let mut scheduler = Scheduler::new(settings(), 2, config(), recovered, now);
+    scheduler.worker_listed(listing("a"), now);
+    commit(&mut scheduler);
+    scheduler
+}
+
+/// A new leader stops the runs of a job that is over, and starts other tasks over the worker's capacity meanwhile.
+#[test]
+fn runs_that_a_new_leader_stops_keep_their_room_until_their_end_is_listed() {
+    let now = at(1_000);
+    let mut scheduler = successor_after_cancel(now);
+    let left: Vec<(TaskId, u32)> = (0..4)
+        .map(|index| {
+            let task = TaskId {
+                job: JobId(1),
+                occurrence: 0,
+                step: 0,
+                index,
+            };
+            (task, 1)
+        })
+        .collect();
+    answer(&mut scheduler, "a", now, &left, Vec::new());
+    assert_eq!(start_all(&mut scheduler, now), Vec::new());
+    let later = at(1_200);
+    let ended = vec![end(1, left[0].0, 1, worker_state::Outcome::Stopped)];
+    answer(&mut scheduler, "a", later, &left[1..], ended);
+    assert_eq!(start_all(&mut scheduler, later).len(), 1);
+}
+
+/// A new leader starts tasks beside runs whose job it does not know yet, and whose needs it therefore does not know.
+#[test]
+fn a_worker_with_runs_of_unknown_jobs_takes_no_tasks() {
+    let now = at(1_000);
+    let mut scheduler = scheduler_with(&["a"], now);
+    submit(&mut scheduler, 2, vec![step(4, &[])], now);
+    let unknown = TaskId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    answer(&mut scheduler, "a", now, &[(unknown, 1)], Vec::new());
+    assert_eq!(start_all(&mut scheduler, now), Vec::new());
+    submit(&mut scheduler, 1, vec![step(1, &[])], now);
+    answer(&mut scheduler, "a", now, &[(unknown, 1)], Vec::new());
+    assert_eq!(start_all(&mut scheduler, now).len(), FULL - 1);
+}
