tests: workers that resize and don't guard their capacity, and stops that take time, in the simulation

`resize` gives workers another number of cores while they run and has them start whatever they are told; a start beyond the most cores of the 4 s before its sending (`contactMs` and one heartbeat) is a violation, as is one beside runs that are still being stopped. 200 runs with takeovers, late orders, lost answers, partitions and crashes.

On this code all runs pass. With an entry's new capacity ignored (a mutation) it fails as well, on shrunk workers.

--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -21,6 +21,10 @@
 const COMMIT_MS: u64 = 20;
 /// Length of a simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
+/// Cores of a worker of full size; each task takes one.
+const CORES: u64 = 4;
+/// A shrunk capacity counts this long after the change, in milliseconds: `contactMs` and one heartbeat.
+const SHRUNK_COUNTS_MS: u64 = 4_000;
 /// Attempts at a start before its outcome counts as unknown.
 const START_ATTEMPTS: u32 = 3;
 
@@ -113,6 +117,7 @@
     began_ms: u64,
     ends_ms: u64,
     fails: bool,
+    stopped: bool,
 }
 
 /// A simulated worker that behaves as the platform documents.
@@ -134,11 +139,14 @@
     pub down_until_ms: u64,
     /// Whether every run on this worker fails.
     pub always_fails: bool,
+    /// When the worker had how many cores, oldest first.
+    cores: Vec<(u64, u64)>,
 }
 
 /// A start that is carried out late. It is dropped if the worker that received it restarts.
 struct DelayedStart {
     at_ms: u64,
+    sent_ms: u64,
     epoch: u64,
     born_ms: u64,
     start: Start,
@@ -169,6 +177,10 @@
     pub crash: u32,
     /// Simulation steps in which another node takes over the duty.
     pub takeover: u32,
+    /// Simulation steps in which a worker changes its capacity. If not 0, the workers don't guard it.
+    pub resize: u32,
+    /// Longest time that a stop takes, in milliseconds.
+    pub stop_ms: u64,
 }
 
 /// The simulation, with its workers, stored rows and schedulers.
@@ -245,8 +257,8 @@
             ..self.stored.clone()
         };
         let mut scheduler = Scheduler::new(settings(), self.epoch, config(), rows, self.now());
-        for name in self.workers.keys() {
-            scheduler.worker_listed(listing(name), self.now());
+        for worker in self.workers.values() {
+            scheduler.worker_listed(worker.listing(), self.now());
         }
         let leader = Leader {
             scheduler,
@@ -322,6 +334,21 @@
             worker.down_until_ms = 0;
             worker.always_fails = false;
         }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.resize(&name, CORES);
+        }
+    }
+
+    /// Changes a worker's capacity and its registry entry.
+    fn resize(&mut self, name: &str, cores: u64) {
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        worker.cores.push((self.now_ms, cores));
+        let listing = worker.listing();
+        let now = self.now();
+        for leader in &mut self.leaders {
+            leader.scheduler.worker_listed(listing.clone(), now);
+        }
     }
 
     fn chance(&mut self, thousandths: u32) -> bool {
@@ -348,6 +375,10 @@
             if crash {
                 worker.crash(now_ms + for_ms);
             }
+            if self.faults.resize > 0 && self.chance(self.faults.resize) {
+                let cores = self.rng.random_range(0..=CORES);
+                self.resize(&name, cores);
+            }
         }
         if self.chance(self.faults.takeover) && self.leaders.len() < 3 {
             let predecessor_lives = self.rng.random_bool(0.5);
@@ -370,13 +401,13 @@
         for delayed in due {
             if self.workers[delayed.start.worker.as_str()].born_ms == delayed.born_ms {
                 // The outcome is not reported to any scheduler.
-                let _ = self.carry_out(delayed.epoch, &delayed.start);
+                let _ = self.carry_out(delayed.epoch, &delayed.start, delayed.sent_ms);
             }
         }
     }
 
     /// Carries out a start, and checks the invariants that a start can violate.
-    fn carry_out(&mut self, epoch: u64, start: &Start) -> Result<(), Refusal> {
+    fn carry_out(&mut self, epoch: u64, start: &Start, sent_ms: u64) -> Result<(), Refusal> {
         let now_ms = self.now_ms;
         let fails = self.rng.random_range(0..1_000) < 20;
         let duration_ms = self.rng.random_range(50..600);
@@ -402,9 +433,18 @@
         if start.run <= highest || known.is_some() {
             return Err(Refusal::Superseded);
         }
-        if worker.running.len() >= 4 {
+        let used = worker.running.len() as u64;
+        let counts_since_ms = sent_ms.saturating_sub(SHRUNK_COUNTS_MS);
+        if self.faults.resize == 0 && used >= CORES {
             return Err(Refusal::NoRoom);
         }
+        if used >= worker.most_cores(counts_since_ms) {
+            let cores = &worker.cores;
+            self.violations.push(format!(
+                "{now_ms} ms: LIMIT {} on {name} beside {used}, cores {cores:?}",
+                start.task
+            ));
+        }
         let running = Running {
             run: start.run,
             began_ms: now_ms,
@@ -414,6 +454,7 @@
                 now_ms + duration_ms
             },
             fails: fails || worker.always_fails,
+            stopped: false,
         };
         worker.running.insert(start.task, running);
         self.started += 1;
@@ -513,12 +554,13 @@
                 let at_ms = self.now_ms + self.rng.random_range(300..6_000);
                 self.delayed.push(DelayedStart {
                     at_ms,
+                    sent_ms: self.now_ms,
                     epoch,
                     born_ms: self.workers[&name].born_ms,
                     start: start.clone(),
                 });
             } else if reachable {
-                let answer = match self.carry_out(epoch, &start) {
+                let answer = match self.carry_out(epoch, &start, self.now_ms) {
                     Ok(()) => StartOutcome::Started,
                     Err(reason) => StartOutcome::Refused { reason, sends },
                 };
@@ -542,13 +584,17 @@
         let name = worker.as_str();
         let epoch = self.leaders[index].epoch;
         let lost = self.chance(self.faults.lost);
+        let stop_ms = match self.faults.stop_ms {
+            0 => 0,
+            max_ms => self.rng.random_range(0..=max_ms),
+        };
         let now = self.now();
         if !self.is_reachable(name) || epoch < self.workers[name].fence {
             return;
         }
         let target = self.workers.get_mut(name).expect("a known worker");
         target.fence = epoch;
-        target.stop(task, run);
+        target.stop(task, run, now.as_ms(), stop_ms);
         if !lost {
             let scheduler = &mut self.leaders[index].scheduler;
             scheduler.stop_answered(worker, task, run, now);
@@ -656,9 +702,24 @@
             unreachable_until_ms: 0,
             down_until_ms: 0,
             always_fails: false,
+            cores: vec![(0, CORES)],
         }
     }
 
+    fn listing(&self) -> worker_state::Listing {
+        let mut entry = listing(&self.name);
+        let cores = self.cores.last().map_or(0, |(_, cores)| *cores);
+        entry.size.cpu_milli = cores * 1_000;
+        entry
+    }
+
+    /// Returns the most cores that the worker had at any time since `since_ms`.
+    fn most_cores(&self, since_ms: u64) -> u64 {
+        let first = self.cores.iter().rposition(|(at_ms, _)| *at_ms <= since_ms);
+        let counting = self.cores[first.unwrap_or(0)..].iter();
+        counting.map(|(_, cores)| *cores).max().unwrap_or(0)
+    }
+
     fn crash(&mut self, until_ms: u64) {
         self.running.clear();
         self.ends.clear();
@@ -697,7 +758,9 @@
                 if lapsed {
                     return Some((*task, worker_state::Outcome::Lapsed));
                 }
-                let how = if running.fails {
+                let how = if running.stopped {
+                    worker_state::Outcome::Stopped
+                } else if running.fails {
                     worker_state::Outcome::Failed
                 } else {
                     worker_state::Outcome::Done
@@ -710,13 +773,14 @@
         }
     }
 
-    fn stop(&mut self, task: TaskId, run: u32) {
-        if self
-            .running
-            .get(&task)
-            .is_some_and(|running| running.run == run)
-        {
-            self.end(task, worker_state::Outcome::Stopped);
+    fn stop(&mut self, task: TaskId, run: u32, now_ms: u64, stop_ms: u64) {
+        let running = self.running.get_mut(&task);
+        if let Some(running) = running.filter(|running| running.run == run) {
+            running.stopped = true;
+            running.ends_ms = running.ends_ms.min(now_ms + stop_ms);
+            if stop_ms == 0 {
+                self.end(task, worker_state::Outcome::Stopped);
+            }
         }
         let highest = self.highest_runs.entry(task).or_default();
         *highest = (*highest).max(run);
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -1,11 +1,13 @@
 //! Workers whose capacity shrinks and grows while they run, and the capacity of runs that are being stopped.
 
+use proptest::prelude::*;
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler, StartOutcome};
 use wasabiloft::batch::{JobId, TaskId, record, spec, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::fake_workers::{accepted, config, listing, settings, step};
+use crate::fake_workers::{Faults, Simulation, accepted, config, listing, settings, step};
+use crate::fixed_seed;
 
 /// Number of tasks of one core that fit on a worker of full size.
 const FULL: usize = 4;
@@ -305,3 +307,43 @@
     answer(&mut scheduler, "a", now, &[(unknown, 1)], Vec::new());
     assert_eq!(start_all(&mut scheduler, now).len(), FULL - 1);
 }
+
+/// Number of jobs in a randomised run.
+const JOBS: u64 = 16;
+
+proptest! {
+    #![proptest_config(fixed_seed(200))]
+
+    /// Workers that don't guard their capacity are started over it while they shrink, stops take their time, and nodes
+    /// take over.
+    #[test]
+    fn unguarded_capacity_is_never_exceeded(seed in any::<u64>()) {
+        let faults = Faults {
+            late: 40,
+            lost: 40,
+            partition: 4,
+            crash: 3,
+            takeover: 4,
+            resize: 30,
+            stop_ms: 200,
+        };
+        let mut sim = Simulation::new(4, faults, seed);
+        sim.run(300);
+        for id in 0..JOBS {
+            sim.submit(id, accepted(vec![step(8, &[]), step(4, &[0])], 6));
+            sim.run(300);
+            if id % 2 == 1 {
+                sim.cancel(id - 1);
+            }
+        }
+        sim.run(10_000);
+        sim.end_faults();
+        sim.run(30_000);
+        prop_assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+        prop_assert!(sim.started > 0);
+        let open: Vec<u64> = (0..JOBS)
+            .filter(|id| !sim.state(*id).is_some_and(record::State::is_final))
+            .collect();
+        prop_assert_eq!(open, Vec::<u64>::new());
+    }
+}
--- a/tests/test_batch_faults.rs
+++ b/tests/test_batch_faults.rs
@@ -37,7 +37,7 @@
 
     #[test]
     fn invariants_hold_with_all_faults(seed in any::<u64>()) {
-        let faults = Faults { late: 60, lost: 60, partition: 6, crash: 4, takeover: 2 };
+        let faults = Faults { late: 60, lost: 60, partition: 6, crash: 4, takeover: 2, ..Faults::default() };
         let sim = simulate(faults, seed);
         prop_assert!(sim.violations.is_empty(), "{:?}", sim.violations);
         prop_assert!(sim.started > 0);
