pools: one shrunk machine no longer sets the demand on all pools

Demand is measured in machines, and the size of one was that of the first machine in the list. If that one shrinks, every pool's need grows by the same factor, and all spare machines start. Cause: the first machine stands for the fleet. Change: the median of each resource over all machines.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -297,7 +297,7 @@
 
     fn follow_demand(&mut self, reserved: &BTreeSet<id::Vm>) {
         let now = clock::since_boot();
-        let Some(size) = self.list.first().map(|machine| machine.size) else {
+        let Some(size) = pools::reference_size(&self.list) else {
             return;
         };
         let (demands, spare) = {
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -70,6 +70,24 @@
     pub worker: Option<id::Worker>,
 }
 
+/// Returns the size of a machine that demand is measured in: the median of each resource, so that a machine that has
+/// shrunk doesn't change the demand on all pools. `None` without machines.
+pub fn reference_size(machines: &[Machine]) -> Option<Resources> {
+    machines.first()?;
+    Some(Resources {
+        cpu_milli: median(machines.iter().map(|machine| machine.size.cpu_milli)),
+        memory_mib: median(machines.iter().map(|machine| machine.size.memory_mib)),
+        accelerators: median(machines.iter().map(|machine| machine.size.accelerators)),
+    })
+}
+
+/// Returns the upper median of at least one value.
+fn median<T: Ord + Copy>(values: impl Iterator<Item = T>) -> T {
+    let mut values: Vec<T> = values.collect();
+    let middle = values.len() / 2;
+    *values.select_nth_unstable(middle).1
+}
+
 /// The demand of a service's queues on its pool; capacity is in thousandths of a machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -2,9 +2,10 @@
 
 use proptest::prelude::*;
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler, StartOutcome};
-use wasabiloft::batch::{JobId, TaskId, record, spec, worker_state};
+use wasabiloft::batch::{JobId, TaskId, pools, record, spec, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
+use wasabiloft::platform::Resources;
 
 use crate::fake_workers::{Faults, Simulation, accepted, config, listing, settings, step};
 use crate::fixed_seed;
@@ -308,6 +309,39 @@
     assert_eq!(start_all(&mut scheduler, now).len(), FULL - 1);
 }
 
+/// Returns the fleet's machines, of which the first has some cores and all others 16.
+fn fleet(first_cores: u64) -> Vec<pools::Machine> {
+    let machine = |number: u64| pools::Machine {
+        vm: id::Vm::new(&format!("m{number}")),
+        pool: listing("a").service,
+        state: pools::State::Up,
+        data_centre: id::DataCentre::new("andes"),
+        rack: None,
+        kind: "a".into(),
+        size: Resources {
+            cpu_milli: if number == 0 { first_cores } else { 16 } * 1_000,
+            memory_mib: 32_000,
+            accelerators: 0,
+        },
+        worker: None,
+    };
+    (0..5).map(machine).collect()
+}
+
+/// One machine shrinks to a fraction of a core, and every pool asks for hundreds of machines.
+#[test]
+fn a_shrunk_machine_leaves_the_demand_on_the_pools_as_it_is() {
+    let now = at(1_000);
+    let mut scheduler = scheduler_with(&["a"], now);
+    submit(&mut scheduler, 1, vec![step(8, &[])], now);
+    let demands = |cores: u64| {
+        let size = pools::reference_size(&fleet(cores)).expect("machines");
+        scheduler.demands(&size, now, now.as_ms())
+    };
+    assert_eq!(demands(0), demands(16));
+    assert_eq!(pools::reference_size(&[]), None);
+}
+
 /// Number of jobs in a randomised run.
 const JOBS: u64 = 16;
 
