standins, node/tests: workers that resize and don't enforce their capacity

A worker's capacity changes while it runs and stands in its registry entry; with `enforces_capacity` false it starts what it is told, and a start beyond the highest capacity of the last 4 s (contact time and one heartbeat) is a violation. A stop may take time.

Two tests with daemons.

--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine;
@@ -13,7 +14,7 @@
 use wasabiloft_standins::hosted::Listening;
 use wasabiloft_standins::hosted::process::{Node, Platform};
 use wasabiloft_standins::hosted::store::Store;
-use wasabiloft_standins::hosted::worker::Worker;
+use wasabiloft_standins::hosted::worker::{Settings, Worker};
 
 /// Host name of the queue's route.
 pub const HOST: &str = "counter.example";
@@ -34,6 +35,7 @@
     pub nodes: Vec<Node>,
     folder: TempDir,
     link_kbit_per_s: u64,
+    enforces_capacity: bool,
 }
 
 /// Response to a request.
@@ -56,9 +58,20 @@
         workers: usize,
         task_ms: u64,
         link_kbit_per_s: u64,
+    ) -> Self {
+        Self::start_with(nodes, workers, Settings::new(task_ms), link_kbit_per_s).await
+    }
+
+    /// Starts a cluster whose workers have the given settings, with one checker.
+    pub async fn start_with(
+        nodes: usize,
+        workers: usize,
+        settings: Settings,
+        link_kbit_per_s: u64,
     ) -> Self {
         let mut cluster = Self {
             link_kbit_per_s,
+            enforces_capacity: settings.enforces_capacity,
             store: Store::start().await.expect("a store"),
             workers: Vec::new(),
             nodes: Vec::new(),
@@ -66,14 +79,9 @@
         };
         cluster.configure(1, &[PREFIX]);
         for number in 0..workers {
-            let worker = Worker::start(task_ms).await.expect("a worker");
-            let entry = json!({
-                "service": "counter", "address": worker.address, "zone": "andes", "version": "v1",
-                "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "clockMs": 1,
-                "capacity": {"cpu": 8_000, "memMb": 16_000, "gpu": 0}, "labels": ["a", "r1"],
-            });
-            cluster.put("servers", &format!("i-{number}"), &entry.to_string());
-            cluster.workers.push(worker);
+            let worker = Worker::start_as(settings.clone(), None, Arc::default());
+            cluster.workers.push(worker.await.expect("a worker"));
+            cluster.put_entry(number);
         }
         for number in 0..nodes {
             let node = cluster.start_node(number);
@@ -85,6 +93,23 @@
         cluster
     }
 
+    /// Writes a worker's registry entry.
+    fn put_entry(&self, worker: usize) {
+        let Listening { address, state, .. } = &self.workers[worker];
+        let entry = json!({
+            "service": "counter", "address": address, "zone": "andes", "version": "v1",
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "clockMs": 1,
+            "capacity": {"cpu": state.cpu_milli(), "memMb": 16_000, "gpu": 0}, "labels": ["a", "r1"],
+        });
+        self.put("servers", &format!("i-{worker}"), &entry.to_string());
+    }
+
+    /// Changes a worker's CPU capacity, in thousandths of a core, and its registry entry.
+    pub fn resize(&self, worker: usize, cpu_milli: u64) {
+        self.workers[worker].state.resize(cpu_milli);
+        self.put_entry(worker);
+    }
+
     /// Writes a configuration with a queue for each prefix.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
         let routes: Vec<_> = prefixes
@@ -97,7 +122,9 @@
                 })
             })
             .collect();
-        let services = json!([{"name": "counter", "enforcesCapacity": true, "spare": false}]);
+        let services = json!([
+            {"name": "counter", "enforcesCapacity": self.enforces_capacity, "spare": false}
+        ]);
         let limits = json!({"maxBodyBytes": 10_000, "idleTimeoutMs": 15_000});
         let config = json!({
             "version": version, "routes": routes, "services": services, "limits": limits,
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -7,6 +7,7 @@
 mod hosted;
 mod keys;
 mod test_answers;
+mod test_capacity;
 mod test_connections;
 mod test_fleet;
 mod test_hosted;
--- a/standins/src/hosted/checker.rs
+++ b/standins/src/hosted/checker.rs
@@ -102,6 +102,19 @@
         }
     }
 
+    /// Records a start that brought a worker over its CPU capacity, both in thousandths of a core.
+    pub fn capacity_exceeded(
+        &self,
+        task: &str,
+        incarnation: &str,
+        cpu_milli: u64,
+        capacity_milli: u64,
+    ) {
+        self.add_violation(format!(
+            "task {task} brought {incarnation} to {cpu_milli} of {capacity_milli} thousandths of a core"
+        ));
+    }
+
     /// Records that a node acknowledged the end of a run.
     pub fn end_acknowledged(&self, task: &str, done: bool) {
         if done {
--- a/standins/src/hosted/worker.rs
+++ b/standins/src/hosted/worker.rs
@@ -1,5 +1,6 @@
 //! A worker that executes commands to start and stop runs and answers polls. It enforces fences, leases and its
-//! capacity, and can be unresponsive, switched off, or restarted with a new incarnation.
+//! capacity, and can be unresponsive, switched off, resized, or restarted with a new incarnation. A worker that doesn't
+//! enforce its capacity reports each start that exceeds it to the checker.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -19,6 +20,8 @@
 
 /// Interval at which due runs are ended and a long poll is checked, in milliseconds.
 const POLL_MS: u64 = 5;
+/// A lower capacity counts this long after the change, in milliseconds: the platform's contact time and one heartbeat.
+const SHRUNK_COUNTS_MS: u64 = 4_000;
 /// Longest lease that a worker accepts, in milliseconds; the platform's value.
 const LEASE_MAX_MS: u64 = 10_000;
 /// CPU of a run whose spec names none, in thousandths of a core.
@@ -31,8 +34,12 @@
 pub struct Settings {
     /// Duration of a run whose spec names none, in milliseconds.
     pub task_ms: u64,
-    /// CPU capacity, in thousandths of a core.
+    /// CPU capacity at first, in thousandths of a core.
     pub cpu_milli: u64,
+    /// Whether the worker refuses starts that exceed its capacity.
+    pub enforces_capacity: bool,
+    /// Time that a stop takes, in milliseconds.
+    pub stop_ms: u64,
     /// Speed of the worker's monotonic clock, in thousandths; the platform allows it to be 2 % slow.
     pub clock_milli: u64,
 }
@@ -43,6 +50,8 @@
         Self {
             task_ms,
             cpu_milli: 8_000,
+            enforces_capacity: true,
+            stop_ms: 0,
             clock_milli: 1_000,
         }
     }
@@ -86,6 +95,8 @@
     run: u32,
     task_spec: TaskSpec,
     started_at: time::Instant,
+    /// When the stop that the run received takes effect.
+    stops_at: Option<time::Instant>,
 }
 
 #[derive(Debug)]
@@ -130,6 +141,8 @@
     settings: Settings,
     checker: Arc<Checker>,
     incarnation: Mutex<Incarnation>,
+    /// CPU capacities in thousandths of a core, with the time since which each holds, oldest first.
+    capacities: Mutex<Vec<(time::Instant, u64)>>,
     /// If set, the worker executes commands but doesn't respond in time.
     pub unresponsive: AtomicBool,
     /// If set, the worker is switched off and answers every request with status 503.
@@ -188,6 +201,7 @@
         checker: Arc<Checker>,
     ) -> std::io::Result<Listening<Self>> {
         let state = Arc::new(Self {
+            capacities: Mutex::new(vec![(time::Instant::now(), settings.cpu_milli)]),
             settings,
             checker,
             incarnation: Mutex::new(Incarnation::new(id, 1)),
@@ -209,6 +223,11 @@
         self.checker.start_counts()
     }
 
+    /// Returns the violations that the worker's checker recorded.
+    pub fn violations(&self) -> Vec<String> {
+        self.checker.violations()
+    }
+
     /// Ends the current incarnation and its runs, and starts another with the given id and a later birth time.
     pub fn start_incarnation(&self, id: Option<String>) {
         let mut incarnation = lock(&self.incarnation);
@@ -235,7 +254,21 @@
 
     /// Returns the CPU capacity, in thousandths of a core.
     pub fn cpu_milli(&self) -> u64 {
-        self.settings.cpu_milli
+        lock(&self.capacities).last().map_or(0, |(_, cpu)| *cpu)
+    }
+
+    /// Changes the CPU capacity, in thousandths of a core; runs go on.
+    pub fn resize(&self, cpu_milli: u64) {
+        lock(&self.capacities).push((time::Instant::now(), cpu_milli));
+    }
+
+    /// Returns the highest CPU capacity that a start may still count on, in thousandths of a core.
+    fn counting_cpu_milli(&self) -> u64 {
+        let capacities = lock(&self.capacities);
+        let is_past = |since: time::Instant| since.elapsed().as_millis() > SHRUNK_COUNTS_MS.into();
+        let first = capacities.iter().rposition(|(since, _)| is_past(*since));
+        let counting = capacities[first.unwrap_or(0)..].iter();
+        counting.map(|(_, cpu)| *cpu).max().unwrap_or(0)
     }
 
     fn clock_ms(&self, incarnation: &Incarnation) -> u64 {
@@ -272,6 +305,12 @@
             .iter()
             .filter_map(|(task, running)| {
                 let elapsed = running.started_at.elapsed();
+                if running
+                    .stops_at
+                    .is_some_and(|at| time::Instant::now() >= at)
+                {
+                    return Some((task.clone(), "stopped"));
+                }
                 let finished = !running.task_spec.long_running
                     && elapsed >= Duration::from_millis(running.task_spec.duration_ms);
                 let outcome = match (finished, lapsed) {
@@ -343,9 +382,15 @@
             .values()
             .map(|running| running.task_spec.cpu_milli)
             .sum();
-        if used + task_spec.cpu_milli > self.settings.cpu_milli {
+        let wanted = used + task_spec.cpu_milli;
+        if self.settings.enforces_capacity && wanted > self.cpu_milli() {
             return self.refuse(&incarnation, "room");
         }
+        let capacity = self.counting_cpu_milli();
+        if wanted > capacity {
+            self.checker
+                .capacity_exceeded(&start.task, &incarnation.name(), wanted, capacity);
+        }
         incarnation
             .highest_runs
             .insert(start.task.clone(), start.run_id);
@@ -355,6 +400,7 @@
             run: start.run_id,
             task_spec,
             started_at: time::Instant::now(),
+            stops_at: None,
         };
         incarnation.running.insert(start.task.clone(), running);
         Json(json!({"clockMs": now_ms})).into_response()
@@ -373,12 +419,14 @@
             .entry(stop.task.clone())
             .or_default();
         *highest_run = stop.run_id.max(*highest_run);
-        let current_run = incarnation
-            .running
-            .get(&stop.task)
-            .map(|running| running.run);
-        if current_run == Some(stop.run_id) {
-            self.end(&mut incarnation, &stop.task, "stopped");
+        let running = incarnation.running.get_mut(&stop.task);
+        if let Some(running) = running.filter(|running| running.run == stop.run_id) {
+            let stop_ms = self.settings.stop_ms;
+            let stops_at = time::Instant::now() + Duration::from_millis(stop_ms);
+            running.stops_at.get_or_insert(stops_at);
+            if stop_ms == 0 {
+                self.end(&mut incarnation, &stop.task, "stopped");
+            }
         }
         Json(json!({"clockMs": self.clock_ms(&incarnation)})).into_response()
     }
