pools: capacity that a pool's machines have lost counts as needed

Where the machines of a pool have shrunk, its tasks wait while machines of the spare pool are off: a shrunk machine counts as a whole one, and two that have shrunk to nothing are the least that a pool needs. Cause: the need of a pool is compared with its number of machines. Change: the scheduler keeps the largest capacity that a worker has shown; what is missing from it is added to the pool's need, and whole machines of it to the pool's least. Without shrinking that is 0. A new leader that finds a worker shrunk takes that size for its full one. Evidence: the new test failed before (need 2, expected 3 with one of two machines shrunk); all 207 tests of the library pass.

--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -97,6 +97,8 @@
     pub waiting: u64,
     /// Capacity that tasks of jobs use, or need now, that can no longer meet their objective.
     pub late: u64,
+    /// Capacity by which the pool's machines have shrunk.
+    pub lost: u64,
     /// Number of long-running tasks that wait for a worker.
     pub blocked: u64,
     /// Machines that long-running tasks need so that they run on separate ones.
@@ -160,11 +162,13 @@
         has: u32,
         now: clock::Instant,
     ) -> Target {
+        let lost_machines = u32::try_from(demand.lost / MACHINE_MILLI).unwrap_or(u32::MAX);
         let min = demand.separate_machines.max(MACHINES_MIN);
+        let min = min.saturating_add(lost_machines);
         let rate = self.rate_ahead(service, demand, now);
         let present = demand.running + demand.waiting;
         let rate = rate.min(present * RISE_MAX + u64::from(MACHINES_MIN) * MACHINE_MILLI);
-        let needed = present.max(rate) * HEADROOM_MILLI / 1_000;
+        let needed = present.max(rate) * HEADROOM_MILLI / 1_000 + demand.lost;
         let machines = u32::try_from(needed.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
         let is_blocked = self.is_blocked(service, demand, now);
         // The machines that the pool would keep have no room for the tasks that wait.
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -75,6 +75,9 @@
         for worker in self.workers.values() {
             if let Some(demand) = demands.get_mut(&worker.listing.service) {
                 demand.running += machine_share(&worker.used, size);
+                if worker.listed {
+                    demand.lost += machine_share(&worker.lost(), &worker.largest);
+                }
             }
         }
         for id in self.open_jobs.iter() {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -212,7 +212,7 @@
             if listing.leaving {
                 worker.leaving_since.get_or_insert(now);
             }
-            worker.listing = listing;
+            worker.update(listing);
             return;
         }
         if listing.leaving && !self.unresolved.contains_key(&listing.worker) {
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -111,6 +111,8 @@
 pub struct Worker {
     /// Newest registry entry.
     pub listing: Listing,
+    /// Largest capacity that the registry has shown.
+    pub largest: Resources,
     /// Whether the registry still lists the worker.
     pub listed: bool,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
@@ -154,6 +156,7 @@
     /// Creates the state of a newly listed worker.
     pub fn new(listing: Listing, now: clock::Instant) -> Self {
         Self {
+            largest: listing.size,
             listing,
             listed: true,
             started_unix_ms: 0,
@@ -177,6 +180,25 @@
         }
     }
 
+    /// Replaces the registry entry.
+    pub fn update(&mut self, listing: Listing) {
+        let (largest, size) = (&mut self.largest, &listing.size);
+        largest.cpu_milli = largest.cpu_milli.max(size.cpu_milli);
+        largest.memory_mib = largest.memory_mib.max(size.memory_mib);
+        largest.accelerators = largest.accelerators.max(size.accelerators);
+        self.listing = listing;
+    }
+
+    /// Returns the capacity by which the worker has shrunk.
+    pub fn lost(&self) -> Resources {
+        let (largest, size) = (&self.largest, &self.listing.size);
+        Resources {
+            cpu_milli: largest.cpu_milli - size.cpu_milli,
+            memory_mib: largest.memory_mib - size.memory_mib,
+            accelerators: largest.accelerators - size.accelerators,
+        }
+    }
+
     /// Records a response with the worker's clock in milliseconds.
     pub fn on_response(&mut self, clock_ms: u64, now: clock::Instant) {
         self.clock = Some((clock_ms, now));
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -342,6 +342,29 @@
     assert_eq!(pools::reference_size(&[]), None);
 }
 
+/// The machines of a pool shrink to nothing, and its tasks wait although other machines are off: the shrunk machines
+/// count as whole ones.
+#[test]
+fn a_pool_whose_machines_have_shrunk_asks_for_more() {
+    let now = at(1_000);
+    let mut scheduler = scheduler_with(&["a", "b"], now);
+    submit(&mut scheduler, 1, vec![step(2, &[])], now);
+    let service = listing("a").service;
+    let need = |scheduler: &Scheduler| {
+        let demand = scheduler.demands(&listing("a").size, now, 0)[&service];
+        let mut forecast = pools::Forecast::new(now);
+        forecast.target(&service, &demand, 2, now).need
+    };
+    assert_eq!(need(&scheduler), 2);
+    scheduler.worker_listed(listing_of("a", 0), now);
+    assert_eq!(need(&scheduler), 3, "one of two machines has shrunk");
+    scheduler.worker_listed(listing_of("b", 0), now);
+    assert_eq!(need(&scheduler), 4, "both machines have shrunk");
+    scheduler.worker_listed(listing("a"), now);
+    scheduler.worker_listed(listing("b"), now);
+    assert_eq!(need(&scheduler), 2, "both have grown again");
+}
+
 /// Number of jobs in a randomised run.
 const JOBS: u64 = 16;
 
