--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -111,6 +111,8 @@
 pub struct Worker {
     /// Newest registry entry.
     pub listing: Listing,
+    /// Largest capacity that the registry has shown.
+    pub largest: Resources,
     /// Whether the registry still lists the worker.
     pub listed: bool,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
@@ -131,6 +133,8 @@
     pub tasks: BTreeSet<TaskId>,
     /// Capacity reserved for these tasks.
     pub used: Resources,
+    /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
+    pub unreserved: Option<Resources>,
     /// Number of the newest ended run that was handled; 0 for none.
     pub handled: u64,
     /// Number of the newest ended run that can be acknowledged; 0 for none.
@@ -156,6 +160,7 @@
     /// Creates the state of a newly listed worker.
     pub fn new(listing: Listing, now: clock::Instant) -> Self {
         Self {
+            largest: listing.size,
             listing,
             listed: true,
             started_unix_ms: 0,
@@ -167,6 +172,7 @@
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
+            unreserved: Some(Resources::default()),
             handled: 0,
             acknowledged: 0,
             leaving_since: None,
@@ -180,6 +186,25 @@
         }
     }
 
+    /// Replaces the registry entry.
+    pub fn update(&mut self, listing: Listing) {
+        let (largest, size) = (&mut self.largest, &listing.size);
+        largest.cpu_milli = largest.cpu_milli.max(size.cpu_milli);
+        largest.memory_mib = largest.memory_mib.max(size.memory_mib);
+        largest.accelerators = largest.accelerators.max(size.accelerators);
+        self.listing = listing;
+    }
+
+    /// Returns the capacity by which the worker has shrunk.
+    pub fn lost(&self) -> Resources {
+        let (largest, size) = (&self.largest, &self.listing.size);
+        Resources {
+            cpu_milli: largest.cpu_milli - size.cpu_milli,
+            memory_mib: largest.memory_mib - size.memory_mib,
+            accelerators: largest.accelerators - size.accelerators,
+        }
+    }
+
     /// Records a response with the worker's clock in milliseconds.
     pub fn on_response(&mut self, clock_ms: u64, now: clock::Instant) {
         self.clock = Some((clock_ms, now));
@@ -232,18 +257,21 @@
 
     /// Returns whether the free capacity covers `need`.
     pub fn has_capacity(&self, need: &Resources) -> bool {
+        let Some(mut total) = self.unreserved else {
+            return false;
+        };
+        add(&mut total, &self.used);
+        add(&mut total, need);
         let size = &self.listing.size;
-        self.used.cpu_milli + need.cpu_milli <= size.cpu_milli
-            && self.used.memory_mib + need.memory_mib <= size.memory_mib
-            && self.used.accelerators + need.accelerators <= size.accelerators
+        total.cpu_milli <= size.cpu_milli
+            && total.memory_mib <= size.memory_mib
+            && total.accelerators <= size.accelerators
     }
 
     /// Reserves capacity for a task, once.
     pub fn reserve(&mut self, task: TaskId, need: &Resources) {
         if self.tasks.insert(task) {
-            self.used.cpu_milli += need.cpu_milli;
-            self.used.memory_mib += need.memory_mib;
-            self.used.accelerators += need.accelerators;
+            add(&mut self.used, need);
         }
     }
 
@@ -296,3 +324,10 @@
         self.failures >= SUSPECT_FAILURES
     }
 }
+
+/// Adds a need to a total.
+pub(super) fn add(total: &mut Resources, need: &Resources) {
+    total.cpu_milli += need.cpu_milli;
+    total.memory_mib += need.memory_mib;
+    total.accelerators += need.accelerators;
+}
