scheduler: log how long a run had been at work when its worker was lost, and whether the worker crashed

The reason is an enum that knows which ends are crashes; worker gone says crashed=, run lost says confirmed= and survived_ms=, and crashed workers are counted.

--- a/node/src/batch/fleet/commands.rs
+++ b/node/src/batch/fleet/commands.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::machine_commands;
+use wasabiloft::batch::scheduler::IncarnationEnd;
 use wasabiloft::id;
 use wasabiloft_platform::machines::ChangeOutcome;
 
@@ -146,7 +147,7 @@
         if done && let Some(worker) = &result.worker {
             self.leadership
                 .scheduler()
-                .incarnation_ended(worker, "machine-order");
+                .incarnation_ended(worker, IncarnationEnd::MachineOrder);
             self.leadership.wake.notify_one();
         }
         match (&result.command, result.outcome) {
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -17,7 +17,7 @@
 use crate::batch::{leadership, shared};
 use crate::clock;
 use crate::log;
-use wasabiloft::batch::scheduler::DrainState;
+use wasabiloft::batch::scheduler::{DrainState, IncarnationEnd};
 
 /// Remaining time of the duty's lease that a command to a machine requires, in milliseconds; covers the command's
 /// transmission and a pause of the node.
@@ -224,7 +224,7 @@
         let mut scheduler = self.leadership.scheduler();
         for before in self.list.iter() {
             if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
-                scheduler.incarnation_ended(worker, "machine-without");
+                scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout);
             }
         }
         scheduler.resolve_missing(&current, now);
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -341,6 +341,8 @@
     for (how, before, now) in ends {
         metrics::counter!("wasabiloft_runs_ended_total", "how" => how).increment(now - before);
     }
+    metrics::counter!("wasabiloft_workers_crashed_total")
+        .increment(now.workers_crashed - before.workers_crashed);
 }
 
 /// Follows the table of accepted jobs and cancellations.
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -19,7 +19,7 @@
 use crate::batch::relay::message::{Command, Failure, Response};
 use crate::clock;
 use crate::log;
-use wasabiloft::batch::scheduler::{Output, Refusal, Start, StartOutcome};
+use wasabiloft::batch::scheduler::{IncarnationEnd, Output, Refusal, Start, StartOutcome};
 
 /// Timeout of a command, in milliseconds; workers respond within a few milliseconds.
 const COMMAND_TIMEOUT_MS: u64 = 250;
@@ -366,7 +366,9 @@
                 return;
             }
             Ok(Response::OtherIncarnation) => {
-                leadership.scheduler().incarnation_ended(id, "other-life");
+                leadership
+                    .scheduler()
+                    .incarnation_ended(id, IncarnationEnd::OtherLife);
                 leadership.wake.notify_one();
                 return;
             }
@@ -391,7 +393,9 @@
                 );
             }
             if refusals >= REFUSALS_UNTIL_REMOVED && has_left(&leadership, id) {
-                leadership.scheduler().incarnation_ended(id, "left");
+                leadership
+                    .scheduler()
+                    .incarnation_ended(id, IncarnationEnd::Left);
                 leadership.wake.notify_one();
                 return;
             }
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -4,6 +4,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::scheduler::job;
+use crate::batch::scheduler::worker_loss::IncarnationEnd;
 use crate::batch::scheduler::{Output, Scheduler};
 use crate::clock;
 use crate::id;
@@ -82,7 +83,7 @@
                 reason: Refusal::OtherLife,
                 ..
             } => {
-                self.incarnation_ended(worker, "other-life");
+                self.incarnation_ended(worker, IncarnationEnd::OtherLife);
                 return;
             }
             _ => {}
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -116,4 +116,6 @@
     pub broken_off: u64,
     /// Runs that disappeared with their worker or without a report of their end.
     pub lost: u64,
+    /// Workers whose incarnation ended without a command and without an announced stop.
+    pub workers_crashed: u64,
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -34,6 +34,7 @@
 pub use commands::{Refusal, StartOutcome};
 pub use drain::DrainState;
 pub use message::{Counts, Output, Poll, RecoveredState, Settings, Start};
+pub use worker_loss::IncarnationEnd;
 
 /// Interval after which a stop is resent if the run has not ended, in milliseconds; longer than the timeout of one
 /// call.
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -15,28 +15,80 @@
 /// longer than two intervals between lists.
 const MISSING_MS: u64 = 400;
 
+/// How the end of a worker's incarnation was proven.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IncarnationEnd {
+    /// The list of machines doesn't show the worker any more.
+    MachineWithout,
+    /// Another incarnation answers at its address.
+    OtherLife,
+    /// It announced its stop, is no longer registered and refuses connections.
+    Left,
+    /// A command moved its machine or began the machine's maintenance.
+    MachineOrder,
+    /// It is no longer registered, and all its leases have lapsed.
+    LapsedUnlisted,
+}
+
+impl IncarnationEnd {
+    /// Returns the name that the log gives to the reason.
+    fn label(self) -> &'static str {
+        match self {
+            Self::MachineWithout => "machine-without",
+            Self::OtherLife => "other-life",
+            Self::Left => "left",
+            Self::MachineOrder => "machine-order",
+            Self::LapsedUnlisted => "lapsed-unlisted",
+        }
+    }
+
+    /// Returns whether a worker that hadn't announced its stop has crashed.
+    fn is_crash(self) -> bool {
+        match self {
+            Self::MachineWithout | Self::OtherLife => true,
+            Self::Left | Self::MachineOrder | Self::LapsedUnlisted => false,
+        }
+    }
+}
+
 impl Scheduler {
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
-    pub fn incarnation_ended(&mut self, id: &id::Worker, reason: &str) {
+    pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd) {
         self.unresolved.remove(id);
         self.orphans.forget_worker(id);
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
+        let reason = end.label();
+        let crashed = end.is_crash() && !worker.listing.leaving;
         self.log(format!(
-            "worker gone worker={id} reason={reason} tasks={}",
+            "worker gone worker={id} reason={reason} crashed={crashed} tasks={}",
             worker.tasks.len()
         ));
+        self.counts.workers_crashed += u64::from(crashed);
         self.pending_rows.remove_worker(id);
         self.outputs.push(Output::StopPolling(id.clone()));
         self.dirty_services.insert(worker.listing.service.clone());
-        for task in worker.tasks {
+        for task in &worker.tasks {
             self.counts.lost += 1;
-            self.log(format!("run lost task={task} worker={id} reason={reason}"));
-            self.release_task(task);
+            let survived_ms = self.survived_ms(task, &worker);
+            self.log(format!(
+                "run lost task={task} worker={id} reason={reason} confirmed={} survived_ms={}",
+                survived_ms.is_some(),
+                survived_ms.unwrap_or(0)
+            ));
+            self.release_task(*task);
         }
     }
 
+    /// Returns for how long the active run of a task certainly ran on its worker, in milliseconds: from the worker's
+    /// confirmation of the start to its last report. `None` if the start was not confirmed.
+    fn survived_ms(&self, id: &TaskId, worker: &worker_state::Worker) -> Option<u64> {
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let confirmed_at = task.active.as_ref()?.confirmed_at?;
+        Some(worker.last_response_at.since_ms(confirmed_at))
+    }
+
     pub(super) fn resolve_expired(&mut self, now: clock::Instant) {
         if self.unresolved.is_empty() {
             return;
@@ -78,7 +130,7 @@
                 self.dirty_services.insert(row.service);
             }
             if self.workers.contains_key(&worker) {
-                self.incarnation_ended(&worker, "machine-without");
+                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout);
             } else {
                 self.pending_rows.remove_worker(&worker);
             }
@@ -104,7 +156,7 @@
                 continue;
             };
             if !worker.listed {
-                self.incarnation_ended(&id, "lapsed-unlisted");
+                self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted);
                 continue;
             }
             let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
