scheduler: tasks that crash their workers are tried apart and given up

Callers saw: one job in ten of a queue crashed worker after worker; everything beside it was lost, up to 36 times for a long-running task, and half of the jobs were late.

Cause: a run that ended with its worker left no trace. It was neither a failure of the task nor of the worker, so the task was started again at once on the next worker, and nothing limited it. Class: an outcome that isn't counted (a loss) is retried without limit.

Change: a crash is held against the tasks that began on the worker shortly before, in their progress rows. Suspect tasks are tried apart; the third crash, in a trial, gives the job up, and its crashes are explained to the tasks beside it.

--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -343,6 +343,7 @@
     }
     metrics::counter!("wasabiloft_workers_crashed_total")
         .increment(now.workers_crashed - before.workers_crashed);
+    metrics::counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
 }
 
 /// Follows the table of accepted jobs and cancellations.
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -157,6 +157,25 @@
     /// Newest checkpoint; absent if no run has saved one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// Crashes of workers that are held against the task.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
+}
+
+/// The crash of a worker, held against a task that ran there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The worker that crashed.
+    pub worker: id::Worker,
+    /// Start of the incarnation that crashed, in milliseconds since 1970; 0 if not reported.
+    pub worker_started_unix_ms: u64,
+    /// How long the run had certainly been at work, in milliseconds.
+    pub survived_ms: u64,
+    /// Whether the worker had confirmed the start.
+    pub confirmed: bool,
+    /// Whether another job was given up for it since.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub explained: bool,
 }
 
 /// The row of the batch duty, which names its leader.
--- /dev/null
+++ b/src/batch/scheduler/crashes.rs
@@ -0,0 +1,300 @@
+//! Tasks that may crash the workers that start them.
+//!
+//! Answers the load in which a few tasks end each worker that starts them, together with all that runs there. A worker's
+//! crash is held against the tasks that it had started recently. A task that crashes are held against is tried apart:
+//! on a worker where everything else has been at work for a while, and where nothing of another job starts until the
+//! task has outlived its crashes. Crashes during trials show which task is at fault; its job is given up, and the crashes
+//! of its workers are explained to the tasks that shared them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::batch::record;
+use crate::batch::scheduler::{Scheduler, job, room};
+use crate::batch::worker_state;
+use crate::batch::{JobId, TaskId};
+use crate::clock;
+use crate::id;
+
+/// A run that has been at work for this long is not expected to crash its worker any more, in milliseconds.
+const PROVEN_MS: u64 = 300;
+/// A crash this long after a run began is not held against its task, in milliseconds: tasks crash the workers that start
+/// them, and long runs see crashes that have other causes.
+const HELD_AGAINST_MS: u64 = 5_000;
+/// Crashes under a task that other jobs can explain. A task that shares the workers of others that crash them may be one
+/// of them itself.
+const EXPLAINED_MAX: usize = 2;
+/// Crashes under a task, the last of them during a trial, after which its job is given up.
+const CRASHES_TRIED: usize = 3;
+/// Crashes under a task after which its job is given up even if no trial was possible; the platform allows a task two
+/// starts after the third crash.
+const CRASHES_MAX: usize = 4;
+
+/// Returns whether crashes are held against a task, so that it is tried apart from other jobs.
+///
+/// One crash of a worker counts only if the task had just begun; workers crash for other reasons too.
+pub(super) fn is_suspect(task: &job::Task) -> bool {
+    unexplained(task) > 1
+        || task
+            .crashes
+            .iter()
+            .any(|crash| !crash.explained && crash.survived_ms < PROVEN_MS)
+}
+
+/// Returns the number of crashes held against a task that no other job was given up for.
+fn unexplained(task: &job::Task) -> usize {
+    task.crashes.iter().filter(|crash| !crash.explained).count()
+}
+
+/// Returns how long a suspect task has to be at work until its trial is over, in milliseconds: twice as long as it
+/// survived before, and longer.
+fn trial_ms(task: &job::Task) -> u64 {
+    let survived_ms = task.crashes.iter().map(|crash| crash.survived_ms).max();
+    survived_ms.unwrap_or(0) * 2 + PROVEN_MS
+}
+
+/// Returns for how long a run has certainly been at work, in milliseconds: from the confirmation of its start to its
+/// worker's last report.
+fn at_work_ms(active: &job::ActiveRun, worker: &worker_state::Worker) -> u64 {
+    active
+        .confirmed_at
+        .map_or(0, |at| worker.last_response_at.since_ms(at))
+}
+
+impl Scheduler {
+    /// Holds a worker's crash against the tasks that it had started recently, before their runs are released.
+    ///
+    /// `tasks` are the tasks that ran there.
+    pub(super) fn worker_crashed(
+        &mut self,
+        id: &id::Worker,
+        worker: &worker_state::Worker,
+        tasks: &[TaskId],
+    ) {
+        let mut convicted = BTreeSet::new();
+        for task in tasks {
+            let Some((crash, alone)) = self.evidence(id, worker, task, tasks) else {
+                continue;
+            };
+            let confirmed = crash.confirmed;
+            let Some(state) = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|job| job.task_mut(task))
+            else {
+                continue;
+            };
+            let in_trial = is_suspect(state) && alone;
+            state.crashes.push(crash);
+            let crashes = state.crashes.len();
+            self.crashed_tasks.insert(*task);
+            let is_tried = in_trial && confirmed && crashes >= CRASHES_TRIED;
+            if is_tried || unexplained(state) >= CRASHES_MAX {
+                convicted.insert(task.job);
+            }
+            if is_suspect(state) {
+                self.changed_jobs.insert(task.job);
+            }
+            if crashes > 1 {
+                self.log(format!(
+                    "worker crashed again under task={task} worker={id} crashes={crashes} in_trial={in_trial} confirmed={confirmed}"
+                ));
+            }
+        }
+        self.crashing_jobs.extend(convicted);
+    }
+
+    /// Returns the crash to hold against a task, and whether no other job's task can have caused it.
+    fn evidence(
+        &self,
+        id: &id::Worker,
+        worker: &worker_state::Worker,
+        task: &TaskId,
+        tasks: &[TaskId],
+    ) -> Option<(record::Crash, bool)> {
+        let job = self.jobs.get(&task.job)?;
+        if job.state.is_final() {
+            return None;
+        }
+        let state = job.task(task)?;
+        let active = state.active.as_ref()?;
+        let survived_ms = at_work_ms(active, worker);
+        if state.done || survived_ms >= HELD_AGAINST_MS {
+            return None;
+        }
+        let alone = survived_ms < trial_ms(state)
+            && tasks
+                .iter()
+                .filter(|other| other.job != task.job)
+                .all(|other| self.is_proven(worker, other));
+        let crash = record::Crash {
+            worker: id.clone(),
+            worker_started_unix_ms: worker.started_unix_ms,
+            survived_ms,
+            confirmed: active.confirmed_at.is_some(),
+            explained: false,
+        };
+        Some((crash, alone))
+    }
+
+    /// Fails the jobs whose tasks crash their workers, and clears the tasks that shared a worker with them.
+    pub(super) fn give_up_crashing_jobs(&mut self, now: clock::Instant, unix_ms: u64) {
+        for id in std::mem::take(&mut self.crashing_jobs) {
+            let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
+                continue;
+            };
+            let caused: BTreeSet<(id::Worker, u64)> = job
+                .tasks()
+                .flat_map(|(_, task)| &task.crashes)
+                .filter(|crash| crash.survived_ms < PROVEN_MS)
+                .map(|crash| (crash.worker.clone(), crash.worker_started_unix_ms))
+                .collect();
+            self.counts.given_up += 1;
+            let cleared = self.explain(id, &caused);
+            self.log(format!(
+                "job given up job={id} reason=crashes-workers workers={} cleared={cleared}",
+                caused.len()
+            ));
+            self.end_job(id, record::State::Failed, now, unix_ms);
+        }
+    }
+
+    /// Marks the crashes that a job caused as explained for the other tasks that they were held against, and returns
+    /// the number of tasks that are no longer suspect.
+    fn explain(&mut self, culprit: JobId, caused: &BTreeSet<(id::Worker, u64)>) -> usize {
+        let mut cleared = 0;
+        for id in &self.crashed_tasks {
+            let job = self.jobs.get_mut(&id.job).filter(|_| id.job != culprit);
+            let Some(task) = job.and_then(|job| job.task_mut(id)) else {
+                continue;
+            };
+            if !is_suspect(task) {
+                continue;
+            }
+            let explained = task.crashes.iter().filter(|crash| crash.explained).count();
+            let shared = task.crashes.iter_mut().filter(|crash| {
+                !crash.explained
+                    && caused.contains(&(crash.worker.clone(), crash.worker_started_unix_ms))
+            });
+            for crash in shared.take(EXPLAINED_MAX.saturating_sub(explained)) {
+                crash.explained = true;
+                self.changed_jobs.insert(id.job);
+            }
+            cleared += usize::from(!is_suspect(task));
+        }
+        cleared
+    }
+
+    /// Forgets the crashes that were held against a long-running task which has outlived them.
+    pub(super) fn clear_survivor(&mut self, worker: &id::Worker, id: &TaskId) {
+        if !self.crashed_tasks.contains(id) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let long_running = job.accepted.spec.steps[id.step as usize].long_running;
+        let Some(worker) = self.workers.get(worker).filter(|_| long_running) else {
+            return;
+        };
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        let has_survived = task
+            .active
+            .as_ref()
+            .is_some_and(|active| at_work_ms(active, worker) >= trial_ms(task));
+        if has_survived {
+            task.crashes.clear();
+            self.crashed_tasks.remove(id);
+            self.changed_jobs.insert(id.job);
+            self.log(format!("task outlived its crashes task={id}"));
+        }
+    }
+
+    /// Forgets the tasks that need no trial any more, because they are done or their job has ended.
+    pub(super) fn prune_crashed_tasks(&mut self) {
+        let jobs = &self.jobs;
+        self.crashed_tasks.retain(|id| {
+            jobs.get(&id.job)
+                .filter(|job| !job.state.is_final())
+                .and_then(|job| job.task(id))
+                .is_some_and(|task| !task.done && !task.crashes.is_empty())
+        });
+    }
+
+    /// Returns the jobs that are being tried, by worker.
+    pub(super) fn trials(&self) -> BTreeMap<id::Worker, JobId> {
+        let on_trial = self.crashed_tasks.iter().filter_map(|id| {
+            let task = self.jobs.get(&id.job)?.task(id)?;
+            let active = task.active.as_ref().filter(|_| is_suspect(task))?;
+            let worker = self.workers.get(&active.worker)?;
+            (at_work_ms(active, worker) < trial_ms(task)).then(|| (active.worker.clone(), id.job))
+        });
+        on_trial.collect()
+    }
+
+    /// Returns whether a task has to be tried apart from other jobs.
+    pub(super) fn needs_trial(&self, id: &TaskId) -> bool {
+        self.crashed_tasks.contains(id)
+            && self
+                .jobs
+                .get(&id.job)
+                .and_then(|job| job.task(id))
+                .is_some_and(is_suspect)
+    }
+
+    /// Returns whether any task of a job has to be tried.
+    pub(super) fn has_suspects(&self, job: JobId) -> bool {
+        let first = TaskId {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        self.crashed_tasks
+            .range(first..)
+            .take_while(|id| id.job == job)
+            .any(|id| self.needs_trial(id))
+    }
+
+    /// Returns whether a trial of a job can begin on a worker: all runs of other jobs there are proven.
+    pub(super) fn can_begin_trial(&self, worker: &worker_state::Worker, job: JobId) -> bool {
+        worker
+            .tasks
+            .iter()
+            .filter(|id| id.job != job)
+            .all(|id| self.is_proven(worker, id))
+    }
+
+    fn is_proven(&self, worker: &worker_state::Worker, id: &TaskId) -> bool {
+        self.jobs
+            .get(&id.job)
+            .and_then(|job| job.task(id))
+            .and_then(|task| task.active.as_ref())
+            .is_none_or(|active| at_work_ms(active, worker) >= PROVEN_MS)
+    }
+
+    /// Withholds workers from other tasks, so that trials that wait can begin there.
+    ///
+    /// The emptiest workers are chosen; as they get no other tasks, the choice stays the same from round to round.
+    pub(super) fn withhold_for_trials(
+        &self,
+        room: &mut room::Room,
+        service: &id::Service,
+        now: clock::Instant,
+    ) {
+        let waiting: BTreeSet<JobId> = self
+            .crashed_tasks
+            .iter()
+            .filter(|id| {
+                self.jobs.get(&id.job).is_some_and(|job| {
+                    job.accepted.queue.service == *service
+                        && job.is_step_ready(id.occurrence, id.step)
+                        && job.task(id).is_some_and(|task| task.is_waiting(now))
+                }) && self.needs_trial(id)
+            })
+            .map(|id| id.job)
+            .collect();
+        room.withhold_emptiest(waiting.len());
+    }
+}
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -67,6 +67,8 @@
     pub not_before: clock::Instant,
     /// Worker on which the task failed or got stuck most recently.
     pub last_failed_on: Option<id::Worker>,
+    /// Crashes of workers that are held against the task.
+    pub crashes: Vec<record::Crash>,
 }
 
 impl Task {
@@ -379,13 +381,17 @@
             }
         }
         for (id, task) in self.tasks() {
-            if !task.done && (!task.failed_runs.is_empty() || task.checkpoint.is_some()) {
+            let has_record = !task.failed_runs.is_empty()
+                || task.checkpoint.is_some()
+                || !task.crashes.is_empty();
+            if !task.done && has_record {
                 progress.tasks.push(record::TaskRecord {
                     occurrence: id.occurrence,
                     step: id.step,
                     index: id.index,
                     failed_runs: task.failed_runs.clone(),
                     checkpoint: task.checkpoint.clone(),
+                    crashes: task.crashes.clone(),
                 });
             }
         }
@@ -418,6 +424,7 @@
             if let Some(task) = self.task_mut(&task) {
                 task.failed_runs.clone_from(&saved.failed_runs);
                 task.checkpoint.clone_from(&saved.checkpoint);
+                task.crashes.clone_from(&saved.crashes);
             }
         }
     }
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -118,4 +118,6 @@
     pub lost: u64,
     /// Workers whose incarnation ended without a command and without an announced stop.
     pub workers_crashed: u64,
+    /// Jobs that were given up because their tasks crash workers.
+    pub given_up: u64,
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! not keep: acknowledged ends, failed runs, checkpoints, and which workers can run tasks at all.
 
 mod commit;
+mod crashes;
 mod demand;
 mod ends;
 mod gang;
@@ -76,6 +77,10 @@
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
     pending_rows: commit::PendingRows,
+    /// Tasks that crashes of workers are held against.
+    crashed_tasks: BTreeSet<TaskId>,
+    /// Jobs to give up in the next planning round, because their tasks crash workers.
+    crashing_jobs: BTreeSet<JobId>,
     outputs: Vec<Output>,
     counts: Counts,
 }
@@ -111,6 +116,8 @@
             pending_rows: commit::PendingRows::new(
                 recovered.workers.into_iter().map(|(worker, _)| worker),
             ),
+            crashed_tasks: BTreeSet::new(),
+            crashing_jobs: BTreeSet::new(),
             outputs: Vec::new(),
             counts: Counts::default(),
         };
@@ -120,6 +127,8 @@
         for (id, progress) in &recovered.progress {
             if let Some(job) = scheduler.jobs.get_mut(id) {
                 job.restore(progress);
+                let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
+                scheduler.crashed_tasks.extend(crashed.map(|(id, _)| id));
                 if job.state.is_final() {
                     scheduler.open_jobs.remove(*id, &job.accepted.queue.service);
                 }
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -58,6 +58,8 @@
 impl Scheduler {
     /// Plans all services in which something changed, and starts every task that can be placed.
     pub fn plan(&mut self, now: clock::Instant, unix_ms: u64) {
+        self.give_up_crashing_jobs(now, unix_ms);
+        self.prune_crashed_tasks();
         for service in std::mem::take(&mut self.dirty_services) {
             self.plan_service(&service, now, unix_ms);
         }
@@ -74,6 +76,7 @@
         }
         candidates.sort_unstable();
         let mut room = self.room(service, now);
+        self.withhold_for_trials(&mut room, service, now);
         // After a task was not placed, tasks of the same service that need at least as much are skipped.
         let mut unplaced: Option<Resources> = None;
         for candidate in candidates {
@@ -88,20 +91,30 @@
                         && need.memory_mib >= unplaced.memory_mib
                         && need.accelerators >= unplaced.accelerators
                 });
-                if cannot_fit {
+                if cannot_fit && !self.has_suspects(candidate.job) {
                     continue;
                 }
-                let ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
+                let mut ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
+                if cannot_fit {
+                    // Workers may be withheld for trials that have no room for other tasks.
+                    ids.retain(|id| self.needs_trial(id));
+                }
                 if ids.is_empty() {
                     continue;
                 }
                 if spec.gang {
                     self.start_gang(service, &ids, spec, now);
                     room = self.room(service, now);
+                    self.withhold_for_trials(&mut room, service, now);
                     continue;
                 }
                 for id in ids {
-                    if !self.start_task(&mut room, id, spec, &need, now) {
+                    let is_trial = self.needs_trial(&id);
+                    let is_started = self.start_task(&mut room, id, spec, &need, now);
+                    if !is_started && is_trial {
+                        continue;
+                    }
+                    if !is_started {
                         self.request_tickets(service, &id, now);
                         let unconstrained = spec.label.is_none()
                             && spec.per_worker_max == 0
@@ -195,6 +208,9 @@
             + 1;
         self.send_start(&worker, id, run, need, now);
         room.reserve(&worker, need.cpu_milli);
+        if self.needs_trial(&id) {
+            room.begin_trial(&worker, id.job);
+        }
         true
     }
 
@@ -319,6 +335,7 @@
         rack: Option<&id::Rack>,
         now: clock::Instant,
     ) -> Option<Vec<id::Worker>> {
+        let trials = self.trials();
         let mut free_workers: Vec<worker_state::Worker> = self
             .workers
             .values()
@@ -326,6 +343,7 @@
                 worker.listing.service == *service
                     && worker.is_usable(now)
                     && !worker.is_suspect()
+                    && !trials.contains_key(&worker.listing.worker)
                     && (rack.is_none() || worker.listing.rack.as_ref() == rack)
                     && has_label(worker, step)
             })
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -1,6 +1,6 @@
 //! Polls of workers: the runs and ends they report, and runs that are missing from both.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::batch::TaskId;
 use crate::batch::record;
@@ -14,6 +14,8 @@
 const WAIT_MS: u64 = 1_000;
 /// The same while it is uncertain whether a run exists, in milliseconds.
 const WAIT_UNCERTAIN_MS: u64 = 50;
+/// The same while a task is tried there that may crash the worker, in milliseconds; ends the trial soon.
+const WAIT_TRIAL_MS: u64 = 100;
 /// The same while the worker has tasks, whose progress is followed closely, in milliseconds.
 const WAIT_BUSY_MS: u64 = 500;
 /// Maximum number of ends in one report.
@@ -27,6 +29,7 @@
         let lease_ms = self.settings.lease_ms;
         let uncertain = self.has_uncertain_runs(id);
         let has_orphans = self.orphans.has_runs_on(id);
+        let has_trial = !self.crashed_tasks.is_empty() && self.trials().contains_key(id);
         let worker = self.workers.get_mut(id)?;
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
@@ -39,6 +42,7 @@
         let wait_ms = match (worker.adopted, uncertain) {
             (false, _) => 0,
             (true, true) => WAIT_UNCERTAIN_MS,
+            (true, false) if has_trial => WAIT_TRIAL_MS,
             (true, false) if !worker.tasks.is_empty() => WAIT_BUSY_MS,
             (true, false) => WAIT_MS,
         };
@@ -82,6 +86,13 @@
         };
         let born_unix_ms = report.started_unix_ms.unwrap_or(worker.started_unix_ms);
         if worker.adopted && born_unix_ms != worker.started_unix_ms {
+            self.restarted(id, report);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.adopted && born_unix_ms != worker.started_unix_ms {
+            worker.joined_at = now;
             worker.handled = 0;
             worker.acknowledged = 0;
             worker.lease_until_ms = 0;
@@ -115,6 +126,22 @@
         self.pace_fillers(id, now);
     }
 
+    /// Handles the crash of a worker that started again under its id. What its report doesn't list ran before.
+    fn restarted(&mut self, id: &id::Worker, report: &worker_state::Report) {
+        let Some(before) = self.workers.get(id).cloned() else {
+            return;
+        };
+        let listed: BTreeSet<TaskId> = report
+            .running
+            .iter()
+            .map(|run| run.task)
+            .chain(report.ended.iter().map(|end| end.task))
+            .collect();
+        let lost: Vec<TaskId> = before.tasks.difference(&listed).copied().collect();
+        self.counts.workers_crashed += 1;
+        self.worker_crashed(id, &before, &lost);
+    }
+
     /// Records that a poll was not answered.
     pub fn poll_failed(&mut self, id: &id::Worker) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -182,7 +209,9 @@
                     active.percent_at = now;
                 }
                 active.usage = run.usage;
-                if is_over && active.stop_reason.is_none() {
+                let must_stop = is_over && active.stop_reason.is_none();
+                self.clear_survivor(id, &run.task);
+                if must_stop {
                     self.stop_task(run.task, job::StopReason::Over, now);
                 }
             }
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -6,10 +6,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::batch::TaskId;
 use crate::batch::scheduler::{Scheduler, job, plan};
 use crate::batch::spec;
 use crate::batch::worker_state;
+use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
 use crate::platform::Resources;
@@ -19,14 +19,24 @@
 /// Cost of the worker on which the task failed before.
 const FAILED_BEFORE_COST: u64 = 20_000;
 
+/// A worker seen for less than this may be going down and up by turns, in milliseconds.
+const JUST_JOINED_MS: u64 = 5_000;
+
 /// The workers of a service that can take tasks, by free processor capacity in thousandths of a core.
 #[derive(Debug, Default)]
 pub(super) struct Room {
     by_free: BTreeSet<(u64, id::Worker)>,
     free: BTreeMap<id::Worker, u64>,
     has_healthy: bool,
+    /// Jobs of which a task is tried apart from other jobs, by worker.
+    trials: BTreeMap<id::Worker, JobId>,
+    /// Workers that take only trials.
+    withheld: BTreeSet<id::Worker>,
 }
 
+/// Share of a service's workers on which tasks are tried at the same time, as a divisor.
+const TRIALS_DIVISOR: usize = 2;
+
 impl Room {
     fn insert(&mut self, worker: &worker_state::Worker) {
         let size = worker.listing.size.cpu_milli;
@@ -36,6 +46,32 @@
         self.free.insert(id, free);
     }
 
+    /// Returns whether a worker takes a task of a job; `is_trial` if the task has to be tried.
+    fn admits(&self, worker: &id::Worker, job: JobId, is_trial: bool) -> bool {
+        match self.trials.get(worker) {
+            Some(tried) => *tried == job,
+            None if is_trial => self.trials.len() < self.trials_max(),
+            None => !self.withheld.contains(worker),
+        }
+    }
+
+    fn trials_max(&self) -> usize {
+        (self.free.len() / TRIALS_DIVISOR).max(1)
+    }
+
+    /// Records that a trial of a job begins on a worker.
+    pub(super) fn begin_trial(&mut self, worker: &id::Worker, job: JobId) {
+        self.trials.insert(worker.clone(), job);
+    }
+
+    /// Keeps the workers with the most free capacity for up to `count` trials.
+    pub(super) fn withhold_emptiest(&mut self, count: usize) {
+        let count = count.min(self.trials_max().saturating_sub(self.trials.len()));
+        let emptiest = self.by_free.iter().rev().map(|(_, worker)| worker);
+        let untried = emptiest.filter(|worker| !self.trials.contains_key(*worker));
+        self.withheld = untried.take(count).cloned().collect();
+    }
+
     /// Takes capacity of a worker for a task that was placed there.
     pub(super) fn reserve(&mut self, worker: &id::Worker, cpu_milli: u64) {
         if let Some(free) = self.free.get_mut(worker) {
@@ -55,7 +91,10 @@
 impl Scheduler {
     /// Returns the workers of a service that can take tasks now.
     pub(super) fn room(&self, service: &id::Service, now: clock::Instant) -> Room {
-        let mut room = Room::default();
+        let mut room = Room {
+            trials: self.trials(),
+            ..Room::default()
+        };
         for worker in self.workers.values() {
             if worker.listing.service != *service {
                 continue;
@@ -83,8 +122,11 @@
         let attempts_left = job.accepted.queue.attempts_max.saturating_sub(failed_runs);
         // The last attempt waits for a healthy worker; if there is none, it is made on a suspect one.
         let can_retry = attempts_left > 1 || step.long_running || !room.has_healthy;
+        let is_trial = self.needs_trial(&id);
         let fits = |worker: &&worker_state::Worker| {
             plan::has_label(worker, step)
+                && room.admits(&worker.listing.worker, id.job, is_trial)
+                && (!is_trial || self.can_begin_trial(worker, id.job))
                 && self.can_place(worker, &id, step, need, now)
                 // A suspect worker gets one task at a time, and only a task that can be retried.
                 && (!worker.is_suspect() || (can_retry && self.can_try(worker)))
@@ -94,7 +136,9 @@
             .filter_map(|worker| self.workers.get(worker))
             .filter(fits);
         let has_preference = step.data_rack.is_some() || task.last_failed_on.is_some();
-        let best = if has_preference {
+        let best = if is_trial {
+            fitting.min_by_key(|worker| trial_cost(worker, now))
+        } else if has_preference {
             fitting.min_by_key(|worker| placement_cost(worker, task, step, need))
         } else {
             fitting.next()
@@ -140,6 +184,13 @@
     }
 }
 
+/// Returns the cost of trying a task on a worker that it may crash. Lower is better: a worker that has been up for a
+/// while, so that a crash has no other cause, with little other work.
+fn trial_cost(worker: &worker_state::Worker, now: clock::Instant) -> (bool, usize, u64) {
+    let has_just_joined = now.since_ms(worker.joined_at) < JUST_JOINED_MS;
+    (has_just_joined, worker.tasks.len(), worker.used.cpu_milli)
+}
+
 /// Returns the cost of placing a task on a worker: away from its data, where it failed before, or with much capacity
 /// left over that a larger task could use. Lower is better.
 fn placement_cost(
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -65,7 +65,11 @@
             "worker gone worker={id} reason={reason} crashed={crashed} tasks={}",
             worker.tasks.len()
         ));
-        self.counts.workers_crashed += u64::from(crashed);
+        if crashed {
+            self.counts.workers_crashed += 1;
+            let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
+            self.worker_crashed(id, &worker, &tasks);
+        }
         self.pending_rows.remove_worker(id);
         self.outputs.push(Output::StopPolling(id.clone()));
         self.dirty_services.insert(worker.listing.service.clone());
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -113,6 +113,8 @@
     pub listing: Listing,
     /// Whether the registry still lists the worker.
     pub listed: bool,
+    /// When this incarnation was first seen.
+    pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
     pub started_unix_ms: u64,
     /// Whether the worker has responded to a poll of this leader, which raised the worker's fencing epoch.
@@ -154,6 +156,7 @@
         Self {
             listing,
             listed: true,
+            joined_at: now,
             started_unix_ms: 0,
             adopted: false,
             recorded: false,
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wasabiloft::batch::scheduler::{
-    Output, Poll, RecoveredState, Refusal, Scheduler, Settings, Start, StartOutcome,
+    IncarnationEnd, Output, Poll, RecoveredState, Refusal, Scheduler, Settings, Start, StartOutcome,
 };
 use wasabiloft::batch::{JobId, TaskId, queue, record, spec, worker_state};
 use wasabiloft::clock::Instant;
@@ -24,6 +24,12 @@
 /// Attempts at a start before its outcome counts as unknown.
 const START_ATTEMPTS: u32 = 3;
 
+/// Time until the list of machines shows that a worker has crashed, in milliseconds.
+const CRASH_NOTICED_MS: u64 = 200;
+/// Crashes of workers under one task after which it must not be started any more. The platform allows five: two starts
+/// after the third crash.
+const CRASHES_MAX: u32 = 4;
+
 /// The service of all workers and queues in the simulation.
 pub const SERVICE: &str = "counter";
 
@@ -113,6 +119,8 @@
     began_ms: u64,
     ends_ms: u64,
     fails: bool,
+    /// The worker crashes when this time is reached; `u64::MAX` for a run that crashes nothing.
+    crashes_ms: u64,
 }
 
 /// A simulated worker that behaves as the platform documents.
@@ -192,6 +200,14 @@
     pub violations: Vec<String>,
     /// Number of starts that were carried out.
     pub started: u64,
+    /// Tasks that crash their worker, and how long after their start, in milliseconds.
+    pub deadly: BTreeMap<TaskId, u64>,
+    /// Number of workers that crashed under each deadly task.
+    pub crashed_under: BTreeMap<TaskId, u32>,
+    /// How long a worker that a task crashed is down, in milliseconds.
+    pub crash_down_ms: u64,
+    /// When the schedulers hear next of a worker that a task crashed.
+    crash_notices: Vec<(u64, String)>,
 }
 
 impl Simulation {
@@ -212,6 +228,10 @@
             acknowledged_failed: BTreeMap::new(),
             violations: Vec::new(),
             started: 0,
+            deadly: BTreeMap::new(),
+            crashed_under: BTreeMap::new(),
+            crash_down_ms: 3_000,
+            crash_notices: Vec::new(),
         };
         for number in 0..workers {
             let name = format!("w{number}");
@@ -357,8 +377,47 @@
 
     fn advance_workers(&mut self) {
         for worker in self.workers.values_mut() {
+            let deadly = worker
+                .running
+                .iter()
+                .find(|(_, running)| running.crashes_ms <= self.now_ms)
+                .map(|(task, _)| *task);
+            if let Some(task) = deadly {
+                *self.crashed_under.entry(task).or_default() += 1;
+                worker.crash(self.now_ms + self.crash_down_ms);
+                self.crash_notices
+                    .push((self.now_ms + CRASH_NOTICED_MS, worker.name.clone()));
+            }
             worker.advance(self.now_ms);
         }
+        self.notice_crashes();
+    }
+
+    /// Tells the schedulers of workers that deadly tasks crashed, as the list of machines does, and of their return.
+    fn notice_crashes(&mut self) {
+        let now = self.now();
+        let (due, rest) = std::mem::take(&mut self.crash_notices)
+            .into_iter()
+            .partition(|(at_ms, _)| *at_ms <= self.now_ms);
+        self.crash_notices = rest;
+        let due: Vec<(u64, String)> = due;
+        for (_, name) in due {
+            let id = id::Worker::new(&name);
+            let is_down = self.workers[&name].down_until_ms > self.now_ms;
+            for leader in &mut self.leaders {
+                if is_down {
+                    leader
+                        .scheduler
+                        .incarnation_ended(&id, IncarnationEnd::MachineWithout);
+                } else {
+                    leader.scheduler.worker_listed(listing(&name), now);
+                }
+            }
+            if is_down {
+                let back_ms = self.workers[&name].down_until_ms;
+                self.crash_notices.push((back_ms, name));
+            }
+        }
     }
 
     fn carry_out_delayed(&mut self) {
@@ -414,6 +473,10 @@
                 now_ms + duration_ms
             },
             fails: fails || worker.always_fails,
+            crashes_ms: self
+                .deadly
+                .get(&start.task)
+                .map_or(u64::MAX, |after_ms| now_ms + after_ms),
         };
         worker.running.insert(start.task, running);
         self.started += 1;
@@ -440,6 +503,11 @@
         if failed >= start.accepted.queue.attempts_max as usize {
             violations.push(format!("BUDGET {task} after {failed} failures"));
         }
+        if self.crashed_under.get(&task).copied().unwrap_or(0) > CRASHES_MAX {
+            violations.push(format!(
+                "BUDGET {task} after more than {CRASHES_MAX} crashes"
+            ));
+        }
         for &after in &start.accepted.spec.steps[task.step as usize].after {
             let tasks = start.accepted.spec.steps[after as usize].tasks;
             for index in 0..tasks {
@@ -659,7 +727,8 @@
         }
     }
 
-    fn crash(&mut self, until_ms: u64) {
+    /// Crashes the worker, which comes back at `until_ms`.
+    pub fn crash(&mut self, until_ms: u64) {
         self.running.clear();
         self.ends.clear();
         self.highest_runs.clear();
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -8,6 +8,7 @@
 mod test_admission;
 mod test_batch_authority;
 mod test_batch_budget;
+mod test_batch_crashes;
 mod test_batch_faults;
 mod test_batch_holder;
 mod test_batch_inherit;
