crashes: given up at the second crash in a trial, unless workers crash for other reasons too

Now two, and three for 30 s after a worker crashed on which nothing had just begun. Jobs are judged after all crashes that were noticed together. An empty worker that the list shows moved is no crash.

--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -24,7 +24,12 @@
 /// of them itself.
 const EXPLAINED_MAX: usize = 2;
 /// Crashes under a task, the last of them during a trial, after which its job is given up.
-const CRASHES_TRIED: usize = 3;
+const CRASHES_TRIED: usize = 2;
+/// The same while workers crash for other reasons too.
+const CRASHES_TRIED_IN_OUTAGE: usize = 3;
+/// After a worker crashed on which nothing had just begun, workers count as crashing for other reasons for this long, in
+/// milliseconds.
+const OUTAGE_MS: u64 = 30_000;
 /// Crashes under a task after which its job is given up even if no trial was possible; the platform allows a task two
 /// starts after the third crash.
 const CRASHES_MAX: usize = 4;
@@ -70,7 +75,10 @@
         worker: &worker_state::Worker,
         tasks: &[TaskId],
     ) {
-        let mut convicted = BTreeSet::new();
+        let at = worker.last_response_at;
+        if tasks.iter().all(|task| self.is_proven(worker, task)) {
+            self.unprovoked_crash_at = Some(at);
+        }
         for task in tasks {
             let Some((crash, alone)) = self.evidence(id, worker, task, tasks) else {
                 continue;
@@ -87,9 +95,8 @@
             state.crashes.push(crash);
             let crashes = state.crashes.len();
             self.crashed_tasks.insert(*task);
-            let is_tried = in_trial && confirmed && crashes >= CRASHES_TRIED;
-            if is_tried || unexplained(state) >= CRASHES_MAX {
-                convicted.insert(task.job);
+            if (in_trial && confirmed) || unexplained(state) >= CRASHES_MAX {
+                self.accused_tasks.insert(*task, at);
             }
             if is_suspect(state) {
                 self.changed_jobs.insert(task.job);
@@ -100,7 +107,6 @@
                 ));
             }
         }
-        self.crashing_jobs.extend(convicted);
     }
 
     /// Returns the crash to hold against a task, and whether no other job's task can have caused it.
@@ -137,24 +143,38 @@
     }
 
     /// Fails the jobs whose tasks crash their workers, and clears the tasks that shared a worker with them.
+    ///
+    /// Comes after all crashes that were noticed together, as they show whether workers crash for other reasons.
     pub(super) fn give_up_crashing_jobs(&mut self, now: clock::Instant, unix_ms: u64) {
-        for id in std::mem::take(&mut self.crashing_jobs) {
-            let Some(job) = self.jobs.get(&id).filter(|job| !job.state.is_final()) else {
+        for (id, at) in std::mem::take(&mut self.accused_tasks) {
+            let in_outage = self
+                .unprovoked_crash_at
+                .is_some_and(|outage_at| at.since_ms(outage_at) < OUTAGE_MS);
+            let crashes_tried = if in_outage {
+                CRASHES_TRIED_IN_OUTAGE
+            } else {
+                CRASHES_TRIED
+            };
+            let Some(job) = self.jobs.get(&id.job).filter(|job| !job.state.is_final()) else {
                 continue;
             };
-            let caused: BTreeSet<(id::Worker, u64)> = job
-                .tasks()
-                .flat_map(|(_, task)| &task.crashes)
-                .filter(|crash| crash.survived_ms < PROVEN_MS)
+            let crashes = job.task(&id).map_or(&[][..], |task| &task.crashes);
+            if crashes.len() < crashes_tried {
+                continue;
+            }
+            let caused: BTreeSet<(id::Worker, u64)> = crashes
+                .iter()
+                .filter(|crash| !crash.explained && crash.survived_ms < PROVEN_MS)
                 .map(|crash| (crash.worker.clone(), crash.worker_started_unix_ms))
                 .collect();
+            let crashes = crashes.len();
             self.counts.given_up += 1;
-            let cleared = self.explain(id, &caused);
+            let cleared = self.explain(id.job, &caused);
             self.log(format!(
-                "job given up job={id} reason=crashes-workers workers={} cleared={cleared}",
-                caused.len()
+                "job given up job={} reason=crashes-workers task={id} crashes={crashes} in_outage={in_outage} cleared={cleared}",
+                id.job
             ));
-            self.end_job(id, record::State::Failed, now, unix_ms);
+            self.end_job(id.job, record::State::Failed, now, unix_ms);
         }
     }
 
@@ -167,19 +187,27 @@
             let Some(task) = job.and_then(|job| job.task_mut(id)) else {
                 continue;
             };
-            if !is_suspect(task) {
-                continue;
-            }
+            let (was_suspect, crashes) = (is_suspect(task), task.crashes.len());
+            let is_caused = |crash: &record::Crash| {
+                caused.contains(&(crash.worker.clone(), crash.worker_started_unix_ms))
+            };
+            // A task that had been at work for a while didn't cause the crash; one that had just begun may crash workers too.
+            task.crashes
+                .retain(|crash| crash.survived_ms < PROVEN_MS || !is_caused(crash));
             let explained = task.crashes.iter().filter(|crash| crash.explained).count();
-            let shared = task.crashes.iter_mut().filter(|crash| {
-                !crash.explained
-                    && caused.contains(&(crash.worker.clone(), crash.worker_started_unix_ms))
-            });
+            let shared = task
+                .crashes
+                .iter_mut()
+                .filter(|crash| !crash.explained && is_caused(crash));
+            let mut changed = 0;
             for crash in shared.take(EXPLAINED_MAX.saturating_sub(explained)) {
                 crash.explained = true;
+                changed += 1;
+            }
+            if changed > 0 || task.crashes.len() < crashes {
                 self.changed_jobs.insert(id.job);
             }
-            cleared += usize::from(!is_suspect(task));
+            cleared += usize::from(was_suspect && !is_suspect(task));
         }
         cleared
     }
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -116,7 +116,7 @@
     pub broken_off: u64,
     /// Runs that disappeared with their worker or without a report of their end.
     pub lost: u64,
-    /// Workers whose incarnation ended without a command and without an announced stop.
+    /// Workers that ended with tasks on them, without a command and without an announced stop.
     pub workers_crashed: u64,
     /// Jobs that were given up because their tasks crash workers.
     pub given_up: u64,
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -79,8 +79,10 @@
     pending_rows: commit::PendingRows,
     /// Tasks that crashes of workers are held against.
     crashed_tasks: BTreeSet<TaskId>,
-    /// Jobs to give up in the next planning round, because their tasks crash workers.
-    crashing_jobs: BTreeSet<JobId>,
+    /// When a worker last crashed on which nothing had just begun.
+    unprovoked_crash_at: Option<clock::Instant>,
+    /// Tasks that seem to crash their workers, and when these last answered; judged in the next planning round.
+    accused_tasks: BTreeMap<TaskId, clock::Instant>,
     outputs: Vec<Output>,
     counts: Counts,
 }
@@ -117,7 +119,8 @@
                 recovered.workers.into_iter().map(|(worker, _)| worker),
             ),
             crashed_tasks: BTreeSet::new(),
-            crashing_jobs: BTreeSet::new(),
+            unprovoked_crash_at: None,
+            accused_tasks: BTreeMap::new(),
             outputs: Vec::new(),
             counts: Counts::default(),
         };
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -138,8 +138,10 @@
             .chain(report.ended.iter().map(|end| end.task))
             .collect();
         let lost: Vec<TaskId> = before.tasks.difference(&listed).copied().collect();
-        self.counts.workers_crashed += 1;
-        self.worker_crashed(id, &before, &lost);
+        if !lost.is_empty() {
+            self.counts.workers_crashed += 1;
+            self.worker_crashed(id, &before, &lost);
+        }
     }
 
     /// Records that a poll was not answered.
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -60,7 +60,8 @@
             return;
         };
         let reason = end.label();
-        let crashed = end.is_crash() && !worker.listing.leaving;
+        // The list can show a move or maintenance before its command is answered; those begin on empty workers.
+        let crashed = end.is_crash() && !worker.listing.leaving && !worker.tasks.is_empty();
         self.log(format!(
             "worker gone worker={id} reason={reason} crashed={crashed} tasks={}",
             worker.tasks.len()
