crashes: a rack that goes dark is no evidence against the tasks that are tried in it

When the last workers of a rack crash together, workers count as crashing for other reasons, and a third crash is needed.

Test: a_trial_in_a_rack_that_goes_dark_gives_nothing_up; the job was failed on the code before.

--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -20,6 +20,8 @@
 /// A crash this long after a run began is not held against its task, in milliseconds: tasks crash the workers that start
 /// them, and long runs see crashes that have other causes.
 const HELD_AGAINST_MS: u64 = 5_000;
+/// Workers of a rack that crash together, with none left, from which on the rack is the cause.
+const DARK_RACK_MIN: usize = 2;
 /// Crashes under a task that other jobs can explain. A task that shares the workers of others that crash them may be one
 /// of them itself.
 const EXPLAINED_MAX: usize = 2;
@@ -79,6 +81,9 @@
         if tasks.iter().all(|task| self.is_proven(worker, task)) {
             self.unprovoked_crash_at = Some(at);
         }
+        if let Some(rack) = &worker.listing.rack {
+            *self.crashed_in_rack.entry(rack.clone()).or_default() += 1;
+        }
         for task in tasks {
             let Some((crash, alone)) = self.evidence(id, worker, task, tasks) else {
                 continue;
@@ -146,6 +151,16 @@
     ///
     /// Comes after all crashes that were noticed together, as they show whether workers crash for other reasons.
     pub(super) fn give_up_crashing_jobs(&mut self, now: clock::Instant, unix_ms: u64) {
+        for (rack, crashed) in std::mem::take(&mut self.crashed_in_rack) {
+            let is_dark = crashed >= DARK_RACK_MIN
+                && !self.workers.values().any(|worker| {
+                    worker.listing.rack.as_ref() == Some(&rack) && !worker.unanswered
+                });
+            if is_dark {
+                self.unprovoked_crash_at = Some(now);
+                self.log(format!("rack dark rack={rack} workers={crashed}"));
+            }
+        }
         for (id, at) in std::mem::take(&mut self.accused_tasks) {
             let in_outage = self
                 .unprovoked_crash_at
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -79,8 +79,10 @@
     pending_rows: commit::PendingRows,
     /// Tasks that crashes of workers are held against.
     crashed_tasks: BTreeSet<TaskId>,
-    /// When a worker last crashed on which nothing had just begun.
+    /// When a worker last crashed for a reason other than a task: nothing had just begun there, or its rack went dark.
     unprovoked_crash_at: Option<clock::Instant>,
+    /// Workers that crashed since the last planning round, by rack.
+    crashed_in_rack: BTreeMap<id::Rack, usize>,
     /// Tasks that seem to crash their workers, and when these last answered; judged in the next planning round.
     accused_tasks: BTreeMap<TaskId, clock::Instant>,
     outputs: Vec<Output>,
@@ -120,6 +122,7 @@
             ),
             crashed_tasks: BTreeSet::new(),
             unprovoked_crash_at: None,
+            crashed_in_rack: BTreeMap::new(),
             accused_tasks: BTreeMap::new(),
             outputs: Vec::new(),
             counts: Counts::default(),
--- a/tests/test_batch_crashes.rs
+++ b/tests/test_batch_crashes.rs
@@ -1,6 +1,8 @@
 //! Tasks that crash the workers that start them.
 
+use wasabiloft::batch::scheduler::IncarnationEnd;
 use wasabiloft::batch::{JobId, TaskId, record};
+use wasabiloft::id;
 
 use crate::fake_workers::{Faults, Simulation, accepted, step};
 
@@ -163,3 +165,42 @@
         assert_eq!(sim.state(id), Some(expected), "job {id}");
     }
 }
+
+/// Guards against giving up a job whose trial ends with the rack that it runs in.
+#[test]
+fn a_trial_in_a_rack_that_goes_dark_gives_nothing_up() {
+    let mut sim = sim(4, &[], 1);
+    let mut long_running = step(4, &[]);
+    long_running.long_running = true;
+    long_running.per_worker_max = 1;
+    sim.submit(1, accepted(vec![long_running.clone()], 2));
+    sim.run(2_000);
+    long_running.tasks = 1;
+    sim.submit(2, accepted(vec![long_running.clone()], 2));
+    sim.run(20);
+    let place = |sim: &Simulation| {
+        let runs = sim.running();
+        let run = runs.into_iter().find(|(id, _)| id.job == JobId(2));
+        id::Worker::new(&run.expect("a run").1)
+    };
+    let first = place(&sim);
+    sim.scheduler()
+        .incarnation_ended(&first, IncarnationEnd::MachineWithout);
+    sim.workers
+        .get_mut(first.as_str())
+        .expect("known")
+        .crash(u64::MAX);
+    sim.run(20);
+    assert_ne!(place(&sim), first, "tried on another worker");
+    long_running.tasks = 2;
+    sim.submit(3, accepted(vec![long_running], 2));
+    sim.run(20);
+    let names: Vec<String> = sim.workers.keys().cloned().collect();
+    for name in names {
+        let worker = id::Worker::new(&name);
+        sim.scheduler()
+            .incarnation_ended(&worker, IncarnationEnd::MachineWithout);
+    }
+    sim.run(200);
+    assert_eq!(sim.state(2), Some(record::State::Running));
+}
