--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -341,6 +341,9 @@
     for (how, before, now) in ends {
         metrics::counter!("wasabiloft_runs_ended_total", "how" => how).increment(now - before);
     }
+    metrics::counter!("wasabiloft_workers_crashed_total")
+        .increment(now.workers_crashed - before.workers_crashed);
+    metrics::counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
 }
 
 /// Follows the table of accepted jobs and cancellations.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! not keep: acknowledged ends, failed runs, checkpoints, and which workers can run tasks at all.
 
 mod commit;
+mod crashes;
 mod demand;
 mod ends;
 mod gang;
@@ -36,6 +37,7 @@
 pub use commands::{Refusal, StartOutcome};
 pub use drain::DrainState;
 pub use message::{Counts, Output, Poll, RecoveredState, Settings, Start};
+pub use worker_loss::IncarnationEnd;
 
 /// Interval after which a stop is resent if the run has not ended, in milliseconds; longer than the timeout of one
 /// call.
@@ -81,6 +83,14 @@
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
     pending_rows: commit::PendingRows,
+    /// Tasks that crashes of workers are held against.
+    crashed_tasks: BTreeSet<TaskId>,
+    /// When a worker last crashed for a reason other than a task: nothing had just begun there, or its rack went dark.
+    unprovoked_crash_at: Option<clock::Instant>,
+    /// Workers that crashed since the last planning round, by rack.
+    crashed_in_rack: BTreeMap<id::Rack, usize>,
+    /// Tasks that seem to crash their workers, and when these last answered; judged in the next planning round.
+    accused_tasks: BTreeMap<TaskId, clock::Instant>,
     outputs: Vec<Output>,
     counts: Counts,
 }
@@ -118,6 +128,10 @@
             pending_rows: commit::PendingRows::new(
                 recovered.workers.into_iter().map(|(worker, _)| worker),
             ),
+            crashed_tasks: BTreeSet::new(),
+            unprovoked_crash_at: None,
+            crashed_in_rack: BTreeMap::new(),
+            accused_tasks: BTreeMap::new(),
             outputs: Vec::new(),
             counts: Counts::default(),
         };
@@ -127,6 +141,8 @@
         for (id, progress) in &recovered.progress {
             if let Some(job) = scheduler.jobs.get_mut(id) {
                 job.restore(progress);
+                let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
+                scheduler.crashed_tasks.extend(crashed.map(|(id, _)| id));
                 if job.state.is_final() {
                     scheduler.open_jobs.remove(*id, &job.accepted.queue.service);
                 }
--- a/tests/test_batch_room.rs
+++ b/tests/test_batch_room.rs
@@ -341,7 +341,7 @@
     fn no_long_running_task_waits_beside_free_workers_after_disturbances(
         seed in any::<u64>(), load in 0.1_f64..1.0
     ) {
-        let faults = Faults { late: 20, lost: 20, partition: 4, crash: 6, takeover: 0 };
+        let faults = Faults { late: 20, lost: 20, partition: 4, crash: 6, takeover: 0, ..Faults::default() };
         let mut history = History::new(seed, faults);
         prop_assert_eq!(history.play(load), Vec::<String>::new());
     }
