--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -141,7 +141,7 @@
             }
             let steps = &self.jobs.get(&run.task.job)?.accepted.spec.steps;
             let step = steps.get(run.task.step as usize)?;
-            worker_state::add(&mut total, &plan::need(step));
+            total = total.plus(&plan::need(step));
         }
         Some(total)
     }
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -200,12 +200,7 @@
 
     /// Returns the capacity by which the worker has shrunk.
     pub fn lost(&self) -> Resources {
-        let (largest, size) = (&self.largest, &self.listing.size);
-        Resources {
-            cpu_milli: largest.cpu_milli - size.cpu_milli,
-            memory_mib: largest.memory_mib - size.memory_mib,
-            accelerators: largest.accelerators - size.accelerators,
-        }
+        self.largest.minus(&self.listing.size)
     }
 
     /// Records a response with the worker's clock in milliseconds.
@@ -260,30 +255,25 @@
 
     /// Returns whether the free capacity covers `need`.
     pub fn has_capacity(&self, need: &Resources) -> bool {
-        let Some(mut total) = self.unreserved else {
-            return false;
-        };
-        add(&mut total, &self.used);
-        add(&mut total, need);
-        let size = &self.listing.size;
-        total.cpu_milli <= size.cpu_milli
-            && total.memory_mib <= size.memory_mib
-            && total.accelerators <= size.accelerators
+        self.unreserved.is_some_and(|unreserved| {
+            unreserved
+                .plus(&self.used)
+                .plus(need)
+                .fits_in(&self.listing.size)
+        })
     }
 
     /// Reserves capacity for a task, once.
     pub fn reserve(&mut self, task: TaskId, need: &Resources) {
         if self.tasks.insert(task) {
-            add(&mut self.used, need);
+            self.used = self.used.plus(need);
         }
     }
 
     /// Releases the capacity reserved for a task.
     pub fn release(&mut self, task: &TaskId, need: &Resources) {
         if self.tasks.remove(task) {
-            self.used.cpu_milli = self.used.cpu_milli.saturating_sub(need.cpu_milli);
-            self.used.memory_mib = self.used.memory_mib.saturating_sub(need.memory_mib);
-            self.used.accelerators = self.used.accelerators.saturating_sub(need.accelerators);
+            self.used = self.used.minus(need);
         }
     }
 
@@ -327,10 +317,3 @@
         self.failures >= SUSPECT_FAILURES
     }
 }
-
-/// Adds a need to a total.
-pub(super) fn add(total: &mut Resources, need: &Resources) {
-    total.cpu_milli += need.cpu_milli;
-    total.memory_mib += need.memory_mib;
-    total.accelerators += need.accelerators;
-}
