workers: one that ended before any list of machines showed it is noticed by the next lists

Cause: the end of a worker was read from two lists, one that showed it and one that didn't; a worker that was adopted and crashed between two lists was in neither.

A worker whose newest poll wasn't answered and that is missing from lists for 0.4 s has ended, if it was first seen at least 1 s ago.

Test: work_of_a_worker_that_no_list_ever_showed_starts_elsewhere_soon; on the code before nothing starts within 3 s.

--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -61,7 +61,7 @@
 
 /// Returns for how long a run has certainly been at work, in milliseconds: from the confirmation of its start to its
 /// worker's last report.
-fn at_work_ms(active: &job::ActiveRun, worker: &worker_state::Worker) -> u64 {
+pub(super) fn at_work_ms(active: &job::ActiveRun, worker: &worker_state::Worker) -> u64 {
     active
         .confirmed_at
         .map_or(0, |at| worker.last_response_at.since_ms(at))
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::batch::TaskId;
-use crate::batch::scheduler::{Output, Scheduler};
+use crate::batch::scheduler::{Output, Scheduler, crashes};
 use crate::batch::worker_state;
 use crate::clock;
 use crate::id;
@@ -11,9 +11,11 @@
 /// Time added to the longest lease plus 2 % for slow clocks, in milliseconds; covers a stop. That long after the
 /// previous leader's last command, work on its workers that answer nobody has ended.
 const LEASE_EXPIRY_SLACK_MS: u64 = 500;
-/// A worker of the previous leader that is missing from lists of machines for this long has ended, in milliseconds;
+/// A worker that is missing from lists of machines for this long has ended, in milliseconds;
 /// longer than two intervals between lists.
 const MISSING_MS: u64 = 400;
+/// A worker is in the list of machines this long after it was first seen, in milliseconds.
+const LISTED_AFTER_MS: u64 = 1_000;
 
 /// How the end of a worker's incarnation was proven.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,8 +92,9 @@
     /// confirmation of the start to its last report. `None` if the start was not confirmed.
     fn survived_ms(&self, id: &TaskId, worker: &worker_state::Worker) -> Option<u64> {
         let task = self.jobs.get(&id.job)?.task(id)?;
-        let confirmed_at = task.active.as_ref()?.confirmed_at?;
-        Some(worker.last_response_at.since_ms(confirmed_at))
+        let active = task.active.as_ref()?;
+        active.confirmed_at?;
+        Some(crashes::at_work_ms(active, worker))
     }
 
     pub(super) fn resolve_expired(&mut self, now: clock::Instant) {
@@ -111,14 +114,25 @@
         }
     }
 
-    /// Removes workers of the previous leader that no machine runs any more.
+    /// Removes workers that no machine runs any more: those of the previous leader, and those that ended before any list
+    /// showed them.
     ///
     /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
     /// apart.
     pub fn resolve_missing(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
+        let silent = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.adopted
+                    && worker.unanswered
+                    && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
+            })
+            .map(|(id, _)| id);
         let missing: BTreeSet<id::Worker> = self
             .unresolved
             .keys()
+            .chain(silent)
             .filter(|worker| !current.contains(worker))
             .cloned()
             .collect();
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -198,3 +198,30 @@
     scheduler.evict_long_running(later.after_ms(20));
     assert_eq!(stops(&mut scheduler), 1);
 }
+
+/// Guards against work that waits for a lease to lapse: a worker crashed before any list of machines had shown it, so none
+/// showed its loss.
+#[test]
+fn work_of_a_worker_that_no_list_ever_showed_starts_elsewhere_soon() {
+    let now = Instant::from_ms(1_000);
+    let mut scheduler = successor(&["a", "b"], now);
+    let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
+    scheduler.poll_answered(&a, &report(vec![(task(0), 3)], vec![]), now, now, 0);
+    scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
+    assert_eq!(scheduler.drain_state(&a), DrainState::Busy);
+    scheduler.poll_failed(&a);
+    let listed = [&b].into();
+    let mut started_at_ms = None;
+    for after_ms in (100..3_000).step_by(200) {
+        let at = now.after_ms(after_ms);
+        scheduler.poll_answered(&b, &report(vec![], vec![]), at, at, 0);
+        scheduler.resolve_missing(&listed, at);
+        scheduler.plan(at, 0);
+        if !started(&mut scheduler).is_empty() {
+            started_at_ms.get_or_insert(after_ms);
+        }
+    }
+    let started_at_ms = started_at_ms.expect("started elsewhere");
+    assert!(started_at_ms >= 1_000, "a new worker may not be listed yet");
+    assert!(started_at_ms <= 2_000, "started after {started_at_ms} ms");
+}
