--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -171,7 +171,7 @@
     pub worker_started_unix_ms: u64,
     /// How long the run had certainly been at work, in milliseconds.
     pub survived_ms: u64,
-    /// Whether the worker had confirmed the start.
+    /// Whether the worker had confirmed the start and has certainly crashed.
     pub confirmed: bool,
     /// Whether another job was given up for it since.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::record;
-use crate::batch::scheduler::{Scheduler, job, room};
+use crate::batch::scheduler::{Scheduler, job, plan, room};
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
 use crate::clock;
@@ -32,9 +32,14 @@
 /// After a worker crashed on which nothing had just begun, workers count as crashing for other reasons for this long, in
 /// milliseconds.
 const OUTAGE_MS: u64 = 30_000;
-/// Crashes under a task after which its job is given up even if no trial was possible; the platform allows a task two
-/// starts after the third crash.
+/// Crashes under a task after which its job is given up even if no trial was possible.
 const CRASHES_MAX: usize = 4;
+/// The same if fewer than [`CRASHES_TRIED`] of its starts were confirmed. The platform allows a task two starts after
+/// the third crash.
+const CRASHES_MAX_UNCONFIRMED: usize = 5;
+/// Longest time for which a trial keeps other jobs from its worker, in milliseconds; shorter than a long-running task may
+/// wait.
+const TRIAL_MAX_MS: u64 = 2_000;
 
 /// Returns whether crashes are held against a task, so that it is tried apart from other jobs.
 ///
@@ -52,13 +57,23 @@
     task.crashes.iter().filter(|crash| !crash.explained).count()
 }
 
-/// Returns how long a suspect task has to be at work until its trial is over, in milliseconds: twice as long as it
-/// survived before, and longer.
-fn trial_ms(task: &job::Task) -> u64 {
+/// Returns how long a suspect task has to be at work until it has outlived its crashes, in milliseconds: twice as long as
+/// it survived before, and longer.
+fn outlived_ms(task: &job::Task) -> u64 {
     let survived_ms = task.crashes.iter().map(|crash| crash.survived_ms).max();
     survived_ms.unwrap_or(0) * 2 + PROVEN_MS
 }
 
+/// Returns how long a suspect task has to be at work until its trial is over, in milliseconds.
+fn trial_ms(task: &job::Task) -> u64 {
+    outlived_ms(task).min(TRIAL_MAX_MS)
+}
+
+/// Returns the number of crashes under a task whose start was confirmed.
+fn confirmed(task: &job::Task) -> usize {
+    task.crashes.iter().filter(|crash| crash.confirmed).count()
+}
+
 /// Returns for how long a run has certainly been at work, in milliseconds: from the confirmation of its start to its
 /// worker's last report.
 pub(super) fn at_work_ms(active: &job::ActiveRun, worker: &worker_state::Worker) -> u64 {
@@ -67,15 +82,25 @@
         .map_or(0, |at| worker.last_response_at.since_ms(at))
 }
 
+/// Returns whether a task is suspect and its run on a worker has not outlived its trial.
+fn is_on_trial(task: &job::Task, worker: &worker_state::Worker) -> bool {
+    is_suspect(task)
+        && task
+            .active
+            .as_ref()
+            .is_some_and(|active| at_work_ms(active, worker) < trial_ms(task))
+}
+
 impl Scheduler {
     /// Holds a worker's crash against the tasks that it had started recently, before their runs are released.
     ///
-    /// `tasks` are the tasks that ran there.
+    /// `tasks` are the tasks that ran there. A worker that fell silent until its leases lapsed has not certainly crashed.
     pub(super) fn worker_crashed(
         &mut self,
         id: &id::Worker,
         worker: &worker_state::Worker,
         tasks: &[TaskId],
+        is_certain: bool,
     ) {
         let at = worker.last_response_at;
         if tasks.iter().all(|task| self.is_proven(worker, task)) {
@@ -85,9 +110,10 @@
             *self.crashed_in_rack.entry(rack.clone()).or_default() += 1;
         }
         for task in tasks {
-            let Some((crash, alone)) = self.evidence(id, worker, task, tasks) else {
+            let Some((mut crash, alone)) = self.evidence(id, worker, task, tasks) else {
                 continue;
             };
+            crash.confirmed &= is_certain;
             let confirmed = crash.confirmed;
             let Some(state) = self
                 .jobs
@@ -100,8 +126,12 @@
             state.crashes.push(crash);
             let crashes = state.crashes.len();
             self.crashed_tasks.insert(*task);
-            if (in_trial && confirmed) || unexplained(state) >= CRASHES_MAX {
-                self.accused_tasks.insert(*task, at);
+            let is_over_limit = crashes >= CRASHES_MAX_UNCONFIRMED
+                || (crashes >= CRASHES_MAX && self::confirmed(state) >= CRASHES_TRIED);
+            if is_over_limit {
+                self.accused_tasks.insert(*task, None);
+            } else if in_trial && confirmed {
+                self.accused_tasks.insert(*task, Some(at));
             }
             if is_suspect(state) {
                 self.changed_jobs.insert(task.job);
@@ -161,22 +191,23 @@
                 self.log(format!("rack dark rack={rack} workers={crashed}"));
             }
         }
-        for (id, at) in std::mem::take(&mut self.accused_tasks) {
-            let in_outage = self
-                .unprovoked_crash_at
-                .is_some_and(|outage_at| at.since_ms(outage_at) < OUTAGE_MS);
-            let crashes_tried = if in_outage {
-                CRASHES_TRIED_IN_OUTAGE
-            } else {
-                CRASHES_TRIED
+        for (id, tried_at) in std::mem::take(&mut self.accused_tasks) {
+            let in_outage = tried_at.is_some_and(|at| {
+                self.unprovoked_crash_at
+                    .is_some_and(|outage_at| at.since_ms(outage_at) < OUTAGE_MS)
+            });
+            let needed = match (tried_at, in_outage) {
+                (None, _) => 0,
+                (Some(_), true) => CRASHES_TRIED_IN_OUTAGE,
+                (Some(_), false) => CRASHES_TRIED,
             };
             let Some(job) = self.jobs.get(&id.job).filter(|job| !job.state.is_final()) else {
                 continue;
             };
-            let crashes = job.task(&id).map_or(&[][..], |task| &task.crashes);
-            if crashes.len() < crashes_tried {
+            let Some(task) = job.task(&id).filter(|task| confirmed(task) >= needed) else {
                 continue;
-            }
+            };
+            let crashes = &task.crashes;
             let caused: BTreeSet<(id::Worker, u64)> = crashes
                 .iter()
                 .filter(|crash| !crash.explained && crash.survived_ms < PROVEN_MS)
@@ -245,7 +276,7 @@
         let has_survived = task
             .active
             .as_ref()
-            .is_some_and(|active| at_work_ms(active, worker) >= trial_ms(task));
+            .is_some_and(|active| at_work_ms(active, worker) >= outlived_ms(task));
         if has_survived {
             task.crashes.clear();
             self.crashed_tasks.remove(id);
@@ -269,9 +300,9 @@
     pub(super) fn trials(&self) -> BTreeMap<id::Worker, JobId> {
         let on_trial = self.crashed_tasks.iter().filter_map(|id| {
             let task = self.jobs.get(&id.job)?.task(id)?;
-            let active = task.active.as_ref().filter(|_| is_suspect(task))?;
+            let active = task.active.as_ref()?;
             let worker = self.workers.get(&active.worker)?;
-            (at_work_ms(active, worker) < trial_ms(task)).then(|| (active.worker.clone(), id.job))
+            is_on_trial(task, worker).then(|| (active.worker.clone(), id.job))
         });
         on_trial.collect()
     }
@@ -317,27 +348,64 @@
             .is_none_or(|active| at_work_ms(active, worker) >= PROVEN_MS)
     }
 
-    /// Withholds workers from other tasks, so that trials that wait can begin there.
-    ///
-    /// The emptiest workers are chosen; as they get no other tasks, the choice stays the same from round to round.
+    /// Returns whether a suspect task is tried on a worker.
+    pub(super) fn has_trial(&self, id: &id::Worker) -> bool {
+        self.workers.get(id).is_some_and(|worker| {
+            worker
+                .tasks
+                .iter()
+                .filter(|task| self.crashed_tasks.contains(task))
+                .filter_map(|task| self.jobs.get(&task.job)?.task(task))
+                .any(|task| is_on_trial(task, worker))
+        })
+    }
+
+    /// Withholds workers from other tasks, so that trials that wait can begin there: for each job the worker on which its
+    /// task will fit soonest. As it gets no other tasks, the choice stays the same from round to round.
     pub(super) fn withhold_for_trials(
         &self,
         room: &mut room::Room,
         service: &id::Service,
         now: clock::Instant,
     ) {
-        let waiting: BTreeSet<JobId> = self
-            .crashed_tasks
-            .iter()
-            .filter(|id| {
-                self.jobs.get(&id.job).is_some_and(|job| {
-                    job.accepted.queue.service == *service
-                        && job.is_step_ready(id.occurrence, id.step)
-                        && job.task(id).is_some_and(|task| task.is_waiting(now))
-                }) && self.needs_trial(id)
-            })
-            .map(|id| id.job)
-            .collect();
-        room.withhold_emptiest(waiting.len());
+        let mut waiting: BTreeMap<JobId, &TaskId> = BTreeMap::new();
+        for id in &self.crashed_tasks {
+            let is_waiting = self.jobs.get(&id.job).is_some_and(|job| {
+                job.accepted.queue.service == *service
+                    && job.is_step_ready(id.occurrence, id.step)
+                    && !job.accepted.spec.steps[id.step as usize].gang
+                    && job
+                        .task(id)
+                        .is_some_and(|task| task.is_waiting(now) && is_suspect(task))
+            });
+            if is_waiting {
+                waiting.entry(id.job).or_insert(id);
+            }
+        }
+        for id in waiting.into_values() {
+            let Some(job) = self.jobs.get(&id.job) else {
+                continue;
+            };
+            let step = &job.accepted.spec.steps[id.step as usize];
+            let need = plan::need(step);
+            let soonest = room
+                .untried()
+                .filter_map(|worker| self.workers.get(worker))
+                .filter(|worker| {
+                    !worker.is_suspect()
+                        && plan::has_label(worker, step)
+                        && self.can_spread(worker, id, step)
+                        && self.is_allowed(id, &worker.listing.worker, now)
+                })
+                .filter_map(|worker| {
+                    let ready_ms = self.time_to_capacity_ms(worker, id, &need, now)?;
+                    Some((ready_ms, worker.tasks.len(), &worker.listing.worker))
+                })
+                .min();
+            if let Some((_, _, worker)) = soonest {
+                let worker = worker.clone();
+                room.withhold(worker);
+            }
+        }
     }
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -89,8 +89,9 @@
     unprovoked_crash_at: Option<clock::Instant>,
     /// Workers that crashed since the last planning round, by rack.
     crashed_in_rack: BTreeMap<id::Rack, usize>,
-    /// Tasks that seem to crash their workers, and when these last answered; judged in the next planning round.
-    accused_tasks: BTreeMap<TaskId, clock::Instant>,
+    /// Tasks that seem to crash their workers, judged in the next planning round: when the worker of their last trial
+    /// answered last; `None` for a task that has reached the limit without a trial.
+    accused_tasks: BTreeMap<TaskId, Option<clock::Instant>>,
     outputs: Vec<Output>,
     counts: Counts,
 }
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -114,6 +114,7 @@
                     let is_trial = self.needs_trial(&id);
                     let is_started = self.start_task(&mut room, id, spec, &need, now);
                     if !is_started && is_trial {
+                        self.request_tickets(service, &id, now);
                         continue;
                     }
                     if !is_started {
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -30,7 +30,7 @@
         let lease_ms = self.settings.lease_ms;
         let uncertain = self.has_uncertain_runs(id);
         let has_orphans = self.orphans.has_runs_on(id);
-        let has_trial = !self.crashed_tasks.is_empty() && self.trials().contains_key(id);
+        let has_trial = self.has_trial(id);
         let worker = self.workers.get_mut(id)?;
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
@@ -157,10 +157,17 @@
             .map(|run| run.task)
             .chain(report.ended.iter().map(|end| end.task))
             .collect();
-        let lost: Vec<TaskId> = before.tasks.difference(&listed).copied().collect();
+        // A run that was never confirmed may be under way to the new incarnation.
+        let is_confirmed = |id: &&TaskId| {
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+            let active = task.and_then(|task| task.active.as_ref());
+            active.is_some_and(|active| active.confirmed_at.is_some())
+        };
+        let lost = before.tasks.difference(&listed).filter(is_confirmed);
+        let lost: Vec<TaskId> = lost.copied().collect();
         if !lost.is_empty() {
             self.counts.workers_crashed += 1;
-            self.worker_crashed(id, &before, &lost);
+            self.worker_crashed(id, &before, &lost, true);
         }
     }
 
--- a/src/batch/scheduler/reservation.rs
+++ b/src/batch/scheduler/reservation.rs
@@ -93,11 +93,13 @@
         if not_before.is_some_and(|at| now < *at) || !self.allows_reservation(service) {
             return false;
         }
+        let trials = self.trials();
         let soonest = self
             .workers
             .values()
             .filter(|worker| {
                 worker.listing.service == *service
+                    && !trials.contains_key(&worker.listing.worker)
                     && can_hold(worker, now)
                     && plan::has_label(worker, step)
                     && self.can_spread(worker, id, step)
@@ -138,7 +140,7 @@
 
     /// Returns the expected time until enough tasks on a worker have ended that `id` fits, or `None` if the tasks that
     /// end by themselves don't leave enough.
-    fn time_to_capacity_ms(
+    pub(super) fn time_to_capacity_ms(
         &self,
         worker: &worker_state::Worker,
         id: &TaskId,
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -68,12 +68,17 @@
         self.trials.insert(worker.clone(), job);
     }
 
-    /// Keeps the workers with the most free capacity for up to `count` trials.
-    pub(super) fn withhold_emptiest(&mut self, count: usize) {
-        let count = count.min(self.trials_max().saturating_sub(self.trials.len()));
-        let emptiest = self.by_free.iter().rev().map(|(_, worker)| worker);
-        let untried = emptiest.filter(|worker| !self.trials.contains_key(*worker));
-        self.withheld = untried.take(count).cloned().collect();
+    /// Iterates over the workers without a trial that can be withheld for one; over none at the limit of trials.
+    pub(super) fn untried(&self) -> impl Iterator<Item = &id::Worker> {
+        let is_full = self.trials.len() + self.withheld.len() >= self.trials_max();
+        self.free.keys().filter(move |worker| {
+            !is_full && !self.trials.contains_key(*worker) && !self.withheld.contains(*worker)
+        })
+    }
+
+    /// Keeps a worker for trials.
+    pub(super) fn withhold(&mut self, worker: id::Worker) {
+        self.withheld.insert(worker);
     }
 
     /// Takes capacity of a worker for a task that was placed there.
@@ -99,6 +104,11 @@
             trials: self.trials(),
             ..Room::default()
         };
+        room.trials.retain(|worker, _| {
+            self.workers
+                .get(worker)
+                .is_some_and(|worker| worker.listing.service == *service)
+        });
         for worker in self.workers.values() {
             if worker.listing.service != *service {
                 continue;
--- a/src/batch/scheduler/waiting.rs
+++ b/src/batch/scheduler/waiting.rs
@@ -34,6 +34,7 @@
     paused: usize,
     label: usize,
     spread: usize,
+    trial: usize,
     reserved: usize,
 }
 
@@ -42,7 +43,7 @@
         write!(
             out,
             "with_capacity={} free={} unheard={} silent={} leaving={} draining={} suspect={} paused={} label={} \
-             spread={} reserved={}",
+             spread={} trial={} reserved={}",
             self.with_capacity,
             self.free,
             self.unheard,
@@ -53,6 +54,7 @@
             self.paused,
             self.label,
             self.spread,
+            self.trial,
             self.reserved
         )
     }
@@ -143,6 +145,8 @@
                 &mut workers.label
             } else if !self.can_spread(worker, id, step) {
                 &mut workers.spread
+            } else if self.has_trial(&worker.listing.worker) {
+                &mut workers.trial
             } else if !self.can_place(worker, id, step, &need, now) {
                 &mut workers.reserved
             } else {
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -71,7 +71,7 @@
         if crashed {
             self.counts.workers_crashed += 1;
             let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
-            self.worker_crashed(id, &worker, &tasks);
+            self.worker_crashed(id, &worker, &tasks, true);
         }
         self.pending_rows.remove_worker(id);
         self.outputs.push(Output::StopPolling(id.clone()));
@@ -178,12 +178,14 @@
                 self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted);
                 continue;
             }
+            let worker = worker.clone();
             let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
             self.log(format!(
                 "worker lapsed worker={id} silent_ms={} tasks={}",
                 now.since_ms(worker.last_response_at),
                 tasks.len()
             ));
+            self.worker_crashed(&id, &worker, &tasks, false);
             for task in tasks {
                 self.counts.lost += 1;
                 self.log(format!(
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -18,6 +18,7 @@
 mod test_batch_relays;
 mod test_batch_room;
 mod test_batch_succession;
+mod test_batch_trials;
 mod test_config;
 mod test_connection;
 mod test_document;
