--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -111,32 +111,25 @@
                 }
                 ids.sort_by_key(|id| !self.reservations.contains(id));
                 for id in ids {
-                    let is_trial = self.needs_trial(&id);
-                    let is_started = self.start_task(&mut room, id, spec, &need, now);
-                    if !is_started && is_trial {
-                        self.request_tickets(service, &id, now);
+                    if self.start_task(&mut room, id, spec, &need, now) {
                         continue;
                     }
-                    if !is_started {
-                        self.request_tickets(service, &id, now);
-                        if spec.long_running && self.reserve_worker(service, &id, spec, &need, now)
-                        {
-                            continue;
-                        }
-                        // Other tasks can use suspect workers.
-                        if self.waits_for_healthy_worker(&room, &id, spec, &need, now) {
-                            continue;
-                        }
-                        // A larger task may have a reservation.
-                        let unconstrained = !spec.long_running
-                            && spec.label.is_none()
-                            && spec.per_worker_max == 0
-                            && accepted.queue.advice.is_none();
-                        if unconstrained {
-                            unplaced = Some(need);
-                        }
-                        break;
+                    self.request_tickets(service, &id, now);
+                    let has_claim = self.needs_trial(&id)
+                        || spec.long_running && self.reserve_worker(service, &id, spec, &need, now);
+                    // Other tasks can use suspect workers.
+                    if has_claim || self.waits_for_healthy_worker(&room, &id, spec, &need, now) {
+                        continue;
+                    }
+                    // A larger task may have a reservation.
+                    let unconstrained = !spec.long_running
+                        && spec.label.is_none()
+                        && spec.per_worker_max == 0
+                        && accepted.queue.advice.is_none();
+                    if unconstrained {
+                        unplaced = Some(need);
                     }
+                    break;
                 }
             }
         }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -1,6 +1,6 @@
 //! Polls of workers: the runs and ends they report, and runs that are missing from both.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 
 use crate::batch::TaskId;
 use crate::batch::record;
@@ -146,31 +146,6 @@
         Some(total)
     }
 
-    /// Handles the crash of a worker that started again under its id. What its report doesn't list ran before.
-    fn restarted(&mut self, id: &id::Worker, report: &worker_state::Report) {
-        let Some(before) = self.workers.get(id).cloned() else {
-            return;
-        };
-        let listed: BTreeSet<TaskId> = report
-            .running
-            .iter()
-            .map(|run| run.task)
-            .chain(report.ended.iter().map(|end| end.task))
-            .collect();
-        // A run that was never confirmed may be under way to the new incarnation.
-        let is_confirmed = |id: &&TaskId| {
-            let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-            let active = task.and_then(|task| task.active.as_ref());
-            active.is_some_and(|active| active.confirmed_at.is_some())
-        };
-        let lost = before.tasks.difference(&listed).filter(is_confirmed);
-        let lost: Vec<TaskId> = lost.copied().collect();
-        if !lost.is_empty() {
-            self.counts.workers_crashed += 1;
-            self.worker_crashed(id, &before, &lost, true);
-        }
-    }
-
     /// Records that a poll was not answered.
     pub fn poll_failed(&mut self, id: &id::Worker) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -19,9 +19,10 @@
 const REMOTE_COST: u64 = 10_000;
 /// Cost of the worker on which the task failed before.
 const FAILED_BEFORE_COST: u64 = 20_000;
-
 /// A worker seen for less than this may be going down and up by turns, in milliseconds.
 const JUST_JOINED_MS: u64 = 5_000;
+/// Divisor of a service's usable workers that gives the largest number of workers with trials.
+const TRIALS_DIVISOR: usize = 2;
 
 /// The workers of a service that can take tasks, by free processor capacity in thousandths of a core.
 #[derive(Debug, Default)]
@@ -38,9 +39,6 @@
     withheld: BTreeSet<id::Worker>,
 }
 
-/// Share of a service's workers on which tasks are tried at the same time, as a divisor.
-const TRIALS_DIVISOR: usize = 2;
-
 impl Room {
     fn insert(&mut self, worker: &worker_state::Worker) {
         let size = worker.listing.size.cpu_milli;
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -88,6 +88,31 @@
         }
     }
 
+    /// Handles the crash of a worker that started again under its id. What its report doesn't list ran before.
+    pub(super) fn restarted(&mut self, id: &id::Worker, report: &worker_state::Report) {
+        let Some(before) = self.workers.get(id).cloned() else {
+            return;
+        };
+        let listed: BTreeSet<TaskId> = report
+            .running
+            .iter()
+            .map(|run| run.task)
+            .chain(report.ended.iter().map(|end| end.task))
+            .collect();
+        // A run that was never confirmed may be under way to the new incarnation.
+        let is_confirmed = |id: &&TaskId| {
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+            let active = task.and_then(|task| task.active.as_ref());
+            active.is_some_and(|active| active.confirmed_at.is_some())
+        };
+        let lost = before.tasks.difference(&listed).filter(is_confirmed);
+        let lost: Vec<TaskId> = lost.copied().collect();
+        if !lost.is_empty() {
+            self.counts.workers_crashed += 1;
+            self.worker_crashed(id, &before, &lost, true);
+        }
+    }
+
     /// Returns for how long the active run of a task certainly ran on its worker, in milliseconds: from the worker's
     /// confirmation of the start to its last report. `None` if the start was not confirmed.
     fn survived_ms(&self, id: &TaskId, worker: &worker_state::Worker) -> Option<u64> {
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -30,8 +30,7 @@
 
 /// Time until the list of machines shows that a worker has crashed, in milliseconds.
 const CRASH_NOTICED_MS: u64 = 200;
-/// Crashes of workers under one task after which it must not be started any more. The platform allows five: two starts
-/// after the third crash.
+/// A start after more crashes than this under its task is the third after three crashes, which the platform forbids.
 const CRASHES_MAX: u32 = 4;
 
 /// The service of all workers and queues in the simulation.
