accounts: keys and quotas of client accounts

Change: accounts, keys and quotas in the configuration; 401 for a key that no account has; the job's row names its account; the leader counts what each account has running from before a start is sent until its end is proven, a new leader counts what it hasn't heard of yet. One function for dominant shares. Without accounts in the configuration nothing changes.

--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -169,6 +169,7 @@
         ..spec::Step::default()
     };
     record::Accepted {
+        account: None,
         queue: queue::Queue {
             name: format!("queue-{pool}"),
             service: service(pool),
--- a/node/src/batch/configuration.rs
+++ b/node/src/batch/configuration.rs
@@ -97,13 +97,20 @@
 fn apply(shared: &shared::Shared, row: &store::Row) {
     if row.name.key == configuration::KEY {
         match configuration::decode(row) {
-            Ok(config) => {
-                let (version, routes) = (config.version, config.routes.len());
-                if shared.apply_config(config, row.value.clone().unwrap_or_default()) {
+            Ok(decoded) => {
+                let (version, routes) = (decoded.config.version, decoded.config.routes.len());
+                let accounts = decoded.config.accounts.as_ref();
+                let (accounts, keys) = accounts.map_or((0, 0), |accounts| accounts.counts());
+                if shared.apply_config(decoded.config, row.value.clone().unwrap_or_default()) {
                     log::info(
                         "config",
-                        &format!("in force version={version} routes={routes} source=store"),
+                        &format!(
+                            "in force version={version} routes={routes} accounts={accounts} keys={keys} source=store"
+                        ),
                     );
+                    for warning in &decoded.warnings {
+                        log::warn("config", &format!("version={version}: {warning}"));
+                    }
                     if let Some(leadership) = shared.leadership() {
                         leadership.configured(shared);
                     }
--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use metrics::{counter, histogram};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{queue, rejection};
+use wasabiloft::batch::{queue, record, rejection};
 use wasabiloft_platform::submission;
 
 use crate::batch::{requests, shared};
@@ -27,6 +27,8 @@
 const DEADLINE_MAX_MS: u64 = 60_000;
 /// Request header with the time that the caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Authentication scheme under which a request carries its account's key.
+const KEY_SCHEME: &str = "Bearer";
 
 /// Outcome of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +37,8 @@
     Done(Vec<u8>),
     /// No route matches the host and path.
     NoQueue,
+    /// The request carries no key that an account has, and the route needs one.
+    Unauthorized,
     /// The job does not exist.
     NoJob,
     /// The request cannot be decoded or exceeds a limit; holds the message for the caller.
@@ -93,6 +97,12 @@
             header::HeaderValue::from_static("application/json"),
         );
     }
+    if status == StatusCode::UNAUTHORIZED {
+        headers.insert(
+            header::WWW_AUTHENTICATE,
+            header::HeaderValue::from_static(KEY_SCHEME),
+        );
+    }
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let wait_s = rejection::retry_after_s(shared.store_silent_ms(), rand::random());
         headers.insert(header::RETRY_AFTER, header::HeaderValue::from(wait_s));
@@ -110,6 +120,7 @@
     match outcome {
         Outcome::Done(_) => (StatusCode::OK, "done"),
         Outcome::NoQueue => (StatusCode::NOT_FOUND, "no-queue"),
+        Outcome::Unauthorized => (StatusCode::UNAUTHORIZED, "unauthorized"),
         Outcome::NoJob => (StatusCode::GONE, "no-job"),
         Outcome::Invalid(_) => (StatusCode::BAD_REQUEST, "invalid"),
         Outcome::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
@@ -144,6 +155,11 @@
     let Some(route) = config.route(host, path) else {
         return Outcome::NoQueue;
     };
+    let account = match config.access(route, key(headers)) {
+        queue::Access::Open => None,
+        queue::Access::Account(account) => Some(account),
+        queue::Access::Denied => return Outcome::Unauthorized,
+    };
     if body.len() > config.body_bytes_max {
         return Outcome::TooLarge;
     }
@@ -165,7 +181,15 @@
     };
     match *method {
         Method::POST => match submission::decode(&body) {
-            Ok(spec) => requests::submit(shared, job, &route.queue, spec, deadline).await,
+            Ok(spec) => {
+                let accepted = record::Accepted {
+                    queue: route.queue.clone(),
+                    account: account.cloned(),
+                    spec,
+                    submitted_unix_ms: clock::unix_ms(),
+                };
+                requests::submit(shared, job, accepted, deadline).await
+            }
             Err(message) => Outcome::Invalid(message),
         },
         Method::GET => requests::state(shared, job, deadline).await,
@@ -174,6 +198,15 @@
     }
 }
 
+/// Returns the key that a request carries, if any.
+fn key(headers: &HeaderMap) -> Option<&str> {
+    let credentials = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = credentials.trim().split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case(KEY_SCHEME)
+        .then_some(key.trim())
+}
+
 /// Body size limit in bytes until a configuration sets a larger one.
 const DEFAULT_BODY_BYTES_MAX: usize = 262_144;
 
--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -3,10 +3,14 @@
 use std::collections::BTreeMap;
 
 use metrics::gauge;
+use wasabiloft::batch::scheduler::Scheduler;
 
 use crate::batch::{leadership, shared};
 use crate::clock;
 
+/// Maximum number of accounts with gauges of their own; bounds the memory and the size of the metrics.
+const ACCOUNTS_MAX: usize = 64;
+
 /// Updates all gauges to the current state.
 pub fn set(shared: &shared::Shared) {
     let current_config = shared.current_config();
@@ -56,6 +60,7 @@
         gauge!("wasabiloft_long_running_tasks_waiting", "service" => service.to_string())
             .set(waiting as f64);
     }
+    set_accounts(&scheduler);
     let (direct, relayed) = leadership.relays().counts();
     gauge!("wasabiloft_workers_routed", "route" => "direct").set(direct as f64);
     gauge!("wasabiloft_workers_routed", "route" => "relay").set(relayed as f64);
@@ -68,3 +73,28 @@
         gauge!("wasabiloft_workers", "state" => state).set(count as f64);
     }
 }
+
+/// Sets the gauges of the accounts; those beyond [`ACCOUNTS_MAX`] are added up.
+fn set_accounts(scheduler: &Scheduler) {
+    let mut running: BTreeMap<&str, (u64, u64, u32)> = BTreeMap::new();
+    for (position, (account, usage)) in scheduler.ledger().iter().enumerate() {
+        let label = if position < ACCOUNTS_MAX {
+            account.as_str()
+        } else {
+            "other"
+        };
+        let total = usage.total();
+        let entry = running.entry(label).or_default();
+        entry.0 += total.cpu_milli;
+        entry.1 += total.memory_mib;
+        entry.2 += total.accelerators;
+    }
+    for (account, (cpu_milli, memory_mib, accelerators)) in running {
+        gauge!("wasabiloft_account_running_cpu_milli", "account" => account.to_owned())
+            .set(cpu_milli as f64);
+        gauge!("wasabiloft_account_running_memory_mib", "account" => account.to_owned())
+            .set(memory_mib as f64);
+        gauge!("wasabiloft_account_running_accelerators", "account" => account.to_owned())
+            .set(f64::from(accelerators));
+    }
+}
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -294,9 +294,9 @@
         }
     };
     match configuration::decode_bytes(&reply.body) {
-        Ok(config) => {
-            let version = config.version;
-            if shared.apply_config(config, reply.body.to_vec()) {
+        Ok(decoded) => {
+            let version = decoded.config.version;
+            if shared.apply_config(decoded.config, reply.body.to_vec()) {
                 crate::log::info(
                     "config",
                     &format!("in force version={version} source={address}"),
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -5,7 +5,7 @@
 
 use tokio::time;
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{queue, record, spec};
+use wasabiloft::batch::record;
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::{store, submission};
 
@@ -81,19 +81,21 @@
     }
 }
 
+/// Returns the log field that names a job's account; empty without an account.
+fn account_field(accepted: &record::Accepted) -> String {
+    accepted
+        .account
+        .as_ref()
+        .map_or_else(String::new, |account| format!(" account={account}"))
+}
+
 /// Accepts a job; once its row is committed, the job survives the loss of any node.
 pub async fn submit(
     shared: &Arc<shared::Shared>,
     job: JobId,
-    queue: &queue::Queue,
-    spec: spec::Spec,
+    accepted: record::Accepted,
     deadline: wasabiloft::clock::Instant,
 ) -> Outcome {
-    let accepted = record::Accepted {
-        queue: queue.clone(),
-        spec,
-        submitted_unix_ms: clock::unix_ms(),
-    };
     let value = match serde_json::to_vec(&accepted) {
         Ok(value) => value,
         Err(error) => return Outcome::Invalid(error.to_string()),
@@ -113,8 +115,9 @@
             log::info(
                 "front",
                 &format!(
-                    "accept job={job} queue={} version={version}",
-                    accepted.queue.name
+                    "accept job={job} queue={}{} version={version}",
+                    accepted.queue.name,
+                    account_field(&accepted)
                 ),
             );
             if let Some(leadership) = shared.leadership() {
--- a/src/batch/queue.rs
+++ b/src/batch/queue.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::accounts;
 use crate::id;
 
 /// A job queue's settings; a job keeps the settings that were active when it was accepted.
@@ -46,6 +47,8 @@
     pub prefix: String,
     /// Queue that receives matching requests.
     pub queue: Queue,
+    /// Whether callers need no key, although the configuration has accounts.
+    pub anonymous: bool,
 }
 
 /// The settings of a service.
@@ -66,13 +69,38 @@
     pub routes: Vec<Route>,
     /// Services by name.
     pub services: BTreeMap<id::Service, Service>,
+    /// Client accounts; `None` if the configuration has none, and callers need no key.
+    pub accounts: Option<accounts::Accounts>,
     /// Maximum size of a request body, in bytes.
     pub body_bytes_max: usize,
     /// Idle time after which a connection is closed, in milliseconds.
     pub idle_timeout_ms: u64,
 }
 
+/// Whom a request is made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access<'a> {
+    /// No account: the route is open to callers without a key, or the configuration has no accounts.
+    Open,
+    /// The account whose key the request carries.
+    Account(&'a id::Account),
+    /// The key is missing, or no account has it.
+    Denied,
+}
+
 impl Config {
+    /// Returns whom a request on a route is made for, by its key if it carries one.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access<'_> {
+        let Some(accounts) = &self.accounts else {
+            return Access::Open;
+        };
+        match key.and_then(|key| accounts.authenticate(key)) {
+            Some(account) => Access::Account(account),
+            None if route.anonymous => Access::Open,
+            None => Access::Denied,
+        }
+    }
+
     /// Returns the matching route with the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -85,6 +85,9 @@
 pub struct Accepted {
     /// Settings of the job's queue when the job was accepted.
     pub queue: queue::Queue,
+    /// The account on whose behalf the job was submitted; absent if it was submitted without a key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<id::Account>,
     /// Steps and schedule as submitted.
     pub spec: spec::Spec,
     /// Time of the submission on the entry node's clock, in milliseconds since 1970.
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -105,6 +105,11 @@
                     if step.idle == 0 || !job.is_step_ready(occurrence, number) {
                         continue;
                     }
+                    // Machines don't help tasks that a quota holds back.
+                    let account = job.accepted.account.as_ref();
+                    if account.is_some_and(|account| self.ledger.is_at_quota(account)) {
+                        continue;
+                    }
                     let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
                     let waiting = waiting.count() as u64;
                     demand.blocked += if spec.long_running { waiting } else { 0 };
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -135,6 +135,11 @@
         if !is_tolerated {
             return None;
         }
+        // A lowered quota would keep the task from starting again.
+        let account = job.accepted.account.as_ref();
+        if account.is_some_and(|account| !self.ledger.admits(account, &Resources::default())) {
+            return None;
+        }
         let need = plan::need(step);
         let worker = self.choose_worker(room, *id, step, &need, now)?;
         Some((worker, need))
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod open_jobs;
 mod plan;
+mod quotas;
 mod reports;
 mod reservation;
 mod room;
@@ -21,6 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::batch::accounts;
 use crate::batch::queue;
 use crate::batch::record;
 use crate::batch::worker_state;
@@ -79,6 +81,8 @@
     reservations: reservation::Reservations,
     /// Services to plan again, because something changed since they were last planned.
     dirty_services: BTreeSet<id::Service>,
+    /// What the client accounts have running.
+    ledger: accounts::Ledger,
     changed_jobs: ends::ChangedJobs,
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
@@ -124,6 +128,7 @@
             waiting: waiting::WaitingTasks::default(),
             reservations: reservation::Reservations::default(),
             dirty_services: BTreeSet::new(),
+            ledger: accounts::Ledger::default(),
             changed_jobs: ends::ChangedJobs::default(),
             submitted_work: BTreeMap::new(),
             pending_rows: commit::PendingRows::new(
@@ -136,6 +141,7 @@
             outputs: Vec::new(),
             counts: Counts::default(),
         };
+        scheduler.configure_accounts();
         for (id, accepted) in recovered.accepted {
             scheduler.add_job(id, accepted, true);
         }
@@ -219,6 +225,7 @@
     /// Applies a new version of the configuration and marks all its services to be planned again.
     pub fn config_changed(&mut self, config: Arc<queue::Config>) {
         self.config = config;
+        self.configure_accounts();
         self.dirty_services
             .extend(self.config.services.keys().cloned());
     }
@@ -272,6 +279,7 @@
         let Some(active) = job.take_active(&id) else {
             return;
         };
+        self.refund(&spec, &id);
         let need = plan::need(&spec.spec.steps[id.step as usize]);
         if let Some(worker) = self.workers.get_mut(&active.worker) {
             worker.release(&id, &need);
@@ -421,6 +429,11 @@
         &self.workers
     }
 
+    /// Returns what the client accounts have running.
+    pub fn ledger(&self) -> &accounts::Ledger {
+        &self.ledger
+    }
+
     /// Returns the configuration that was applied last.
     pub fn config(&self) -> &queue::Config {
         &self.config
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -61,6 +61,7 @@
         self.give_up_crashing_jobs(now, unix_ms);
         self.prune_crashed_tasks();
         self.release_reservations(now);
+        self.count_unheard();
         for service in std::mem::take(&mut self.dirty_services) {
             self.plan_service(&service, now, unix_ms);
         }
@@ -103,6 +104,10 @@
                 if ids.is_empty() {
                     continue;
                 }
+                let at_once = if spec.gang { ids.len() } else { 1 };
+                if !self.quota_admits(&accepted, spec, at_once) {
+                    continue;
+                }
                 if spec.gang {
                     self.start_gang(service, &ids, spec, now);
                     room = self.room(service, now);
@@ -111,6 +116,9 @@
                 }
                 ids.sort_by_key(|id| !self.reservations.contains(id));
                 for id in ids {
+                    if !self.quota_admits(&accepted, spec, 1) {
+                        break;
+                    }
                     if self.start_task(&mut room, id, spec, &need, now) {
                         continue;
                     }
@@ -268,6 +276,7 @@
             pace_percent: 100,
         };
         job.set_active(&id, active);
+        self.charge(&accepted, &id);
         self.log(format!(
             "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures}"
         ));
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -125,6 +125,7 @@
             self.release_missing(id, report, sent_at);
         }
         let unreserved = self.unreserved_use(id, report);
+        self.count_unexpected(id, report);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unreserved = unreserved;
         }
@@ -233,6 +234,7 @@
                     pace_percent: 100,
                 };
                 job.set_active(&run.task, active);
+                self.charge(&accepted, &run.task);
                 let need = plan::need(&accepted.spec.steps[run.task.step as usize]);
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.reserve(run.task, &need);
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -58,6 +58,7 @@
     pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd) {
         self.unresolved.remove(id);
         self.orphans.forget_worker(id);
+        self.ledger.set_unexpected(id, Vec::new());
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
--- a/src/id.rs
+++ b/src/id.rs
@@ -46,6 +46,10 @@
     /// A team, which owns services and a quota.
     Team
 );
+name!(
+    /// A client account, on whose behalf callers submit jobs.
+    Account
+);
 name!(
     /// A service, configured by one document.
     Service
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -27,6 +27,16 @@
     pub accelerators: f64,
 }
 
+impl From<&platform::Resources> for Charge {
+    fn from(amount: &platform::Resources) -> Self {
+        Self {
+            cpu_milli: amount.cpu_milli as f64,
+            memory_mib: amount.memory_mib as f64,
+            accelerators: f64::from(amount.accelerators),
+        }
+    }
+}
+
 /// A team's quota and use.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -172,18 +182,24 @@
 fn share_of(account: &Account, added: &Charge) -> f64 {
     let quota = &account.quota;
     let used = &account.charged;
-    let cpu = ratio(
-        used.cpu_milli + added.cpu_milli,
-        quota.cores as f64 * MILLI_PER_CORE,
-    );
-    let memory = ratio(
-        used.memory_mib + added.memory_mib,
-        quota.memory_gib as f64 * MIB_PER_GIB,
-    );
-    let accelerators = ratio(
-        used.accelerators + added.accelerators,
-        f64::from(quota.accelerators),
-    );
+    let used = Charge {
+        cpu_milli: used.cpu_milli + added.cpu_milli,
+        memory_mib: used.memory_mib + added.memory_mib,
+        accelerators: used.accelerators + added.accelerators,
+    };
+    let total = Charge {
+        cpu_milli: quota.cores as f64 * MILLI_PER_CORE,
+        memory_mib: quota.memory_gib as f64 * MIB_PER_GIB,
+        accelerators: f64::from(quota.accelerators),
+    };
+    dominant_share(&used, &total)
+}
+
+/// Returns the largest ratio of use to a total over all resources; infinity if a resource is used of which there is none.
+pub fn dominant_share(used: &Charge, total: &Charge) -> f64 {
+    let cpu = ratio(used.cpu_milli, total.cpu_milli);
+    let memory = ratio(used.memory_mib, total.memory_mib);
+    let accelerators = ratio(used.accelerators, total.accelerators);
     cpu.max(memory).max(accelerators)
 }
 
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -88,6 +88,7 @@
 /// Returns an accepted job with the given steps.
 pub fn accepted(steps: Vec<spec::Step>, attempts_max: u32) -> record::Accepted {
     record::Accepted {
+        account: None,
         queue: queue(attempts_max),
         spec: spec::Spec {
             text: "text".into(),
