--- a/src/batch/accounts.rs
+++ b/src/batch/accounts.rs
@@ -197,11 +197,18 @@
 }
 
 impl Ledger {
-    /// Applies the accounts of a new version of the configuration.
-    pub fn configure(&mut self, accounts: &Accounts) {
+    /// Applies the accounts of a new version of the configuration, and returns those that are new or have changed.
+    pub fn configure(&mut self, accounts: &Accounts) -> Vec<(id::Account, Account)> {
+        let mut changed = Vec::new();
         for (name, account) in accounts.iter() {
-            self.usage.entry(name.clone()).or_default().settings = *account;
+            let is_new = !self.usage.contains_key(name);
+            let usage = self.usage.entry(name.clone()).or_default();
+            if is_new || usage.settings != *account {
+                usage.settings = *account;
+                changed.push((name.clone(), *account));
+            }
         }
+        changed
     }
 
     /// Counts a run from before its start is sent, or when a worker first reports it.
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -4,7 +4,7 @@
 //! carried out late and runs that are being stopped never bring an account over its quota. A new leader learns from the
 //! workers what runs; until all have answered, every task that a previous leader may have started counts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::batch::TaskId;
 use crate::batch::accounts;
@@ -18,8 +18,18 @@
 impl Scheduler {
     /// Applies the accounts of the configuration.
     pub(super) fn configure_accounts(&mut self) {
-        if let Some(accounts) = &self.config.accounts {
-            self.ledger.configure(accounts);
+        let Some(accounts) = &self.config.accounts else {
+            return;
+        };
+        for (name, account) in self.ledger.configure(accounts) {
+            let limits = account.limits;
+            self.log(format!(
+                "account configured account={name} weight_milli={} limit_milli={} limit_mib={} limit_accelerators={}",
+                account.weight_milli,
+                limit_field(limits.cpu_milli),
+                limit_field(limits.memory_mib),
+                limit_field(limits.accelerators.map(u64::from)),
+            ));
         }
     }
 
@@ -74,15 +84,14 @@
             accounts::QuotaChange::Left => "quota has room",
         };
         let (total, limits) = (usage.total(), usage.settings().limits);
-        let limit = |limit: Option<u64>| limit.map_or("none".to_owned(), |limit| limit.to_string());
         let line = format!(
             "{what} account={account} running_milli={} running_mib={} need_milli={} need_mib={} limit_milli={} limit_mib={}",
             total.cpu_milli,
             total.memory_mib,
             need.cpu_milli,
             need.memory_mib,
-            limit(limits.cpu_milli),
-            limit(limits.memory_mib),
+            limit_field(limits.cpu_milli),
+            limit_field(limits.memory_mib),
         );
         self.log(line);
     }
@@ -105,33 +114,72 @@
         self.ledger.set_unexpected(id, unexpected);
     }
 
-    /// Counts all tasks that a previous leader may have started on workers that have not answered yet.
+    /// Counts the tasks that a previous leader may have started on workers that have not answered yet, up to the capacity
+    /// of these workers.
     pub(super) fn count_unheard(&mut self) {
-        let services: BTreeSet<&id::Service> =
-            self.unresolved.values().map(|row| &row.service).collect();
-        let mut unheard: BTreeMap<id::Account, Resources> = BTreeMap::new();
-        if !services.is_empty() && self.config.accounts.is_some() {
-            for id in self.open_jobs.iter() {
-                let Some(job) = self.jobs.get(id) else {
-                    continue;
-                };
-                let Some(account) = &job.accepted.account else {
-                    continue;
-                };
-                if !job.recovered || !services.contains(&job.accepted.queue.service) {
-                    continue;
-                }
-                let entry = unheard.entry(account.clone()).or_default();
-                for (task, state) in job.tasks() {
-                    let may_run = !state.done
-                        && state.active.is_none()
-                        && job.is_step_ready(task.occurrence, task.step);
-                    if may_run {
-                        *entry = entry.plus(&job.accepted.spec.steps[task.step as usize].need);
-                    }
+        if self.unresolved.is_empty() || self.config.accounts.is_none() {
+            self.ledger.set_unheard(BTreeMap::new());
+            return;
+        }
+        let mut startable: BTreeMap<(&id::Account, &id::Service), Resources> = BTreeMap::new();
+        for id in self.open_jobs.iter() {
+            let Some(job) = self.jobs.get(id).filter(|job| job.recovered) else {
+                continue;
+            };
+            let Some(account) = &job.accepted.account else {
+                continue;
+            };
+            let key = (account, &job.accepted.queue.service);
+            let entry = startable.entry(key).or_default();
+            for (task, state) in job.tasks() {
+                let may_run = !state.done
+                    && state.active.is_none()
+                    && job.is_step_ready(task.occurrence, task.step);
+                if may_run {
+                    *entry = entry.plus(&job.accepted.spec.steps[task.step as usize].need);
                 }
             }
         }
+        let capacity = self.unheard_capacity();
+        let mut unheard: BTreeMap<id::Account, Resources> = BTreeMap::new();
+        for ((account, service), need) in startable {
+            let Some(size) = capacity.get(service) else {
+                continue;
+            };
+            let entry = unheard.entry(account.clone()).or_default();
+            *entry = entry.plus(&Resources {
+                cpu_milli: need.cpu_milli.min(size.cpu_milli),
+                memory_mib: need.memory_mib.min(size.memory_mib),
+                accelerators: need.accelerators.min(size.accelerators),
+            });
+        }
         self.ledger.set_unheard(unheard);
     }
+
+    /// Returns the capacity of the workers that have not answered yet, by service. One that is not in the registry counts
+    /// as the largest of its service.
+    fn unheard_capacity(&self) -> BTreeMap<&id::Service, Resources> {
+        let mut largest: BTreeMap<&id::Service, Resources> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let size = largest.entry(&worker.listing.service).or_default();
+            *size = size.max(&worker.largest);
+        }
+        let mut capacity: BTreeMap<&id::Service, Resources> = BTreeMap::new();
+        for (id, row) in &self.unresolved {
+            let listed = self.workers.get(id).map(|worker| worker.largest);
+            let size = listed.or(largest.get(&row.service).copied());
+            let entry = capacity.entry(&row.service).or_default();
+            *entry = entry.plus(&size.unwrap_or(Resources {
+                cpu_milli: u64::MAX >> 16,
+                memory_mib: u64::MAX >> 16,
+                accelerators: u32::MAX >> 16,
+            }));
+        }
+        capacity
+    }
+}
+
+/// Returns a limit as a field of a log line.
+fn limit_field(limit: Option<u64>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
 }
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -191,10 +191,7 @@
 
     /// Replaces the registry entry.
     pub fn update(&mut self, listing: Listing) {
-        let (largest, size) = (&mut self.largest, &listing.size);
-        largest.cpu_milli = largest.cpu_milli.max(size.cpu_milli);
-        largest.memory_mib = largest.memory_mib.max(size.memory_mib);
-        largest.accelerators = largest.accelerators.max(size.accelerators);
+        self.largest = self.largest.max(&listing.size);
         self.listing = listing;
     }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -134,6 +134,15 @@
         }
     }
 
+    /// Returns the larger of each amount.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns whether every amount is at most that of `size`.
     pub fn fits_in(&self, size: &Self) -> bool {
         self.cpu_milli <= size.cpu_milli
--- a/standins/src/hosted/worker.rs
+++ b/standins/src/hosted/worker.rs
@@ -247,6 +247,11 @@
         self.lapsed.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of runs in progress.
+    pub fn running_count(&self) -> usize {
+        lock(&self.incarnation).running.len()
+    }
+
     /// Returns whether no runs are in progress.
     pub fn is_empty(&self) -> bool {
         lock(&self.incarnation).running.is_empty()
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -204,6 +204,8 @@
     delayed: Vec<DelayedStart>,
     stored: RecoveredState,
     progress: BTreeMap<JobId, record::Progress>,
+    /// Newest configuration.
+    config: Arc<queue::Config>,
     recorded_workers: BTreeMap<id::Worker, record::WorkerRow>,
     epoch: u64,
     acknowledged_done: BTreeSet<TaskId>,
@@ -234,6 +236,7 @@
             delayed: Vec::new(),
             stored: RecoveredState::default(),
             progress: BTreeMap::new(),
+            config: config(),
             recorded_workers: BTreeMap::new(),
             epoch: 0,
             acknowledged_done: BTreeSet::new(),
@@ -276,7 +279,8 @@
             predecessor_may_act: predecessor_lives,
             ..self.stored.clone()
         };
-        let mut scheduler = Scheduler::new(settings(), self.epoch, config(), rows, self.now());
+        let config = Arc::clone(&self.config);
+        let mut scheduler = Scheduler::new(settings(), self.epoch, config, rows, self.now());
         for worker in self.workers.values() {
             scheduler.worker_listed(worker.listing(), self.now());
         }
@@ -292,6 +296,32 @@
         self.leaders.insert(0, leader);
     }
 
+    /// Applies a configuration in all schedulers.
+    pub fn configure(&mut self, config: queue::Config) {
+        self.config = Arc::new(config);
+        for leader in &mut self.leaders {
+            leader.scheduler.config_changed(Arc::clone(&self.config));
+        }
+    }
+
+    /// Returns what an account has running over all workers.
+    pub fn running_of(&self, account: &id::Account) -> Resources {
+        let mut total = Resources::default();
+        for (id, accepted) in &self.stored.accepted {
+            if accepted.account.as_ref() != Some(account) {
+                continue;
+            }
+            let running = self
+                .workers
+                .values()
+                .flat_map(|worker| worker.running.keys());
+            for task in running.filter(|task| task.job == *id) {
+                total = total.plus(&accepted.spec.steps[task.step as usize].need);
+            }
+        }
+        total
+    }
+
     /// Accepts a job and passes it to all schedulers.
     pub fn submit(&mut self, id: u64, accepted: record::Accepted) {
         self.stored.accepted.push((JobId(id), accepted.clone()));
@@ -566,6 +596,15 @@
                 }
             }
         }
+        let accounts = self.config.accounts.as_ref();
+        if let (Some(accounts), Some(account)) = (accounts, &start.accepted.account)
+            && let Some(settings) = accounts.get(account)
+        {
+            let running = self.running_of(account);
+            if !settings.limits.admit(&running) {
+                violations.push(format!("QUOTA {task} of {account}, running {running:?}"));
+            }
+        }
         for line in violations {
             self.violations.push(format!("{} ms: {line}", self.now_ms));
         }
