submissions: batches by partition, one writer for all nodes while the store is slow

Cause: submissions were written one by one. Change: a queue for each partition decides what shares a transaction (src/batch/submissions.rs); one task of the node sends the batches. While transactions are slow, nodes pass their entries to the leader in one call with a deadline and an outcome for each.

--- a/node/src/batch/forward.rs
+++ b/node/src/batch/forward.rs
@@ -1,20 +1,26 @@
-//! Calls to the store that the leader makes for a node that the store turns away.
+//! Calls to the store that the leader makes for other nodes.
 //!
-//! Answers the load of an outage that hits some nodes only: their callers are served through the leader, in place of
-//! being refused until they reach another node. A forwarded transaction keeps its conditions, so that it may also be
-//! sent directly without running twice.
+//! Answers two loads. In an outage that hits some nodes only, their callers are served through the leader, in place of
+//! being refused until they reach another node. While the store is slow, the leader writes the submissions of all nodes
+//! in common transactions. A forwarded submission keeps its condition, so that it may also be sent directly without
+//! running twice.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use axum::extract::{Query, State};
 use axum::{Json, Router, routing};
+use metrics::counter;
 use serde::{Deserialize, Serialize};
+use tokio::time;
+use wasabiloft::batch::record;
+use wasabiloft::batch::submissions::{Answer, ForwardOutcome, Pace, Reason, WRITER_HOLD_MS};
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::{call, store};
 
-use crate::batch::shared;
+use crate::batch::{shared, submissions};
 use crate::clock;
 use crate::log;
 
@@ -22,6 +28,8 @@
 const STORE_TIMEOUT_MS: u64 = 600;
 /// Time for the way between the nodes, in milliseconds.
 const HOP_MS: u64 = 150;
+/// Part of a caller's remaining time that is reserved for the leader's reply, in milliseconds.
+const RETURN_MS: u64 = 50;
 /// The leader forwards nothing once the store has not answered it for this long, in milliseconds.
 const LEADER_SILENT_MS: u64 = 1_000;
 
@@ -68,6 +76,42 @@
     Failed(Verdict),
 }
 
+/// A row of the job table to write, in the same way as the rows of the leader's own callers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Entry {
+    key: String,
+    value: String,
+    /// Time until the caller's deadline, in milliseconds.
+    remaining_ms: u64,
+}
+
+impl Entry {
+    /// Returns the row to write; `None` if it can't be decoded.
+    fn item(self, now: wasabiloft::clock::Instant) -> Option<submissions::Item> {
+        let key = record::JobKey::parse(&self.key)?;
+        let accepted = match key {
+            record::JobKey::Accepted(_) => Some(serde_json::from_str(&self.value).ok()?),
+            record::JobKey::Cancelled(_) => None,
+        };
+        Some(submissions::Item {
+            key,
+            value: self.value.into_bytes(),
+            accepted,
+            deadline: now.after_ms(self.remaining_ms),
+        })
+    }
+}
+
+/// The leader's reply to forwarded entries.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EntriesReply {
+    /// The outcome of each entry, in order, and the leader's view of the store.
+    Answered { answers: Vec<Answer>, pace: Pace },
+    /// The node does not lead the duty or does not reach the store; it took no entry.
+    NotWriter,
+}
+
 /// The leader's reply to a forwarded read.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -103,6 +147,7 @@
 pub fn router() -> Router<Arc<shared::Shared>> {
     Router::new()
         .route("/transact", routing::post(transact))
+        .route("/submissions", routing::post(write_entries))
         .route("/row", routing::get(row))
 }
 
@@ -110,6 +155,7 @@
     shared.leadership().is_some() && shared.store_silent_ms() < LEADER_SILENT_MS
 }
 
+/// Commits a transaction of a node of the previous version, which does not forward entries.
 async fn transact(
     State(shared): State<Arc<shared::Shared>>,
     Json(forwarded): Json<Forwarded>,
@@ -130,7 +176,7 @@
             .collect(),
         ..store::Transaction::default()
     };
-    metrics::counter!("wasabiloft_forwarded_total").increment(1);
+    counter!("wasabiloft_forwarded_total").increment(1);
     let reply = match shared.store.transact(&transaction, STORE_TIMEOUT_MS).await {
         Ok(store::CommitOutcome::Applied(version)) => WriteReply::Applied(version),
         Ok(store::CommitOutcome::CheckFailed(_)) => WriteReply::CheckFailed,
@@ -146,7 +192,7 @@
     if !reaches_store(&shared) {
         return Json(ReadReply::Failed);
     }
-    metrics::counter!("wasabiloft_forwarded_total").increment(1);
+    counter!("wasabiloft_forwarded_total").increment(1);
     let row = shared.store.row(&name.into(), STORE_TIMEOUT_MS).await;
     Json(match row {
         Ok(row) => ReadReply::Row(row.and_then(|row| {
@@ -157,47 +203,84 @@
     })
 }
 
-fn leader(shared: &shared::Shared) -> Option<SocketAddr> {
+/// Writes the entries of another node.
+async fn write_entries(
+    State(shared): State<Arc<shared::Shared>>,
+    Json(entries): Json<Vec<Entry>>,
+) -> Json<EntriesReply> {
+    if !reaches_store(&shared) {
+        return Json(EntriesReply::NotWriter);
+    }
+    counter!("wasabiloft_forwarded_total").increment(1);
+    let now = clock::since_boot();
+    let hold_until = time::Instant::now() + Duration::from_millis(WRITER_HOLD_MS);
+    let mut receivers = Vec::new();
+    for entry in entries {
+        receivers.push(match entry.item(now) {
+            Some(item) => Some(shared.submissions.add(item).await),
+            None => None,
+        });
+    }
+    let mut answers = Vec::new();
+    for receiver in receivers {
+        answers.push(match receiver {
+            None => Answer::NotRun(Reason::StoreRefused),
+            Some(receiver) => match time::timeout_at(hold_until, receiver).await {
+                Ok(Ok(answer)) => answer,
+                // The entry is in a queue or in a transaction, and may be written after this reply.
+                Ok(Err(_)) | Err(_) => Answer::Pending,
+            },
+        });
+    }
+    let pace = shared.submissions.pace();
+    Json(EntriesReply::Answered { answers, pace })
+}
+
+/// Returns the address of the leader if another node leads the duty and answers.
+pub fn leader(shared: &shared::Shared) -> Option<SocketAddr> {
     let address: SocketAddr = shared.duty().duty?.address.parse().ok()?;
     (address != shared.settings().peers && !shared.forwarding.is_paused()).then_some(address)
 }
 
-/// Commits a transaction through the leader.
-///
-/// # Errors
-///
-/// Returns whether the transaction may have been committed, or may still be.
-pub async fn write(
+/// Passes entries to the leader, which writes them in transactions with the entries of other nodes.
+pub async fn submissions(
     shared: &shared::Shared,
-    transaction: &store::Transaction,
-    deadline: wasabiloft::clock::Instant,
-) -> Result<store::CommitOutcome, Verdict> {
-    let timeout_ms = (STORE_TIMEOUT_MS + HOP_MS).min(deadline.since_ms(clock::since_boot()));
-    let Some(address) = leader(shared).filter(|_| timeout_ms > 0) else {
-        return Err(Verdict::NotRun);
+    items: &[Arc<submissions::Item>],
+    timeout_ms: u64,
+) -> ForwardOutcome {
+    let Some(address) = leader(shared) else {
+        return ForwardOutcome::Refused;
     };
-    let mut writes = Vec::new();
-    for (name, value) in &transaction.writes {
-        let Ok(text) = std::str::from_utf8(value) else {
-            return Err(Verdict::NotRun);
-        };
-        writes.push((name.into(), text.to_owned()));
-    }
-    let forwarded = Forwarded {
-        checks: transaction
-            .checks
-            .iter()
-            .map(|(name, version)| (name.into(), *version))
-            .collect(),
-        writes,
+    let now = clock::since_boot();
+    let entry = |item: &Arc<submissions::Item>| {
+        Some(Entry {
+            key: item.key.text(),
+            value: std::str::from_utf8(&item.value).ok()?.to_owned(),
+            remaining_ms: item.deadline.since_ms(now).saturating_sub(RETURN_MS),
+        })
+    };
+    // All values are JSON, which is text.
+    let Some(entries) = items.iter().map(entry).collect::<Option<Vec<_>>>() else {
+        return ForwardOutcome::Refused;
     };
     let client = shared.peers.to(address);
-    let reply = client.post("/transact", &[], &forwarded, timeout_ms).await;
-    match decode::<WriteReply>(shared, reply) {
-        Ok(WriteReply::Applied(version)) => Ok(store::CommitOutcome::Applied(version)),
-        Ok(WriteReply::CheckFailed) => Ok(store::CommitOutcome::CheckFailed(Vec::new())),
-        Ok(WriteReply::Failed(verdict)) => Err(verdict),
-        Err(error) => Err(error.verdict),
+    let reply = client.post("/submissions", &[], &entries, timeout_ms).await;
+    if let Ok(response) = &reply
+        && response.status.is_client_error()
+    {
+        let status = response.status;
+        log::info("front", &format!("leader takes no entries status={status}"));
+        shared.forwarding.no_reply();
+        return ForwardOutcome::Refused;
+    }
+    match decode::<EntriesReply>(shared, reply) {
+        Ok(EntriesReply::Answered { answers, pace }) => ForwardOutcome::Answered(answers, pace),
+        Ok(EntriesReply::NotWriter) => {
+            shared.forwarding.no_reply();
+            ForwardOutcome::Refused
+        }
+        Err(error) if error.verdict == Verdict::NotRun => ForwardOutcome::Refused,
+        Err(_) => ForwardOutcome::NoResponse,
     }
 }
 
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod server;
 mod shared;
+mod submissions;
 mod watch;
 
 use std::path::Path;
@@ -62,6 +63,7 @@
     server::start(&shared, &mut tasks).await?;
     tasks.spawn(configuration::follow(Arc::clone(&shared)));
     tasks.spawn(duty::run(Arc::clone(&shared)));
+    let writer = tokio::spawn(submissions::run(Arc::clone(&shared)));
     let mut check = time::interval(Duration::from_millis(SETTINGS_CHECK_MS));
     loop {
         tokio::select! {
@@ -86,6 +88,14 @@
         );
         tasks.shutdown().await;
     }
+    // Requests in progress need the writer until the last connection is closed.
+    shared.submissions.closed.cancel();
+    if let Err(error) = writer.await {
+        log::warn(
+            "node",
+            &format!("writer of submissions failed reason={error}"),
+        );
+    }
     log::info(
         "node",
         &format!(
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -97,6 +97,9 @@
     pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// Whether the leader's transactions are slow, so that it writes the submissions of all nodes.
+    #[serde(default)]
+    pub store_slow: bool,
 }
 
 /// Query for the number of waiting jobs of a queue.
@@ -133,6 +136,7 @@
     };
     reply.epoch = shared.own_epoch();
     if let Some(leadership) = shared.leadership() {
+        reply.store_slow = shared.submissions.pace().is_slow;
         if let Some(offer) = heartbeat.relay {
             let strength = relays::Strength {
                 data_centre: offer.data_centre,
@@ -261,6 +265,9 @@
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
     let reply: HeartbeatReply = reply.json()?;
+    if reply.store_slow {
+        shared.submissions.announced_slow();
+    }
     let own_version = configured.config.map_or(0, |config| config.version);
     if reply.config_version > own_version && shared.store_silent_ms() > STORE_SILENT_MS {
         fetch_config(shared, address).await;
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -6,11 +6,11 @@
 use tokio::time;
 use wasabiloft::batch::JobId;
 use wasabiloft::batch::record;
-use wasabiloft::verdict::Verdict;
+use wasabiloft::batch::submissions::Answer;
 use wasabiloft_platform::{store, submission};
 
 use crate::batch::front::Outcome;
-use crate::batch::{forward, peers, shared};
+use crate::batch::{forward, peers, shared, submissions};
 use crate::clock;
 use crate::log;
 
@@ -18,10 +18,7 @@
 const CALL_TIMEOUT_MS: u64 = 900;
 /// Pause before a call is retried, in milliseconds.
 const RETRY_MS: u64 = 60;
-/// Time without any response to this node after which the store counts as unavailable, in milliseconds; requests that
-/// were not sent yet are then refused at once. Above the wait of the configuration's polls.
-const STORE_UNAVAILABLE_MS: u64 = 1_300;
-/// Time for which a write that the store rejected without effect is retried, in milliseconds.
+/// Time for which a read that failed is retried before it goes through the leader, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 120;
 /// Timeout of a call to the leader, in milliseconds; a job's state is then read from the store.
 const LEADER_TIMEOUT_MS: u64 = 400;
@@ -32,63 +29,14 @@
     (remaining_ms > 0).then_some(remaining_ms.min(CALL_TIMEOUT_MS))
 }
 
-/// Retries a conditional write until its outcome is known or the caller's deadline has passed.
-async fn write(
-    shared: &shared::Shared,
-    transaction: &store::Transaction,
-    deadline: wasabiloft::clock::Instant,
-) -> Result<store::CommitOutcome, Outcome> {
-    let began_at = clock::since_boot();
-    let mut verdict = Verdict::NotRun;
-    while let Some(timeout_ms) = call_timeout_ms(deadline) {
-        let is_away = shared.store_silent_ms() > STORE_UNAVAILABLE_MS;
-        if !is_away {
-            match shared.store.transact(transaction, timeout_ms).await {
-                Ok(outcome) => {
-                    shared.record_store_response();
-                    return Ok(outcome);
-                }
-                Err(error) => {
-                    if error.verdict() != Verdict::NotRun {
-                        verdict = Verdict::MayHaveRun;
-                    }
-                    metrics::counter!("wasabiloft_store_retries_total").increment(1);
-                }
-            }
-        }
-        let refused_ms = clock::since_boot().since_ms(began_at);
-        if is_away || refused_ms > REFUSED_RETRY_MS {
-            // The store may turn away this node only.
-            match forward::write(shared, transaction, deadline).await {
-                Ok(outcome) => return Ok(outcome),
-                Err(Verdict::NotRun) if verdict == Verdict::NotRun => {
-                    let reason = if is_away {
-                        "store-away"
-                    } else {
-                        "store-refused"
-                    };
-                    return Err(Outcome::NotRun(reason));
-                }
-                Err(Verdict::NotRun) => {}
-                Err(_) => verdict = Verdict::MayHaveRun,
-            }
-        }
-        time::sleep(Duration::from_millis(RETRY_MS)).await;
-    }
-    match verdict {
-        Verdict::NotRun => Err(Outcome::NotRun("store-refused")),
-        _ => Err(Outcome::Unknown("store-unanswered")),
+/// Returns the outcome of a request whose row was not written, or may not have been.
+fn unwritten(answer: Answer) -> Outcome {
+    match answer {
+        Answer::NotRun(reason) => Outcome::NotRun(submissions::reason_text(reason)),
+        _ => Outcome::Unknown("store-unanswered"),
     }
 }
 
-/// Returns the log field that names a job's account; empty without an account.
-fn account_field(accepted: &record::Accepted) -> String {
-    accepted
-        .account
-        .as_ref()
-        .map_or_else(String::new, |account| format!(" account={account}"))
-}
-
 /// Accepts a job; once its row is committed, the job survives the loss of any node.
 pub async fn submit(
     shared: &Arc<shared::Shared>,
@@ -100,48 +48,32 @@
         Ok(value) => value,
         Err(error) => return Outcome::Invalid(error.to_string()),
     };
-    let name = store::Name::new(
-        record::JOB_TABLE,
-        &record::job_partition(job),
-        &record::JobKey::Accepted(job).text(),
-    );
-    let transaction = store::Transaction {
-        checks: vec![(name.clone(), 0)],
-        writes: vec![(name, value)],
-        ..store::Transaction::default()
+    let item = submissions::Item {
+        key: record::JobKey::Accepted(job),
+        value,
+        accepted: Some(accepted),
+        deadline,
     };
-    match write(shared, &transaction, deadline).await {
-        Ok(store::CommitOutcome::Applied(version)) => {
-            log::info(
-                "front",
-                &format!(
-                    "accept job={job} queue={}{} version={version}",
-                    accepted.queue.name,
-                    account_field(&accepted)
-                ),
-            );
-            if let Some(leadership) = shared.leadership() {
-                leadership.accepted(job, accepted);
-            }
-            Outcome::Done(submission::state_body(record::State::Queued))
-        }
-        Ok(store::CommitOutcome::CheckFailed(_)) => {
+    // The node that commits the row logs it and passes it to the scheduler.
+    match shared.submissions.write(item).await {
+        Answer::Committed(_) => Outcome::Done(submission::state_body(record::State::Queued)),
+        Answer::Exists => {
             log::info("front", &format!("accept again job={job}"));
             Outcome::Done(submission::state_body(record::State::Queued))
         }
-        Err(outcome) => outcome,
+        answer => unwritten(answer),
     }
 }
 
 /// Retries the read of a row until it succeeds or the caller's deadline has passed.
-async fn read(
+pub async fn read(
     shared: &shared::Shared,
     name: &store::Name,
     deadline: wasabiloft::clock::Instant,
 ) -> Result<Option<store::Row>, Outcome> {
     let began_at = clock::since_boot();
     while let Some(timeout_ms) = call_timeout_ms(deadline) {
-        let is_away = shared.store_silent_ms() > STORE_UNAVAILABLE_MS;
+        let is_away = shared.store_silent_ms() > submissions::STORE_UNAVAILABLE_MS;
         if !is_away {
             match shared.store.row(name, timeout_ms).await {
                 Ok(row) => {
@@ -259,19 +191,17 @@
         Ok(None) => return Outcome::NoJob,
         Err(outcome) => return outcome,
     }
-    let transaction = store::Transaction {
-        writes: vec![(job_row(job, record::JobKey::Cancelled(job)), b"{}".to_vec())],
-        ..store::Transaction::default()
+    let item = submissions::Item {
+        key: record::JobKey::Cancelled(job),
+        value: b"{}".to_vec(),
+        accepted: None,
+        deadline,
     };
-    match write(shared, &transaction, deadline).await {
-        Ok(_) => {
-            log::info("front", &format!("cancel job={job}"));
-            if let Some(leadership) = shared.leadership() {
-                leadership.cancelled(job);
-            }
+    match shared.submissions.write(item).await {
+        Answer::Committed(_) | Answer::Exists => {
             Outcome::Done(submission::state_body(record::State::Cancelled))
         }
-        Err(outcome) => outcome,
+        answer => unwritten(answer),
     }
 }
 
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -68,6 +68,7 @@
     /// Permits for followers that read the configuration from this node.
     pub(super) config_transfers: Semaphore,
     pub(super) forwarding: super::forward::Breaker,
+    pub(super) submissions: super::submissions::Handle,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -93,6 +94,7 @@
             peers: super::peers::Clients::default(),
             config_transfers: Semaphore::new(super::peers::CONFIG_TRANSFERS_MAX),
             forwarding: super::forward::Breaker::default(),
+            submissions: super::submissions::Handle::default(),
         }
     }
 
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -16,6 +16,7 @@
 pub mod rejection;
 pub mod relays;
 pub mod spec;
+pub mod submissions;
 pub mod succession;
 pub mod waves;
 pub mod worker_state;
