--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -18,3 +18,4 @@
 mod test_slots;
 mod test_soak;
 mod test_stop;
+mod test_submissions;
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -19,6 +19,9 @@
 /// Delay of a late write, in milliseconds; longer than any caller waits for the response.
 const LATE_WRITE_DELAY_MS: u64 = 1_600;
 
+/// A partition refuses transactions if more than this is waiting.
+const WAITING_MAX: Duration = Duration::from_secs(1);
+
 type Key = (String, String, String);
 
 /// A row as sent on the wire.
@@ -66,6 +69,12 @@
     pub late_writes: AtomicU32,
     /// Delay added to each response to a transaction or range read, in milliseconds.
     pub delay_ms: AtomicU64,
+    /// Time that a partition takes for a transaction, in milliseconds; a partition processes them one by one.
+    pub transaction_ms: AtomicU64,
+    /// Number of transactions received for each table.
+    transactions: Mutex<BTreeMap<String, u64>>,
+    /// When each partition will have processed its transactions.
+    busy_until: Mutex<BTreeMap<String, time::Instant>>,
     /// The change feed no longer holds changes up to this version.
     compacted_version: AtomicU64,
     clock: Clock,
@@ -189,6 +198,33 @@
         u64::try_from(self.clock.0.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the number of transactions received that wrote to a table.
+    pub fn transactions(&self, table: &str) -> u64 {
+        lock(&self.transactions).get(table).copied().unwrap_or(0)
+    }
+
+    /// Waits until a partition has processed the transactions before this one and this one; returns false if too many
+    /// are waiting.
+    async fn wait_for_partition(&self, part: &str) -> bool {
+        let duration = Duration::from_millis(self.transaction_ms.load(Ordering::Relaxed));
+        if duration.is_zero() {
+            return true;
+        }
+        let done_at = {
+            let mut busy_until = lock(&self.busy_until);
+            let now = time::Instant::now();
+            let busy_until = busy_until.entry(part.to_owned()).or_insert(now);
+            let start = now.max(*busy_until);
+            if start.duration_since(now) > WAITING_MAX {
+                return false;
+            }
+            *busy_until = start + duration;
+            *busy_until
+        };
+        time::sleep_until(done_at).await;
+        true
+    }
+
     async fn delay_response(&self) {
         let delay_ms = self.delay_ms.load(Ordering::Relaxed);
         if delay_ms > 0 {
@@ -279,6 +315,14 @@
     if store.unavailable.load(Ordering::Relaxed) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if let Some(row) = transaction.writes.first() {
+        *lock(&store.transactions)
+            .entry(row.table.clone())
+            .or_default() += 1;
+        if !store.wait_for_partition(&row.part).await {
+            return StatusCode::TOO_MANY_REQUESTS.into_response();
+        }
+    }
     store.delay_response().await;
     if consume_fault(&store.late_writes) {
         // Applied in a separate task, as the caller gives up first and its disconnect must not cancel the write.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision library, one module per component.
 
 mod fake_slots;
+mod fake_submissions;
 mod fake_table;
 mod fake_workers;
 #[path = "../measure/src/keys_world.rs"]
@@ -17,6 +18,7 @@
 mod test_batch_rejection;
 mod test_batch_relays;
 mod test_batch_room;
+mod test_batch_submissions;
 mod test_batch_succession;
 mod test_batch_trials;
 mod test_config;
