submissions: outcomes without response are read, rows just written are remembered

Change: the rows of a batch without response are read before they are sent again; a node remembers for 10 s which rows it wrote. A copy of an entry in flight waits for it; the writer holds calls for 1.1 s, and transactions are overdue after 0.7 s.

--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -178,7 +178,7 @@
                     .transaction_ended(now, id, outcome, rand::random());
             }
             Ok(Done::Forward(id, outcome)) => self.queues.forward_ended(now, id, outcome),
-            Ok(Done::Read(ticket, exists)) => self.queues.read_ended(ticket, exists),
+            Ok(Done::Read(ticket, exists)) => self.queues.read_ended(now, ticket, exists),
             // The callers get an unknown outcome at their deadlines.
             Err(error) => log::warn("submissions", &format!("call failed reason={error}")),
         }
--- a/src/batch/submissions.rs
+++ b/src/batch/submissions.rs
@@ -17,7 +17,7 @@
 
 use crate::batch::record;
 use crate::clock;
-use partition::{Durations, Entry, FORWARDED_IN_FLIGHT_MAX, InFlight, Partition, Terms};
+use partition::{Durations, Entry, FORWARDED_IN_FLIGHT_MAX, InFlight, KnownRows, Partition, Terms};
 
 /// Transactions count as slow above this duration, in milliseconds; 12 times the duration without load.
 pub const SLOW_MS: u64 = 100;
@@ -25,12 +25,14 @@
 const FAST_MS: u64 = 50;
 /// A node without news of the transactions' duration for this long assumes that they are fast, in milliseconds.
 const SLOW_EXPIRY_MS: u64 = 2_000;
-/// Range of the timeout of a transaction, in milliseconds: above a second of waiting transactions in a slow store.
-const TIMEOUT_MIN_MS: u64 = 900;
-const TIMEOUT_MAX_MS: u64 = 2_500;
+/// Timeout of a transaction while they are fast, in milliseconds.
+const TIMEOUT_FAST_MS: u64 = 900;
+/// Range of the timeout while they are slow, in milliseconds: above a second of waiting transactions and one more.
+const TIMEOUT_SLOW_MIN_MS: u64 = 1_600;
+const TIMEOUT_SLOW_MAX_MS: u64 = 2_500;
 /// Time for which the writer holds a call before it answers that entries are pending, in milliseconds; covers a
-/// transaction of 0.5 s in flight and most of the next one.
-pub const WRITER_HOLD_MS: u64 = 900;
+/// transaction of 0.5 s in flight and the next one.
+pub const WRITER_HOLD_MS: u64 = 1_100;
 /// Timeout of a call to the writer, in milliseconds; a writer that is alive answers within its hold.
 const FORWARD_TIMEOUT_MS: u64 = WRITER_HOLD_MS + 300;
 /// Interval of [`Queues::poll`] while there is something to watch, in milliseconds; about a transaction without load.
@@ -166,6 +168,7 @@
 #[derive(Debug, Default)]
 pub struct Queues {
     partitions: BTreeMap<String, Partition>,
+    known: KnownRows,
     durations: Durations,
     is_slow: bool,
     is_forwarding: bool,
@@ -191,6 +194,10 @@
     ) -> Ticket {
         let ticket = Ticket(self.next_number());
         let (record::JobKey::Accepted(job) | record::JobKey::Cancelled(job)) = key;
+        if self.known.contains(now, key) {
+            self.actions.push(Action::Answer(ticket, Answer::Exists));
+            return ticket;
+        }
         let partition = self
             .partitions
             .entry(record::job_partition(job))
@@ -204,6 +211,7 @@
             deadline,
             may_have_run,
             alone: false,
+            last_read: false,
             answered: false,
         });
         ticket
@@ -246,6 +254,11 @@
             median_ms: self.durations.median_ms(now),
             least_ms: self.durations.least_ms(now),
         };
+        let transaction_timeout_ms = if self.is_slow {
+            (3 * terms.median_ms).clamp(TIMEOUT_SLOW_MIN_MS, TIMEOUT_SLOW_MAX_MS)
+        } else {
+            TIMEOUT_FAST_MS
+        };
         let mut actions = std::mem::take(&mut self.actions);
         let is_forwarding = self.is_slow && view.can_forward;
         if is_forwarding != self.is_forwarding {
@@ -259,10 +272,7 @@
                 let forwarded = |batch: &&InFlight| batch.path == Path::Forwarded;
                 let forwarded = partition.in_flight.iter().filter(forwarded).count();
                 let (is_free, timeout_ms) = match path {
-                    Path::Direct => (
-                        partition.free(&terms) > 0,
-                        (3 * terms.median_ms).clamp(TIMEOUT_MIN_MS, TIMEOUT_MAX_MS),
-                    ),
+                    Path::Direct => (partition.free(&terms) > 0, transaction_timeout_ms),
                     Path::Forwarded => (forwarded < FORWARDED_IN_FLIGHT_MAX, FORWARD_TIMEOUT_MS),
                 };
                 let entries = if is_free {
@@ -362,8 +372,10 @@
             partition.forward_next = false;
             partition.retry_at = now;
         }
+        let mut known = Vec::new();
         match outcome {
             Outcome::Committed(version) => {
+                known.extend(batch.entries.iter().map(|entry| entry.key));
                 for entry in &batch.entries {
                     partition.exists(entry, Answer::Committed(version), &mut actions);
                 }
@@ -377,6 +389,7 @@
                 let is_unexplained = existing.is_empty();
                 rest.iter_mut()
                     .for_each(|entry| entry.alone |= is_unexplained);
+                known.extend(existing.iter().map(|entry| entry.key));
                 for entry in &existing {
                     partition.exists(entry, Answer::Exists, &mut actions);
                 }
@@ -415,9 +428,10 @@
             Outcome::NoResponse => {
                 partition.back_off(now, random);
                 partition.forward_next = true;
-                partition.unknown(batch.entries);
+                partition.resolve(now, batch.entries, &mut actions);
             }
         }
+        self.known.extend(now, known);
         if is_taken {
             self.measured(now, duration_ms);
         } else if is_overloaded {
@@ -447,7 +461,11 @@
                         Answer::Committed(_) | Answer::Exists => {
                             partition.exists(&entry, answer, &mut actions);
                         }
-                        Answer::Pending => partition.unknown(vec![entry]),
+                        Answer::Pending => {
+                            let mut entries = vec![entry];
+                            partition.mark_unknown(&mut entries);
+                            partition.put_back(entries);
+                        }
                         Answer::NotRun(reason) => partition.give_up(&entry, reason, &mut actions),
                         Answer::Unknown => {
                             entry.may_have_run = true;
@@ -457,7 +475,7 @@
                 }
             }
             ForwardOutcome::Refused => partition.put_back(batch.entries),
-            ForwardOutcome::NoResponse => partition.unknown(batch.entries),
+            ForwardOutcome::NoResponse => partition.resolve(now, batch.entries, &mut actions),
         }
         if let Some(pace) = announced {
             self.announced(now, pace);
@@ -466,8 +484,9 @@
     }
 
     /// Applies the outcome of reading an entry's row; `None` if the read failed.
-    pub fn read_ended(&mut self, ticket: Ticket, exists: Option<bool>) {
+    pub fn read_ended(&mut self, now: clock::Instant, ticket: Ticket, exists: Option<bool>) {
         let mut actions = std::mem::take(&mut self.actions);
+        let mut existing = None;
         for partition in self.partitions.values_mut() {
             let at = partition
                 .reading
@@ -478,10 +497,14 @@
             };
             if exists == Some(true) {
                 partition.exists(&entry, Answer::Exists, &mut actions);
-            } else {
+                existing = Some(entry.key);
+            } else if entry.last_read {
                 partition.give_up(&entry, Reason::StoreRefused, &mut actions);
+            } else {
+                partition.waiting.push(entry);
             }
         }
+        self.known.extend(now, existing);
         self.actions = actions;
     }
 }
--- a/src/batch/submissions/partition.rs
+++ b/src/batch/submissions/partition.rs
@@ -22,20 +22,28 @@
 /// The same while they are slow: the next transaction collects what arrives meanwhile.
 const IN_FLIGHT_SLOW_MAX: usize = 1;
 /// Minimum age of a transaction for its response to count as overdue, in milliseconds; it then no longer delays the next.
-const OVERDUE_MIN_MS: u64 = 300;
+/// Above a transaction of 0.5 s, as no slow one has been measured when the store has just become slow.
+const OVERDUE_MIN_MS: u64 = 700;
 /// Maximum number of calls to the writer in flight for a partition; they wait at the writer, not at the store.
 pub(super) const FORWARDED_IN_FLIGHT_MAX: usize = 4;
 /// Range of the pause after a refused transaction, in milliseconds; it doubles with each refusal.
 const BACKOFF_MIN_MS: u64 = 40;
-const BACKOFF_MAX_MS: u64 = 320;
+const BACKOFF_MAX_MS: u64 = 160;
 /// After refusals for this long the next attempt goes to the writer, in milliseconds: the store may refuse this node only.
 const REFUSED_FORWARD_MS: u64 = 120;
 /// A partition counts as unavailable after this many refusals in a row over this time, in milliseconds. With 0.3 of all
 /// calls refused at random, 2 in 1,000 submissions are given up.
 const UNAVAILABLE_REFUSALS: u32 = 5;
 const UNAVAILABLE_MS: u64 = 400;
+/// Timeout of a read that is followed by another transaction, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 400;
 /// Minimum time before the deadline for which a read is worth its call, in milliseconds.
 const READ_MIN_MS: u64 = 20;
+/// Rows are known to exist for this long, in milliseconds: several attempts of a caller, and far below the time for which
+/// the rows of an ended job are kept.
+const KNOWN_ROWS_EXPIRY_MS: u64 = 10_000;
+/// Maximum number of known rows.
+const KNOWN_ROWS_MAX: usize = 2_048;
 /// Refusals before a pause of this length are not counted with later ones, in milliseconds.
 const REFUSALS_EXPIRY_MS: u64 = 1_000;
 
@@ -50,6 +58,8 @@
     pub(super) may_have_run: bool,
     /// Whether the entry is sent in a transaction of its own.
     pub(super) alone: bool,
+    /// Whether the entry's row is read for the last time, as the deadline leaves no time for a transaction.
+    pub(super) last_read: bool,
     /// Whether the caller was answered while the entry was in flight.
     pub(super) answered: bool,
 }
@@ -111,8 +121,36 @@
     }
 }
 
+/// Rows that are known to exist. While the store is slow, callers repeat submissions whose row has just been written;
+/// each would make the transaction that it shares fail.
+#[derive(Debug, Default)]
+pub(super) struct KnownRows {
+    recent: VecDeque<(clock::Instant, record::JobKey)>,
+}
+
+impl KnownRows {
+    pub(super) fn extend<I>(&mut self, now: clock::Instant, keys: I)
+    where
+        I: IntoIterator<Item = record::JobKey>,
+    {
+        self.recent.extend(keys.into_iter().map(|key| (now, key)));
+        let excess = self.recent.len().saturating_sub(KNOWN_ROWS_MAX);
+        self.recent.drain(..excess);
+    }
+
+    pub(super) fn contains(&self, now: clock::Instant, key: record::JobKey) -> bool {
+        let is_recent = |at: clock::Instant| now.since_ms(at) < KNOWN_ROWS_EXPIRY_MS;
+        let mut recent = self
+            .recent
+            .iter()
+            .rev()
+            .take_while(|(at, _)| is_recent(*at));
+        recent.any(|(_, known)| *known == key)
+    }
+}
+
 /// What applies to all partitions in one poll.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Terms {
     pub(super) now: clock::Instant,
     pub(super) view: View,
@@ -236,17 +274,21 @@
     pub(super) fn give_up_late(&mut self, terms: &Terms, actions: &mut Vec<Action>) {
         let end = self.expected_end(terms);
         let unreachable = terms.view.store_away && !terms.view.can_forward;
+        let in_flight = self.in_flight.iter().flat_map(|batch| &batch.entries);
+        let written: Vec<record::JobKey> = in_flight.map(|entry| entry.key).collect();
         let is_late = |entry: &Entry| {
+            // A transaction in flight with the same row decides for this entry too.
             entry.deadline <= terms.now
-                || end > entry.deadline
+                || (end > entry.deadline && !written.contains(&entry.key))
                 || (unreachable && !entry.may_have_run)
         };
         let (late, waiting) = self.waiting.drain(..).partition(is_late);
         self.waiting = waiting;
         let late: Vec<Entry> = late;
-        for entry in late {
+        for mut entry in late {
             let remaining_ms = entry.deadline.since_ms(terms.now);
             if entry.may_have_run && remaining_ms >= READ_MIN_MS {
+                entry.last_read = true;
                 actions.push(Action::Read {
                     ticket: entry.ticket,
                     timeout_ms: remaining_ms,
@@ -334,9 +376,9 @@
         self.refusals += 1;
     }
 
-    /// Puts entries back whose transaction may have been committed; the next attempt shows whether it was.
-    pub(super) fn unknown(&mut self, mut entries: Vec<Entry>) {
-        for entry in &mut entries {
+    /// Marks entries whose transaction may have been committed, and all others of the same rows.
+    pub(super) fn mark_unknown(&mut self, entries: &mut [Entry]) {
+        for entry in entries {
             entry.may_have_run = true;
             let same = self
                 .waiting
@@ -344,6 +386,23 @@
                 .filter(|other| other.key == entry.key);
             same.for_each(|other| other.may_have_run = true);
         }
-        self.put_back(entries);
+    }
+
+    /// Reads the rows of entries whose transaction got no response. Most were committed, and reads don't wait for the
+    /// partition's transactions.
+    pub(super) fn resolve(
+        &mut self,
+        now: clock::Instant,
+        mut entries: Vec<Entry>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.mark_unknown(&mut entries);
+        for entry in entries.into_iter().filter(|entry| !entry.answered) {
+            actions.push(Action::Read {
+                ticket: entry.ticket,
+                timeout_ms: entry.deadline.since_ms(now).min(READ_TIMEOUT_MS),
+            });
+            self.reading.push(entry);
+        }
     }
 }
