submissions: the leader announces slow transactions

Cause: each node learned of a slow store by a transaction of its own; these filled the partitions for the first second.

--- a/node/src/batch/forward.rs
+++ b/node/src/batch/forward.rs
@@ -33,6 +33,9 @@
 /// The leader forwards nothing once the store has not answered it for this long, in milliseconds.
 const LEADER_SILENT_MS: u64 = 1_000;
 
+/// Timeout of telling a node that transactions are slow, in milliseconds.
+const ANNOUNCE_TIMEOUT_MS: u64 = 400;
+
 /// Name of a row.
 #[derive(Debug, Serialize, Deserialize)]
 struct RowName {
@@ -148,6 +151,7 @@
     Router::new()
         .route("/transact", routing::post(transact))
         .route("/submissions", routing::post(write_entries))
+        .route("/slow", routing::post(announced_slow))
         .route("/row", routing::get(row))
 }
 
@@ -203,6 +207,22 @@
     })
 }
 
+/// Takes the leader's announcement that transactions are slow.
+async fn announced_slow(State(shared): State<Arc<shared::Shared>>) {
+    shared.submissions.announced_slow();
+}
+
+/// Tells a node that transactions are slow; a node that misses it finds out by its own next transaction.
+pub async fn announce_slow(shared: Arc<shared::Shared>, address: SocketAddr) {
+    let client = shared.peers.to(address);
+    if let Err(error) = client.post("/slow", &[], &(), ANNOUNCE_TIMEOUT_MS).await {
+        log::info(
+            "submissions",
+            &format!("node not told address={address} reason={error}"),
+        );
+    }
+}
+
 /// Writes the entries of another node.
 async fn write_entries(
     State(shared): State<Arc<shared::Shared>>,
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -69,6 +69,9 @@
     /// CPU of the follower, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// Address at which other nodes reach the follower; absent from nodes of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
     /// How the follower can relay commands; absent if it stops.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<RelayOffer>,
@@ -97,9 +100,6 @@
     pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
-    /// Whether the leader's transactions are slow, so that it writes the submissions of all nodes.
-    #[serde(default)]
-    pub store_slow: bool,
 }
 
 /// Query for the number of waiting jobs of a queue.
@@ -136,7 +136,9 @@
     };
     reply.epoch = shared.own_epoch();
     if let Some(leadership) = shared.leadership() {
-        reply.store_slow = shared.submissions.pace().is_slow;
+        if let Some(address) = heartbeat.peers {
+            shared.submissions.heard(address, now);
+        }
         if let Some(offer) = heartbeat.relay {
             let strength = relays::Strength {
                 data_centre: offer.data_centre,
@@ -259,15 +261,13 @@
             .map_or(0, |config| config.version),
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
+        peers: Some(settings.peers),
         relay: (!shared.stop.is_cancelled()).then_some(relay),
     };
     let sent_at = clock::since_boot();
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
     let reply: HeartbeatReply = reply.json()?;
-    if reply.store_slow {
-        shared.submissions.announced_slow();
-    }
     let own_version = configured.config.map_or(0, |config| config.version);
     if reply.config_version > own_version && shared.store_silent_ms() > STORE_SILENT_MS {
         fetch_config(shared, address).await;
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -2,6 +2,7 @@
 //! [`wasabiloft::batch::submissions`], sends their batches to the store or to the writer, and answers the callers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -13,8 +14,8 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::record;
 use wasabiloft::batch::submissions::{
-    Action, Answer, Batch, BatchId, ForwardOutcome, Outcome, POLL_MS, Pace, Path, Queues, Reason,
-    Ticket, View,
+    ANNOUNCE_MS, Action, Answer, Batch, BatchId, ForwardOutcome, Outcome, POLL_MS, Pace, Path,
+    Queues, Reason, Ticket, View,
 };
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::store;
@@ -25,6 +26,9 @@
 
 /// Maximum number of entries that wait to be taken by the task; more wait at their senders.
 const CHANNEL_MAX: usize = 1_024;
+/// A follower without a heartbeat for this long is not told about a slow store, in milliseconds; three of the slowest
+/// heartbeats.
+const FOLLOWER_SILENT_MS: u64 = 6_000;
 /// Time without any response to this node after which the store counts as unavailable, in milliseconds; requests that
 /// were not sent yet are then refused at once. Above the wait of the configuration's polls.
 pub const STORE_UNAVAILABLE_MS: u64 = 1_300;
@@ -53,6 +57,8 @@
     sender: mpsc::Sender<Command>,
     receiver: Mutex<Option<mpsc::Receiver<Command>>>,
     pace: Mutex<Pace>,
+    /// Nodes that sent a heartbeat to this node as leader, and when the last one came.
+    followers: Mutex<HashMap<SocketAddr, wasabiloft::clock::Instant>>,
     /// Cancelled when no more entries come.
     pub closed: CancellationToken,
 }
@@ -64,6 +70,7 @@
             sender,
             receiver: Mutex::new(Some(receiver)),
             pace: Mutex::default(),
+            followers: Mutex::default(),
             closed: CancellationToken::new(),
         }
     }
@@ -95,6 +102,14 @@
         self.add(item).await.await.unwrap_or(Answer::Unknown)
     }
 
+    /// Records a follower's heartbeat.
+    pub fn heard(&self, address: SocketAddr, now: wasabiloft::clock::Instant) {
+        let followers = self.followers.lock();
+        let mut followers = followers.unwrap_or_else(PoisonError::into_inner);
+        followers.retain(|_, at| now.since_ms(*at) < FOLLOWER_SILENT_MS);
+        followers.insert(address, now);
+    }
+
     /// Returns this node's view of the store's transactions.
     pub fn pace(&self) -> Pace {
         *self.pace.lock().unwrap_or_else(PoisonError::into_inner)
@@ -106,7 +121,7 @@
             is_slow: true,
             transaction_ms: 0,
         };
-        // A full channel delays the announcement until the next heartbeat.
+        // A full channel delays the announcement until the next one.
         let _ = self.sender.try_send(Command::Announced(pace));
     }
 }
@@ -123,6 +138,8 @@
     queues: Queues,
     items: HashMap<Ticket, (Arc<Item>, oneshot::Sender<Answer>)>,
     calls: JoinSet<Done>,
+    announcements: JoinSet<()>,
+    announced_at: wasabiloft::clock::Instant,
 }
 
 /// Writes what is queued until the handle is closed.
@@ -138,6 +155,8 @@
         queues: Queues::default(),
         items: HashMap::new(),
         calls: JoinSet::new(),
+        announcements: JoinSet::new(),
+        announced_at: wasabiloft::clock::Instant::ZERO,
     };
     loop {
         tokio::select! {
@@ -154,12 +173,17 @@
         writer.poll();
     }
     writer.calls.shutdown().await;
+    writer.announcements.shutdown().await;
 }
 
 impl Writer {
     fn take(&mut self, command: Command) {
         let now = clock::since_boot();
         match command {
+            Command::Write(item, sender) if self.is_known(item.key) => {
+                // The caller can be gone.
+                let _ = sender.send(Answer::Exists);
+            }
             Command::Write(item, sender) => {
                 let ticket = self
                     .queues
@@ -170,6 +194,18 @@
         }
     }
 
+    /// Returns whether this node leads the duty and has read the row of a submission. While the store is slow, callers
+    /// repeat submissions, and each repeat would make the transaction that it shares fail.
+    fn is_known(&self, key: record::JobKey) -> bool {
+        match key {
+            record::JobKey::Accepted(job) => {
+                let leadership = self.shared.leadership();
+                leadership.is_some_and(|leadership| leadership.state(job).is_some())
+            }
+            record::JobKey::Cancelled(_) => false,
+        }
+    }
+
     fn ended(&mut self, done: Result<Done, tokio::task::JoinError>) {
         let now = clock::since_boot();
         match done {
@@ -217,11 +253,35 @@
                 }
             }
         }
+        self.announce(now);
         let pace = self.queues.pace(now);
         let shared_pace = self.shared.submissions.pace.lock();
         *shared_pace.unwrap_or_else(PoisonError::into_inner) = pace;
     }
 
+    /// Tells all followers that transactions are slow if this node leads the duty.
+    fn announce(&mut self, now: wasabiloft::clock::Instant) {
+        while self.announcements.try_join_next().is_some() {}
+        if now.since_ms(self.announced_at) < ANNOUNCE_MS
+            || !self.queues.announces_slow(now)
+            || self.shared.leadership().is_none()
+        {
+            return;
+        }
+        self.announced_at = now;
+        let followers = self.shared.submissions.followers.lock();
+        let followers = followers.unwrap_or_else(PoisonError::into_inner);
+        log::info(
+            "submissions",
+            &format!("slow transactions announced nodes={}", followers.len()),
+        );
+        for &address in followers.keys() {
+            let shared = Arc::clone(&self.shared);
+            self.announcements
+                .spawn(forward::announce_slow(shared, address));
+        }
+    }
+
     fn send(&mut self, batch: Batch) {
         let items = batch
             .tickets
--- a/src/batch/submissions.rs
+++ b/src/batch/submissions.rs
@@ -9,14 +9,14 @@
 //! paths, without being accepted twice. Once it was part of a transaction without a response, it is never reported as
 //! not run, because the transaction may still be committed.
 
+mod outcome;
 mod partition;
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-
 use crate::batch::record;
 use crate::clock;
+pub use outcome::{Answer, ForwardOutcome, Outcome, Pace, Reason};
 use partition::{Durations, Entry, FORWARDED_IN_FLIGHT_MAX, InFlight, KnownRows, Partition, Terms};
 
 /// Transactions count as slow above this duration, in milliseconds; 12 times the duration without load.
@@ -35,6 +35,9 @@
 pub const WRITER_HOLD_MS: u64 = 1_100;
 /// Timeout of a call to the writer, in milliseconds; a writer that is alive answers within its hold.
 const FORWARD_TIMEOUT_MS: u64 = WRITER_HOLD_MS + 300;
+/// Interval at which the writer tells the other nodes that transactions are slow, in milliseconds; nodes without
+/// submissions would otherwise forget it and try the store themselves.
+pub const ANNOUNCE_MS: u64 = 1_500;
 /// Interval of [`Queues::poll`] while there is something to watch, in milliseconds; about a transaction without load.
 pub const POLL_MS: u64 = 10;
 
@@ -46,34 +49,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BatchId(pub u64);
 
-/// Why an entry was given up without having run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Reason {
-    /// The store has not responded to this node for a while.
-    StoreAway,
-    /// The store refuses the transactions of the partition, or this entry.
-    StoreRefused,
-    /// A transaction takes longer than the caller waits.
-    DeadlineTooShort,
-}
-
-/// Outcome of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Answer {
-    /// The row was written, at this version.
-    Committed(u64),
-    /// The row exists already.
-    Exists,
-    /// The row was not written and never will be.
-    NotRun(Reason),
-    /// The row may have been written, or may still be.
-    Unknown,
-    /// The entry is in the writer's queue or in a transaction. Sent between nodes only.
-    Pending,
-}
-
 /// Where a batch is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -83,43 +58,6 @@
     Forwarded,
 }
 
-/// Outcome of a transaction.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// All entries were written, at this version.
-    Committed(u64),
-    /// Nothing was written, since these rows exist.
-    CheckFailed(Vec<record::JobKey>),
-    /// Nothing was written: the store is unavailable.
-    Unavailable,
-    /// Nothing was written: too many transactions or calls are waiting.
-    Overloaded,
-    /// Nothing was written: the store does not accept an entry.
-    Invalid,
-    /// The transaction may have been committed, or may still be.
-    NoResponse,
-}
-
-/// Outcome of a call to the writer.
-#[derive(Clone, Debug)]
-pub enum ForwardOutcome {
-    /// The outcome of each entry, in the order of the batch, and the writer's view of the store.
-    Answered(Vec<Answer>, Pace),
-    /// No entry was taken.
-    Refused,
-    /// The entries may have been written, or may still be.
-    NoResponse,
-}
-
-/// A node's view of the store's transactions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pace {
-    /// Whether transactions are slow.
-    pub is_slow: bool,
-    /// Their usual duration, in milliseconds; 0 if none was measured lately.
-    pub transaction_ms: u64,
-}
-
 /// What a node knows about its paths.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
@@ -225,6 +163,16 @@
         }
     }
 
+    /// Returns whether the writer tells all nodes that transactions are slow. A single lost response is no reason.
+    pub fn announces_slow(&self, now: clock::Instant) -> bool {
+        let in_flight = self
+            .partitions
+            .values()
+            .flat_map(|partition| &partition.in_flight);
+        let late = in_flight.filter(|batch| batch.counted_slow).count();
+        self.is_slow && (late > 1 || self.durations.median_ms(now) >= SLOW_MS)
+    }
+
     /// Applies the writer's view of the store's transactions.
     pub fn announced(&mut self, now: clock::Instant, pace: Pace) {
         if pace.transaction_ms > 0 {
