--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -69,6 +69,9 @@
     /// CPU of the follower, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// Address at which other nodes reach the follower; absent from nodes of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
     /// How the follower can relay commands; absent if it stops.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<RelayOffer>,
@@ -133,6 +136,9 @@
     };
     reply.epoch = shared.own_epoch();
     if let Some(leadership) = shared.leadership() {
+        if let Some(address) = heartbeat.peers {
+            shared.submissions.heard(address, now);
+        }
         if let Some(offer) = heartbeat.relay {
             let strength = relays::Strength {
                 data_centre: offer.data_centre,
@@ -255,6 +261,7 @@
             .map_or(0, |config| config.version),
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
+        peers: Some(settings.peers),
         relay: (!shared.stop.is_cancelled()).then_some(relay),
     };
     let sent_at = clock::since_boot();
