--- a/node/src/batch/configuration.rs
+++ b/node/src/batch/configuration.rs
@@ -10,8 +10,11 @@
 use crate::clock;
 use crate::log;
 
-/// Wait of a long poll for changes, in milliseconds; a fifth of the time within which a version must be in force.
-const POLL_WAIT_MS: u64 = 400;
+/// Maximum wait of a long poll for changes, in milliseconds.
+const POLL_WAIT_MAX_MS: u64 = 400;
+/// Maximum wait of a long poll as a share of the time within which a version must be in force: each poll renews the
+/// proof that the version is the newest, which is valid for three quarters of that time.
+const POLL_WAIT_DIVISOR: u64 = 5;
 /// Pause after a failed poll, in milliseconds.
 const RETRY_MS: u64 = 100;
 /// First and longest timeout of a read beyond its wait, in milliseconds. It doubles after each failure: a
@@ -55,11 +58,16 @@
     }
 }
 
+/// Returns the wait of a long poll, in milliseconds.
+fn poll_wait_ms(shared: &shared::Shared) -> u64 {
+    (shared.settings().config_in_force_ms() / POLL_WAIT_DIVISOR).min(POLL_WAIT_MAX_MS)
+}
+
 async fn read_all(shared: &shared::Shared, margin_ms: u64) -> Result<u64, store::Error> {
     let sent_at = clock::since_boot();
     let page = shared
         .store
-        .rows(configuration::TABLE, "", POLL_WAIT_MS + margin_ms)
+        .rows(configuration::TABLE, "", poll_wait_ms(shared) + margin_ms)
         .await?;
     for row in &page.rows {
         apply(shared, row);
@@ -71,14 +79,10 @@
 
 async fn poll(shared: &shared::Shared, after: u64, margin_ms: u64) -> Result<u64, store::Error> {
     let sent_at = clock::since_boot();
+    let wait_ms = poll_wait_ms(shared);
     let page = shared
         .store
-        .changes_within(
-            configuration::TABLE,
-            after,
-            POLL_WAIT_MS,
-            POLL_WAIT_MS + margin_ms,
-        )
+        .changes_within(configuration::TABLE, after, wait_ms, wait_ms + margin_ms)
         .await?;
     shared.record_store_clock(page.now_ms);
     for row in &page.rows {
@@ -86,7 +90,7 @@
     }
     if page.rows.is_empty() {
         // The store had no newer version when the wait ended.
-        let passed = clock::since_boot().since_ms(sent_at).min(POLL_WAIT_MS);
+        let passed = clock::since_boot().since_ms(sent_at).min(wait_ms);
         shared.confirm_config(sent_at.after_ms(passed));
     } else {
         shared.confirm_config(sent_at);
--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -61,7 +61,7 @@
 /// Returns the configuration if it was recently confirmed to be the newest.
 pub fn current_config(shared: &shared::Shared) -> Option<Arc<queue::Config>> {
     let configured = shared.current_config();
-    let stale_ms = shared.settings().config_apply_ms * CONFIG_AGE_MAX_PERCENT / 100;
+    let stale_ms = shared.settings().config_in_force_ms() * CONFIG_AGE_MAX_PERCENT / 100;
     let age_ms = clock::since_boot().since_ms(configured.confirmed_at?);
     configured.config.filter(|_| age_ms < stale_ms)
 }
