admission: limits of accounts beyond their rate, and when refused callers come back

Cause: nothing limited what an account submits: 500 to 745 jobs were requested in 2 s in place of 200, and half of all callers were late. After an outage, callers were told waits in proportion to its age, so that most came back when their jobs had lost their value.

Change: nodes report with their heartbeats what they were offered of each account; the leader returns the admitted fraction of accounts that are beyond their rate and whose jobs are late. The rest gets 429, also a job with a task that alone exceeds its account's quota. A job that is stored already is confirmed instead. Refused callers come back by halves of the job ids. Counters by account and outcome; the answer line names account and wait. Without accounts no message changes.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -56,8 +56,10 @@
                     expected_cpu_milli(&shared),
                     shared.store_silent_ms() < STORE_ANSWERS_MS,
                 );
+                let heartbeat_interval_ms = shared.admission.heartbeat_ms(heartbeat_interval_ms);
                 tokio::select! {
                     () = shared.stop.cancelled() => {}
+                    () = shared.admission.report_early.notified() => {}
                     () = time::sleep(Duration::from_millis(heartbeat_interval_ms)) => {}
                 }
             }
--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -10,9 +10,10 @@
 use metrics::{counter, histogram};
 use wasabiloft::batch::JobId;
 use wasabiloft::batch::{queue, record, rejection};
+use wasabiloft::id;
 use wasabiloft_platform::submission;
 
-use crate::batch::{requests, shared};
+use crate::batch::{admission, gauges, requests, shared};
 use crate::clock;
 use crate::log;
 
@@ -47,6 +48,12 @@
     TooLarge,
     /// The method is not supported for this path.
     BadMethod,
+    /// A task of the job alone exceeds its account's quota, so the job was not stored; holds the message for the caller
+    /// and the seconds after which the same job can be tried again.
+    QuotaExceeded { message: String, wait_s: u64 },
+    /// The account submits more than its rate, so the job was not stored; holds the seconds after which the caller
+    /// should come back.
+    RateExceeded { wait_s: u64 },
     /// The request did not run and never will; the caller can retry.
     NotRun(&'static str),
     /// The request may have run; repeating the same request tells whether it did.
@@ -66,28 +73,66 @@
     configured.config.filter(|_| age_ms < stale_ms)
 }
 
+/// What a request was found to be about, for logs, metrics and the time to come back.
+#[derive(Debug, Default)]
+struct Subject {
+    account: Option<id::Account>,
+    job: Option<JobId>,
+    is_submission: bool,
+}
+
 async fn handle(State(shared): State<Arc<shared::Shared>>, request: Request<Body>) -> Response {
     let began_at = clock::since_boot();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let outcome = respond(&shared, &head.method, &head.headers, &path, body, began_at).await;
-    let took_ms = clock::since_boot().since_ms(began_at);
+    let mut subject = Subject::default();
+    let outcome = respond(
+        &shared,
+        &head.method,
+        &head.headers,
+        &path,
+        body,
+        began_at,
+        &mut subject,
+    )
+    .await;
+    let now = clock::since_boot();
+    let took_ms = now.since_ms(began_at);
     let (status, label) = status(&outcome);
     histogram!("wasabiloft_request_ms", "method" => head.method.to_string()).record(took_ms as f64);
     counter!("wasabiloft_requests_total", "outcome" => label).increment(1);
+    let account_label = if subject.is_submission && status == StatusCode::OK {
+        "accepted"
+    } else {
+        label
+    };
+    gauges::count_request(&shared, subject.account.as_ref(), account_label);
+    let wait_s = wait_s(
+        &shared,
+        &outcome,
+        &subject,
+        wait_limit_ms(&head.headers),
+        now,
+    );
     if status != StatusCode::OK {
-        log::info(
-            "front",
-            &format!(
-                "answer method={} path={path} status={} outcome={outcome:?} took_ms={took_ms}",
-                head.method,
-                status.as_u16()
-            ),
+        let mut line = format!(
+            "answer method={} path={path} status={} outcome={outcome:?} took_ms={took_ms}",
+            head.method,
+            status.as_u16()
         );
+        if let Some(account) = &subject.account {
+            line.push_str(&format!(" account={account}"));
+        }
+        if let Some(wait_s) = wait_s {
+            line.push_str(&format!(" retry_after_s={wait_s}"));
+        }
+        log::info("front", &line);
     }
     let mut response = match outcome {
         Outcome::Done(body) => (status, body).into_response(),
-        Outcome::Invalid(message) => (status, message).into_response(),
+        Outcome::Invalid(message) | Outcome::QuotaExceeded { message, .. } => {
+            (status, message).into_response()
+        }
         _ => status.into_response(),
     };
     let headers = response.headers_mut();
@@ -103,8 +148,7 @@
             header::HeaderValue::from_static(KEY_SCHEME),
         );
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        let wait_s = rejection::retry_after_s(shared.store_silent_ms(), rand::random());
+    if let Some(wait_s) = wait_s {
         headers.insert(header::RETRY_AFTER, header::HeaderValue::from(wait_s));
     }
     if shared.stop.is_cancelled() {
@@ -116,6 +160,41 @@
     response
 }
 
+/// Returns after how many seconds the caller should come back, if it is told to; records an answered submission.
+fn wait_s(
+    shared: &shared::Shared,
+    outcome: &Outcome,
+    subject: &Subject,
+    patience_ms: u64,
+    now: wasabiloft::clock::Instant,
+) -> Option<u64> {
+    let partition = subject
+        .job
+        .filter(|_| subject.is_submission)
+        .map(record::job_partition);
+    match outcome {
+        Outcome::QuotaExceeded { wait_s, .. } | Outcome::RateExceeded { wait_s } => Some(*wait_s),
+        Outcome::NotRun(_) => {
+            let refused = rejection::Refused {
+                job: subject.job,
+                partition: partition.as_deref(),
+                patience_ms,
+            };
+            let has_config = shared.current_config().config.is_some();
+            let random = rand::random();
+            let mut returns = shared.returns();
+            Some(returns.retry_after_s(&refused, has_config, random, now))
+        }
+        Outcome::Done(_) => {
+            if let Some(partition) = partition {
+                shared.returns().stored(&partition);
+            }
+            None
+        }
+        _ => None,
+    }
+}
+
 fn status(outcome: &Outcome) -> (StatusCode, &'static str) {
     match outcome {
         Outcome::Done(_) => (StatusCode::OK, "done"),
@@ -125,6 +204,8 @@
         Outcome::Invalid(_) => (StatusCode::BAD_REQUEST, "invalid"),
         Outcome::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
         Outcome::BadMethod => (StatusCode::METHOD_NOT_ALLOWED, "bad-method"),
+        Outcome::QuotaExceeded { .. } => (StatusCode::TOO_MANY_REQUESTS, "quota-exceeded"),
+        Outcome::RateExceeded { .. } => (StatusCode::TOO_MANY_REQUESTS, "rate-exceeded"),
         Outcome::NotRun(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason),
         Outcome::Unknown(reason) => (StatusCode::GATEWAY_TIMEOUT, reason),
     }
@@ -137,6 +218,7 @@
     path: &str,
     body: Body,
     began_at: wasabiloft::clock::Instant,
+    subject: &mut Subject,
 ) -> Outcome {
     let config = shared.current_config().config;
     let body_max = config.as_ref().map_or(0, |config| config.body_bytes_max);
@@ -160,6 +242,7 @@
         queue::Access::Account(account) => Some(account),
         queue::Access::Denied => return Outcome::Unauthorized,
     };
+    subject.account = account.cloned();
     if body.len() > config.body_bytes_max {
         return Outcome::TooLarge;
     }
@@ -179,6 +262,8 @@
             _ => Outcome::NoJob,
         };
     };
+    subject.job = Some(job);
+    subject.is_submission = *method == Method::POST;
     match *method {
         Method::POST => match submission::decode(&body) {
             Ok(spec) => {
@@ -188,7 +273,12 @@
                     spec,
                     submitted_unix_ms: clock::unix_ms(),
                 };
-                requests::submit(shared, job, accepted, deadline).await
+                match (&config.accounts, account) {
+                    (Some(accounts), Some(account)) => {
+                        admission::submit(shared, accounts, account, job, accepted, deadline).await
+                    }
+                    _ => requests::submit(shared, job, accepted, deadline).await,
+                }
             }
             Err(message) => Outcome::Invalid(message),
         },
--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -2,14 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use metrics::gauge;
+use metrics::{counter, gauge};
 use wasabiloft::batch::scheduler::Scheduler;
+use wasabiloft::id;
 
-use crate::batch::{leadership, shared};
+use crate::batch::{admission, leadership, shared};
 use crate::clock;
 
-/// Maximum number of accounts with gauges of their own; bounds the memory and the size of the metrics.
+/// Maximum number of label values for accounts; bounds the memory and the size of the metrics.
 const ACCOUNTS_MAX: usize = 64;
+/// Maximum number of accounts with counters of their own; with the labels `none` and `other` 64 values.
+const ACCOUNTS_NAMED_MAX: usize = ACCOUNTS_MAX - 2;
 
 /// Updates all gauges to the current state.
 pub fn set(shared: &shared::Shared) {
@@ -29,7 +32,10 @@
     let leadership = shared.leadership();
     gauge!("wasabiloft_holds_duty").set(f64::from(u8::from(leadership.is_some())));
     match leadership {
-        Some(leadership) => set_leader(&leadership),
+        Some(leadership) => {
+            set_leader(&leadership);
+            set_limits(shared, &leadership);
+        }
         None => set_workers(&BTreeMap::new()),
     }
 }
@@ -67,6 +73,48 @@
     gauge!("wasabiloft_commit_age_ms").set(leadership.since_commit_ms() as f64);
 }
 
+/// Counts a request for its account; does nothing if the configuration has no accounts.
+pub fn count_request(
+    shared: &shared::Shared,
+    account: Option<&id::Account>,
+    outcome: &'static str,
+) {
+    let Some(config) = shared.current_config().config else {
+        return;
+    };
+    let Some(accounts) = &config.accounts else {
+        return;
+    };
+    // The names beyond the first are not told apart, and calls without a valid key have no account.
+    let label = account.map_or("none", |account| {
+        let mut named = accounts.iter().take(ACCOUNTS_NAMED_MAX);
+        if named.any(|(name, _)| name == account) {
+            account.as_str()
+        } else {
+            "other"
+        }
+    });
+    counter!("wasabiloft_account_requests_total", "account" => label.to_owned(), "outcome" => outcome)
+        .increment(1);
+}
+
+/// Sets the fraction of each account's submissions that the nodes admit.
+fn set_limits(shared: &shared::Shared, leadership: &leadership::Leadership) {
+    let Some(config) = shared.current_config().config else {
+        return;
+    };
+    let Some(accounts) = &config.accounts else {
+        return;
+    };
+    let limits = admission::limits(shared, leadership);
+    for (account, _) in accounts.iter().take(ACCOUNTS_NAMED_MAX) {
+        let limit = limits.iter().find(|limit| limit.account == *account);
+        let admitted_milli = limit.map_or(1_000, |limit| limit.admitted_milli);
+        gauge!("wasabiloft_account_admitted_milli", "account" => account.to_string())
+            .set(admitted_milli as f64);
+    }
+}
+
 fn set_workers(states: &BTreeMap<&'static str, usize>) {
     for state in ["usable", "unusable", "doubtful", "leaving"] {
         let count = states.get(state).copied().unwrap_or(0);
@@ -74,11 +122,11 @@
     }
 }
 
-/// Sets the gauges of the accounts; those beyond [`ACCOUNTS_MAX`] are added up.
+/// Sets the gauges of the accounts; those beyond [`ACCOUNTS_NAMED_MAX`] are added up.
 fn set_accounts(scheduler: &Scheduler) {
     let mut running: BTreeMap<&str, (u64, u64, u32)> = BTreeMap::new();
     for (position, (account, usage)) in scheduler.ledger().iter().enumerate() {
-        let label = if position < ACCOUNTS_MAX {
+        let label = if position < ACCOUNTS_NAMED_MAX {
             account.as_str()
         } else {
             "other"
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! A node on the users' platform: accepts jobs from callers and leads the batch duty when elected.
 
+mod admission;
 mod channels;
 mod commit;
 mod configuration;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -18,7 +18,7 @@
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
-use crate::batch::{forward, shared};
+use crate::batch::{admission, forward, shared};
 use crate::clock;
 
 /// Maximum time since a follower's last response from the store for it to take over from a leader that cannot reach
@@ -72,6 +72,9 @@
     /// How the follower can relay commands; absent if it stops.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<RelayOffer>,
+    /// Submissions that the follower was offered; absent if its configuration has no accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offered: Option<admission::Report>,
 }
 
 /// A follower's offer to relay commands to workers.
@@ -97,6 +100,9 @@
     pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// Limits of accounts; absent if the follower reported no submissions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<admission::Reply>,
 }
 
 /// Query for the number of waiting jobs of a queue.
@@ -141,6 +147,9 @@
             };
             leadership.relays().heard(offer.address, strength, now);
         }
+        if let Some(report) = heartbeat.offered {
+            reply.admission = Some(admission::reported(&shared, &leadership, report));
+        }
         let store_reachable = heartbeat.store_silent_ms < FOLLOWER_FRESH_MS;
         // A slow store delays the commits of any leader, so only a leader without any response of the store steps down.
         reply.hand_over = store_reachable
@@ -256,11 +265,15 @@
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
         relay: (!shared.stop.is_cancelled()).then_some(relay),
+        offered: admission::report(shared, configured.config.as_deref()),
     };
     let sent_at = clock::since_boot();
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
-    let reply: HeartbeatReply = reply.json()?;
+    let mut reply: HeartbeatReply = reply.json()?;
+    if let Some(limits) = reply.admission.take() {
+        admission::replied(shared, limits, sent_at);
+    }
     let own_version = configured.config.map_or(0, |config| config.version);
     if reply.config_version > own_version && shared.store_silent_ms() > STORE_SILENT_MS {
         fetch_config(shared, address).await;
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -133,6 +133,28 @@
     }
 }
 
+/// Returns whether a job is known to be stored, or known not to be; `None` if that could not be read in time.
+pub async fn is_stored(
+    shared: &shared::Shared,
+    job: JobId,
+    deadline: wasabiloft::clock::Instant,
+    limit_ms: u64,
+) -> Option<bool> {
+    if let Some(leadership) = shared.leadership()
+        && leadership.state(job).is_some()
+    {
+        return Some(true);
+    }
+    let deadline = deadline.min(clock::since_boot().after_ms(limit_ms));
+    let row = read(
+        shared,
+        &job_row(job, record::JobKey::Accepted(job)),
+        deadline,
+    )
+    .await;
+    row.ok().map(|row| row.is_some())
+}
+
 /// Retries the read of a row until it succeeds or the caller's deadline has passed.
 async fn read(
     shared: &shared::Shared,
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::queue;
 use wasabiloft::batch::record;
+use wasabiloft::batch::rejection;
 use wasabiloft::batch::waves;
 use wasabiloft_platform::{settings, store};
 
@@ -68,6 +69,8 @@
     /// Permits for followers that read the configuration from this node.
     pub(super) config_transfers: Semaphore,
     pub(super) forwarding: super::forward::Breaker,
+    pub(super) admission: super::admission::Admission,
+    returns: Mutex<rejection::Returns>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -93,6 +96,8 @@
             peers: super::peers::Clients::default(),
             config_transfers: Semaphore::new(super::peers::CONFIG_TRANSFERS_MAX),
             forwarding: super::forward::Breaker::default(),
+            admission: super::admission::Admission::default(),
+            returns: Mutex::new(rejection::Returns::new(clock::since_boot())),
         }
     }
 
@@ -187,8 +192,15 @@
 
     /// Records a response of the store at the current time.
     pub fn record_store_response(&self) {
+        let now = clock::since_boot();
         self.store_responded_ms
-            .store(clock::since_boot().as_ms(), Ordering::Relaxed);
+            .store(now.as_ms(), Ordering::Relaxed);
+        self.returns().store_answered(now);
+    }
+
+    /// Locks and returns what decides when refused callers should come back.
+    pub fn returns(&self) -> MutexGuard<'_, rejection::Returns> {
+        lock(&self.returns)
     }
 
     /// Records the store's clock from a response, in milliseconds.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! duty of placing tasks; see [`scheduler`].
 
 pub mod accounts;
+pub mod admission_limit;
 pub mod list_pause;
 pub mod machine_commands;
 pub mod pacing;
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -9,7 +9,7 @@
 use crate::batch::TaskId;
 use crate::batch::accounts;
 use crate::batch::record;
-use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::{Scheduler, plan};
 use crate::batch::spec;
 use crate::batch::worker_state;
 use crate::id;
@@ -105,6 +105,26 @@
         self.ledger.set_unexpected(id, unexpected);
     }
 
+    /// Returns the accounts with a job that has no run yet and can no longer meet its objective.
+    pub fn late_accounts(&self, unix_ms: u64) -> BTreeSet<id::Account> {
+        let mut late = BTreeSet::new();
+        for job in self.open_jobs.iter().filter_map(|id| self.jobs.get(id)) {
+            let Some(account) = &job.accepted.account else {
+                continue;
+            };
+            let is_late = !late.contains(account)
+                && !job.has_started()
+                && job
+                    .occurrences
+                    .keys()
+                    .any(|&occurrence| plan::class(job, occurrence, unix_ms) == plan::Class::Late);
+            if is_late {
+                late.insert(account.clone());
+            }
+        }
+        late
+    }
+
     /// Counts all tasks that a previous leader may have started on workers that have not answered yet.
     pub(super) fn count_unheard(&mut self) {
         let services: BTreeSet<&id::Service> =
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 #[path = "../measure/src/keys_world.rs"]
 mod keys_world;
 mod test_admission;
+mod test_batch_admission_limit;
 mod test_batch_authority;
 mod test_batch_budget;
 mod test_batch_capacity;
