soak: client accounts, whose keys change under faults; quotas by what workers run

Cause: no test ran daemons with accounts while nodes, links and the store fail.

Change: a soak can have accounts. Each caller carries its account's key; keys are added and revoked meanwhile; one call in ten carries an unknown or revoked key. The checker notes a revoked key that is accepted 2 s after its revocation, a valid one that gets 401, a job of a denied call that runs, and a start that brings an account above its quota.

--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -112,6 +112,18 @@
 
     /// Writes a configuration with a queue for each prefix.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
+        let config = self.config(version, prefixes);
+        self.put("op", "config", &config.to_string());
+    }
+
+    /// Writes a configuration with the one queue and client accounts.
+    pub fn configure_accounts(&self, version: u64, accounts: &serde_json::Value) {
+        let mut config = self.config(version, &[PREFIX]);
+        config["tenants"] = accounts.clone();
+        self.put("op", "config", &config.to_string());
+    }
+
+    fn config(&self, version: u64, prefixes: &[&str]) -> serde_json::Value {
         let routes: Vec<_> = prefixes
             .iter()
             .map(|prefix| {
@@ -126,10 +138,9 @@
             {"name": "counter", "enforcesCapacity": self.enforces_capacity, "spare": false}
         ]);
         let limits = json!({"maxBodyBytes": 10_000, "idleTimeoutMs": 15_000});
-        let config = json!({
+        json!({
             "version": version, "routes": routes, "services": services, "limits": limits,
-        });
-        self.put("op", "config", &config.to_string());
+        })
     }
 
     /// Writes a row as the platform would.
@@ -209,6 +220,17 @@
 
 /// Sends a request; status 0 means that no response arrived.
 pub async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Response {
+    call_with(address, method, path, body, &[]).await
+}
+
+/// Sends a request with additional headers; status 0 means that no response arrived.
+pub async fn call_with(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
+) -> Response {
     use http_body_util::{BodyExt, Full};
     use hyper_util::rt::TokioIo;
 
@@ -226,11 +248,15 @@
         Err(error) => return no_response(error.to_string()),
     };
     tokio::spawn(connection);
-    let request = http::Request::builder()
+    let mut request = http::Request::builder()
         .method(method)
         .uri(path)
         .header("host", HOST)
-        .header("x-deadline-ms", "3000")
+        .header("x-deadline-ms", "3000");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
         .body(Full::new(bytes::Bytes::from(body.to_owned())))
         .expect("a request");
     match sender.send_request(request).await {
--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -34,6 +34,21 @@
     }
 }
 
+/// Guards against calls that run with unknown or revoked keys, and accounts that run more than their quotas.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_and_quotas_hold_under_faults() {
+    for seed in [11, 12] {
+        let options = Options {
+            run_ms: 2 * SHORT_MS,
+            accounts: 3,
+            ..options(seed)
+        };
+        let report = soak::run(&options).await.expect("a soak");
+        assert!(report.denied > 0 && report.starts > 0, "{report:?}");
+        assert!(report.violations.is_empty(), "{report:#?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_failed_before_pass() {
     for (seed, _cause) in soak::REGRESSIONS {
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -6,6 +6,7 @@
 mod fake_platform;
 mod hosted;
 mod keys;
+mod test_accounts;
 mod test_answers;
 mod test_capacity;
 mod test_connections;
--- a/standins/src/hosted/checker.rs
+++ b/standins/src/hosted/checker.rs
@@ -24,6 +24,17 @@
     steps: Vec<u32>,
     submission: Submission,
     started: bool,
+    /// Account whose quota the job's tasks use, if any.
+    account: Option<String>,
+}
+
+impl Job {
+    /// Returns the CPU that a task takes by the job's spec, in thousandths of a core.
+    fn cpu_milli(&self) -> u64 {
+        let mut words = self.spec.split(' ');
+        let stated = words.find_map(|word| word.strip_prefix("cpu=")?.parse().ok());
+        stated.unwrap_or(0)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +47,8 @@
     /// Done tasks whose end was acknowledged; they must never start again.
     acknowledged: BTreeSet<String>,
     start_counts: BTreeMap<String, u32>,
+    /// CPU quota of each account that has one, in thousandths of a core.
+    quotas_milli: BTreeMap<String, u64>,
     violations: BTreeSet<String>,
 }
 
@@ -64,6 +77,19 @@
         lock(&self.inner).jobs.insert(job.to_owned(), entry);
     }
 
+    /// Sets the CPU quota of an account, in thousandths of a core.
+    pub fn set_quota(&self, account: &str, cpu_milli: u64) {
+        let mut inner = lock(&self.inner);
+        inner.quotas_milli.insert(account.to_owned(), cpu_milli);
+    }
+
+    /// Records which account a submitted job belongs to.
+    pub fn set_account(&self, job: &str, account: &str) {
+        if let Some(entry) = lock(&self.inner).jobs.get_mut(job) {
+            entry.account = Some(account.to_owned());
+        }
+    }
+
     /// Records the outcome of a submission, as its caller knows it.
     pub fn submission_ended(&self, job: &str, submission: Submission) {
         let mut inner = lock(&self.inner);
@@ -86,6 +112,8 @@
         inner
             .running
             .insert(task.to_owned(), incarnation.to_owned());
+        let over_quota = inner.over_quota(task);
+        inner.violations.extend(over_quota);
         if let Some(job) = parse_task(task).and_then(|(job, _)| inner.jobs.get_mut(job)) {
             job.started = true;
         }
@@ -169,6 +197,21 @@
 }
 
 impl Inner {
+    /// Returns a violation if the running tasks, with one that has just started, exceed the quota of their account.
+    fn over_quota(&self, task: &str) -> Option<String> {
+        let job = |task: &str| self.jobs.get(parse_task(task)?.0);
+        let account = job(task)?.account.as_ref()?;
+        let quota_milli = *self.quotas_milli.get(account)?;
+        let running = self.running.keys().filter_map(|task| job(task));
+        let running = running.filter(|job| job.account.as_ref() == Some(account));
+        let used_milli: u64 = running.map(Job::cpu_milli).sum();
+        (used_milli > quota_milli).then(|| {
+            format!(
+                "task {task} brought {account} to {used_milli} of {quota_milli} thousandths of a core"
+            )
+        })
+    }
+
     /// Returns the violations that a start of a task shows.
     fn start_violations(&self, task: &str, spec: &str) -> Vec<String> {
         let mut violations = Vec::new();
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use crate::client::Client;
 use crate::hosted::checker::Submission;
 use crate::soak::Options;
+use crate::soak::accounts::{self, Expected};
 use crate::soak::world::{HOST, QUEUES, World};
 
 /// Request deadline that callers send, and their timeout for the response, in milliseconds.
@@ -36,6 +38,8 @@
     /// Outcome of the submission.
     pub submission: Submission,
     prefix: &'static str,
+    /// Account of the caller; `None` if the soak has none.
+    account: Option<usize>,
     tasks: u32,
     long_running: bool,
     fails: bool,
@@ -72,6 +76,7 @@
             // A client of its own keeps the caller's connections open between requests.
             client: Client::default(),
             rng: SmallRng::seed_from_u64(seed),
+            account: (options.accounts > 0).then(|| number % options.accounts),
         };
         tasks.spawn(caller.run(number, stop.clone()));
     }
@@ -82,27 +87,56 @@
     world: Arc<World>,
     client: Client,
     rng: SmallRng,
+    account: Option<usize>,
 }
 
+/// Key that no account has.
+const UNKNOWN_KEY: &str = "unknown";
+
 async fn send_request(
+    world: &World,
     client: &Client,
     address: SocketAddr,
     method: Method,
     path: &str,
     body: Vec<u8>,
+    key: Option<&str>,
 ) -> Option<(u16, String)> {
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
         .header("host", HOST)
-        .header("x-deadline-ms", DEADLINE_MS.to_string())
-        .body(Full::new(Bytes::from(body)))
-        .ok()?;
+        .header("x-deadline-ms", DEADLINE_MS.to_string());
+    if let Some(key) = key {
+        request = request.header("authorization", format!("Bearer {key}"));
+    }
+    let request = request.body(Full::new(Bytes::from(body))).ok()?;
+    let expected_before = key.map(|key| world.accounts.expected(key));
     let response = client.send(address, request);
     let response = time::timeout(Duration::from_millis(DEADLINE_MS), response).await;
     let response = response.ok()?.ok()?;
+    let status = response.status().as_u16();
+    if let Some((key, before)) = key.zip(expected_before) {
+        let after = world.accounts.expected(key);
+        match status {
+            401 if after == Expected::Authenticated => {
+                let text = format!("a valid key got 401 for {path} from {address}");
+                world.checker.add_violation(text);
+            }
+            401 => {
+                world.denied.fetch_add(1, Ordering::Relaxed);
+            }
+            503 => {}
+            _ if before == Expected::Denied => {
+                let text =
+                    format!("a call with the key {key} got {status} for {path} from {address}");
+                world.checker.add_violation(text);
+            }
+            _ => {}
+        }
+    }
     let body = String::from_utf8_lossy(response.body()).into_owned();
-    Some((response.status().as_u16(), body))
+    Some((status, body))
 }
 
 impl Caller {
@@ -133,10 +167,50 @@
                 }
                 _ => {}
             }
+            if self.account.is_some() && self.rng.random_bool(0.1) {
+                self.submit_denied().await;
+            }
         }
         jobs
     }
 
+    /// Submits a job with a key that is unknown or revoked; its tasks must not start.
+    async fn submit_denied(&mut self) {
+        let id = format!("{:016x}", self.rng.random::<u64>());
+        let revoked = self
+            .account
+            .filter(|_| self.rng.random_bool(0.5))
+            .and_then(|account| self.world.accounts.revoked(account));
+        let key = revoked.unwrap_or_else(|| UNKNOWN_KEY.to_owned());
+        let is_denied = self.world.accounts.expected(&key) == Expected::Denied;
+        let (spec, steps) = ("work_ms=100 cpu=700", [1]);
+        self.world.checker.submission_started(&id, spec, &steps);
+        let path = format!("{}{id}", QUEUES[0].0);
+        let body = body(spec, &steps, false);
+        let node = self.any_node();
+        let response = send_request(
+            &self.world,
+            &self.client,
+            node,
+            Method::POST,
+            &path,
+            body,
+            Some(&key),
+        );
+        let response = response.await;
+        // Without a response, nothing can be said of a key that some nodes may still have accepted.
+        let is_refused = is_denied || matches!(response, Some((401 | 503, _)));
+        if is_refused {
+            self.world
+                .checker
+                .submission_ended(&id, Submission::Refused);
+        }
+    }
+
+    fn key(&self) -> Option<String> {
+        key(&self.world, self.account)
+    }
+
     fn any_node(&mut self) -> SocketAddr {
         let addresses = &self.world.addresses;
         addresses[self.rng.random_range(0..addresses.len())]
@@ -155,6 +229,10 @@
             (steps, format!("work_ms={work_ms} cpu=700{fails}"))
         };
         self.world.checker.submission_started(&id, &spec, &steps);
+        if let Some(account) = self.account {
+            let account = accounts::name(account);
+            self.world.checker.set_account(&id, &account);
+        }
         let body = body(&spec, &steps, long_running);
         let prefix = QUEUES[queue].0;
         let submission = self
@@ -165,6 +243,7 @@
             id,
             submission,
             prefix,
+            account: self.account,
             tasks: steps.iter().sum(),
             long_running,
             fails,
@@ -177,9 +256,21 @@
         let mut uncertain = false;
         for _ in 0..ATTEMPTS {
             let node = self.any_node();
-            match send_request(&self.client, node, Method::POST, path, body.to_vec()).await {
+            let key = self.key();
+            let response = send_request(
+                &self.world,
+                &self.client,
+                node,
+                Method::POST,
+                path,
+                body.to_vec(),
+                key.as_deref(),
+            );
+            match response.await {
                 Some((200, _)) => return Submission::Accepted,
                 Some((429 | 503, _)) => {}
+                // The key was revoked meanwhile; the next attempt carries its successor.
+                Some((401, _)) if key.is_some() => {}
                 Some((504, _)) | None => uncertain = true,
                 Some((status, text)) => {
                     let violation = format!("submission to {path} got status {status}: {text}");
@@ -205,15 +296,28 @@
         let path = format!("{}{}", job.prefix, job.id);
         for _ in 0..ATTEMPTS {
             let node = self.any_node();
-            if let Some((200 | 410, _)) =
-                send_request(&self.client, node, Method::DELETE, &path, Vec::new()).await
-            {
+            let key = self.key();
+            let response = send_request(
+                &self.world,
+                &self.client,
+                node,
+                Method::DELETE,
+                &path,
+                Vec::new(),
+                key.as_deref(),
+            );
+            if let Some((200 | 410, _)) = response.await {
                 return;
             }
         }
     }
 }
 
+/// Returns the key that a caller of an account uses now.
+fn key(world: &World, account: Option<usize>) -> Option<String> {
+    account.map(|account| world.accounts.current(account))
+}
+
 fn body(spec: &str, steps: &[u32], long_running: bool) -> Vec<u8> {
     let steps: Vec<_> = (0_u32..)
         .zip(steps)
@@ -246,7 +350,17 @@
     job: &Job,
 ) -> Option<String> {
     let path = format!("{}{}", job.prefix, job.id);
-    let (status, text) = send_request(client, node, Method::GET, &path, Vec::new()).await?;
+    let key = key(world, job.account);
+    let response = send_request(
+        world,
+        client,
+        node,
+        Method::GET,
+        &path,
+        Vec::new(),
+        key.as_deref(),
+    );
+    let (status, text) = response.await?;
     let must_be_known = job.submission == Submission::Accepted
         && job.accepted_at.elapsed() >= Duration::from_millis(VISIBLE_MS);
     if status == 410 && must_be_known {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! The callers' work and the faults are drawn from a seed. The checks cover what callers and workers observe: the runs of
 //! each task, the responses to callers, the commands to machines, and that all work completes after the faults end.
 
+mod accounts;
 mod callers;
 mod faults;
 mod world;
@@ -49,6 +50,8 @@
     pub machines: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Number of client accounts; with 0, callers need no key.
+    pub accounts: usize,
 }
 
 impl Options {
@@ -61,6 +64,7 @@
             nodes: 4,
             machines: 6,
             callers: 6,
+            accounts: 0,
         }
     }
 }
@@ -78,6 +82,8 @@
     pub refused: usize,
     /// Number of starts of tasks.
     pub starts: u32,
+    /// Number of calls with an unknown, missing or revoked key that were answered 401.
+    pub denied: usize,
     /// Descriptions of the injected faults, in order.
     pub faults: Vec<String>,
     /// Violations of the system's guarantees; empty if the soak passed.
@@ -95,8 +101,17 @@
     let world = Arc::new(world::World::start(options).await?);
     let updates = tokio::spawn(Arc::clone(&world).run_updates());
     let callers = callers::start(&world, options);
+    let key_changes =
+        accounts::change_keys(Arc::clone(&world), options.clone(), callers.stop.clone());
+    let key_changes = tokio::spawn(key_changes);
     let injected = faults::inject_all(&world, options).await;
     callers.stop.cancel();
+    // A panic of the task is shown as a violation, since keys would no longer change.
+    if let Err(error) = key_changes.await {
+        world
+            .checker
+            .add_violation(format!("keys no longer change: {error}"));
+    }
     let jobs = callers.join().await;
     world.end_faults()?;
     let unfinished = wait_until_finished(&world, &jobs).await;
@@ -114,6 +129,7 @@
         accepted: count(crate::hosted::checker::Submission::Accepted),
         refused: count(crate::hosted::checker::Submission::Refused),
         starts: world.checker.start_counts().values().sum(),
+        denied: world.denied.load(std::sync::atomic::Ordering::Relaxed),
         faults: injected,
         logs: (!violations.is_empty()).then(|| world.keep_logs()),
         violations,
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
 use crate::hosted::worker::{Settings, Worker};
 use crate::proxy::{Fault, Proxy};
 use crate::soak::Options;
+use crate::soak::accounts::{self, Accounts};
 
 /// Host name of the queues.
 pub const HOST: &str = "counter.example";
@@ -69,6 +70,10 @@
     pub nodes: Vec<Mutex<Node>>,
     /// Addresses of the daemons for callers, by node number.
     pub addresses: Vec<SocketAddr>,
+    /// The client accounts.
+    pub accounts: Accounts,
+    /// Number of calls that were answered 401 as they should be.
+    pub denied: AtomicUsize,
     version: Mutex<u64>,
     folder: Mutex<TempDir>,
 }
@@ -114,10 +119,19 @@
             workers,
             nodes: Vec::new(),
             addresses: Vec::new(),
+            accounts: Accounts::new(options.accounts),
+            denied: AtomicUsize::new(0),
             version: Mutex::new(0),
             folder: Mutex::new(folder),
             store,
         };
+        for account in 0..options.accounts {
+            if let Some(quota_milli) = accounts::quota_milli(account) {
+                world
+                    .checker
+                    .set_quota(&accounts::name(account), quota_milli);
+            }
+        }
         world.configure(&[]);
         world.write_entries(&mut BTreeSet::new());
         for number in 0..options.nodes {
@@ -182,9 +196,12 @@
             .collect();
         services.push(json!({"name": SPARE, "enforcesCapacity": true, "spare": true}));
         let limits = json!({"maxBodyBytes": 10_000, "idleTimeoutMs": 15_000});
-        let config = json!({
+        let mut config = json!({
             "version": *version, "routes": routes, "services": services, "limits": limits,
         });
+        if let Some(accounts) = self.accounts.config() {
+            config["tenants"] = accounts;
+        }
         self.put("op", "config", &config.to_string());
     }
 
--- a/standins/src/soak_command.rs
+++ b/standins/src/soak_command.rs
@@ -24,6 +24,7 @@
     --nodes N         Number of daemons. [default: 4]
     --machines N      Number of machines in service pools; a third as many more are spares. [default: 6]
     --callers N       Number of concurrent callers. [default: 6]
+    --accounts N      Number of client accounts, whose keys are added and revoked meanwhile. [default: 0, no keys]
     --regressions     Run the seeds that have failed before instead.
     -h, --help        Show this help.
 
@@ -47,6 +48,7 @@
             Long("nodes") => options.nodes = number(&mut parser)?.clamp(1, 64) as usize,
             Long("machines") => options.machines = number(&mut parser)?.clamp(3, 200) as usize,
             Long("callers") => options.callers = number(&mut parser)?.clamp(1, 200) as usize,
+            Long("accounts") => options.accounts = number(&mut parser)?.min(20) as usize,
             Long("regressions") => regressions = true,
             Short('h') | Long("help") => {
                 print!("{USAGE}");
--- a/standins/tests/test_truth.rs
+++ b/standins/tests/test_truth.rs
@@ -82,3 +82,24 @@
     truth.run_started(TASK, "another", "a/1");
     assert_eq!(truth.violations().len(), 3);
 }
+
+/// Guards against a soak that doesn't notice an account that runs more than its quota.
+#[test]
+fn start_beyond_the_quota_of_an_account_is_a_violation() {
+    let truth = Checker::default();
+    let spec = "work_ms=100 cpu=700";
+    truth.set_quota("chains", 1_400);
+    for job in ["00000000000000b1", "00000000000000b2"] {
+        truth.submission_started(job, spec, &[2]);
+        truth.set_account(job, "chains");
+    }
+    truth.run_started("00000000000000b1.0.0.0", spec, "a/1");
+    truth.run_started("00000000000000b2.0.0.0", spec, "b/1");
+    assert_eq!(truth.violations(), Vec::<String>::new());
+    truth.run_ended("00000000000000b1.0.0.0", "a/1", true);
+    truth.run_started("00000000000000b1.0.0.1", spec, "a/1");
+    assert_eq!(truth.violations(), Vec::<String>::new());
+    truth.run_started("00000000000000b2.0.0.1", spec, "b/1");
+    let violations = truth.violations();
+    assert!(violations[0].contains("2100 of 1400"), "{violations:?}");
+}
