admission: halves by job id also without a configuration; early reports keep their interval without a leader

Cause: in an outage longer than the configuration's proof, callers are refused before the route is known, and all of them were told the wait of the patient half. Without a leader, each submission above the node's share would have asked for a report at once, and with it for a read of the duty's row.

Change: the job's id is read from the path first; only refusals by the store count for its partition. An early report starts the interval anew.

--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -31,6 +31,9 @@
 /// Authentication scheme under which a request carries its account's key.
 const KEY_SCHEME: &str = "Bearer";
 
+/// How the reasons begin for which the store, or a partition of it, did not take a request.
+const STORE_REASON: &str = "store-";
+
 /// Outcome of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -174,10 +177,11 @@
         .map(record::job_partition);
     match outcome {
         Outcome::QuotaExceeded { wait_s, .. } | Outcome::RateExceeded { wait_s } => Some(*wait_s),
-        Outcome::NotRun(_) => {
+        Outcome::NotRun(reason) => {
+            let is_store = reason.starts_with(STORE_REASON);
             let refused = rejection::Refused {
                 job: subject.job,
-                partition: partition.as_deref(),
+                partition: partition.as_deref().filter(|_| is_store),
                 patience_ms,
             };
             let has_config = shared.current_config().config.is_some();
@@ -220,6 +224,9 @@
     began_at: wasabiloft::clock::Instant,
     subject: &mut Subject,
 ) -> Outcome {
+    // Known before the configuration is, as an outage leaves callers without a route too.
+    subject.job = path.rsplit('/').next().and_then(|id| id.parse().ok());
+    subject.is_submission = *method == Method::POST;
     let config = shared.current_config().config;
     let body_max = config.as_ref().map_or(0, |config| config.body_bytes_max);
     // The whole request is read first, so that no refusal is sent while the caller is still sending.
@@ -262,8 +269,6 @@
             _ => Outcome::NoJob,
         };
     };
-    subject.job = Some(job);
-    subject.is_submission = *method == Method::POST;
     match *method {
         Method::POST => match submission::decode(&body) {
             Ok(spec) => {
--- a/src/batch/admission_limit.rs
+++ b/src/batch/admission_limit.rs
@@ -206,7 +206,12 @@
         }
         let share = settings.rate_milli(account) * elapsed_ms / 1_000_000 / self.nodes;
         // One more, because a whole job is above the share of most nodes.
-        slots.since_report > share + 1
+        let reports = slots.since_report > share + 1;
+        if reports {
+            // Without a leader no report follows, and each submission would ask for one.
+            self.reported_at = now;
+        }
+        reports
     }
 
     /// Returns the counts for the next heartbeat, and starts the time until the next one.
