--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -220,7 +220,7 @@
 
 /// Sends a request; status 0 means that no response arrived.
 pub async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Response {
-    call_with_key(address, method, path, body, None).await
+    call_with(address, method, path, body, &[]).await
 }
 
 /// Sends a request with an account's key, if one is given.
@@ -230,6 +230,23 @@
     path: &str,
     body: &str,
     key: Option<&str>,
+) -> Response {
+    let credentials = key.map(|key| format!("Bearer {key}"));
+    let credentials = credentials.as_deref();
+    let headers: Vec<(&str, &str)> = credentials
+        .iter()
+        .map(|value| ("authorization", *value))
+        .collect();
+    call_with(address, method, path, body, &headers).await
+}
+
+/// Sends a request with additional headers; status 0 means that no response arrived.
+pub async fn call_with(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    headers: &[(&str, &str)],
 ) -> Response {
     use http_body_util::{BodyExt, Full};
     use hyper_util::rt::TokioIo;
@@ -253,8 +270,8 @@
         .uri(path)
         .header("host", HOST)
         .header("x-deadline-ms", "3000");
-    if let Some(key) = key {
-        request = request.header("authorization", format!("Bearer {key}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
     let request = request
         .body(Full::new(bytes::Bytes::from(body.to_owned())))
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -6,6 +6,7 @@
 mod fake_platform;
 mod hosted;
 mod keys;
+mod test_account_limits;
 mod test_accounts;
 mod test_answers;
 mod test_capacity;
