order: jobs within their account's rate first, then the account with the smallest weighted share

Cause: waiting jobs were placed by class, rank and objective. One account that sent 6.6 times its usual load made the jobs of all others late. Without accounts too, a burst completed fewer jobs in time than it could: each waited until its objective had nearly elapsed. Change: src/batch/order.rs decides which candidate is next. Token buckets mark each job once, in the order of submission, as within or beyond its account's rate; a new leader marks the recovered jobs again and comes to the same marks. Among jobs of a tier, the account with the smallest dominant share per weight is next, updated as tasks are placed. Within an account and rank, a job's objective is delayed by its work left in relation to the mean. Demand beyond a rate counts as late work. `start` lines name class, account, share and rate; a line says when an account begins or ceases to be beyond its rate. Without accounts only the order within a rank changes.

--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -204,6 +204,7 @@
     let settings = Settings {
         lease_ms: 4_000,
         status_ms: 120_000,
+        quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     };
     let now = clock::Instant::ZERO;
     let mut scheduler = Scheduler::new(settings, 1, config, RecoveredState::default(), now);
--- a/src/batch/accounts.rs
+++ b/src/batch/accounts.rs
@@ -170,11 +170,17 @@
 
     /// Returns the account's share of a pool with the given capacity, divided by its weight.
     pub fn weighted_share(&self, service: &id::Service, capacity: &Resources) -> f64 {
-        let used = quota::Charge::from(&self.in_service(service));
-        quota::dominant_share(&used, &capacity.into()) / self.settings.weight_milli.max(1) as f64
+        let used = self.in_service(service);
+        weighted_share(&used, capacity, self.settings.weight_milli)
     }
 }
 
+/// Returns the dominant share that a use takes of a capacity, divided by a weight in thousandths.
+pub fn weighted_share(used: &Resources, capacity: &Resources, weight_milli: u64) -> f64 {
+    let used = quota::Charge::from(used);
+    quota::dominant_share(&used, &capacity.into()) / weight_milli.max(1) as f64
+}
+
 /// A change of whether an account's quota holds back its tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuotaChange {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -7,6 +7,7 @@
 pub mod accounts;
 pub mod list_pause;
 pub mod machine_commands;
+pub mod order;
 pub mod pacing;
 pub mod pools;
 pub mod queue;
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -91,11 +91,13 @@
 /// The demand of a service's queues on its pool; capacity is in thousandths of a machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
-    /// Capacity used by running tasks, except those of late jobs.
+    /// Capacity used by running tasks, except those of late jobs and of jobs beyond their account's rate.
     pub running: u64,
-    /// Capacity needed by tasks that could start now and whose job can still meet its objective.
+    /// Capacity needed by tasks that could start now and whose job can still meet its objective and is within its
+    /// account's rate.
     pub waiting: u64,
-    /// Capacity that tasks of jobs use, or need now, that can no longer meet their objective.
+    /// Capacity that tasks of jobs use, or need now, that can no longer meet their objective or exceed their account's
+    /// rate.
     pub late: u64,
     /// Capacity by which the pool's machines have shrunk.
     pub lost: u64,
@@ -103,9 +105,9 @@
     pub blocked: u64,
     /// Machines that long-running tasks need so that they run on separate ones.
     pub separate_machines: u32,
-    /// Total of all work that ever arrived, as capacity times milliseconds.
+    /// Total of all work that ever arrived within the accounts' rates, as capacity times milliseconds.
     pub arrived: u64,
-    /// Total number of jobs that ever arrived.
+    /// Total number of jobs that ever arrived within the accounts' rates.
     pub jobs: u64,
 }
 
@@ -299,7 +301,7 @@
 
 /// Decides which machines change their pool.
 ///
-/// Answers the load in which one queue's jobs are late while the next queue asks for more than its pool holds: late work
+/// Answers the load in which one queue's jobs are late, or exceed their account's rate, while the next queue asks for more than its pool holds: late work
 /// keeps only the machines that no work in time needs, so that one queue's peak doesn't make the following ones late.
 ///
 /// A pool gives machines that it doesn't need now to pools with a shortage. It gives machines to the spare pool only
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -1,5 +1,6 @@
 //! Demand of the queues on the pools of machines.
 
+use crate::batch::order;
 use crate::batch::pools;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, plan};
@@ -88,7 +89,12 @@
                 continue;
             };
             for (&occurrence, occurrence_state) in &job.occurrences {
-                let in_time = plan::class(job, occurrence, unix_ms) != plan::Class::Late;
+                // Long-running tasks keep their machines: an account's rate concerns work that ends.
+                let in_time = match plan::class(job, occurrence, unix_ms) {
+                    order::Class::LongRunning => true,
+                    order::Class::InTime => !job.beyond_rate,
+                    order::Class::Late => false,
+                };
                 for (number, step) in (0_u32..).zip(&occurrence_state.steps) {
                     let spec = &job.accepted.spec.steps[number as usize];
                     if spec.long_running && spec.per_worker_max > 0 {
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -114,6 +114,8 @@
     pub accepted: Arc<record::Accepted>,
     /// Whether the job was read at startup, so that a previous leader may have started tasks of it.
     pub recovered: bool,
+    /// Whether the job exceeds the rate of its account.
+    pub beyond_rate: bool,
     /// Occurrences that are due or of which a run is known, by number.
     pub occurrences: BTreeMap<u32, Occurrence>,
     /// Current state, which may not be committed yet.
@@ -134,6 +136,7 @@
             id,
             accepted,
             recovered,
+            beyond_rate: false,
             occurrences: BTreeMap::new(),
             state: record::State::Queued,
             committed_state: record::State::Queued,
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -16,6 +16,13 @@
     pub lease_ms: u64,
     /// Time for which the state of an ended job can be queried, in milliseconds.
     pub status_ms: u64,
+    /// Window of the accounts' rates, in milliseconds: an account that was idle can submit the jobs of one window at once.
+    pub quota_window_ms: u64,
+}
+
+impl Settings {
+    /// Window of the accounts' rates in a deployment that states none, in milliseconds.
+    pub const QUOTA_WINDOW_DEFAULT_MS: u64 = 5_000;
 }
 
 /// A command to start a run.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod open_jobs;
 mod plan;
 mod quotas;
+mod rates;
 mod reports;
 mod reservation;
 mod room;
@@ -23,6 +24,7 @@
 use std::sync::Arc;
 
 use crate::batch::accounts;
+use crate::batch::order;
 use crate::batch::queue;
 use crate::batch::record;
 use crate::batch::worker_state;
@@ -83,6 +85,10 @@
     dirty_services: BTreeSet<id::Service>,
     /// What the client accounts have running.
     ledger: accounts::Ledger,
+    /// Rates of the client accounts.
+    rates: order::Rates,
+    /// Jobs of accounts that are to be marked as within or beyond their account's rate.
+    unmarked_jobs: Vec<JobId>,
     changed_jobs: ends::ChangedJobs,
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
@@ -129,6 +135,8 @@
             reservations: reservation::Reservations::default(),
             dirty_services: BTreeSet::new(),
             ledger: accounts::Ledger::default(),
+            rates: order::Rates::new(settings.quota_window_ms),
+            unmarked_jobs: Vec::new(),
             changed_jobs: ends::ChangedJobs::default(),
             submitted_work: BTreeMap::new(),
             pending_rows: commit::PendingRows::new(
@@ -175,9 +183,10 @@
             return;
         }
         let service = accepted.queue.service.clone();
-        if !recovered {
-            let submitted = self.submitted_work.entry(service.clone()).or_default();
-            submitted.add(&accepted.spec);
+        if self.has_rate(&accepted) {
+            self.unmarked_jobs.push(id);
+        } else if !recovered {
+            self.count_submitted(&accepted);
         }
         let mut job = job::Job::new(id, Arc::new(accepted), recovered);
         if job.accepted.spec.schedule.is_none() {
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -1,5 +1,6 @@
 //! Planning: which waiting tasks start, in which order, and on which worker.
 
+use crate::batch::order;
 use crate::batch::scheduler::{Output, Scheduler, Start};
 use crate::batch::scheduler::{job, room};
 use crate::batch::spec;
@@ -22,37 +23,30 @@
     }
 }
 
-/// An occurrence with waiting tasks. The derived order is the scheduling order, lowest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Candidate {
-    class: Class,
-    rank: u32,
-    objective_unix_ms: u64,
-    job: JobId,
-    occurrence: u32,
-}
-
-/// Priority classes, in scheduling order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Class {
-    /// Runs until it is cancelled, so every second without it is lost.
-    LongRunning,
-    /// Can still meet its objective.
-    InTime,
-    /// Can no longer meet its objective.
-    Late,
-}
-
 /// Returns the priority class of an occurrence at a time.
-pub(super) fn class(job: &job::Job, occurrence: u32, unix_ms: u64) -> Class {
+pub(super) fn class(job: &job::Job, occurrence: u32, unix_ms: u64) -> order::Class {
     if job.accepted.spec.is_long_running() {
-        return Class::LongRunning;
+        return order::Class::LongRunning;
     }
     if unix_ms + job.critical_path_left_ms(occurrence) <= job.objective_unix_ms(occurrence) {
-        Class::InTime
+        order::Class::InTime
     } else {
-        Class::Late
+        order::Class::Late
+    }
+}
+
+/// Returns the estimated work of an occurrence's tasks that are neither done nor have a run.
+fn work_left(job: &job::Job, occurrence: u32) -> order::Work {
+    let mut work = order::Work::default();
+    if let Some(state) = job.occurrences.get(&occurrence) {
+        for (step, spec) in state.steps.iter().zip(&job.accepted.spec.steps) {
+            work.add(
+                &need(spec),
+                spec.estimate_ms.saturating_mul(u64::from(step.idle)),
+            );
+        }
     }
+    work
 }
 
 impl Scheduler {
@@ -62,6 +56,7 @@
         self.prune_crashed_tasks();
         self.release_reservations(now);
         self.count_unheard();
+        self.mark_rates(unix_ms);
         for service in std::mem::take(&mut self.dirty_services) {
             self.plan_service(&service, now, unix_ms);
         }
@@ -72,17 +67,18 @@
             .unresolved
             .values()
             .any(|worker| worker.service == *service);
-        let mut candidates = self.candidates(service, has_unresolved, unix_ms);
+        let candidates = self.candidates(service, has_unresolved, unix_ms);
         if candidates.is_empty() {
             return;
         }
-        candidates.sort_unstable();
         let mut room = self.room(service, now);
+        let users = self.pool_uses(service, &room.used);
+        let mut order = order::Order::new(&candidates, room.capacity, users);
         self.withhold_for_trials(&mut room, service, now);
         // After a task was not placed, tasks of the same service that need at least as much are skipped.
         let mut unplaced: Option<Resources> = None;
-        for candidate in candidates {
-            let Some(job) = self.jobs.get(&candidate.job) else {
+        'turns: while let Some(turn) = order.next_turn() {
+            let Some(job) = self.jobs.get(&turn.job) else {
                 continue;
             };
             let accepted = Arc::clone(&job.accepted);
@@ -93,10 +89,10 @@
                         && need.memory_mib >= unplaced.memory_mib
                         && need.accelerators >= unplaced.accelerators
                 });
-                if cannot_fit && !self.has_suspects(candidate.job) {
+                if cannot_fit && !self.has_suspects(turn.job) {
                     continue;
                 }
-                let mut ids = self.waiting_tasks(candidate.job, candidate.occurrence, step, now);
+                let mut ids = self.waiting_tasks(turn.job, turn.occurrence, step, now);
                 if cannot_fit {
                     // Workers may be withheld for trials that have no room for other tasks.
                     ids.retain(|id| self.needs_trial(id));
@@ -109,7 +105,11 @@
                     continue;
                 }
                 if spec.gang {
-                    self.start_gang(service, &ids, spec, now);
+                    if self.start_gang(service, &ids, spec, &turn, now) {
+                        for _ in &ids {
+                            order.placed(&spec.need);
+                        }
+                    }
                     room = self.room(service, now);
                     self.withhold_for_trials(&mut room, service, now);
                     continue;
@@ -119,7 +119,10 @@
                     if !self.quota_admits(&accepted, spec, 1) {
                         break;
                     }
-                    if self.start_task(&mut room, id, spec, &need, now) {
+                    if self.start_task(&mut room, id, spec, &turn, now) {
+                        if order.placed(&spec.need) {
+                            continue 'turns;
+                        }
                         continue;
                     }
                     self.request_tickets(service, &id, now);
@@ -148,7 +151,7 @@
         service: &id::Service,
         has_unresolved: bool,
         unix_ms: u64,
-    ) -> Vec<Candidate> {
+    ) -> Vec<order::Candidate> {
         let mut candidates = Vec::new();
         for id in self.open_jobs.of_service(service) {
             let Some(job) = self.jobs.get(id) else {
@@ -162,10 +165,15 @@
                     continue;
                 }
                 let objective_unix_ms = job.objective_unix_ms(occurrence);
-                candidates.push(Candidate {
+                let due_unix_ms = job.due_unix_ms(occurrence);
+                candidates.push(order::Candidate {
                     class: class(job, occurrence, unix_ms),
+                    account: job.accepted.account.clone(),
+                    beyond_rate: job.beyond_rate,
                     rank: job.accepted.queue.rank,
                     objective_unix_ms,
+                    span_ms: objective_unix_ms.saturating_sub(due_unix_ms),
+                    work_left: work_left(job, occurrence),
                     job: *id,
                     occurrence,
                 });
@@ -207,12 +215,13 @@
         room: &mut room::Room,
         id: TaskId,
         step: &spec::Step,
-        need: &Resources,
+        turn: &order::Turn,
         now: clock::Instant,
     ) -> bool {
+        let need = need(step);
         let worker = self
-            .choose_worker(room, id, step, need, now)
-            .or_else(|| self.choose_trial_worker(room, id, step, need, now));
+            .choose_worker(room, id, step, &need, now)
+            .or_else(|| self.choose_trial_worker(room, id, step, &need, now));
         let Some(worker) = worker else {
             return false;
         };
@@ -224,7 +233,7 @@
             .map_or(base, |task| task.last_run.max(base))
             + 1;
         self.release_reservation(&id, "started");
-        self.send_start(&worker, id, run, need, now);
+        self.send_start(&worker, id, run, turn, now);
         room.reserve(&worker, need.cpu_milli);
         if self.needs_trial(&id) {
             room.begin_trial(&worker, id.job);
@@ -237,11 +246,15 @@
         worker: &id::Worker,
         id: TaskId,
         run: u32,
-        need: &Resources,
+        turn: &order::Turn,
         now: clock::Instant,
     ) {
         let lease_ms = self.settings.lease_ms;
         let ticket = self.ticket(&id, worker, now);
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let accepted = Arc::clone(&job.accepted);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -249,14 +262,10 @@
             return;
         };
         state.lease_until_ms = state.lease_until_ms.max(until_ms);
-        state.reserve(id, need);
+        state.reserve(id, &need(&accepted.spec.steps[id.step as usize]));
         state.on_start(now);
         let heard_ms = now.since_ms(state.last_response_at);
         let used_milli = state.used.cpu_milli;
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let accepted = Arc::clone(&job.accepted);
         let Some(task) = job.task_mut(&id) else {
             return;
         };
@@ -278,7 +287,7 @@
         job.set_active(&id, active);
         self.charge(&accepted, &id);
         self.log(format!(
-            "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures}"
+            "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures} {turn}"
         ));
         self.outputs.push(Output::Start(Start {
             worker: worker.clone(),
@@ -291,16 +300,17 @@
         }));
     }
 
-    /// Starts all tasks of a gang, or none.
+    /// Starts all tasks of a gang, or none; returns whether they were started.
     fn start_gang(
         &mut self,
         service: &id::Service,
         ids: &[TaskId],
         step: &spec::Step,
+        turn: &order::Turn,
         now: clock::Instant,
-    ) {
+    ) -> bool {
         if ids.len() < step.tasks as usize {
-            return;
+            return false;
         }
         let need = need(step);
         let racks: Vec<id::Rack> = if step.same_rack {
@@ -316,7 +326,7 @@
             if let Some(id) = ids.first() {
                 self.request_tickets(service, id, now);
             }
-            return;
+            return false;
         };
         let (mut run, mut checkpoint) = (self.run_base, None);
         for id in ids {
@@ -329,8 +339,9 @@
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
                 task.checkpoint.clone_from(&checkpoint);
             }
-            self.send_start(worker, *id, run + 1, &need, now);
+            self.send_start(worker, *id, run + 1, turn, now);
         }
+        true
     }
 
     fn racks(&self, service: &id::Service) -> Vec<id::Rack> {
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -29,6 +29,10 @@
 pub(super) struct Room {
     by_free: BTreeSet<(u64, id::Worker)>,
     free: BTreeMap<id::Worker, u64>,
+    /// Total capacity of the workers.
+    pub(super) capacity: Resources,
+    /// Capacity that tasks used on the workers when the round began.
+    pub(super) used: Resources,
     /// Healthy workers with the capacity that their long-running tasks leave, computed when first needed.
     healthy: OnceCell<Vec<(id::Worker, Resources)>>,
     /// Suspect workers that can get a long-running task although their pause has not ended.
@@ -43,6 +47,8 @@
     fn insert(&mut self, worker: &worker_state::Worker) {
         let size = worker.listing.size.cpu_milli;
         let free = size.saturating_sub(worker.used.cpu_milli);
+        self.capacity = self.capacity.plus(&worker.listing.size);
+        self.used = self.used.plus(&worker.used);
         let id = worker.listing.worker.clone();
         self.by_free.insert((free, id.clone()));
         self.free.insert(id, free);
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -41,6 +41,7 @@
     Settings {
         lease_ms: LEASE_MS,
         status_ms: 120_000,
+        quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     }
 }
 
@@ -197,6 +198,7 @@
     pub now_ms: u64,
     rng: SmallRng,
     faults: Faults,
+    config: Arc<queue::Config>,
     /// The workers by name.
     pub workers: BTreeMap<String, Worker>,
     /// The running schedulers, newest first.
@@ -225,7 +227,18 @@
 impl Simulation {
     /// Creates a simulation with some workers and one scheduler.
     pub fn new(workers: usize, faults: Faults, seed: u64) -> Self {
+        Self::with_config(workers, faults, seed, config())
+    }
+
+    /// Creates a simulation with some workers and one scheduler that applies a configuration.
+    pub fn with_config(
+        workers: usize,
+        faults: Faults,
+        seed: u64,
+        config: Arc<queue::Config>,
+    ) -> Self {
         let mut sim = Self {
+            config,
             now_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
             faults,
@@ -276,7 +289,8 @@
             predecessor_may_act: predecessor_lives,
             ..self.stored.clone()
         };
-        let mut scheduler = Scheduler::new(settings(), self.epoch, config(), rows, self.now());
+        let config = Arc::clone(&self.config);
+        let mut scheduler = Scheduler::new(settings(), self.epoch, config, rows, self.now());
         for worker in self.workers.values() {
             scheduler.worker_listed(worker.listing(), self.now());
         }
