measure: replays of scheduling orders; accounts in the measurement of the batch scheduler

Cause: the order under insufficient capacity was chosen without figures, and the cost of accounts in a planning round was not measured.

--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -11,7 +11,7 @@
 use wasabiloft::batch::scheduler::{
     Output, RecoveredState, Scheduler, Settings, Start, StartOutcome,
 };
-use wasabiloft::batch::{JobId, queue, record, spec, worker_state};
+use wasabiloft::batch::{JobId, accounts, queue, record, spec, worker_state};
 use wasabiloft::clock;
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
@@ -28,6 +28,7 @@
     --workers N      Workers of all pools; 1,100 if not given.
     --pools N        Pools; 4 if not given.
     --load-percent N Load of the pool whose turn it is, in percent of its capacity; 150 if not given.
+    --accounts N     Client accounts that submit jobs by turns; none if not given.
     --seconds N      Simulated time; 20 if not given.
     --seed N         1 if not given.
 ";
@@ -55,6 +56,7 @@
     workers: usize,
     pools: usize,
     load_percent: u64,
+    accounts: usize,
     seconds: u64,
     seed: u64,
 }
@@ -88,6 +90,7 @@
     workers: usize,
     pools: usize,
     load_percent: u64,
+    accounts: usize,
     seconds: u64,
     seed: u64,
     jobs: u64,
@@ -135,6 +138,7 @@
         workers: 1_100,
         pools: 4,
         load_percent: 150,
+        accounts: 0,
         seconds: 20,
         seed: 1,
     };
@@ -143,6 +147,7 @@
             Long("workers") => args.workers = parser.value()?.parse()?,
             Long("pools") => args.pools = parser.value()?.parse()?,
             Long("load-percent") => args.load_percent = parser.value()?.parse()?,
+            Long("accounts") => args.accounts = parser.value()?.parse()?,
             Long("seconds") => args.seconds = parser.value()?.parse()?,
             Long("seed") => args.seed = parser.value()?.parse()?,
             Short('h') | Long("help") => return Ok(None),
@@ -156,7 +161,11 @@
     id::Service::new(&format!("pool-{pool}"))
 }
 
-fn job(pool: usize, now_ms: u64) -> record::Accepted {
+fn account(number: usize) -> id::Account {
+    id::Account::new(&format!("account-{number}"))
+}
+
+fn job(pool: usize, account: Option<id::Account>, now_ms: u64) -> record::Accepted {
     let step = |after: &[u32]| spec::Step {
         tasks: TASKS,
         need: Resources {
@@ -169,7 +178,7 @@
         ..spec::Step::default()
     };
     record::Accepted {
-        account: None,
+        account,
         queue: queue::Queue {
             name: format!("queue-{pool}"),
             service: service(pool),
@@ -196,8 +205,12 @@
         };
         (service(pool), flags)
     });
+    let names_and_settings =
+        (0..args.accounts).map(|number| (account(number), accounts::Account::default()));
+    let (accounts, _) = accounts::Accounts::new(names_and_settings.collect(), Vec::new());
     let config = Arc::new(queue::Config {
         version: 1,
+        accounts: (args.accounts > 0).then_some(accounts),
         services: services.collect(),
         ..queue::Config::default()
     });
@@ -260,7 +273,8 @@
             due -= 1.0;
             jobs += 1;
             let pool = usize::try_from(now_ms / TURN_MS).unwrap_or(0) % args.pools;
-            scheduler.job_accepted(JobId(rng.random()), job(pool, now_ms), now);
+            let account = (args.accounts > 0).then(|| account(jobs as usize % args.accounts));
+            scheduler.job_accepted(JobId(rng.random()), job(pool, account, now_ms), now);
         }
         while let Some(Reverse((at_ms, _, _))) = events.peek()
             && *at_ms <= now_ms
@@ -344,6 +358,7 @@
         workers: args.workers,
         pools: args.pools,
         load_percent: args.load_percent,
+        accounts: args.accounts,
         seconds: args.seconds,
         seed: args.seed,
         jobs,
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod keys_world;
 mod lease;
 mod load;
+mod order;
 mod placement;
 mod retry;
 mod slots;
@@ -37,6 +38,7 @@
     jobs        Jobs under load and faults: waits, use, shares, lost work, store writes.
     keys        At-most-once by idempotency key: store writes, outages, changes of owner.
     lease       Duties: time to take over, paused holders, store load at an outage's end.
+    order       Jobs done in time by several scheduling orders while a pool is overloaded.
     placement   Placement decisions a second and memory against workers and queue length.
     retry       Attempts per request while endpoints fail, and in a storm of repeats.
     slots       Slot use of many entry nodes against one ideal queue.
@@ -56,6 +58,7 @@
         Some("jobs") => jobs::run(argv).map_err(Into::into),
         Some("keys") => keys::run(argv).map_err(Into::into),
         Some("lease") => lease::run(lexopt::Parser::from_args(argv)).map_err(Into::into),
+        Some("order") => order::run(argv).map_err(Into::into),
         Some("placement") => placement::run(argv).map_err(Into::into),
         Some("retry") => retry::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
