--- a/measure/src/order.rs
+++ b/measure/src/order.rs
@@ -277,6 +277,7 @@
                         cpu_milli_ms: job.work_left_ms() * 1_000,
                         memory_mib_ms: 0,
                     },
+                    need_min: Resources::default(),
                     job: JobId(index as u64),
                     occurrence: 0,
                 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,6 +4,7 @@
 //! stored: the scheduler polls the workers, which enforce leases and fencing epochs. One node at a time leads the
 //! duty of placing tasks; see [`scheduler`].
 
+pub mod account_rates;
 pub mod accounts;
 pub mod list_pause;
 pub mod machine_commands;
--- a/src/batch/order.rs
+++ b/src/batch/order.rs
@@ -7,7 +7,7 @@
 //! A round sorts the candidates once. The next candidate is then found in a heap with one entry for each account and tier.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BinaryHeap, HashMap};
 use std::fmt;
 
 use crate::batch::JobId;
@@ -31,9 +31,6 @@
 /// completed 190 and 8 completed 225).
 const TURN_TASKS: u32 = 4;
 
-/// Cost of a job in a token bucket, in millionths of a job.
-const JOB_MICRO: u64 = 1_000_000;
-
 /// Priority classes, in scheduling order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
@@ -99,6 +96,8 @@
     pub span_ms: u64,
     /// Estimated work of all tasks that have not been started.
     pub work_left: Work,
+    /// Smallest need of a task of the job, for each resource by itself.
+    pub need_min: Resources,
     /// The job.
     pub job: JobId,
     /// Number of the occurrence.
@@ -138,6 +137,16 @@
     pub weight_milli: u64,
 }
 
+impl PoolUse {
+    fn share(&self, capacity: &Resources) -> Share {
+        Share(accounts::weighted_share(
+            &self.used,
+            capacity,
+            self.weight_milli,
+        ))
+    }
+}
+
 /// A share of a pool, ordered by size.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Share(f64);
@@ -225,6 +234,8 @@
 pub struct Order {
     capacity: Resources,
     users: Vec<PoolUse>,
+    /// Weighted shares of the users.
+    shares: Vec<Share>,
     entries: Vec<Entry>,
     heads: BinaryHeap<Reverse<Head>>,
     /// Index of the entry whose turn it is.
@@ -251,13 +262,12 @@
             )
         });
         let mean_work_us = (work / u64::max(count, 1)).max(1);
-        let mut indexes: BTreeMap<Option<&id::Account>, usize> = BTreeMap::new();
-        for (index, user) in users.iter().enumerate() {
-            indexes.insert(user.account.as_ref(), index);
-        }
+        let users_by_account = users.iter().map(|user| user.account.as_ref()).zip(0..);
+        let indexes: HashMap<Option<&id::Account>, usize> = users_by_account.collect();
+        // An account that nothing is known of is treated like jobs without an account.
         let user = |candidate: &Candidate| {
-            let index = indexes.get(&candidate.account.as_ref()).copied();
-            index.unwrap_or(0)
+            let index = indexes.get(&candidate.account.as_ref());
+            index.copied().unwrap_or(0)
         };
         let entry = |candidate: &Candidate| Entry {
             tier: Tier::new(candidate),
@@ -272,6 +282,7 @@
         entries.sort_unstable();
         let mut order = Self {
             capacity,
+            shares: users.iter().map(|user| user.share(&capacity)).collect(),
             users,
             entries,
             heads: BinaryHeap::new(),
@@ -282,7 +293,7 @@
         for index in 0..order.entries.len() {
             let is_head = index == 0 || !order.is_same_group(index - 1, index);
             if is_head {
-                order.push(index);
+                order.heads.push(Reverse(order.head(index)));
             }
         }
         order
@@ -294,9 +305,9 @@
         first.tier == second.tier && first.user == second.user
     }
 
-    fn push(&mut self, index: usize) {
+    fn head(&self, index: usize) -> Head {
         let entry = &self.entries[index];
-        self.heads.push(Reverse(Head {
+        Head {
             tier: entry.tier,
             share: self.share(entry.user),
             rank: entry.rank,
@@ -304,43 +315,50 @@
             job: entry.job,
             occurrence: entry.occurrence,
             entry: index,
-        }));
+        }
     }
 
     fn share(&self, user: usize) -> Share {
-        let share = self.users.get(user).map_or(0.0, |user| {
-            accounts::weighted_share(&user.used, &self.capacity, user.weight_milli)
-        });
-        Share(share)
+        self.shares.get(user).copied().unwrap_or(Share(0.0))
     }
 
     /// Returns the candidate that is placed next, or `None` if all have had their turn.
     pub fn next_turn(&mut self) -> Option<Turn> {
-        if let Some(current) = self.current.take() {
-            let next = if self.repeats { current } else { current + 1 };
-            if next < self.entries.len() && self.is_same_group(current, next) {
-                self.push(next);
-            }
-        }
+        let following = self.following();
         (self.placed, self.repeats) = (0, false);
-        loop {
-            let Reverse(head) = self.heads.pop()?;
-            let entry = self.entries[head.entry];
-            // The account may have got capacity in another tier since.
-            if head.share < self.share(entry.user) {
-                self.push(head.entry);
-                continue;
+        let mut next = match (following, self.heads.peek()) {
+            // Saves the heap's moves while an account's candidates follow each other, as in a full pool.
+            (Some(following), Some(Reverse(first))) if following > *first => {
+                self.heads.push(Reverse(following));
+                self.heads.pop()?.0
             }
-            self.current = Some(head.entry);
-            return Some(Turn {
-                job: entry.job,
-                occurrence: entry.occurrence,
-                class: entry.class,
-                beyond_rate: matches!(entry.tier, Tier::InTimeBeyondRate | Tier::LateBeyondRate),
-                account: self.users.get(entry.user).cloned(),
-                weighted_share: head.share.0,
-            });
+            (Some(following), _) => following,
+            (None, _) => self.heads.pop()?.0,
+        };
+        // The account may have got capacity in another tier since.
+        while next.share < self.share(self.entries[next.entry].user) {
+            self.heads.push(Reverse(self.head(next.entry)));
+            next = self.heads.pop()?.0;
         }
+        self.current = Some(next.entry);
+        let entry = &self.entries[next.entry];
+        Some(Turn {
+            job: entry.job,
+            occurrence: entry.occurrence,
+            class: entry.class,
+            beyond_rate: matches!(entry.tier, Tier::InTimeBeyondRate | Tier::LateBeyondRate),
+            account: self.users.get(entry.user).cloned(),
+            weighted_share: next.share.0,
+        })
+    }
+
+    /// Returns the candidate that follows the current one among those of its account and tier, or the current one if it
+    /// gets another turn.
+    fn following(&mut self) -> Option<Head> {
+        let current = self.current.take()?;
+        let following = if self.repeats { current } else { current + 1 };
+        let exists = following < self.entries.len() && self.is_same_group(current, following);
+        exists.then(|| self.head(following))
     }
 
     /// Records that a task of the current candidate was placed. Returns whether its turn is over, because an account
@@ -354,11 +372,12 @@
             return false;
         };
         pool_use.used = pool_use.used.plus(need);
+        let share = pool_use.share(&self.capacity);
+        self.shares[user] = share;
         self.placed += 1;
         if self.placed < TURN_TASKS {
             return false;
         }
-        let share = self.share(user);
         let first = self.heads.peek();
         self.repeats = first.is_some_and(|Reverse(head)| head.tier == tier && head.share < share);
         self.repeats
@@ -381,102 +400,3 @@
         .objective_unix_ms
         .saturating_add(candidate.span_ms.saturating_mul(delay_milli) / 1_000)
 }
-
-/// A token bucket that marks the jobs of one account.
-#[derive(Clone, Debug)]
-struct Bucket {
-    /// Tokens at `filled_unix_ms`, in millionths of a job.
-    tokens_micro: u64,
-    filled_unix_ms: u64,
-    /// When the last job beyond the rate was submitted, in milliseconds since 1970; `None` if there was none, or the
-    /// account has been within its rate for a window since.
-    beyond_unix_ms: Option<u64>,
-    /// Jobs beyond the rate since the account was last within it.
-    jobs_beyond: u64,
-    /// Whether the last reported change was to be beyond the rate.
-    is_reported_beyond: bool,
-}
-
-/// An account that begins or ceases to be beyond its rate.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RateChange {
-    /// The account.
-    pub account: id::Account,
-    /// Whether jobs of the account exceed its rate now.
-    pub beyond: bool,
-    /// Jobs beyond the rate since the account was last within it.
-    pub jobs_beyond: u64,
-}
-
-/// The rates of all accounts, which mark each job once as within or beyond its account's rate.
-#[derive(Clone, Debug, Default)]
-pub struct Rates {
-    window_ms: u64,
-    buckets: BTreeMap<id::Account, Bucket>,
-}
-
-impl Rates {
-    /// Creates rates whose buckets hold the jobs of one window.
-    pub fn new(window_ms: u64) -> Self {
-        Self {
-            window_ms,
-            buckets: BTreeMap::new(),
-        }
-    }
-
-    /// Returns whether a job is beyond the rate of its account, `weight_milli` thousandths of a job a second. Jobs are
-    /// passed in the order of their submission; one that is passed later takes a token of the present.
-    pub fn is_beyond(
-        &mut self,
-        account: &id::Account,
-        weight_milli: u64,
-        submitted_unix_ms: u64,
-    ) -> bool {
-        let capacity = weight_milli.saturating_mul(self.window_ms).max(JOB_MICRO);
-        let bucket = self
-            .buckets
-            .entry(account.clone())
-            .or_insert_with(|| Bucket {
-                tokens_micro: capacity,
-                filled_unix_ms: submitted_unix_ms,
-                beyond_unix_ms: None,
-                jobs_beyond: 0,
-                is_reported_beyond: false,
-            });
-        let elapsed_ms = submitted_unix_ms.saturating_sub(bucket.filled_unix_ms);
-        let refill = weight_milli.saturating_mul(elapsed_ms);
-        bucket.tokens_micro = bucket.tokens_micro.saturating_add(refill).min(capacity);
-        bucket.filled_unix_ms = bucket.filled_unix_ms.max(submitted_unix_ms);
-        if let Some(tokens_micro) = bucket.tokens_micro.checked_sub(JOB_MICRO) {
-            bucket.tokens_micro = tokens_micro;
-            return false;
-        }
-        bucket.beyond_unix_ms = Some(bucket.filled_unix_ms);
-        bucket.jobs_beyond += 1;
-        true
-    }
-
-    /// Returns the accounts that began or ceased to be beyond their rate since the last call. An account ceases to be
-    /// beyond its rate when no job exceeded it for a window.
-    pub fn changes(&mut self, unix_ms: u64) -> Vec<RateChange> {
-        let mut changes = Vec::new();
-        for (account, bucket) in &mut self.buckets {
-            let Some(beyond_unix_ms) = bucket.beyond_unix_ms else {
-                continue;
-            };
-            let beyond = unix_ms.saturating_sub(beyond_unix_ms) < self.window_ms;
-            if beyond != bucket.is_reported_beyond {
-                changes.push(RateChange {
-                    account: account.clone(),
-                    beyond,
-                    jobs_beyond: bucket.jobs_beyond,
-                });
-                bucket.is_reported_beyond = beyond;
-            }
-            if !beyond {
-                (bucket.beyond_unix_ms, bucket.jobs_beyond) = (None, 0);
-            }
-        }
-        changes
-    }
-}
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -23,8 +23,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::batch::account_rates;
 use crate::batch::accounts;
-use crate::batch::order;
 use crate::batch::queue;
 use crate::batch::record;
 use crate::batch::worker_state;
@@ -86,7 +86,7 @@
     /// What the client accounts have running.
     ledger: accounts::Ledger,
     /// Rates of the client accounts.
-    rates: order::Rates,
+    rates: account_rates::Rates,
     /// Jobs of accounts that are to be marked as within or beyond their account's rate.
     unmarked_jobs: Vec<JobId>,
     changed_jobs: ends::ChangedJobs,
@@ -135,7 +135,7 @@
             reservations: reservation::Reservations::default(),
             dirty_services: BTreeSet::new(),
             ledger: accounts::Ledger::default(),
-            rates: order::Rates::new(settings.quota_window_ms),
+            rates: account_rates::Rates::new(settings.quota_window_ms),
             unmarked_jobs: Vec::new(),
             changed_jobs: ends::ChangedJobs::default(),
             submitted_work: BTreeMap::new(),
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -35,18 +35,34 @@
     }
 }
 
-/// Returns the estimated work of an occurrence's tasks that are neither done nor have a run.
-fn work_left(job: &job::Job, occurrence: u32) -> order::Work {
+/// Returns whether a task with a need fits nowhere, because one that needs at most as much was not placed.
+fn cannot_fit(need: &Resources, unplaced: Option<&Resources>) -> bool {
+    unplaced.is_some_and(|unplaced| unplaced.fits_in(need))
+}
+
+/// Returns the smaller of two amounts of each resource.
+fn smaller(first: &Resources, second: &Resources) -> Resources {
+    Resources {
+        cpu_milli: first.cpu_milli.min(second.cpu_milli),
+        memory_mib: first.memory_mib.min(second.memory_mib),
+        accelerators: first.accelerators.min(second.accelerators),
+    }
+}
+
+/// Returns the estimated work of an occurrence's tasks that are neither done nor have a run, and the smallest need of a
+/// step.
+fn work_left(job: &job::Job, occurrence: u32) -> (order::Work, Resources) {
     let mut work = order::Work::default();
+    let mut need_min: Option<Resources> = None;
     if let Some(state) = job.occurrences.get(&occurrence) {
         for (step, spec) in state.steps.iter().zip(&job.accepted.spec.steps) {
-            work.add(
-                &need(spec),
-                spec.estimate_ms.saturating_mul(u64::from(step.idle)),
-            );
+            let need = need(spec);
+            let time_ms = spec.estimate_ms.saturating_mul(u64::from(step.idle));
+            work.add(&need, time_ms);
+            need_min = Some(need_min.map_or(need, |min| smaller(&min, &need)));
         }
     }
-    work
+    (work, need_min.unwrap_or_default())
 }
 
 impl Scheduler {
@@ -72,23 +88,27 @@
             return;
         }
         let mut room = self.room(service, now);
+        let needs = candidates.iter().map(|candidate| candidate.need_min);
+        let need_min = needs
+            .reduce(|first, second| smaller(&first, &second))
+            .unwrap_or_default();
         let users = self.pool_uses(service, &room.used);
         let mut order = order::Order::new(&candidates, room.capacity, users);
         self.withhold_for_trials(&mut room, service, now);
         // After a task was not placed, tasks of the same service that need at least as much are skipped.
         let mut unplaced: Option<Resources> = None;
         'turns: while let Some(turn) = order.next_turn() {
+            // Saves the rest of a long queue in a full pool.
+            if cannot_fit(&need_min, unplaced.as_ref()) && self.crashed_tasks.is_empty() {
+                break;
+            }
             let Some(job) = self.jobs.get(&turn.job) else {
                 continue;
             };
             let accepted = Arc::clone(&job.accepted);
             for (step, spec) in (0_u32..).zip(&accepted.spec.steps) {
                 let need = need(spec);
-                let cannot_fit = unplaced.is_some_and(|unplaced| {
-                    need.cpu_milli >= unplaced.cpu_milli
-                        && need.memory_mib >= unplaced.memory_mib
-                        && need.accelerators >= unplaced.accelerators
-                });
+                let cannot_fit = cannot_fit(&need, unplaced.as_ref());
                 if cannot_fit && !self.has_suspects(turn.job) {
                     continue;
                 }
@@ -166,6 +186,7 @@
                 }
                 let objective_unix_ms = job.objective_unix_ms(occurrence);
                 let due_unix_ms = job.due_unix_ms(occurrence);
+                let (work_left, need_min) = work_left(job, occurrence);
                 candidates.push(order::Candidate {
                     class: class(job, occurrence, unix_ms),
                     account: job.accepted.account.clone(),
@@ -173,7 +194,8 @@
                     rank: job.accepted.queue.rank,
                     objective_unix_ms,
                     span_ms: objective_unix_ms.saturating_sub(due_unix_ms),
-                    work_left: work_left(job, occurrence),
+                    work_left,
+                    need_min,
                     job: *id,
                     occurrence,
                 });
--- a/tests/test_batch_order.rs
+++ b/tests/test_batch_order.rs
@@ -5,7 +5,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wasabiloft::batch::order::{Candidate, Class, Order, PoolUse, Rates, Work};
+use wasabiloft::batch::account_rates::Rates;
+use wasabiloft::batch::order::{Candidate, Class, Order, PoolUse, Work};
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
 use wasabiloft::batch::{JobId, accounts, queue, record};
 use wasabiloft::id;
@@ -366,6 +367,7 @@
             cpu_milli_ms: tasks * 1_000 * 1_000,
             memory_mib_ms: 0,
         },
+        need_min: Resources::default(),
         job: JobId(job),
         occurrence: 0,
     }
