--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,10 +4,12 @@
 //! stored: the scheduler polls the workers, which enforce leases and fencing epochs. One node at a time leads the
 //! duty of placing tasks; see [`scheduler`].
 
+pub mod account_rates;
 pub mod accounts;
 pub mod admission_limit;
 pub mod list_pause;
 pub mod machine_commands;
+pub mod order;
 pub mod pacing;
 pub mod pools;
 pub mod queue;
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -4,10 +4,11 @@
 //! carried out late and runs that are being stopped never bring an account over its quota. A new leader learns from the
 //! workers what runs; until all have answered, every task that a previous leader may have started counts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::TaskId;
 use crate::batch::accounts;
+use crate::batch::order;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, plan};
 use crate::batch::spec;
@@ -126,7 +127,7 @@
                 && job
                     .occurrences
                     .keys()
-                    .any(|&occurrence| plan::class(job, occurrence, unix_ms) == plan::Class::Late);
+                    .any(|&occurrence| plan::class(job, occurrence, unix_ms) == order::Class::Late);
             if is_late {
                 late.insert(account.clone());
             }
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -41,6 +41,7 @@
     Settings {
         lease_ms: LEASE_MS,
         status_ms: 120_000,
+        quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     }
 }
 
@@ -197,6 +198,7 @@
     pub now_ms: u64,
     rng: SmallRng,
     faults: Faults,
+    config: Arc<queue::Config>,
     /// The workers by name.
     pub workers: BTreeMap<String, Worker>,
     /// The running schedulers, newest first.
@@ -227,7 +229,18 @@
 impl Simulation {
     /// Creates a simulation with some workers and one scheduler.
     pub fn new(workers: usize, faults: Faults, seed: u64) -> Self {
+        Self::with_config(workers, faults, seed, config())
+    }
+
+    /// Creates a simulation with some workers and one scheduler that applies a configuration.
+    pub fn with_config(
+        workers: usize,
+        faults: Faults,
+        seed: u64,
+        config: Arc<queue::Config>,
+    ) -> Self {
         let mut sim = Self {
+            config,
             now_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
             faults,
