batch: a slow leader hands the duty over to a prepared follower; slow relays are bypassed

A VM of half a core that turns seven times slower for 6 s delayed every command of the leader, while all other nodes ran as usual. The leader now measures the lateness of its timers that its own work doesn't explain, names the fittest follower, and releases the duty in its favour once that has read the rows of jobs. A relay whose answers to pings take far longer than the others' is bypassed.

--- a/node/src/batch/channels.rs
+++ b/node/src/batch/channels.rs
@@ -19,6 +19,9 @@
 /// Relays that are tried for one command before the leader sends it itself.
 const RELAYS_TRIED_MAX: u32 = 3;
 
+/// Interval at which the response times of relays are compared, in milliseconds; short against the timeout of a command.
+const MEASURE_INTERVAL_MS: u64 = 30;
+
 /// A worker with its data centre, near which a relay is chosen.
 #[derive(Clone, Debug)]
 pub struct Recipient {
@@ -50,6 +53,7 @@
 struct Connections {
     direct: HashMap<id::Worker, Arc<worker::Worker>>,
     relays: HashMap<SocketAddr, Arc<Link>>,
+    measured_at: wasabiloft::clock::Instant,
     links: JoinSet<()>,
 }
 
@@ -112,10 +116,42 @@
         links.shutdown().await;
     }
 
+    /// Compares the response times of all relays and bypasses slow ones.
+    fn measure(&self, connections: &Connections, now: wasabiloft::clock::Instant) {
+        let response_times: Vec<(SocketAddr, u64)> = connections
+            .relays
+            .iter()
+            .filter(|(_, link)| !link.failed.is_cancelled())
+            .map(|(address, link)| (*address, link.response_ms(now)))
+            .collect();
+        let own_delay_ms = self.leadership.meter.detector().delay_ms();
+        let bypassed = self
+            .leadership
+            .relays()
+            .measured(&response_times, own_delay_ms, now);
+        for address in bypassed {
+            let response_ms = response_times
+                .iter()
+                .find(|(measured, _)| *measured == address)
+                .map_or(0, |(_, ms)| *ms);
+            metrics::counter!("wasabiloft_relays_bypassed_total").increment(1);
+            log::info(
+                "relay",
+                &format!(
+                    "bypassed address={address} response_ms={response_ms} own_delay_ms={own_delay_ms}"
+                ),
+            );
+        }
+    }
+
     fn channel(&self, recipient: &Recipient) -> Channel {
         let now = clock::since_boot();
         let worker = &recipient.target.worker;
         let mut connections = self.connections();
+        if now.since_ms(connections.measured_at) >= MEASURE_INTERVAL_MS {
+            connections.measured_at = now;
+            self.measure(&connections, now);
+        }
         for _ in 0..RELAYS_TRIED_MAX {
             let mut relays = self.leadership.relays();
             let Route::Relay(address) = relays.route(worker, &recipient.data_centre, now) else {
--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -112,6 +112,9 @@
             cpu_milli: leadership
                 .successor_cpu_milli()
                 .unwrap_or(self.duty.cpu_milli),
+            successor: leadership
+                .successor()
+                .map(|successor| successor.incarnation),
             ..self.duty
         };
         let transaction = match transaction(&duty, self.version, &record::WriteBatch::default()) {
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -8,7 +8,7 @@
 use wasabiloft::batch::{record, succession};
 use wasabiloft_platform::store;
 
-use crate::batch::{leadership, peers, shared};
+use crate::batch::{leadership, peers, shared, standby};
 use crate::clock;
 use crate::log;
 
@@ -36,6 +36,13 @@
 /// after which a row counts as unchanged.
 const RECHECK_MS: u64 = 100;
 
+/// Interval at which a node that lets others claim first checks the row, in milliseconds; a new leader without relays is
+/// slow itself.
+const YIELD_CHECK_MS: u64 = 120;
+/// Time for which a successor waits for the release of the duty, in milliseconds: the leader waits up to 250 ms for the
+/// commands in progress, and a slow one takes longer.
+const RELEASE_WAIT_MS: u64 = 2_000;
+
 /// Returns the name of the duty's row.
 pub fn row_name() -> store::Name {
     store::Name::new(
@@ -51,16 +58,23 @@
     while !shared.stop.is_cancelled() {
         match follower.step(&shared).await {
             Step::Follow => {
-                let heartbeat_interval_ms = succession::heartbeat_ms(
-                    shared.settings().cpu_milli,
-                    expected_cpu_milli(&shared),
-                    shared.store_silent_ms() < STORE_ANSWERS_MS,
-                );
+                let heartbeat_interval_ms = if follower.standby.is_some() {
+                    succession::HEARTBEAT_STANDBY_MS
+                } else {
+                    succession::heartbeat_ms(
+                        shared.settings().cpu_milli,
+                        expected_cpu_milli(&shared),
+                        shared.store_silent_ms() < STORE_ANSWERS_MS,
+                    )
+                };
                 tokio::select! {
                     () = shared.stop.cancelled() => {}
                     () = time::sleep(Duration::from_millis(heartbeat_interval_ms)) => {}
                 }
             }
+            Step::AwaitRelease => {
+                time::sleep(Duration::from_millis(succession::STANDBY_CHECK_MS)).await;
+            }
             Step::Recheck => time::sleep(Duration::from_millis(RECHECK_MS)).await,
             Step::Claim {
                 previous_leader_may_act,
@@ -69,12 +83,22 @@
                     shared.settings().cpu_milli,
                     expected_cpu_milli(&shared),
                 );
+                let row = shared.duty();
+                let successor = row.duty.as_ref().and_then(|duty| duty.successor);
+                let successor = succession::Successor::new(successor, shared.incarnation);
+                let yield_ms = succession::yield_delay_ms(successor, shared.meter.was_slow());
+                if !is_left_unclaimed(&shared, row.version, yield_ms).await {
+                    continue;
+                }
                 time::sleep(Duration::from_millis(pause_ms)).await;
+                shared.set_successor(0);
                 if let Some((duty, version)) = claim(&shared).await {
                     let start = leadership::Start {
                         duty,
                         version,
                         previous_leader_may_act,
+                        handed_over: successor == succession::Successor::This,
+                        standby: follower.standby.take(),
                     };
                     leadership::run(&shared, start).await;
                     shared.set_own_epoch(0);
@@ -88,6 +112,35 @@
     }
 }
 
+/// Waits for nodes that claim the duty before this one. Returns whether the row has the same version after `wait_ms`; a
+/// new leader is followed at once, as it needs relays.
+async fn is_left_unclaimed(shared: &shared::Shared, version: u64, wait_ms: u64) -> bool {
+    let mut left_ms = wait_ms;
+    while left_ms > 0 {
+        let pause_ms = left_ms.min(YIELD_CHECK_MS);
+        left_ms -= pause_ms;
+        time::sleep(Duration::from_millis(pause_ms)).await;
+        if shared.stop.is_cancelled() {
+            return false;
+        }
+        match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
+            Ok(row) => {
+                let seen = read(row);
+                let is_same = seen.version == version;
+                shared.record_duty(seen);
+                if !is_same {
+                    return false;
+                }
+            }
+            Err(error) => {
+                log::info("duty", &format!("cannot read the row reason={error}"));
+                return false;
+            }
+        }
+    }
+    true
+}
+
 /// CPU of the node that is expected to lead the duty, in thousandths of a core; `None` if no row names it.
 fn expected_cpu_milli(shared: &shared::Shared) -> Option<u64> {
     shared.duty().duty.map(|duty| duty.cpu_milli)
@@ -99,6 +152,8 @@
     Follow,
     /// The leader's state is uncertain: check the row again soon.
     Recheck,
+    /// The leader is releasing the duty in favour of this node: check the row again at once.
+    AwaitRelease,
     /// There is no leader, or it is dead or cannot reach the store: claim the duty.
     Claim {
         /// Whether the previous leader's process can still be running.
@@ -126,10 +181,24 @@
     refusals: u32,
     /// When the newest heartbeat failed without a refused connection.
     unresponsive_at: Option<wasabiloft::clock::Instant>,
+    /// The rows that this node reads in advance, as the leader requested.
+    standby: Option<standby::Standby>,
+    /// The leader is expected to release the duty in favour of this node before this time.
+    release_until: Option<wasabiloft::clock::Instant>,
 }
 
 impl Follower {
-    async fn step(&mut self, shared: &shared::Shared) -> Step {
+    async fn step(&mut self, shared: &Arc<shared::Shared>) -> Step {
+        if self
+            .release_until
+            .is_some_and(|until| clock::since_boot() < until)
+        {
+            return match self.check_row(shared, Evidence::None).await {
+                Step::Recheck | Step::Follow => Step::AwaitRelease,
+                step => step,
+            };
+        }
+        self.release_until = None;
         let seen = shared.duty();
         let Some(address) = seen
             .duty
@@ -154,10 +223,25 @@
             // Another heartbeat would only delay the read of the row.
             return self.check_row(shared, Evidence::None).await;
         }
-        match peers::send_heartbeat(shared, address, HEARTBEAT_TIMEOUT_MS).await {
+        let is_prepared = self
+            .standby
+            .as_ref()
+            .is_some_and(standby::Standby::is_prepared);
+        match peers::send_heartbeat(shared, address, is_prepared, HEARTBEAT_TIMEOUT_MS).await {
             Ok(reply) if reply.epoch > 0 => {
                 self.refusals = 0;
                 self.unresponsive_at = None;
+                if reply.releasing {
+                    log::info("duty", &format!("expects the release holder={address}"));
+                    self.release_until = Some(clock::since_boot().after_ms(RELEASE_WAIT_MS));
+                    return Step::AwaitRelease;
+                }
+                if !reply.prepare {
+                    self.standby = None;
+                } else if self.standby.is_none() {
+                    log::info("duty", &format!("standby prepares holder={address}"));
+                    self.standby = Some(standby::Standby::start(shared));
+                }
                 if reply.hand_over {
                     log::info(
                         "duty",
@@ -210,8 +294,11 @@
         let known = shared.duty().version == version;
         shared.record_duty(seen);
         if vacant {
-            let pause_ms = rand::random_range(0..CLAIM_JITTER_MS);
-            time::sleep(Duration::from_millis(pause_ms)).await;
+            let successor = shared.duty().duty.and_then(|duty| duty.successor);
+            if successor != Some(shared.incarnation) {
+                let pause_ms = rand::random_range(0..CLAIM_JITTER_MS);
+                time::sleep(Duration::from_millis(pause_ms)).await;
+            }
             return Step::Claim {
                 previous_leader_may_act: false,
             };
@@ -273,6 +360,7 @@
         epoch: seen.duty.map_or(0, |duty| duty.epoch) + 1,
         commits: 0,
         cpu_milli: settings.cpu_milli,
+        successor: None,
     };
     let value = match serde_json::to_vec(&duty) {
         Ok(value) => value,
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -10,11 +10,11 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
-use wasabiloft::batch::{JobId, queue, record, relays};
+use wasabiloft::batch::{JobId, handover, queue, record, relays};
 use wasabiloft::id;
 use wasabiloft_platform::{registry, settings, store};
 
-use crate::batch::{commit, fleet, recovery, shared, watch};
+use crate::batch::{commit, fleet, lateness, recovery, shared, standby, watch};
 use crate::clock;
 use crate::log;
 
@@ -63,6 +63,11 @@
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
+    handover: Mutex<handover::Handover>,
+    /// The node that this slow leader names as its successor.
+    successor: OnceLock<handover::Follower>,
+    /// How late this process runs.
+    pub(super) meter: Arc<lateness::Meter>,
     /// When the scheduler was created, after the rows were read.
     pub began_at: wasabiloft::clock::Instant,
 }
@@ -80,6 +85,11 @@
         self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks and returns the state of a handover to a standby.
+    pub fn handover(&self) -> MutexGuard<'_, handover::Handover> {
+        self.handover.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time since the newest commit was sent, in milliseconds.
     pub fn since_commit_ms(&self) -> u64 {
         let at = self.committed_ms.load(Ordering::Relaxed);
@@ -97,6 +107,17 @@
         self.step_down_requested.cancel();
     }
 
+    /// Releases the duty in favour of a standby, as this node is slow.
+    pub fn hand_over(&self, successor: handover::Follower) {
+        self.successor.get_or_init(|| successor);
+        self.step_down_requested.cancel();
+    }
+
+    /// Returns the standby in whose favour the duty is released.
+    pub fn successor(&self) -> Option<&handover::Follower> {
+        self.successor.get()
+    }
+
     /// Returns the CPU of the node in whose favour the duty is released, in thousandths of a core.
     pub fn successor_cpu_milli(&self) -> Option<u64> {
         self.successor_cpu_milli.get().copied()
@@ -150,6 +171,10 @@
     pub version: u64,
     /// Whether the previous leader can still send commands.
     pub previous_leader_may_act: bool,
+    /// Whether the previous leader named this node as its successor.
+    pub handed_over: bool,
+    /// The standby's rows, if this node has prepared.
+    pub standby: Option<standby::Standby>,
 }
 
 /// Leads the duty until it is lost, handed over, or the node stops.
@@ -159,10 +184,12 @@
         duty,
         version,
         previous_leader_may_act,
+        handed_over,
+        standby,
     } = start;
     let mut committer = commit::Committer::new(duty.clone(), version);
     let begun = {
-        let begin = begin(shared, &duty, previous_leader_may_act);
+        let begin = begin(shared, &duty, previous_leader_may_act, handed_over, standby);
         tokio::pin!(begin);
         loop {
             tokio::select! {
@@ -216,11 +243,17 @@
         }
         () = leadership.step_down_requested.cancelled() => log::info(
             "duty",
-            &format!(
-                "given back epoch={} reason=stronger-node cpu_milli={:?}",
-                leadership.epoch,
-                leadership.successor_cpu_milli()
-            ),
+            &match leadership.successor() {
+                Some(successor) => format!(
+                    "given back epoch={} reason=slow successor={}",
+                    leadership.epoch, successor.node
+                ),
+                None => format!(
+                    "given back epoch={} reason=stronger-node cpu_milli={:?}",
+                    leadership.epoch,
+                    leadership.successor_cpu_milli()
+                ),
+            },
         ),
     }
     shared.set_leadership(None);
@@ -234,8 +267,14 @@
     shared: &Arc<shared::Shared>,
     duty: &record::Duty,
     previous_leader_may_act: bool,
+    handed_over: bool,
+    standby: Option<standby::Standby>,
 ) -> Option<(Arc<Leadership>, u64)> {
-    let (mut recovered, version) = match recovery::all(shared).await {
+    let known_jobs = match standby {
+        Some(standby) => standby.finish(shared).await,
+        None => None,
+    };
+    let (mut recovered, version) = match recovery::all(shared, known_jobs).await {
         Ok(recovered) => recovered,
         Err(error) => {
             log::warn("duty", &format!("rows unread reason={error}"));
@@ -268,6 +307,16 @@
         cpu_milli: settings.cpu_milli,
         link_kbit_per_s: settings.link_kbit_per_s,
     };
+    let lead_min_ms = if handed_over {
+        handover::LEAD_MIN_AFTER_HANDOVER_MS
+    } else {
+        handover::LEAD_MIN_MS
+    };
+    let handover = handover::Handover::new(
+        settings.cpu_milli,
+        settings.link_kbit_per_s,
+        now.after_ms(lead_min_ms),
+    );
     let leadership = Arc::new(Leadership {
         epoch: duty.epoch,
         scheduler: Mutex::new(scheduler),
@@ -280,6 +329,9 @@
         committed_ms: AtomicU64::new(now.as_ms()),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
+        handover: Mutex::new(handover),
+        successor: OnceLock::new(),
+        meter: Arc::clone(&shared.meter),
         began_at: now,
     });
     leadership.configured(shared);
@@ -323,6 +375,7 @@
         }
         leadership.write.notify_one();
         let took_ms = u64::try_from(round_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        leadership.meter.record_round(took_ms);
         let pause_ms = took_ms
             .saturating_mul(PLAN_PAUSE_FACTOR)
             .clamp(PLAN_PAUSE_MIN_MS, PLAN_PAUSE_MAX_MS);
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod front;
 mod gauges;
+mod lateness;
 mod leadership;
 mod peers;
 mod recovery;
@@ -15,6 +16,7 @@
 mod requests;
 mod server;
 mod shared;
+mod standby;
 mod watch;
 
 use std::path::Path;
@@ -62,6 +64,7 @@
     server::start(&shared, &mut tasks).await?;
     tasks.spawn(configuration::follow(Arc::clone(&shared)));
     tasks.spawn(duty::run(Arc::clone(&shared)));
+    tasks.spawn(lateness::run(Arc::clone(&shared)));
     let mut check = time::interval(Duration::from_millis(SETTINGS_CHECK_MS));
     loop {
         tokio::select! {
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -14,7 +14,7 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{record, relays, succession};
+use wasabiloft::batch::{handover, record, relays, succession};
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
@@ -72,6 +72,21 @@
     /// How the follower can relay commands; absent if it stops.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<RelayOffer>,
+    /// Name of the follower.
+    #[serde(default)]
+    pub node: String,
+    /// Incarnation of the follower; 0 if it can't be named as a successor.
+    #[serde(default)]
+    pub incarnation: u64,
+    /// Average delay of the follower's timer that its own work doesn't explain, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Whether the follower is slow or was so in the last seconds.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub slow: bool,
+    /// Whether the follower has read the rows of jobs and follows their changes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub prepared: bool,
 }
 
 /// A follower's offer to relay commands to workers.
@@ -97,6 +112,12 @@
     pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// Whether the follower must read the rows of jobs, as the leader may hand the duty over to it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub prepare: bool,
+    /// Whether the leader is releasing the duty in favour of this follower.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub releasing: bool,
 }
 
 /// Query for the number of waiting jobs of a queue.
@@ -132,7 +153,14 @@
         ..HeartbeatReply::default()
     };
     reply.epoch = shared.own_epoch();
+    reply.releasing = heartbeat.incarnation != 0 && shared.successor() == heartbeat.incarnation;
     if let Some(leadership) = shared.leadership() {
+        if heartbeat.incarnation != 0 {
+            let mut handover = leadership.handover();
+            handover.heard(follower(&heartbeat), now);
+            reply.prepare =
+                handover.instruction(heartbeat.incarnation) == handover::Instruction::Prepare;
+        }
         if let Some(offer) = heartbeat.relay {
             let strength = relays::Strength {
                 data_centre: offer.data_centre,
@@ -158,6 +186,24 @@
     Json(reply)
 }
 
+/// Returns what a heartbeat says about its sender's fitness to lead.
+fn follower(heartbeat: &Heartbeat) -> handover::Follower {
+    handover::Follower {
+        node: heartbeat.node.clone(),
+        incarnation: heartbeat.incarnation,
+        cpu_milli: heartbeat.cpu_milli,
+        link_kbit_per_s: heartbeat
+            .relay
+            .as_ref()
+            .map_or(0, |offer| offer.link_kbit_per_s),
+        delay_ms: heartbeat.delay_ms,
+        slow: heartbeat.slow,
+        stopping: heartbeat.relay.is_none(),
+        store_silent_ms: heartbeat.store_silent_ms,
+        prepared: heartbeat.prepared,
+    }
+}
+
 /// Returns the newest configuration, to few followers at a time: it can be as long as the link carries in a second.
 async fn config(State(shared): State<Arc<shared::Shared>>) -> Result<Vec<u8>, StatusCode> {
     let Ok(_permit) = shared.config_transfers.try_acquire() else {
@@ -231,7 +277,8 @@
     get(client, &format!("/waiting?{query}"), timeout_ms).await
 }
 
-/// Sends a heartbeat and applies the configuration of the response.
+/// Sends a heartbeat and applies the configuration of the response; `is_prepared` says whether this node is a standby that
+/// has read its rows.
 ///
 /// # Errors
 ///
@@ -239,6 +286,7 @@
 pub async fn send_heartbeat(
     shared: &shared::Shared,
     address: SocketAddr,
+    is_prepared: bool,
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
     let configured = shared.current_config();
@@ -256,6 +304,11 @@
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
         relay: (!shared.stop.is_cancelled()).then_some(relay),
+        node: settings.node.clone(),
+        incarnation: shared.incarnation,
+        delay_ms: shared.meter.detector().delay_ms(),
+        slow: shared.meter.was_slow(),
+        prepared: is_prepared,
     };
     let sent_at = clock::since_boot();
     let client = shared.peers.to(address);
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -131,18 +131,23 @@
     );
 }
 
-/// Reads the state that a new leader recovers, and the version after which changes of jobs must be followed.
+/// Reads the state that a new leader recovers, and the version after which changes of jobs must be followed. A standby has
+/// read the rows of jobs already.
 ///
 /// # Errors
 ///
 /// Fails if any of the rows cannot be read.
 pub async fn all(
     shared: &shared::Shared,
+    known_jobs: Option<Jobs>,
 ) -> Result<(scheduler::RecoveredState, u64), store::Error> {
     let rows_max = recovery_pages::reads(shared.settings().link_kbit_per_s).rows_max;
     let own = |table| rows(shared, table, record::SCHEDULER_PARTITION, rows_max);
     let workers = own(record::WORKER_TABLE).await?;
-    let jobs = jobs(shared).await?;
+    let jobs = match known_jobs {
+        Some(known) => known,
+        None => jobs(shared).await?,
+    };
     let progress = own(record::PROGRESS_TABLE).await?;
     let mut recovered = scheduler::RecoveredState {
         accepted: jobs.accepted,
--- a/node/src/batch/relay/link.rs
+++ b/node/src/batch/relay/link.rs
@@ -1,6 +1,6 @@
 //! The leader's side: a connection to a relay.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::JobId;
 use wasabiloft::verdict::Verdict;
+use wasabiloft_platform::call;
 
 use crate::batch::relay::TEXTS_MAX;
 use crate::batch::relay::message::{
@@ -46,6 +47,10 @@
     next_number: AtomicU64,
     /// Jobs of which the relay got the text.
     jobs: Mutex<HashSet<JobId>>,
+    /// Response time of the newest answered ping, in milliseconds.
+    response_ms: AtomicU64,
+    /// When the oldest unanswered ping was sent, in milliseconds since boot; 0 if all are answered.
+    unanswered_ms: AtomicU64,
     /// Cancelled when the relay has failed.
     pub failed: CancellationToken,
     /// Cancelled when the relay stops and takes no further commands.
@@ -61,6 +66,8 @@
             waiting: Mutex::default(),
             next_number: AtomicU64::new(0),
             jobs: Mutex::default(),
+            response_ms: AtomicU64::new(0),
+            unanswered_ms: AtomicU64::new(0),
             failed: CancellationToken::new(),
             stopping: CancellationToken::new(),
         };
@@ -71,6 +78,16 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the response time of the relay itself, without that of any worker, in milliseconds: of the newest answered
+    /// ping, or the age of an unanswered one.
+    pub fn response_ms(&self, now: wasabiloft::clock::Instant) -> u64 {
+        let unanswered_ms = match self.unanswered_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            sent_ms => now.as_ms().saturating_sub(sent_ms),
+        };
+        self.response_ms.load(Ordering::Relaxed).max(unanswered_ms)
+    }
+
     /// Returns whether the relay got no start of a job yet, and records that it gets one.
     pub fn is_first_start(&self, job: JobId) -> bool {
         let mut jobs = self.jobs.lock().unwrap_or_else(PoisonError::into_inner);
@@ -110,17 +127,20 @@
                 "the relay's queue is closed or full",
             ));
         }
-        let limit = Duration::from_millis(timeout_ms + REPLY_MARGIN_MS);
-        tokio::select! {
-            outcome = outcome => match outcome {
-                Ok(outcome) => outcome,
-                Err(_) => Err(failure(Verdict::MayHaveRun, "the relay failed")),
-            },
-            () = self.failed.cancelled() => {
+        let response = async {
+            tokio::select! {
+                biased;
+                outcome = outcome => outcome.ok(),
+                () = self.failed.cancelled() => None,
+            }
+        };
+        match call::timeout_while_running(timeout_ms + REPLY_MARGIN_MS, response).await {
+            Some(Some(outcome)) => outcome,
+            Some(None) => {
                 self.waiting().remove(&number);
                 Err(failure(Verdict::MayHaveRun, "the relay failed"))
             }
-            () = time::sleep(limit) => {
+            None => {
                 self.waiting().remove(&number);
                 self.failed.cancel();
                 Err(failure(Verdict::MayHaveRun, "the relay did not reply"))
@@ -128,6 +148,15 @@
         }
     }
 
+    /// Records a sent or answered ping; pings are answered in order.
+    fn record_ping(&self, pings: &VecDeque<u64>, response_ms: Option<u64>) {
+        let oldest_ms = pings.front().copied().unwrap_or(0);
+        self.unanswered_ms.store(oldest_ms, Ordering::Relaxed);
+        if let Some(response_ms) = response_ms {
+            self.response_ms.store(response_ms, Ordering::Relaxed);
+        }
+    }
+
     fn resolve(&self, replies: Replies) {
         if replies.stopping {
             self.stopping.cancel();
@@ -186,6 +215,8 @@
         return String::from("first frame not answered");
     }
     let mut heard_at = time::Instant::now();
+    // A relay answers a frame without commands at once, by a frame without replies.
+    let mut pings = VecDeque::new();
     let mut ping = time::interval(Duration::from_millis(PING_MS));
     ping.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
@@ -199,8 +230,15 @@
                     return String::from("connection closed");
                 };
                 heard_at = time::Instant::now();
-                match postcard::from_bytes(&frame) {
-                    Ok(replies) => link.resolve(replies),
+                match postcard::from_bytes::<Replies>(&frame) {
+                    Ok(replies) => {
+                        if replies.replies.is_empty() {
+                            let now_ms = clock::since_boot().as_ms();
+                            let sent_ms = pings.pop_front().unwrap_or(now_ms);
+                            link.record_ping(&pings, Some(now_ms.saturating_sub(sent_ms)));
+                        }
+                        link.resolve(replies);
+                    }
                     Err(error) => return error.to_string(),
                 }
                 continue;
@@ -223,8 +261,13 @@
                 }
             }
         }
+        let sent_ms = clock::since_boot().as_ms();
+        if batch.is_empty() {
+            pings.push_back(sent_ms);
+            link.record_ping(&pings, None);
+        }
         let frame = Requests {
-            sent_ms: clock::since_boot().as_ms(),
+            sent_ms,
             requests: batch,
         };
         let frame = match postcard::to_stdvec(&frame) {
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -64,6 +64,9 @@
     store_clock: Mutex<Option<(u64, wasabiloft::clock::Instant)>>,
     own_epoch: AtomicU64,
     waves: Mutex<BTreeMap<u64, RequestedWave>>,
+    successor: AtomicU64,
+    /// How late this process runs.
+    pub(super) meter: Arc<super::lateness::Meter>,
     pub(super) peers: super::peers::Clients,
     /// Permits for followers that read the configuration from this node.
     pub(super) config_transfers: Semaphore,
@@ -86,6 +89,8 @@
             duty: Mutex::default(),
             leadership: Mutex::default(),
             own_epoch: AtomicU64::new(0),
+            successor: AtomicU64::new(0),
+            meter: Arc::new(super::lateness::Meter::new(settings.cpu_milli)),
             waves: Mutex::default(),
             store_responded_ms: AtomicU64::new(clock::since_boot().as_ms()),
             store_clock: Mutex::default(),
@@ -169,6 +174,16 @@
         self.own_epoch.store(epoch, Ordering::Relaxed);
     }
 
+    /// Returns the incarnation of the node to which this leader hands the duty over, else 0.
+    pub fn successor(&self) -> u64 {
+        self.successor.load(Ordering::Relaxed)
+    }
+
+    /// Sets the incarnation of the node to which this leader hands the duty over; 0 for none.
+    pub fn set_successor(&self, incarnation: u64) {
+        self.successor.store(incarnation, Ordering::Relaxed);
+    }
+
     /// Records a requested wave; returns whether it is new.
     pub fn record_wave_request(&self, request: waves::Request) -> bool {
         let mut waves = lock(&self.waves);
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -122,6 +122,9 @@
         let polled = polled.map(|polled| (polled.recipient.clone(), Arc::clone(&polled.commands)));
         let begun_at = clock::since_boot();
         self.commands.spawn(async move {
+            leadership
+                .meter
+                .record_unsent(clock::since_boot().since_ms(begun_at));
             let outcome = match polled {
                 Some((recipient, commands)) => {
                     // The semaphore is never closed, so a permit is always granted.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! duty of placing tasks; see [`scheduler`].
 
 pub mod accounts;
+pub mod handover;
 pub mod list_pause;
 pub mod machine_commands;
 pub mod pacing;
@@ -15,6 +16,7 @@
 pub mod recovery_pages;
 pub mod rejection;
 pub mod relays;
+pub mod slowness;
 pub mod spec;
 pub mod succession;
 pub mod waves;
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -198,6 +198,9 @@
     /// for which the last leader stepped down.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// Incarnation of the node that claims the released duty before others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successor: Option<u64>,
 }
 
 /// The row of a worker that can run tasks.
--- a/src/batch/relays.rs
+++ b/src/batch/relays.rs
@@ -34,6 +34,14 @@
 /// A node that failed as a relay is not used again for this long, in milliseconds; about the length of a pause.
 const FAILED_PAUSE_MS: u64 = 3_000;
 
+/// Minimum response time of a slow relay, in milliseconds: above the pauses of a busy relay with a small part of a core,
+/// and below the timeout of a command (250 ms).
+const SLOW_MIN_MS: u64 = 100;
+/// A relay is slow if its response time is this multiple of the median of the other relays, and of the leader's own delay.
+const SLOW_FACTOR: u64 = 4;
+/// First and longest pause of a slow relay, in milliseconds; doubles each time, from a short stall to a slowdown of seconds.
+const BYPASS_MS: (u64, u64) = (1_000, 8_000);
+
 /// Relays fail together if they fail within this time, in milliseconds; a timeout and its margin.
 const FAILED_TOGETHER_MS: u64 = 1_000;
 /// Minimum number of relays that fail together for the leader's own link to be the likely cause.
@@ -115,6 +123,10 @@
     heard_at: clock::Instant,
     /// The node is not used before this time.
     paused_until: clock::Instant,
+    /// The node is slow and used only if no other is usable before this time.
+    bypassed_until: clock::Instant,
+    /// Length of the newest bypass, in milliseconds; 0 if there was none lately.
+    bypass_ms: u64,
     workers: usize,
 }
 
@@ -147,6 +159,8 @@
             strength: strength.clone(),
             heard_at: now,
             paused_until: clock::Instant::ZERO,
+            bypassed_until: clock::Instant::ZERO,
+            bypass_ms: 0,
             workers: 0,
         });
         node.strength = strength;
@@ -173,6 +187,44 @@
         }
     }
 
+    /// Records the response times of the connected relays to the leader's pings, in milliseconds. Returns the relays that
+    /// are bypassed from now on, as their response time is far above the others'.
+    ///
+    /// `own_delay_ms` is the delay of the leader's own timers. If half of the relays are slow, the leader or its link is
+    /// the likely cause, and none is bypassed.
+    pub fn measured(
+        &mut self,
+        response_times: &[(SocketAddr, u64)],
+        own_delay_ms: u64,
+        now: clock::Instant,
+    ) -> Vec<SocketAddr> {
+        let mut bypassed = Vec::new();
+        for &(address, response_ms) in response_times {
+            let mut others: Vec<u64> = response_times
+                .iter()
+                .filter(|(other, _)| *other != address)
+                .map(|(_, ms)| *ms)
+                .collect();
+            others.sort_unstable();
+            let median_ms = others.get(others.len() / 2).copied().unwrap_or(0);
+            let limit_ms = SLOW_MIN_MS.max(median_ms.max(own_delay_ms) * SLOW_FACTOR);
+            let Some(node) = self.nodes.get_mut(&address) else {
+                continue;
+            };
+            if now < node.bypassed_until {
+                continue;
+            }
+            if response_ms >= limit_ms {
+                node.bypass_ms = (node.bypass_ms * 2).clamp(BYPASS_MS.0, BYPASS_MS.1);
+                node.bypassed_until = now.after_ms(node.bypass_ms);
+                bypassed.push(address);
+            } else if now.since_ms(node.bypassed_until) >= BYPASS_MS.1 {
+                node.bypass_ms = 0;
+            }
+        }
+        bypassed
+    }
+
     /// Returns the route to a worker; it stays the same while its relay is alive and the leader can carry its share.
     pub fn route(
         &mut self,
@@ -185,7 +237,11 @@
         let direct_max = self.leader.direct_max(total);
         let is_kept = match current {
             Some(Route::Direct) => self.direct <= direct_max,
-            Some(Route::Relay(address)) => self.is_alive(&address, now),
+            Some(Route::Relay(address)) => {
+                self.is_alive(&address, now)
+                    && (!self.is_bypassed(&address, now)
+                        || self.best_relay(data_centre, now, false).is_none())
+            }
             None => false,
         };
         if let Some(current) = current.filter(|_| is_kept) {
@@ -195,7 +251,8 @@
         let route = if self.direct < direct_max {
             Route::Direct
         } else {
-            self.best_relay(data_centre, now)
+            self.best_relay(data_centre, now, false)
+                .or_else(|| self.best_relay(data_centre, now, true))
                 .map_or(Route::Direct, Route::Relay)
         };
         match route {
@@ -240,10 +297,22 @@
             .is_some_and(|node| is_usable(node, now))
     }
 
+    fn is_bypassed(&self, address: &SocketAddr, now: clock::Instant) -> bool {
+        self.nodes
+            .get(address)
+            .is_some_and(|node| now < node.bypassed_until)
+    }
+
     /// Returns the strongest usable node with capacity to spare, in the worker's data centre if there is one.
-    fn best_relay(&self, data_centre: &id::DataCentre, now: clock::Instant) -> Option<SocketAddr> {
+    fn best_relay(
+        &self,
+        data_centre: &id::DataCentre,
+        now: clock::Instant,
+        with_bypassed: bool,
+    ) -> Option<SocketAddr> {
         self.nodes
             .iter()
+            .filter(|(_, node)| with_bypassed || now >= node.bypassed_until)
             .filter(|(_, node)| is_usable(node, now) && node.workers < node.strength.relayed_max())
             .max_by_key(|(_, node)| {
                 let load = node.workers * 1_000 / node.strength.relayed_max().max(1);
--- a/src/batch/scheduler/waiting.rs
+++ b/src/batch/scheduler/waiting.rs
@@ -131,7 +131,7 @@
             workers.with_capacity += 1;
             let counter = if !worker.adopted || !worker.recorded {
                 &mut workers.unheard
-            } else if now.since_ms(worker.last_response_at) >= worker_state::SILENT_MS {
+            } else if worker.silent_ms(now) >= worker_state::SILENT_MS {
                 &mut workers.silent
             } else if worker.listing.leaving || !worker.listed {
                 &mut workers.leaving
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -182,13 +182,20 @@
         }
     }
 
+    /// Records that this process didn't run for `stalled_ms`. That time doesn't count as silence of the workers, whose
+    /// reports may wait unread with the ends of their runs.
+    pub fn excuse_silence(&mut self, stalled_ms: u64) {
+        for worker in self.workers.values_mut() {
+            worker.excuse(stalled_ms);
+        }
+    }
+
     pub(super) fn expire_leases(&mut self, now: clock::Instant) {
         let lapsed: Vec<id::Worker> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
-                now.since_ms(worker.last_response_at) > worker_state::SILENT_MS
-                    && worker.is_lapsed(now)
+                worker.silent_ms(now) > worker_state::SILENT_MS && worker.is_lapsed(now)
             })
             .filter(|(_, worker)| !worker.tasks.is_empty() || !worker.listed)
             .map(|(id, _)| id.clone())
--- a/src/batch/succession.rs
+++ b/src/batch/succession.rs
@@ -21,6 +21,45 @@
 /// takes about a second.
 const STEP_DOWN_AFTER_MS: u64 = 3_000;
 
+/// A node waits this long before it claims a duty that names another node as the successor, in milliseconds: the
+/// successor checks the row every 40 ms and claims within a call to the store.
+const SUCCESSOR_TIME_MS: u64 = 600;
+/// Additional delay of a slow node before it claims, in milliseconds: a heartbeat's interval, its timeout and the delay of
+/// a weaker node, after which only slow nodes remain.
+const SLOW_DELAY_MS: u64 = 1_500;
+
+/// The successor that a released duty names, from the view of one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Successor {
+    /// None.
+    None,
+    /// This node.
+    This,
+    /// Another node.
+    Other,
+}
+
+impl Successor {
+    /// Returns the view of the node with this incarnation.
+    pub fn new(named: Option<u64>, incarnation: u64) -> Self {
+        match named {
+            None => Self::None,
+            Some(named) if named == incarnation => Self::This,
+            Some(_) => Self::Other,
+        }
+    }
+}
+
+/// Returns how long a node waits for a named successor, and for nodes that aren't slow, before it claims the duty, in
+/// milliseconds.
+pub fn yield_delay_ms(successor: Successor, is_slow: bool) -> u64 {
+    let successor_ms = match successor {
+        Successor::None | Successor::This => 0,
+        Successor::Other => SUCCESSOR_TIME_MS,
+    };
+    successor_ms + if is_slow { SLOW_DELAY_MS } else { 0 }
+}
+
 /// Returns whether a node's CPU capacity is clearly below another's; both are in thousandths of a core.
 pub fn is_weaker(cpu_milli: u64, other_milli: u64) -> bool {
     cpu_milli * 1_000 < other_milli * SIMILAR_MILLI
@@ -37,6 +76,11 @@
     }
 }
 
+/// Heartbeat interval of a standby, in milliseconds: the leader is slow, so that each message counts.
+pub const HEARTBEAT_STANDBY_MS: u64 = 80;
+/// Interval at which a standby checks the row while the leader releases the duty, in milliseconds.
+pub const STANDBY_CHECK_MS: u64 = 40;
+
 /// Returns the interval of a node's heartbeats to the leader, in milliseconds.
 pub fn heartbeat_ms(cpu_milli: u64, expected_milli: Option<u64>, store_answers: bool) -> u64 {
     match expected_milli {
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -127,6 +127,8 @@
     pub clock: Option<(u64, clock::Instant)>,
     /// Time of the last response.
     pub last_response_at: clock::Instant,
+    /// Time since the last response in which the leader itself didn't run, in milliseconds.
+    excused_ms: u64,
     /// Whether the newest poll got no response.
     pub unanswered: bool,
     /// End of the longest lease that the worker can have received, on its own clock, in milliseconds.
@@ -171,6 +173,7 @@
             recorded: false,
             clock: None,
             last_response_at: now,
+            excused_ms: 0,
             unanswered: false,
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
@@ -207,6 +210,18 @@
     pub fn on_response(&mut self, clock_ms: u64, now: clock::Instant) {
         self.clock = Some((clock_ms, now));
         self.last_response_at = now;
+        self.excused_ms = 0;
+    }
+
+    /// Records that the leader itself didn't run for this long, in milliseconds; reports may wait unread.
+    pub fn excuse(&mut self, stalled_ms: u64) {
+        self.excused_ms += stalled_ms;
+    }
+
+    /// Returns for how long the worker has been silent while the leader ran, in milliseconds.
+    pub fn silent_ms(&self, now: clock::Instant) -> u64 {
+        now.since_ms(self.last_response_at)
+            .saturating_sub(self.excused_ms)
     }
 
     /// Returns the end of a lease of `lease_ms` that begins now, on the worker's clock; `None` if that is unknown.
@@ -250,7 +265,7 @@
             && !self.listing.leaving
             && !self.draining
             && now >= self.paused_until
-            && now.since_ms(self.last_response_at) < SILENT_MS
+            && self.silent_ms(now) < SILENT_MS
     }
 
     /// Returns whether the free capacity covers `need`.
@@ -309,7 +324,7 @@
             && self.listed
             && !self.listing.leaving
             && !self.is_suspect()
-            && now.since_ms(self.last_response_at) < SILENT_MS
+            && self.silent_ms(now) < SILENT_MS
     }
 
     /// Returns whether the worker's last runs all failed; it then gets one task at a time as a trial.
--- a/tests/test_batch_relays.rs
+++ b/tests/test_batch_relays.rs
@@ -198,3 +198,69 @@
         assert!(!age.is_stale(sent_ms + 1_500, received(sent_ms + 1_500)));
     }
 }
+
+/// Guards against commands that wait for a slow relay until they count as unanswered (250 ms).
+#[test]
+fn a_slow_relay_is_bypassed_and_comes_back() {
+    let mut relays = Relays::new(strength("a", 20, 1_000));
+    for node in 0..8 {
+        relays.heard(address(node), strength("a", 250, 1_000), now());
+    }
+    let before = route_all(&mut relays, 300, now());
+    let used: Vec<SocketAddr> = before.keys().copied().flatten().collect();
+    assert!(used.len() >= 4, "{before:?}");
+    let slow = used[0];
+    let times = |slow_ms| -> Vec<(SocketAddr, u64)> {
+        let time = |relay: &SocketAddr| (*relay, if *relay == slow { slow_ms } else { 8 });
+        used.iter().map(time).collect()
+    };
+    assert_eq!(relays.measured(&times(90), 1, now()), [], "only busy");
+    // A ping that is unanswered for 120 ms, when no command has been unanswered for 250 ms.
+    assert_eq!(relays.measured(&times(120), 1, now()), [slow]);
+    let after = route_all(&mut relays, 300, now());
+    assert_eq!(after.get(&Some(slow)), None);
+    assert_eq!(
+        after.get(&None),
+        before.get(&None),
+        "on the leader's own link"
+    );
+    let back = now().after_ms(1_000);
+    assert_eq!(relays.measured(&times(8), 1, back), []);
+    let again = route_all(&mut relays, 400, back);
+    assert!(again.contains_key(&Some(slow)), "{again:?}");
+    // Still slow: the second pause is longer.
+    assert_eq!(relays.measured(&times(300), 1, back), [slow]);
+    assert_eq!(relays.measured(&times(300), 1, back.after_ms(1_500)), []);
+    assert_eq!(
+        relays.measured(&times(300), 1, back.after_ms(2_000)),
+        [slow]
+    );
+}
+
+/// A slow leader measures all relays as slow, and moving its workers would only cost it time.
+#[test]
+fn relays_are_not_bypassed_if_all_are_slow_or_the_leader_is() {
+    let mut relays = Relays::new(strength("a", 20, 1_000));
+    for node in 0..8 {
+        relays.heard(address(node), strength("a", 250, 1_000), now());
+    }
+    route_all(&mut relays, 300, now());
+    let all: Vec<(SocketAddr, u64)> = (0..8).map(|node| (address(node), 200)).collect();
+    assert_eq!(relays.measured(&all, 1, now()), []);
+    let one = [(address(0), 200)];
+    assert_eq!(relays.measured(&one, 60, now()), []);
+    assert_eq!(relays.measured(&one, 5, now()), [address(0)]);
+}
+
+/// A slow relay with all others full keeps its workers: the leader's own link is no better.
+#[test]
+fn a_slow_relay_without_replacement_is_kept() {
+    let mut relays = Relays::new(strength("a", 20, 1_000));
+    relays.heard(address(0), strength("a", 250, 1_000), now());
+    let before = route_all(&mut relays, 40, now());
+    assert_eq!(
+        relays.measured(&[(address(0), 400)], 1, now()),
+        [address(0)]
+    );
+    assert_eq!(route_all(&mut relays, 40, now()), before);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -17,6 +17,7 @@
 mod test_batch_rejection;
 mod test_batch_relays;
 mod test_batch_room;
+mod test_batch_slowness;
 mod test_batch_succession;
 mod test_batch_trials;
 mod test_config;
