--- a/node/src/batch/channels.rs
+++ b/node/src/batch/channels.rs
@@ -124,7 +124,7 @@
             .filter(|(_, link)| !link.failed.is_cancelled())
             .map(|(address, link)| (*address, link.response_ms(now)))
             .collect();
-        let own_delay_ms = self.leadership.meter.detector().delay_ms();
+        let own_delay_ms = self.leadership.meter.delay_ms();
         let bypassed = self
             .leadership
             .relays()
--- a/node/src/batch/lateness.rs
+++ b/node/src/batch/lateness.rs
@@ -50,6 +50,11 @@
         self.unsent_ms.fetch_max(ms, Ordering::Relaxed);
     }
 
+    /// Returns the average delay of the timer that the process's own work doesn't explain, in milliseconds.
+    pub fn delay_ms(&self) -> u64 {
+        self.detector().delay_ms()
+    }
+
     /// Returns whether this node is slow or was so in the last seconds.
     pub fn was_slow(&self) -> bool {
         self.detector().was_slow(clock::since_boot())
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -1,6 +1,5 @@
 //! Leads the batch duty: runs the library's scheduler and connects it to the store, the registry and the workers.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -12,9 +11,9 @@
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
 use wasabiloft::batch::{JobId, handover, queue, record, relays};
 use wasabiloft::id;
-use wasabiloft_platform::{registry, settings, store};
+use wasabiloft_platform::{settings, store};
 
-use crate::batch::{commit, fleet, lateness, recovery, shared, standby, watch};
+use crate::batch::{commit, fleet, lateness, listings, recovery, shared, standby, watch};
 use crate::clock;
 use crate::log;
 
@@ -30,17 +29,9 @@
 /// Interval at which timers are checked, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Wait of a long poll for changes of a table, in milliseconds.
-const POLL_WAIT_MS: u64 = 2_000;
-/// Pause after a change of the registry was received, in milliseconds: every worker writes its entry every second or
-/// two, and the pause batches the relevant changes.
-const REGISTRY_PAUSE_MS: u64 = 120;
+pub const POLL_WAIT_MS: u64 = 2_000;
 /// Pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 100;
-/// Timeout of a read of the registry, in milliseconds.
-const READ_TIMEOUT_MS: u64 = 2_000;
-/// Time after an outage of the store within which missing entries reappear, in milliseconds; the platform guarantees
-/// it.
-const ENTRIES_BACK_MS: u64 = 2_500;
+pub const RETRY_MS: u64 = 100;
 
 /// State of the duty while this node leads it.
 #[derive(Debug)]
@@ -232,7 +223,10 @@
         Arc::clone(&leadership),
         jobs_version,
     ));
-    tasks.spawn(follow_registry(Arc::clone(shared), Arc::clone(&leadership)));
+    tasks.spawn(listings::follow(
+        Arc::clone(shared),
+        Arc::clone(&leadership),
+    ));
     tasks.spawn(fleet::run(Arc::clone(shared), Arc::clone(&leadership)));
     let mut workers = watch::Workers::new(Arc::clone(&leadership), shared.settings().advice);
     tokio::select! {
@@ -451,100 +445,10 @@
     Ok(jobs)
 }
 
-async fn pause(leadership: &Leadership, pause_ms: u64) {
+/// Waits for a time, in milliseconds, or until the leadership ends.
+pub async fn pause(leadership: &Leadership, pause_ms: u64) {
     tokio::select! {
         () = leadership.ended.cancelled() => {}
         () = time::sleep(Duration::from_millis(pause_ms)) => {}
     }
 }
-
-/// Follows the registry of workers.
-async fn follow_registry(shared: Arc<shared::Shared>, leadership: Arc<Leadership>) {
-    let mut after = None;
-    let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
-    let mut lost_at = None;
-    let mut trusted_at = wasabiloft::clock::Instant::ZERO;
-    while !leadership.ended.is_cancelled() {
-        let outcome = match after {
-            Some(version) => {
-                shared
-                    .store
-                    .changes(registry::TABLE, version, POLL_WAIT_MS)
-                    .await
-            }
-            None => {
-                shared
-                    .store
-                    .rows(registry::TABLE, "", READ_TIMEOUT_MS)
-                    .await
-            }
-        };
-        let page = match outcome {
-            Ok(page) => page,
-            Err(store::Error::HistoryUnavailable) => {
-                after = None;
-                continue;
-            }
-            Err(error) => {
-                if lost_at.is_none() {
-                    log::info("holder", &format!("registry unread reason={error}"));
-                }
-                lost_at.get_or_insert(clock::since_boot());
-                pause(&leadership, RETRY_MS).await;
-                continue;
-            }
-        };
-        let now = clock::since_boot();
-        if lost_at.take().is_some() {
-            // Entries that expired during the outage reappear; until then a missing entry proves nothing.
-            trusted_at = now.after_ms(ENTRIES_BACK_MS);
-        }
-        if after.is_none() {
-            let present: BTreeSet<id::Worker> = page
-                .rows
-                .iter()
-                .map(|row| id::Worker::new(&row.name.key))
-                .collect();
-            let missing: Vec<id::Worker> = known
-                .keys()
-                .filter(|worker| !present.contains(worker))
-                .cloned()
-                .collect();
-            for worker in missing {
-                known.remove(&worker);
-                leadership.scheduler().worker_unlisted(&worker);
-            }
-        }
-        for row in &page.rows {
-            apply_entry(&leadership, row, &mut known, now >= trusted_at);
-        }
-        after = Some(page.version.max(after.unwrap_or(0)));
-        leadership.wake.notify_one();
-        pause(&leadership, REGISTRY_PAUSE_MS).await;
-    }
-}
-
-fn apply_entry(
-    leadership: &Leadership,
-    row: &store::Row,
-    known: &mut BTreeMap<id::Worker, u64>,
-    removals_trusted: bool,
-) {
-    let id = id::Worker::new(&row.name.key);
-    let now = clock::since_boot();
-    match registry::decode(row) {
-        Ok(listing) => {
-            known.insert(id, row.version);
-            leadership.scheduler().worker_listed(listing, now);
-        }
-        Err(error) => {
-            if row.value.is_some() {
-                log::warn("holder", &error.to_string());
-            }
-            if removals_trusted || row.value.is_some() {
-                known.remove(&id);
-                leadership.scheduler().worker_unlisted(&id);
-            }
-        }
-    }
-}
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -10,6 +10,7 @@
 mod gauges;
 mod lateness;
 mod leadership;
+mod listings;
 mod peers;
 mod recovery;
 mod relay;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -306,7 +306,7 @@
         relay: (!shared.stop.is_cancelled()).then_some(relay),
         node: settings.node.clone(),
         incarnation: shared.incarnation,
-        delay_ms: shared.meter.detector().delay_ms(),
+        delay_ms: shared.meter.delay_ms(),
         slow: shared.meter.was_slow(),
         prepared: is_prepared,
     };
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -10,6 +10,7 @@
 mod test_capacity;
 mod test_connections;
 mod test_fleet;
+mod test_handover;
 mod test_hosted;
 mod test_jobs;
 mod test_keys;
--- a/src/batch/handover.rs
+++ b/src/batch/handover.rs
@@ -19,8 +19,11 @@
 const LINK_MIN_MILLI: u64 = 750;
 /// A follower with at most this average delay is fit, in milliseconds; a calm node that is seven times slower exceeds it.
 const DELAY_FIT_MS: u64 = 12;
-/// A standby whose delay is at most the leader's divided by this is also fit; on a busy host all nodes are late at times.
+/// A follower whose delay is at most the leader's divided by this, and at most the maximum, is also fit; on a busy host all
+/// nodes are late at times.
 const DELAY_FIT_DIVISOR: u64 = 6;
+/// Maximum average delay of a fit follower, in milliseconds; a calm node that is seven times slower is 30 ms late or more.
+const DELAY_FIT_MAX_MS: u64 = 20;
 /// The duty is released even if the standby isn't prepared after this time, in milliseconds; a cold takeover takes as long.
 const PREPARE_MAX_MS: u64 = 800;
 /// A successor's newest heartbeat arrived at least this long after the leader was found to be slow, in milliseconds. If all
@@ -196,7 +199,7 @@
         own_delay_ms: u64,
         now: clock::Instant,
     ) -> bool {
-        let delay_max_ms = DELAY_FIT_MS.max(own_delay_ms / DELAY_FIT_DIVISOR);
+        let delay_max_ms = (own_delay_ms / DELAY_FIT_DIVISOR).clamp(DELAY_FIT_MS, DELAY_FIT_MAX_MS);
         !follower.slow
             && !follower.stopping
             && follower.delay_ms <= delay_max_ms
--- a/src/batch/slowness.rs
+++ b/src/batch/slowness.rs
@@ -9,8 +9,9 @@
 
 use crate::clock;
 
-/// Interval of the timer whose lateness is measured, in milliseconds; detection within 500 ms needs several of them.
-pub const TIMER_MS: u64 = 50;
+/// Interval of the timer whose lateness is measured, in milliseconds. A process that runs for 10 ms of every 70 ms is 50 ms
+/// late with it; with a timer of 50 ms it was only 20 ms late, as busy nodes are.
+pub const TIMER_MS: u64 = 20;
 /// Minimum unexplained delay of a slow sample, in milliseconds; a healthy node on a shared host stays below.
 const DELAY_MIN_MS: u64 = 40;
 /// The same without a figure of processor time, in milliseconds. On half of a core with thousands of task starts in 2 s,
@@ -25,8 +26,11 @@
 const PEERS_FACTOR: u64 = 3;
 /// Upper bound of a baseline, in milliseconds, so that a node that was busy for long is still found to be slow.
 const BASELINE_MAX_MS: u64 = 60;
-/// A baseline falls to half within this many samples without a higher figure; about 13 s.
-const BASELINE_HALF_LIFE: u64 = 256;
+/// A baseline falls to half within this many samples without a higher figure; about 10 s.
+const BASELINE_HALF_LIFE: u64 = 512;
+/// A baseline approaches a higher figure by one part in this many with each sample, so that the first samples of a slow
+/// node don't hide those that follow.
+const BASELINE_RISE_DIVISOR: u64 = 16;
 /// Sum of the delays of slow samples at which the node counts as slow, in milliseconds.
 const EVIDENCE_MS: u64 = 200;
 /// Maximum sum of delays that is kept, in milliseconds.
@@ -34,12 +38,12 @@
 /// Maximum evidence of one sample, in milliseconds; below [`EVIDENCE_MS`], as one long stall is no slowdown.
 const EVIDENCE_SAMPLE_MAX_MS: u64 = 150;
 /// Samples after the start of the process that are no evidence; a process that starts is late.
-const WARM_UP_SAMPLES: u32 = 40;
+const WARM_UP_SAMPLES: u32 = 100;
 /// One long stall is no slowdown, so a slow node has at least this many slow samples.
 const SLOW_SAMPLES_MIN: u32 = 2;
 /// A sample that isn't slow removes its length divided by this from the evidence; a slow node's timers are late whenever
 /// it works, not each time.
-const DECAY_DIVISOR: u64 = 4;
+const DECAY_DIVISOR: u64 = 2;
 /// A slow node counts as recovered after this time without a slow sample, in milliseconds.
 const RECOVERED_MS: u64 = 3_000;
 /// A node was slow recently for this long after its last slow sample, in milliseconds; above the length of a takeover and
@@ -98,7 +102,8 @@
 impl Baseline {
     fn update(&mut self, ms: u64) {
         let decayed = self.micros - self.micros / (BASELINE_HALF_LIFE * 3 / 2);
-        self.micros = decayed.max(ms.min(BASELINE_MAX_MS) * 1_000);
+        let micros = ms.min(BASELINE_MAX_MS) * 1_000;
+        self.micros = decayed + micros.saturating_sub(decayed) / BASELINE_RISE_DIVISOR;
     }
 
     fn ms(self) -> u64 {
@@ -178,11 +183,13 @@
             if self.evidence_ms == 0 {
                 self.slow_samples = 0;
             }
-            self.late.update(sample.late_ms);
-            self.round.update(sample.round_ms);
-            self.unsent.update(sample.unsent_ms);
-            let weighted = self.average_micros * (BASELINE_HALF_LIFE - 1) + delay_ms * 1_000;
-            self.average_micros = weighted / BASELINE_HALF_LIFE;
+            if self.evidence_ms == 0 && !self.is_slow {
+                self.late.update(sample.late_ms);
+                self.round.update(sample.round_ms);
+                self.unsent.update(sample.unsent_ms);
+                let weighted = self.average_micros * (BASELINE_HALF_LIFE - 1) + delay_ms * 1_000;
+                self.average_micros = weighted / BASELINE_HALF_LIFE;
+            }
         }
         self.figures.delay_ms = self.delay_ms();
         self.figures.baseline_ms = self.average_micros / 1_000;
