--- a/src/batch/slowness.rs
+++ b/src/batch/slowness.rs
@@ -13,7 +13,7 @@
 /// late with it; with a timer of 50 ms it was only 20 ms late, as busy nodes are.
 pub const TIMER_MS: u64 = 20;
 /// Minimum unexplained delay of a slow sample, in milliseconds; a healthy node on a shared host stays below.
-const DELAY_MIN_MS: u64 = 40;
+const DELAY_MIN_MS: u64 = 30;
 /// The same without a figure of processor time, in milliseconds. On half of a core with thousands of task starts in 2 s,
 /// timers are 20 to 60 ms late and planning rounds take up to 20 ms.
 const DELAY_MIN_UNKNOWN_MS: u64 = 90;
@@ -156,11 +156,6 @@
     /// Records a sample. `peers_delay_ms` is the median delay that the other nodes report; `None` if unknown.
     pub fn observe(&mut self, sample: Sample, peers_delay_ms: Option<u64>, now: clock::Instant) {
         let delay_ms = self.unexplained_ms(&sample);
-        self.recent.push_back((sample.elapsed_ms, delay_ms));
-        let mut kept_ms: u64 = self.recent.iter().map(|(elapsed, _)| elapsed).sum();
-        while self.recent.len() > 1 && kept_ms > AVERAGE_MS {
-            kept_ms -= self.recent.pop_front().map_or(0, |(elapsed, _)| elapsed);
-        }
         self.samples = self.samples.saturating_add(1);
         let evidence_ms = if self.samples > WARM_UP_SAMPLES {
             self.evidence_of(&sample, delay_ms)
@@ -168,6 +163,12 @@
         } else {
             0
         };
+        self.recent
+            .push_back((sample.elapsed_ms, delay_ms.max(evidence_ms)));
+        let mut kept_ms: u64 = self.recent.iter().map(|(elapsed, _)| elapsed).sum();
+        while self.recent.len() > 1 && kept_ms > AVERAGE_MS {
+            kept_ms -= self.recent.pop_front().map_or(0, |(elapsed, _)| elapsed);
+        }
         if evidence_ms > 0 {
             self.evidence_ms = (self.evidence_ms + evidence_ms).min(EVIDENCE_MAX_MS);
             self.slow_samples += 1;
@@ -227,7 +228,7 @@
             return delay_ms;
         }
         // Some hosts count time that a VM didn't get as used. Then the same work takes far longer than it used to.
-        let late_limit_ms = DELAY_MIN_UNKNOWN_MS.max(self.late.ms() * 2);
+        let late_limit_ms = DELAY_MIN_UNKNOWN_MS.max(self.late.ms() * 3 / 2);
         let is_late = sample.late_ms >= late_limit_ms;
         let is_long = sample.round_ms >= self.round.limit_ms(WORK_MIN_MS)
             || sample.unsent_ms >= self.unsent.limit_ms(WORK_MIN_MS);
