--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -1,6 +1,5 @@
 //! Leads the batch duty: runs the library's scheduler and connects it to the store, the registry and the workers.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -10,11 +9,11 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
-use wasabiloft::batch::{JobId, queue, record, relays};
+use wasabiloft::batch::{JobId, handover, queue, record, relays};
 use wasabiloft::id;
-use wasabiloft_platform::{registry, settings, store};
+use wasabiloft_platform::{settings, store};
 
-use crate::batch::{commit, fleet, recovery, shared, watch};
+use crate::batch::{commit, fleet, lateness, listings, recovery, shared, standby, watch};
 use crate::clock;
 use crate::log;
 
@@ -30,17 +29,9 @@
 /// Interval at which timers are checked, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Wait of a long poll for changes of a table, in milliseconds.
-const POLL_WAIT_MS: u64 = 2_000;
-/// Pause after a change of the registry was received, in milliseconds: every worker writes its entry every second or
-/// two, and the pause batches the relevant changes.
-const REGISTRY_PAUSE_MS: u64 = 120;
+pub const POLL_WAIT_MS: u64 = 2_000;
 /// Pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 100;
-/// Timeout of a read of the registry, in milliseconds.
-const READ_TIMEOUT_MS: u64 = 2_000;
-/// Time after an outage of the store within which missing entries reappear, in milliseconds; the platform guarantees
-/// it.
-const ENTRIES_BACK_MS: u64 = 2_500;
+pub const RETRY_MS: u64 = 100;
 
 /// State of the duty while this node leads it.
 #[derive(Debug)]
@@ -63,6 +54,11 @@
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
+    handover: Mutex<handover::Handover>,
+    /// The node that this slow leader names as its successor.
+    successor: OnceLock<handover::Follower>,
+    /// How late this process runs.
+    pub(super) meter: Arc<lateness::Meter>,
     /// When the scheduler was created, after the rows were read.
     pub began_at: wasabiloft::clock::Instant,
 }
@@ -80,6 +76,11 @@
         self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks and returns the state of a handover to a standby.
+    pub fn handover(&self) -> MutexGuard<'_, handover::Handover> {
+        self.handover.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time since the newest commit was sent, in milliseconds.
     pub fn since_commit_ms(&self) -> u64 {
         let at = self.committed_ms.load(Ordering::Relaxed);
@@ -97,6 +98,17 @@
         self.step_down_requested.cancel();
     }
 
+    /// Releases the duty in favour of a standby, as this node is slow.
+    pub fn hand_over(&self, successor: handover::Follower) {
+        self.successor.get_or_init(|| successor);
+        self.step_down_requested.cancel();
+    }
+
+    /// Returns the standby in whose favour the duty is released.
+    pub fn successor(&self) -> Option<&handover::Follower> {
+        self.successor.get()
+    }
+
     /// Returns the CPU of the node in whose favour the duty is released, in thousandths of a core.
     pub fn successor_cpu_milli(&self) -> Option<u64> {
         self.successor_cpu_milli.get().copied()
@@ -151,6 +163,10 @@
     pub version: u64,
     /// Whether the previous leader can still send commands.
     pub previous_leader_may_act: bool,
+    /// Whether the previous leader named this node as its successor.
+    pub handed_over: bool,
+    /// The standby's rows, if this node has prepared.
+    pub standby: Option<standby::Standby>,
 }
 
 /// Leads the duty until it is lost, handed over, or the node stops.
@@ -160,10 +176,12 @@
         duty,
         version,
         previous_leader_may_act,
+        handed_over,
+        standby,
     } = start;
     let mut committer = commit::Committer::new(duty.clone(), version);
     let begun = {
-        let begin = begin(shared, &duty, previous_leader_may_act);
+        let begin = begin(shared, &duty, previous_leader_may_act, handed_over, standby);
         tokio::pin!(begin);
         loop {
             tokio::select! {
@@ -206,7 +224,10 @@
         Arc::clone(&leadership),
         jobs_version,
     ));
-    tasks.spawn(follow_registry(Arc::clone(shared), Arc::clone(&leadership)));
+    tasks.spawn(listings::follow(
+        Arc::clone(shared),
+        Arc::clone(&leadership),
+    ));
     tasks.spawn(fleet::run(Arc::clone(shared), Arc::clone(&leadership)));
     let mut workers = watch::Workers::new(Arc::clone(&leadership), shared.settings().advice);
     tokio::select! {
@@ -217,11 +238,17 @@
         }
         () = leadership.step_down_requested.cancelled() => log::info(
             "duty",
-            &format!(
-                "given back epoch={} reason=stronger-node cpu_milli={:?}",
-                leadership.epoch,
-                leadership.successor_cpu_milli()
-            ),
+            &match leadership.successor() {
+                Some(successor) => format!(
+                    "given back epoch={} reason=slow successor={}",
+                    leadership.epoch, successor.node
+                ),
+                None => format!(
+                    "given back epoch={} reason=stronger-node cpu_milli={:?}",
+                    leadership.epoch,
+                    leadership.successor_cpu_milli()
+                ),
+            },
         ),
     }
     shared.set_leadership(None);
@@ -235,8 +262,14 @@
     shared: &Arc<shared::Shared>,
     duty: &record::Duty,
     previous_leader_may_act: bool,
+    handed_over: bool,
+    standby: Option<standby::Standby>,
 ) -> Option<(Arc<Leadership>, u64)> {
-    let (mut recovered, version) = match recovery::all(shared).await {
+    let known_jobs = match standby {
+        Some(standby) => standby.finish(shared).await,
+        None => None,
+    };
+    let (mut recovered, version) = match recovery::all(shared, known_jobs).await {
         Ok(recovered) => recovered,
         Err(error) => {
             log::warn("duty", &format!("rows unread reason={error}"));
@@ -269,6 +302,16 @@
         cpu_milli: settings.cpu_milli,
         link_kbit_per_s: settings.link_kbit_per_s,
     };
+    let lead_min_ms = if handed_over {
+        handover::LEAD_MIN_AFTER_HANDOVER_MS
+    } else {
+        handover::LEAD_MIN_MS
+    };
+    let handover = handover::Handover::new(
+        settings.cpu_milli,
+        settings.link_kbit_per_s,
+        now.after_ms(lead_min_ms),
+    );
     let leadership = Arc::new(Leadership {
         epoch: duty.epoch,
         scheduler: Mutex::new(scheduler),
@@ -281,6 +324,9 @@
         committed_ms: AtomicU64::new(now.as_ms()),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
+        handover: Mutex::new(handover),
+        successor: OnceLock::new(),
+        meter: Arc::clone(&shared.meter),
         began_at: now,
     });
     leadership.configured(shared);
@@ -324,6 +370,7 @@
         }
         leadership.write.notify_one();
         let took_ms = u64::try_from(round_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        leadership.meter.record_round(took_ms);
         let pause_ms = took_ms
             .saturating_mul(PLAN_PAUSE_FACTOR)
             .clamp(PLAN_PAUSE_MIN_MS, PLAN_PAUSE_MAX_MS);
@@ -399,100 +446,10 @@
     Ok(jobs)
 }
 
-async fn pause(leadership: &Leadership, pause_ms: u64) {
+/// Waits for a time, in milliseconds, or until the leadership ends.
+pub async fn pause(leadership: &Leadership, pause_ms: u64) {
     tokio::select! {
         () = leadership.ended.cancelled() => {}
         () = time::sleep(Duration::from_millis(pause_ms)) => {}
     }
 }
-
-/// Follows the registry of workers.
-async fn follow_registry(shared: Arc<shared::Shared>, leadership: Arc<Leadership>) {
-    let mut after = None;
-    let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
-    let mut lost_at = None;
-    let mut trusted_at = wasabiloft::clock::Instant::ZERO;
-    while !leadership.ended.is_cancelled() {
-        let outcome = match after {
-            Some(version) => {
-                shared
-                    .store
-                    .changes(registry::TABLE, version, POLL_WAIT_MS)
-                    .await
-            }
-            None => {
-                shared
-                    .store
-                    .rows(registry::TABLE, "", READ_TIMEOUT_MS)
-                    .await
-            }
-        };
-        let page = match outcome {
-            Ok(page) => page,
-            Err(store::Error::HistoryUnavailable) => {
-                after = None;
-                continue;
-            }
-            Err(error) => {
-                if lost_at.is_none() {
-                    log::info("holder", &format!("registry unread reason={error}"));
-                }
-                lost_at.get_or_insert(clock::since_boot());
-                pause(&leadership, RETRY_MS).await;
-                continue;
-            }
-        };
-        let now = clock::since_boot();
-        if lost_at.take().is_some() {
-            // Entries that expired during the outage reappear; until then a missing entry proves nothing.
-            trusted_at = now.after_ms(ENTRIES_BACK_MS);
-        }
-        if after.is_none() {
-            let present: BTreeSet<id::Worker> = page
-                .rows
-                .iter()
-                .map(|row| id::Worker::new(&row.name.key))
-                .collect();
-            let missing: Vec<id::Worker> = known
-                .keys()
-                .filter(|worker| !present.contains(worker))
-                .cloned()
-                .collect();
-            for worker in missing {
-                known.remove(&worker);
-                leadership.scheduler().worker_unlisted(&worker);
-            }
-        }
-        for row in &page.rows {
-            apply_entry(&leadership, row, &mut known, now >= trusted_at);
-        }
-        after = Some(page.version.max(after.unwrap_or(0)));
-        leadership.wake.notify_one();
-        pause(&leadership, REGISTRY_PAUSE_MS).await;
-    }
-}
-
-fn apply_entry(
-    leadership: &Leadership,
-    row: &store::Row,
-    known: &mut BTreeMap<id::Worker, u64>,
-    removals_trusted: bool,
-) {
-    let id = id::Worker::new(&row.name.key);
-    let now = clock::since_boot();
-    match registry::decode(row) {
-        Ok(listing) => {
-            known.insert(id, row.version);
-            leadership.scheduler().worker_listed(listing, now);
-        }
-        Err(error) => {
-            if row.value.is_some() {
-                log::warn("holder", &error.to_string());
-            }
-            if removals_trusted || row.value.is_some() {
-                known.remove(&id);
-                leadership.scheduler().worker_unlisted(&id);
-            }
-        }
-    }
-}
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -9,7 +9,9 @@
 mod forward;
 mod front;
 mod gauges;
+mod lateness;
 mod leadership;
+mod listings;
 mod peers;
 mod recovery;
 mod relay;
@@ -17,6 +19,7 @@
 mod server;
 mod shared;
 mod submissions;
+mod standby;
 mod watch;
 
 use std::path::Path;
@@ -65,6 +68,7 @@
     tasks.spawn(configuration::follow(Arc::clone(&shared)));
     tasks.spawn(duty::run(Arc::clone(&shared)));
     let writer = tokio::spawn(submissions::run(Arc::clone(&shared)));
+    tasks.spawn(lateness::run(Arc::clone(&shared)));
     let mut check = time::interval(Duration::from_millis(SETTINGS_CHECK_MS));
     loop {
         tokio::select! {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -7,6 +7,7 @@
 pub mod account_rates;
 pub mod accounts;
 pub mod admission_limit;
+pub mod handover;
 pub mod list_pause;
 pub mod machine_commands;
 pub mod order;
@@ -18,6 +19,7 @@
 pub mod recovery_pages;
 pub mod rejection;
 pub mod relays;
+pub mod slowness;
 pub mod spec;
 pub mod submissions;
 pub mod succession;
