--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -18,8 +18,8 @@
 mod requests;
 mod server;
 mod shared;
-mod submissions;
 mod standby;
+mod submissions;
 mod watch;
 
 use std::path::Path;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -166,6 +166,7 @@
     if let Some(leadership) = shared.leadership() {
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
+        }
         if heartbeat.incarnation != 0 {
             let mut handover = leadership.handover();
             handover.heard(follower(&heartbeat), now);
