rejection: keep the former times to come back

A job that is never accepted is worse than a late one. Limits of accounts still pause after an outage.

--- a/node/src/batch/admission.rs
+++ b/node/src/batch/admission.rs
@@ -150,7 +150,7 @@
     };
     let steady_ms = now
         .since_ms(leadership.began_at)
-        .min(shared.returns().steady_ms(now));
+        .min(shared.store_steady_ms());
     let mut leading = shared.admission.leading(leadership.epoch);
     let limiter = &mut leading.limiter;
     for decision in limiter.decide(&settings, accounts, &late, steady_ms, now) {
--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -31,9 +31,6 @@
 /// Authentication scheme under which a request carries its account's key.
 const KEY_SCHEME: &str = "Bearer";
 
-/// How the reasons begin for which the store, or a partition of it, did not take a request.
-const STORE_REASON: &str = "store-";
-
 /// Outcome of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -76,11 +73,10 @@
     configured.config.filter(|_| age_ms < stale_ms)
 }
 
-/// What a request was found to be about, for logs, metrics and the time to come back.
+/// What a request was found to be about, for logs and metrics.
 #[derive(Debug, Default)]
 struct Subject {
     account: Option<id::Account>,
-    job: Option<JobId>,
     is_submission: bool,
 }
 
@@ -99,8 +95,7 @@
         &mut subject,
     )
     .await;
-    let now = clock::since_boot();
-    let took_ms = now.since_ms(began_at);
+    let took_ms = clock::since_boot().since_ms(began_at);
     let (status, label) = status(&outcome);
     histogram!("wasabiloft_request_ms", "method" => head.method.to_string()).record(took_ms as f64);
     counter!("wasabiloft_requests_total", "outcome" => label).increment(1);
@@ -110,13 +105,7 @@
         label
     };
     gauges::count_request(&shared, subject.account.as_ref(), account_label);
-    let wait_s = wait_s(
-        &shared,
-        &outcome,
-        &subject,
-        wait_limit_ms(&head.headers),
-        now,
-    );
+    let wait_s = wait_s(&shared, &outcome);
     if status != StatusCode::OK {
         let mut line = format!(
             "answer method={} path={path} status={} outcome={outcome:?} took_ms={took_ms}",
@@ -163,38 +152,14 @@
     response
 }
 
-/// Returns after how many seconds the caller should come back, if it is told to; records an answered submission.
-fn wait_s(
-    shared: &shared::Shared,
-    outcome: &Outcome,
-    subject: &Subject,
-    patience_ms: u64,
-    now: wasabiloft::clock::Instant,
-) -> Option<u64> {
-    let partition = subject
-        .job
-        .filter(|_| subject.is_submission)
-        .map(record::job_partition);
+/// Returns after how many seconds the caller should come back, if it is told to.
+fn wait_s(shared: &shared::Shared, outcome: &Outcome) -> Option<u64> {
     match outcome {
         Outcome::QuotaExceeded { wait_s, .. } | Outcome::RateExceeded { wait_s } => Some(*wait_s),
-        Outcome::NotRun(reason) => {
-            let is_store = reason.starts_with(STORE_REASON);
-            let refused = rejection::Refused {
-                job: subject.job,
-                partition: partition.as_deref().filter(|_| is_store),
-                patience_ms,
-            };
-            let has_config = shared.current_config().config.is_some();
-            let random = rand::random();
-            let mut returns = shared.returns();
-            Some(returns.retry_after_s(&refused, has_config, random, now))
-        }
-        Outcome::Done(_) => {
-            if let Some(partition) = partition {
-                shared.returns().stored(&partition);
-            }
-            None
-        }
+        Outcome::NotRun(_) => Some(rejection::retry_after_s(
+            shared.store_silent_ms(),
+            rand::random(),
+        )),
         _ => None,
     }
 }
@@ -224,8 +189,6 @@
     began_at: wasabiloft::clock::Instant,
     subject: &mut Subject,
 ) -> Outcome {
-    // Known before the configuration is, as an outage leaves callers without a route too.
-    subject.job = path.rsplit('/').next().and_then(|id| id.parse().ok());
     subject.is_submission = *method == Method::POST;
     let config = shared.current_config().config;
     let body_max = config.as_ref().map_or(0, |config| config.body_bytes_max);
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -9,13 +9,16 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::queue;
 use wasabiloft::batch::record;
-use wasabiloft::batch::rejection;
 use wasabiloft::batch::waves;
 use wasabiloft_platform::{settings, store};
 
 use crate::batch::leadership;
 use crate::clock;
 
+/// Time without a response of the store after which an outage is assumed, in milliseconds; above the wait of the polls
+/// that follow the configuration.
+const STORE_OUTAGE_MS: u64 = 1_300;
+
 /// The newest configuration that this node has received.
 #[derive(Clone, Debug, Default)]
 pub struct CurrentConfig {
@@ -74,7 +77,8 @@
     pub(super) forwarding: super::forward::Breaker,
     pub(super) submissions: super::submissions::Handle,
     pub(super) admission: super::admission::Admission,
-    returns: Mutex<rejection::Returns>,
+    /// When the store last began to respond after an outage, in milliseconds since boot.
+    store_steady_since_ms: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -104,7 +108,7 @@
             forwarding: super::forward::Breaker::default(),
             submissions: super::submissions::Handle::default(),
             admission: super::admission::Admission::default(),
-            returns: Mutex::new(rejection::Returns::new(clock::since_boot())),
+            store_steady_since_ms: AtomicU64::new(clock::since_boot().as_ms()),
         }
     }
 
@@ -209,15 +213,20 @@
 
     /// Records a response of the store at the current time.
     pub fn record_store_response(&self) {
-        let now = clock::since_boot();
-        self.store_responded_ms
-            .store(now.as_ms(), Ordering::Relaxed);
-        self.returns().store_answered(now);
+        let now_ms = clock::since_boot().as_ms();
+        let before_ms = self.store_responded_ms.swap(now_ms, Ordering::Relaxed);
+        if now_ms.saturating_sub(before_ms) >= STORE_OUTAGE_MS {
+            self.store_steady_since_ms.store(now_ms, Ordering::Relaxed);
+        }
     }
 
-    /// Locks and returns what decides when refused callers should come back.
-    pub fn returns(&self) -> MutexGuard<'_, rejection::Returns> {
-        lock(&self.returns)
+    /// Returns the time since the store's last outage ended, or since the start, in milliseconds; 0 during an outage.
+    pub fn store_steady_ms(&self) -> u64 {
+        if self.store_silent_ms() >= STORE_OUTAGE_MS {
+            return 0;
+        }
+        let since_ms = self.store_steady_since_ms.load(Ordering::Relaxed);
+        clock::since_boot().as_ms().saturating_sub(since_ms)
     }
 
     /// Records the store's clock from a response, in milliseconds.
