standins: the store refuses given partitions, or a share of all requests

Cause: takeovers with a partially unavailable store could not be played.

Change: `refuse_parts` answers 503 to transactions and range reads of some partitions; `refused_milli` refuses a random share of all requests, drawn from a fixed seed. The feed of changes still serves all partitions.

--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -1,7 +1,7 @@
 //! The row store: conditional transactions, range reads and a change feed. Injected faults make it unavailable or slow,
 //! lose responses, apply writes late, or discard its change history.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,6 +10,8 @@
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router, routing};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time;
@@ -60,6 +62,11 @@
     changed: Notify,
     /// If set, every request gets status 503.
     pub unavailable: AtomicBool,
+    /// Partitions whose transactions and range reads get status 503.
+    refused_parts: Mutex<BTreeSet<String>>,
+    /// Random share of all requests that get status 503, in thousandths.
+    pub refused_milli: AtomicU32,
+    draws: Mutex<Draws>,
     /// Number of upcoming transactions that are applied without a response.
     pub lost_responses: AtomicU32,
     /// Number of upcoming transactions that are applied late and without a response.
@@ -71,6 +78,16 @@
     clock: Clock,
 }
 
+/// Decides which requests are refused at random.
+#[derive(Debug)]
+struct Draws(SmallRng);
+
+impl Default for Draws {
+    fn default() -> Self {
+        Self(SmallRng::seed_from_u64(1))
+    }
+}
+
 /// Time at which the store's clock started.
 #[derive(Debug)]
 struct Clock(time::Instant);
@@ -178,6 +195,19 @@
         let _ = self.apply(transaction);
     }
 
+    /// Refuses transactions and range reads of some partitions, and of no others. Changes of all are still fed.
+    pub fn refuse_parts(&self, parts: BTreeSet<String>) {
+        *lock(&self.refused_parts) = parts;
+    }
+
+    /// Returns whether a request is refused that covers a partition, if any.
+    fn refuses(&self, part: Option<&str>) -> bool {
+        let refused_milli = self.refused_milli.load(Ordering::Relaxed);
+        self.unavailable.load(Ordering::Relaxed)
+            || part.is_some_and(|part| lock(&self.refused_parts).contains(part))
+            || refused_milli > 0 && lock(&self.draws).0.random_range(0..1_000) < refused_milli
+    }
+
     /// Discards the change history up to the current version.
     pub fn compact(&self) {
         let version = lock(&self.rows).version;
@@ -276,7 +306,12 @@
     State(store): State<Arc<Store>>,
     Json(transaction): Json<Transaction>,
 ) -> Response {
-    if store.unavailable.load(Ordering::Relaxed) {
+    let mut rows = transaction
+        .expect_rev
+        .iter()
+        .chain(&transaction.writes)
+        .chain(&transaction.remove);
+    if store.refuses(rows.next().map(|row| row.part.as_str())) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     store.delay_response().await;
@@ -309,7 +344,7 @@
 }
 
 async fn range(State(store): State<Arc<Store>>, Query(range): Query<Range>) -> Response {
-    if store.unavailable.load(Ordering::Relaxed) {
+    if store.refuses(Some(&range.part)) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     store.delay_response().await;
@@ -338,6 +373,9 @@
 async fn feed(State(store): State<Arc<Store>>, Query(feed): Query<Feed>) -> Response {
     let wait = Duration::from_millis(feed.wait_ms);
     let until = time::Instant::now() + wait;
+    if store.refuses(None) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     loop {
         let changed = store.changed.notified();
         if store.unavailable.load(Ordering::Relaxed) {
