--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -1,6 +1,7 @@
 //! Commits the scheduler's batches, one transaction at a time, each conditional on the version of the duty's row.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -95,13 +96,13 @@
         Some(sent_at)
     }
 
-    /// Rewrites the duty's row, so that followers see that the leader is alive; returns `false` if the duty is lost or
-    /// the node stops.
+    /// Rewrites the duty's row, so that followers see that the leader is alive; returns when it was sent, or `None` if the
+    /// duty is lost or the node stops.
     ///
     /// A renewal must not be dropped before it returns, since the version of the row is unknown then.
-    pub async fn renew(&mut self, shared: &shared::Shared) -> bool {
+    async fn renew(&mut self, shared: &shared::Shared) -> Option<wasabiloft::clock::Instant> {
         let batch = record::WriteBatch::default();
-        self.commit(shared, &shared.stop, &batch).await.is_some()
+        self.commit(shared, &shared.stop, &batch).await
     }
 
     /// Releases the duty so that another node can claim it at once.
@@ -196,6 +197,24 @@
     Ok(())
 }
 
+/// Renews the duty while the rows are read, until `read` is cancelled. Returns `None` if the duty is lost or the node
+/// stops. `renewed_ms` holds when the newest renewal was sent.
+pub async fn renew_until(
+    shared: Arc<shared::Shared>,
+    mut committer: Committer,
+    read: CancellationToken,
+    renewed_ms: Arc<AtomicU64>,
+) -> Option<Committer> {
+    loop {
+        tokio::select! {
+            () = read.cancelled() => return Some(committer),
+            () = time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
+        }
+        let sent_at = committer.renew(&shared).await?;
+        renewed_ms.store(sent_at.as_ms(), Ordering::Relaxed);
+    }
+}
+
 /// Commits the scheduler's batches until the leadership ends, then releases the duty.
 pub async fn run(
     shared: Arc<shared::Shared>,
@@ -218,7 +237,6 @@
             leadership.commit_sent(sent_at);
         }
         if !batch.is_empty() {
-            remove_jobs(&shared, &batch).await;
             leadership.scheduler().batch_committed(&batch);
             leadership.committed.notify_waiters();
             leadership.wake.notify_one();
@@ -230,27 +248,3 @@
     }
     committer.release(&shared, &leadership).await;
 }
-
-/// Removes the rows of jobs that ended long ago; their progress rows were removed with the batch.
-async fn remove_jobs(shared: &shared::Shared, batch: &record::WriteBatch) {
-    for &job in &batch.jobs_deleted {
-        let part = record::job_partition(job);
-        let keys = [
-            record::JobKey::Accepted(job),
-            record::JobKey::Cancelled(job),
-        ];
-        let transaction = store::Transaction {
-            removals: keys
-                .iter()
-                .map(|key| store::Name::new(record::JOB_TABLE, &part, &key.text()))
-                .collect(),
-            ..store::Transaction::default()
-        };
-        if let Err(error) = shared.store.transact(&transaction, CALL_TIMEOUT_MS).await {
-            log::info(
-                "commit",
-                &format!("row not removed job={job} reason={error}"),
-            );
-        }
-    }
-}
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -6,6 +6,7 @@
 
 use tokio::time;
 use wasabiloft::batch::{record, succession};
+use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::store;
 
 use crate::batch::{leadership, peers, shared};
@@ -29,6 +30,11 @@
 /// Range of the random pause after a failed claim, in milliseconds: claims queue at the store with the leader's
 /// commits, and many of them keep a slow store from completing either.
 const CLAIM_RETRY_MS: std::ops::Range<u64> = 200..600;
+/// Most reads of the row after a claim without a response. Where nine of ten calls are refused, one succeeds with 99 %
+/// certainty.
+const CLAIM_READS_MAX: u32 = 44;
+/// Pause before such a read is repeated, in milliseconds.
+const CLAIM_READ_PAUSE_MS: u64 = 50;
 /// The store answers a node if its last response is not older than this, in milliseconds; above the wait of the
 /// configuration's polls.
 const STORE_ANSWERS_MS: u64 = 700;
@@ -317,6 +323,10 @@
             let now = read(rows.into_iter().next());
             if_committed(shared, duty, now)
         }
+        Err(error) if error.verdict() == Verdict::NotRun => {
+            log::info("duty", &format!("claim refused reason={error}"));
+            None
+        }
         Err(error) => {
             log::info("duty", &format!("claim got no response reason={error}"));
             resolve_claim(shared, duty).await
@@ -325,12 +335,21 @@
 }
 
 /// Reads the row to find out whether a claim without a response was committed.
+///
+/// Refused reads are repeated, because another claim would raise the epoch once more.
 async fn resolve_claim(shared: &shared::Shared, duty: record::Duty) -> Option<(record::Duty, u64)> {
-    match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
-        Ok(row) => if_committed(shared, duty, read(row)),
-        Err(error) => {
-            log::info("duty", &format!("claim outcome unknown reason={error}"));
-            None
+    let mut reads = 1;
+    loop {
+        match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
+            Ok(row) => return if_committed(shared, duty, read(row)),
+            Err(error) if error.verdict() != Verdict::NotRun || reads >= CLAIM_READS_MAX => {
+                log::info("duty", &format!("claim outcome unknown reason={error}"));
+                return None;
+            }
+            Err(_) => {
+                reads += 1;
+                time::sleep(Duration::from_millis(CLAIM_READ_PAUSE_MS)).await;
+            }
         }
     }
 }
--- a/node/src/batch/fleet/recovery.rs
+++ b/node/src/batch/fleet/recovery.rs
@@ -30,13 +30,21 @@
     shared: &shared::Shared,
     leadership: &leadership::Leadership,
 ) -> RecoveredState {
+    // What was read is kept: where most calls are refused, both reads rarely succeed one after the other.
+    let (mut waves, mut held_off) = (None, None);
     loop {
-        let waves = rows(shared, record::WAVE_TABLE).await;
-        let machines = rows(shared, record::MACHINE_TABLE).await;
-        if let (Some(waves), Some(machines)) = (waves, machines) {
+        if waves.is_none() {
+            let page = rows(shared, record::WAVE_TABLE).await;
+            waves = page.map(|page| page.rows.iter().filter_map(read_wave).collect());
+        }
+        if held_off.is_none() {
+            let page = rows(shared, record::MACHINE_TABLE).await;
+            held_off = page.map(|page| held_off_by(&page, shared.settings().duty_lease_ms));
+        }
+        if let (Some(waves), Some(held_off)) = (&mut waves, &mut held_off) {
             return RecoveredState {
-                waves: waves.rows.iter().filter_map(read_wave).collect(),
-                held_off: held_off(&machines, shared.settings().duty_lease_ms),
+                waves: std::mem::take(waves),
+                held_off: std::mem::take(held_off),
             };
         }
         if leadership.ended.is_cancelled() {
@@ -82,7 +90,7 @@
 /// Returns the machines with a recent command of a previous leader, and until when they get no new one.
 ///
 /// Ages are measured at the time of the read's response.
-fn held_off(page: &store::Page, lease_ms: u64) -> BTreeMap<id::Vm, wasabiloft::clock::Instant> {
+fn held_off_by(page: &store::Page, lease_ms: u64) -> BTreeMap<id::Vm, wasabiloft::clock::Instant> {
     let now = clock::since_boot();
     let mut held_off = BTreeMap::new();
     for row in &page.rows {
--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -61,6 +61,7 @@
             .set(waiting as f64);
     }
     set_accounts(&scheduler);
+    gauge!("wasabiloft_unread_partitions").set(scheduler.unread_partitions() as f64);
     let (direct, relayed) = leadership.relays().counts();
     gauge!("wasabiloft_workers_routed", "route" => "direct").set(direct as f64);
     gauge!("wasabiloft_workers_routed", "route" => "relay").set(relayed as f64);
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -1,20 +1,20 @@
 //! Leads the batch duty: runs the library's scheduler and connects it to the store, the registry and the workers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
 use wasabiloft::batch::{JobId, queue, record, relays};
 use wasabiloft::id;
-use wasabiloft_platform::{registry, settings, store};
+use wasabiloft_platform::{settings, store};
 
-use crate::batch::{commit, fleet, recovery, shared, watch};
+use crate::batch::{commit, fleet, job_feed, recovery, registry_feed, removal, shared, watch};
 use crate::clock;
 use crate::log;
 
@@ -30,17 +30,12 @@
 /// Interval at which timers are checked, in milliseconds.
 const TICK_MS: u64 = 50;
 /// Wait of a long poll for changes of a table, in milliseconds.
-const POLL_WAIT_MS: u64 = 2_000;
-/// Pause after a change of the registry was received, in milliseconds: every worker writes its entry every second or
-/// two, and the pause batches the relevant changes.
-const REGISTRY_PAUSE_MS: u64 = 120;
+pub const POLL_WAIT_MS: u64 = 2_000;
 /// Pause after a failed call, in milliseconds.
-const RETRY_MS: u64 = 100;
-/// Timeout of a read of the registry, in milliseconds.
-const READ_TIMEOUT_MS: u64 = 2_000;
-/// Time after an outage of the store within which missing entries reappear, in milliseconds; the platform guarantees
-/// it.
-const ENTRIES_BACK_MS: u64 = 2_500;
+pub const RETRY_MS: u64 = 100;
+/// Removals of jobs' rows are remembered for this long, in milliseconds; a read that began before a removal, and still
+/// returns the rows, ends long before.
+const REMOVED_KEEP_MS: u64 = 300_000;
 
 /// State of the duty while this node leads it.
 #[derive(Debug)]
@@ -63,6 +58,8 @@
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
+    /// Jobs whose rows were removed, with the version and the time of the removal.
+    removed: Mutex<BTreeMap<JobId, (u64, wasabiloft::clock::Instant)>>,
     /// When the scheduler was created, after the rows were read.
     pub began_at: wasabiloft::clock::Instant,
 }
@@ -80,6 +77,24 @@
         self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the rows of ended jobs were removed from the job table at a version.
+    pub fn rows_removed(&self, jobs: &[JobId], version: u64) {
+        let now = clock::since_boot();
+        let mut removed = self.removed.lock().unwrap_or_else(PoisonError::into_inner);
+        removed.retain(|_, (_, at)| now.since_ms(*at) < REMOVED_KEEP_MS);
+        removed.extend(jobs.iter().map(|job| (*job, (version, now))));
+        drop(removed);
+        self.scheduler().job_rows_removed(jobs);
+        self.write.notify_one();
+    }
+
+    /// Decodes rows of the job table, except those that were read before this leader removed them.
+    pub fn decode_jobs(&self, rows: &[store::Row]) -> recovery::Jobs {
+        let removed = self.removed.lock().unwrap_or_else(PoisonError::into_inner);
+        let versions = removed.iter().map(|(job, (version, _))| (*job, *version));
+        recovery::Jobs::decode(rows, &versions.collect())
+    }
+
     /// Returns the time since the newest commit was sent, in milliseconds.
     pub fn since_commit_ms(&self) -> u64 {
         let at = self.committed_ms.load(Ordering::Relaxed);
@@ -160,28 +175,34 @@
         version,
         previous_leader_may_act,
     } = start;
-    let mut committer = commit::Committer::new(duty.clone(), version);
-    let begun = {
-        let begin = begin(shared, &duty, previous_leader_may_act);
-        tokio::pin!(begin);
-        loop {
-            tokio::select! {
-                begun = &mut begin => break begun,
-                () = time::sleep(Duration::from_millis(commit::RENEW_INTERVAL_MS)) => {}
-            }
-            // Thousands of jobs on a thin link take seconds to read, after which others would claim the duty.
-            if !committer.renew(shared).await {
-                log::info(
-                    "duty",
-                    &format!("lost while reading rows epoch={}", duty.epoch),
-                );
-                return;
-            }
+    // The duty is renewed meanwhile: rows that take seconds to read, or are refused, would else lose it.
+    let rows_read = CancellationToken::new();
+    let renewed_ms = Arc::new(AtomicU64::new(began_at.as_ms()));
+    let mut renewing = tokio::spawn(commit::renew_until(
+        Arc::clone(shared),
+        commit::Committer::new(duty.clone(), version),
+        rows_read.clone(),
+        Arc::clone(&renewed_ms),
+    ));
+    let begun = tokio::select! {
+        begun = begin(shared, &duty, previous_leader_may_act, &renewed_ms) => begun,
+        // Returns before the rows are read only if the duty is lost or the node stops.
+        _ = &mut renewing => {
+            log::info(
+                "duty",
+                &format!("lost while reading rows epoch={}", duty.epoch),
+            );
+            return;
+        }
+        () = shared.stop.cancelled() => {
+            rows_read.cancel();
+            // Nothing was started, and the next leader finds this process gone.
+            let _ = renewing.await;
+            return;
         }
     };
-    let Some((leadership, jobs_version)) = begun else {
-        return;
-    };
+    rows_read.cancel();
+    let (leadership, reader, jobs_version) = begun;
     metrics::counter!("wasabiloft_takeovers_total").increment(1);
     metrics::histogram!("wasabiloft_take_over_ms")
         .record(clock::since_boot().since_ms(began_at) as f64);
@@ -195,17 +216,22 @@
     );
     shared.set_leadership(Some(Arc::clone(&leadership)));
     let mut tasks = JoinSet::new();
-    tasks.spawn(commit::run(
+    tasks.spawn(commit_after_renewal(
         Arc::clone(shared),
         Arc::clone(&leadership),
-        committer,
+        renewing,
     ));
-    tasks.spawn(follow_jobs(
+    tasks.spawn(job_feed::follow(
         Arc::clone(shared),
         Arc::clone(&leadership),
+        reader,
         jobs_version,
     ));
-    tasks.spawn(follow_registry(Arc::clone(shared), Arc::clone(&leadership)));
+    tasks.spawn(removal::run(Arc::clone(shared), Arc::clone(&leadership)));
+    tasks.spawn(registry_feed::follow(
+        Arc::clone(shared),
+        Arc::clone(&leadership),
+    ));
     tasks.spawn(fleet::run(Arc::clone(shared), Arc::clone(&leadership)));
     let mut workers = watch::Workers::new(Arc::clone(&leadership), shared.settings().advice);
     tokio::select! {
@@ -230,26 +256,55 @@
     while tasks.join_next().await.is_some() {}
 }
 
+/// Commits the scheduler's batches once the last renewal is answered, which a refusing store delays.
+async fn commit_after_renewal(
+    shared: Arc<shared::Shared>,
+    leadership: Arc<Leadership>,
+    renewing: JoinHandle<Option<commit::Committer>>,
+) {
+    match renewing.await {
+        Ok(Some(committer)) => commit::run(shared, leadership, committer).await,
+        _ => leadership.ended.cancel(),
+    }
+}
+
+/// Reads rows until the node may lead. Returns the reader of the parts that are missing, and the version after which
+/// changes of jobs must be followed.
 async fn begin(
     shared: &Arc<shared::Shared>,
     duty: &record::Duty,
     previous_leader_may_act: bool,
-) -> Option<(Arc<Leadership>, u64)> {
-    let (mut recovered, version) = match recovery::all(shared).await {
-        Ok(recovered) => recovered,
-        Err(error) => {
-            log::warn("duty", &format!("rows unread reason={error}"));
-            return None;
+    renewed_ms: &AtomicU64,
+) -> (Arc<Leadership>, recovery::Reader, u64) {
+    let mut reader = recovery::Reader::new(shared);
+    let mut recovered = recovery::Recovered::default();
+    while !reader.reads().may_lead(clock::since_boot()) {
+        let leads_at = reader.reads().leads_at();
+        let grace_ms = leads_at.map(|at| at.since_ms(clock::since_boot()).max(1));
+        tokio::select! {
+            read = reader.next() => {
+                if read.was_refused {
+                    recovery::log_late(&read, 0);
+                }
+                recovered.add(&read);
+            }
+            () = time::sleep(Duration::from_millis(grace_ms.unwrap_or(0))), if grace_ms.is_some() => {}
         }
-    };
+    }
+    let version = recovered.version.unwrap_or(0);
+    let mut recovered = recovered.state;
+    recovered.unread = reader.reads().unread_partitions().collect();
     recovered.predecessor_may_act = previous_leader_may_act;
     log::info(
         "holder",
         &format!(
-            "inherits jobs={} progress={} workers={}",
+            "inherits jobs={} progress={} workers={} partitions={} unread={:?} repeated={}",
             recovered.accepted.len(),
             recovered.progress.len(),
-            recovered.workers.len()
+            recovered.workers.len(),
+            record::JOB_PARTITIONS - recovered.unread.len() as u64,
+            recovered.unread,
+            reader.reads().repeated()
         ),
     );
     let config = shared.current_config().config;
@@ -277,13 +332,14 @@
         committed: Notify::new(),
         commands_committed: Notify::new(),
         ended: CancellationToken::new(),
-        committed_ms: AtomicU64::new(now.as_ms()),
+        committed_ms: AtomicU64::new(renewed_ms.load(Ordering::Relaxed)),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
+        removed: Mutex::default(),
         began_at: now,
     });
     leadership.configured(shared);
-    Some((leadership, version))
+    (leadership, reader, version)
 }
 
 /// Plans whenever something changed and executes the scheduler's outputs.
@@ -346,152 +402,10 @@
     metrics::counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
 }
 
-/// Follows the table of accepted jobs and cancellations.
-async fn follow_jobs(shared: Arc<shared::Shared>, leadership: Arc<Leadership>, from: u64) {
-    let mut after = Some(from);
-    while !leadership.ended.is_cancelled() {
-        let sent_at = clock::since_boot();
-        let outcome = match after {
-            Some(version) => poll_jobs(&shared, version).await,
-            None => recovery::jobs(&shared).await,
-        };
-        match outcome {
-            Ok(jobs) => {
-                shared.record_store_response();
-                after = Some(jobs.version);
-                for (job, accepted) in jobs.accepted {
-                    leadership.accepted(job, accepted);
-                }
-                for job in jobs.cancelled {
-                    leadership.cancelled(job);
-                }
-                if jobs.complete {
-                    leadership.scheduler().jobs_read(sent_at);
-                }
-            }
-            Err(store::Error::HistoryUnavailable) => {
-                log::info("holder", "history of jobs unavailable, reading all rows");
-                after = None;
-            }
-            Err(error) => {
-                log::info("holder", &format!("jobs unread reason={error}"));
-                pause(&leadership, RETRY_MS).await;
-            }
-        }
-    }
-}
-
-async fn poll_jobs(shared: &shared::Shared, after: u64) -> Result<recovery::Jobs, store::Error> {
-    let page = shared
-        .store
-        .changes(record::JOB_TABLE, after, POLL_WAIT_MS)
-        .await?;
-    let mut jobs = recovery::Jobs {
-        accepted: Vec::new(),
-        cancelled: Vec::new(),
-        complete: page.rows.len() < store::PAGE_ROWS_MAX as usize,
-        version: page.version.max(after),
-    };
-    for row in &page.rows {
-        recovery::apply_job_row(row, &mut jobs);
-    }
-    Ok(jobs)
-}
-
-async fn pause(leadership: &Leadership, pause_ms: u64) {
+/// Waits for some time, or until the leadership ends.
+pub async fn pause(leadership: &Leadership, pause_ms: u64) {
     tokio::select! {
         () = leadership.ended.cancelled() => {}
         () = time::sleep(Duration::from_millis(pause_ms)) => {}
     }
 }
-
-/// Follows the registry of workers.
-async fn follow_registry(shared: Arc<shared::Shared>, leadership: Arc<Leadership>) {
-    let mut after = None;
-    let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
-    let mut lost_at = None;
-    let mut trusted_at = wasabiloft::clock::Instant::ZERO;
-    while !leadership.ended.is_cancelled() {
-        let outcome = match after {
-            Some(version) => {
-                shared
-                    .store
-                    .changes(registry::TABLE, version, POLL_WAIT_MS)
-                    .await
-            }
-            None => {
-                shared
-                    .store
-                    .rows(registry::TABLE, "", READ_TIMEOUT_MS)
-                    .await
-            }
-        };
-        let page = match outcome {
-            Ok(page) => page,
-            Err(store::Error::HistoryUnavailable) => {
-                after = None;
-                continue;
-            }
-            Err(error) => {
-                if lost_at.is_none() {
-                    log::info("holder", &format!("registry unread reason={error}"));
-                }
-                lost_at.get_or_insert(clock::since_boot());
-                pause(&leadership, RETRY_MS).await;
-                continue;
-            }
-        };
-        let now = clock::since_boot();
-        if lost_at.take().is_some() {
-            // Entries that expired during the outage reappear; until then a missing entry proves nothing.
-            trusted_at = now.after_ms(ENTRIES_BACK_MS);
-        }
-        if after.is_none() {
-            let present: BTreeSet<id::Worker> = page
-                .rows
-                .iter()
-                .map(|row| id::Worker::new(&row.name.key))
-                .collect();
-            let missing: Vec<id::Worker> = known
-                .keys()
-                .filter(|worker| !present.contains(worker))
-                .cloned()
-                .collect();
-            for worker in missing {
-                known.remove(&worker);
-                leadership.scheduler().worker_unlisted(&worker);
-            }
-        }
-        for row in &page.rows {
-            apply_entry(&leadership, row, &mut known, now >= trusted_at);
-        }
-        after = Some(page.version.max(after.unwrap_or(0)));
-        leadership.wake.notify_one();
-        pause(&leadership, REGISTRY_PAUSE_MS).await;
-    }
-}
-
-fn apply_entry(
-    leadership: &Leadership,
-    row: &store::Row,
-    known: &mut BTreeMap<id::Worker, u64>,
-    removals_trusted: bool,
-) {
-    let id = id::Worker::new(&row.name.key);
-    let now = clock::since_boot();
-    match registry::decode(row) {
-        Ok(listing) => {
-            known.insert(id, row.version);
-            leadership.scheduler().worker_listed(listing, now);
-        }
-        Err(error) => {
-            if row.value.is_some() {
-                log::warn("holder", &error.to_string());
-            }
-            if removals_trusted || row.value.is_some() {
-                known.remove(&id);
-                leadership.scheduler().worker_unlisted(&id);
-            }
-        }
-    }
-}
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -154,6 +154,10 @@
         {
             leadership.step_down(heartbeat.cpu_milli);
         }
+    } else if reply.epoch > 0 {
+        // It reads its rows, which it repeats for as long as it holds the duty.
+        reply.hand_over = heartbeat.store_silent_ms < FOLLOWER_FRESH_MS
+            && shared.store_silent_ms() > LEADER_STALE_MS;
     }
     Json(reply)
 }
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -1,123 +1,66 @@
-//! Reads the rows from which a new leader recovers its state.
+//! Reads the rows from which a new leader recovers its state, part by part.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::future;
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::{StreamExt, TryStreamExt, stream};
+use futures_util::future::{BoxFuture, FutureExt};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time;
+use wasabiloft::batch::recovery::{Part, Reads};
 use wasabiloft::batch::{JobId, record, recovery_pages, scheduler};
 use wasabiloft::id;
 use wasabiloft_platform::store;
 
 use crate::batch::shared;
+use crate::clock;
 use crate::log;
 
 /// Timeout of a read from the store, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
-/// Attempts at a read before the recovery fails.
-const READ_ATTEMPTS_MAX: u32 = 4;
-/// Pause before a read is repeated, in milliseconds.
-const READ_RETRY_MS: u64 = 50;
-
-/// Reads all rows of a partition in pages that the node's link carries in time.
-async fn rows(
-    shared: &shared::Shared,
-    table: &str,
-    part: &str,
-    rows_max: u32,
-) -> Result<store::Page, store::Error> {
-    let mut all: Option<store::Page> = None;
-    loop {
-        let last = all.as_ref().and_then(|all| all.rows.last());
-        let from = last.map(|row| row.name.next_key());
-        let page = page(shared, table, part, from.as_deref(), rows_max).await?;
-        let more = page.more && !page.rows.is_empty();
-        match &mut all {
-            None => all = Some(page),
-            Some(all) => {
-                all.rows.extend(page.rows);
-                // Rows that changed after the first page was read are followed by their later versions.
-                all.version = all.version.min(page.version);
-            }
-        }
-        if let Some(all) = all.take_if(|_| !more) {
-            return Ok(all);
-        }
-    }
-}
-
-async fn page(
-    shared: &shared::Shared,
-    table: &str,
-    part: &str,
-    from: Option<&str>,
-    rows_max: u32,
-) -> Result<store::Page, store::Error> {
-    let mut attempts = 1;
-    loop {
-        let read = shared
-            .store
-            .page(table, part, from, rows_max, READ_TIMEOUT_MS);
-        match read.await {
-            Err(error) if attempts < READ_ATTEMPTS_MAX => {
-                attempts += 1;
-                log::info(
-                    "holder",
-                    &format!("rows read again table={table} part={part} reason={error}"),
-                );
-                time::sleep(Duration::from_millis(READ_RETRY_MS)).await;
-            }
-            outcome => return outcome,
-        }
-    }
-}
 
 /// Rows of the job table, with the version after which changes must be followed.
+#[derive(Default)]
 pub struct Jobs {
     /// Accepted jobs with their records.
     pub accepted: Vec<(JobId, record::Accepted)>,
     /// Jobs with a cancellation.
     pub cancelled: Vec<JobId>,
-    /// Whether all rows were read, so that none are left for another page.
-    pub complete: bool,
-    /// Version after which changes must be followed.
-    pub version: u64,
+    /// Jobs whose row cannot be decoded.
+    pub undecodable: Vec<JobId>,
 }
 
-/// Reads all rows of the job table.
-///
-/// # Errors
-///
-/// Fails if one of the partitions cannot be read.
-pub async fn jobs(shared: &shared::Shared) -> Result<Jobs, store::Error> {
-    let reads = recovery_pages::reads(shared.settings().link_kbit_per_s);
-    let pages: Vec<store::Page> = stream::iter(record::job_partitions())
-        .map(|part| async move { rows(shared, record::JOB_TABLE, &part, reads.rows_max).await })
-        .buffer_unordered(reads.at_once)
-        .try_collect()
-        .await?;
-    let mut jobs = Jobs {
-        accepted: Vec::new(),
-        cancelled: Vec::new(),
-        complete: true,
-        // A change between two reads has a version above the older of the two.
-        version: pages.iter().map(|page| page.version).min().unwrap_or(0),
-    };
-    for row in pages.into_iter().flat_map(|page| page.rows) {
-        apply_job_row(&row, &mut jobs);
-    }
-    Ok(jobs)
-}
-
-/// Adds a row of the job table to the accepted jobs or the cancellations.
-pub fn apply_job_row(row: &store::Row, jobs: &mut Jobs) {
-    let Some(value) = &row.value else { return };
-    match record::JobKey::parse(&row.name.key) {
-        Some(record::JobKey::Accepted(job)) => match serde_json::from_slice(value) {
-            Ok(accepted) => jobs.accepted.push((job, accepted)),
-            Err(error) => log_decode_error(row, &error),
-        },
-        Some(record::JobKey::Cancelled(job)) => jobs.cancelled.push(job),
-        None => log::warn("holder", &format!("row ignored key={}", row.name.key)),
+impl Jobs {
+    /// Decodes rows of the job table. Rows that were read before this leader removed them are skipped: `removed` holds the
+    /// versions of the removals.
+    pub fn decode(rows: &[store::Row], removed: &BTreeMap<JobId, u64>) -> Self {
+        let mut jobs = Self::default();
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            let Some(key) = record::JobKey::parse(&row.name.key) else {
+                log::warn("holder", &format!("row ignored key={}", row.name.key));
+                continue;
+            };
+            let (record::JobKey::Accepted(job) | record::JobKey::Cancelled(job)) = key;
+            if removed
+                .get(&job)
+                .is_some_and(|version| row.version < *version)
+            {
+                continue;
+            }
+            match key {
+                record::JobKey::Accepted(job) => match serde_json::from_slice(value) {
+                    Ok(accepted) => jobs.accepted.push((job, accepted)),
+                    Err(error) => {
+                        log_decode_error(row, &error);
+                        jobs.undecodable.push(job);
+                    }
+                },
+                record::JobKey::Cancelled(job) => jobs.cancelled.push(job),
+            }
+        }
+        jobs
     }
 }
 
@@ -131,41 +74,252 @@
     );
 }
 
-/// Reads the state that a new leader recovers, and the version after which changes of jobs must be followed.
-///
-/// # Errors
-///
-/// Fails if any of the rows cannot be read.
-pub async fn all(
-    shared: &shared::Shared,
-) -> Result<(scheduler::RecoveredState, u64), store::Error> {
-    let rows_max = recovery_pages::reads(shared.settings().link_kbit_per_s).rows_max;
-    let own = |table| rows(shared, table, record::SCHEDULER_PARTITION, rows_max);
-    let workers = own(record::WORKER_TABLE).await?;
-    let jobs = jobs(shared).await?;
-    let progress = own(record::PROGRESS_TABLE).await?;
-    let mut recovered = scheduler::RecoveredState {
-        accepted: jobs.accepted,
-        cancelled: jobs.cancelled,
-        ..scheduler::RecoveredState::default()
-    };
-    for row in &progress.rows {
-        let (Ok(job), Some(value)) = (row.name.key.parse(), &row.value) else {
-            continue;
+/// All rows of a part.
+pub struct PartRows {
+    /// The part that was read.
+    pub part: Part,
+    /// Its rows in the order of their keys.
+    pub rows: Vec<store::Row>,
+    /// Version of the store when the first page was read; later changes must be followed.
+    pub version: u64,
+    /// When the read of the first page was sent.
+    pub began_at: wasabiloft::clock::Instant,
+    /// How long the part was missing, in milliseconds.
+    pub late_ms: u64,
+    /// Whether a read of the part was refused or got no response.
+    pub was_refused: bool,
+}
+
+/// Pages that were read of a part.
+struct Pages {
+    rows: Vec<store::Row>,
+    version: u64,
+    began_at: wasabiloft::clock::Instant,
+}
+
+struct Response {
+    part: Part,
+    generation: u32,
+    sent_at: wasabiloft::clock::Instant,
+    outcome: Result<store::Page, store::Error>,
+}
+
+/// Reads parts until all are complete. It has connections of its own: a timeout of a read would close those of the
+/// renewals and commits.
+pub struct Reader {
+    shared: Arc<shared::Shared>,
+    store: Arc<store::Store>,
+    reads: Reads,
+    rows_max: u32,
+    pages: BTreeMap<Part, Pages>,
+    refused: BTreeSet<Part>,
+    in_progress: FuturesUnordered<BoxFuture<'static, Response>>,
+    /// Raised when all partitions are to be read again, to ignore responses to earlier reads.
+    generation: u32,
+}
+
+fn names(part: Part) -> (&'static str, String) {
+    let own = || record::SCHEDULER_PARTITION.to_owned();
+    match part {
+        Part::Workers => (record::WORKER_TABLE, own()),
+        Part::Progress => (record::PROGRESS_TABLE, own()),
+        Part::Jobs(partition) => (record::JOB_TABLE, record::job_partition_name(partition)),
+    }
+}
+
+impl Reader {
+    /// Creates a reader of all parts.
+    pub fn new(shared: &Arc<shared::Shared>) -> Self {
+        let settings = shared.settings();
+        let pages = recovery_pages::reads(settings.link_kbit_per_s);
+        Self {
+            shared: Arc::clone(shared),
+            store: Arc::new(store::Store::new(settings.store)),
+            reads: Reads::new(pages.at_once, clock::since_boot()),
+            rows_max: pages.rows_max,
+            pages: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            in_progress: FuturesUnordered::new(),
+            generation: 0,
+        }
+    }
+
+    /// Returns the decisions about the reads.
+    pub fn reads(&self) -> &Reads {
+        &self.reads
+    }
+
+    /// Reads all partitions of the job table again.
+    pub fn read_jobs_again(&mut self) {
+        self.generation += 1;
+        self.pages.clear();
+        self.reads.read_jobs_again(clock::since_boot());
+    }
+
+    /// Returns the next part that is read completely; waits forever if all are. It can be dropped without losing
+    /// anything.
+    pub async fn next(&mut self) -> PartRows {
+        loop {
+            if self.reads.is_complete() {
+                future::pending::<()>().await;
+            }
+            let now = clock::since_boot();
+            let repeated = self.reads.repeated();
+            for part in self.reads.take_due(now) {
+                let read = self.page(part, now);
+                self.in_progress.push(read);
+            }
+            metrics::counter!("wasabiloft_recovery_reads_repeated_total")
+                .increment(self.reads.repeated() - repeated);
+            let pause_ms = self.reads.next_at(now).since_ms(now).max(1);
+            tokio::select! {
+                Some(response) = self.in_progress.next() => {
+                    if let Some(rows) = self.apply(response) {
+                        return rows;
+                    }
+                }
+                () = time::sleep(Duration::from_millis(pause_ms)) => {}
+            }
+        }
+    }
+
+    /// Reads the next page of a part.
+    fn page(&self, part: Part, now: wasabiloft::clock::Instant) -> BoxFuture<'static, Response> {
+        let (table, partition) = names(part);
+        let last = self.pages.get(&part).and_then(|pages| pages.rows.last());
+        let from = last.map(|row| row.name.next_key());
+        let (store, rows_max, generation) =
+            (Arc::clone(&self.store), self.rows_max, self.generation);
+        let read = async move {
+            let page = store.page(
+                table,
+                &partition,
+                from.as_deref(),
+                rows_max,
+                READ_TIMEOUT_MS,
+            );
+            Response {
+                part,
+                generation,
+                sent_at: now,
+                outcome: page.await,
+            }
         };
-        match serde_json::from_slice(value) {
-            Ok(progress) => recovered.progress.push((job, progress)),
-            Err(error) => log_decode_error(row, &error),
+        read.boxed()
+    }
+
+    fn apply(&mut self, response: Response) -> Option<PartRows> {
+        let (part, now) = (response.part, clock::since_boot());
+        let is_obsolete = response.generation != self.generation && !part.is_own();
+        if response.outcome.is_ok() {
+            self.shared.record_store_response();
         }
+        let page = match response.outcome {
+            Ok(_) if is_obsolete => {
+                self.reads.continued(part, now);
+                return None;
+            }
+            Ok(page) => page,
+            Err(error) => {
+                self.fail(part, &error, now);
+                return None;
+            }
+        };
+        let has_more = page.more && !page.rows.is_empty();
+        let pages = self.pages.entry(part).or_insert(Pages {
+            rows: Vec::new(),
+            // Rows that changed after the first page was read are followed by their later versions.
+            version: page.version,
+            began_at: response.sent_at,
+        });
+        pages.rows.extend(page.rows);
+        if has_more {
+            self.reads.continued(part, now);
+            return None;
+        }
+        let pages = self.pages.remove(&part)?;
+        Some(PartRows {
+            part,
+            rows: pages.rows,
+            version: pages.version,
+            began_at: pages.began_at,
+            late_ms: self.reads.completed(part, now),
+            was_refused: self.refused.remove(&part),
+        })
     }
-    for row in &workers.rows {
-        let Some(value) = &row.value else { continue };
-        match serde_json::from_slice(value) {
-            Ok(worker) => recovered
-                .workers
-                .push((id::Worker::new(&row.name.key), worker)),
-            Err(error) => log_decode_error(row, &error),
+
+    fn fail(&mut self, part: Part, error: &store::Error, now: wasabiloft::clock::Instant) {
+        self.reads.failed(part, rand::random_range(0..=1_000), now);
+        if self.refused.insert(part) {
+            let (table, partition) = names(part);
+            log::info(
+                "holder",
+                &format!("rows unread table={table} part={partition} reason={error}"),
+            );
         }
     }
-    Ok((recovered, jobs.version))
+}
+
+/// The state that a new leader recovers from the parts that were read.
+#[derive(Default)]
+pub struct Recovered {
+    /// Input of the scheduler.
+    pub state: scheduler::RecoveredState,
+    /// Version after which changes of jobs must be followed.
+    pub version: Option<u64>,
+}
+
+impl Recovered {
+    /// Adds the rows of a part.
+    pub fn add(&mut self, read: &PartRows) {
+        let version = self.version.unwrap_or(read.version);
+        // A change between two reads has a version above the older of the two.
+        self.version = Some(version.min(read.version));
+        match read.part {
+            Part::Workers => {
+                for row in &read.rows {
+                    if let Some(worker) = decode(row) {
+                        let id = id::Worker::new(&row.name.key);
+                        self.state.workers.push((id, worker));
+                    }
+                }
+            }
+            Part::Progress => {
+                for row in &read.rows {
+                    if let (Ok(job), Some(progress)) = (row.name.key.parse(), decode(row)) {
+                        self.state.progress.push((job, progress));
+                    }
+                }
+            }
+            Part::Jobs(_) => {
+                let jobs = Jobs::decode(&read.rows, &BTreeMap::new());
+                self.state.accepted.extend(jobs.accepted);
+                self.state.cancelled.extend(jobs.cancelled);
+                self.state.undecodable.extend(jobs.undecodable);
+            }
+        }
+    }
+}
+
+fn decode<T>(row: &store::Row) -> Option<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let decoded = serde_json::from_slice(row.value.as_ref()?);
+    decoded
+        .inspect_err(|error| log_decode_error(row, error))
+        .ok()
+}
+
+/// Logs that a part was read after it had been refused, or while leading, and how many jobs were added with it.
+pub fn log_late(read: &PartRows, jobs_added: usize) {
+    let (table, partition) = names(read.part);
+    log::info(
+        "holder",
+        &format!(
+            "rows read late table={table} part={partition} rows={} jobs_added={jobs_added} late_ms={}",
+            read.rows.len(),
+            read.late_ms
+        ),
+    );
 }
--- a/node/tests/test_hosted.rs
+++ b/node/tests/test_hosted.rs
@@ -271,9 +271,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_that_reads_its_rows_slowly_keeps_the_duty() {
     let mut cluster = Cluster::start_on_links(3, 2, 200, 160).await;
-    for number in 0..40 {
-        let id = format!("{:016x}", 0xb00 + number);
-        assert_eq!(cluster.submit(number % 3, &id, 1).await, 200);
+    // The scheduler's own rows alone take that long to read, since the new leader doesn't wait for those of all jobs.
+    let ids: Vec<String> = (0xb00..0xbd0).map(|id| format!("{id:016x}")).collect();
+    for (number, id) in ids.iter().enumerate() {
+        assert_eq!(cluster.submit(number % 3, id, 1).await, 200);
+    }
+    for id in &ids {
+        cluster.until_state(0, id, "completed").await;
     }
     let first = cluster.leader();
     let epoch = cluster.epoch(first);
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -15,6 +15,7 @@
 mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_recovery;
 mod test_slots;
 mod test_soak;
 mod test_stop;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -12,6 +12,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod record;
+pub mod recovery;
 pub mod recovery_pages;
 pub mod rejection;
 pub mod relays;
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -107,6 +107,8 @@
     pub arrived: u64,
     /// Total number of jobs that ever arrived.
     pub jobs: u64,
+    /// Whether there may be jobs that are not known yet.
+    pub is_partial: bool,
 }
 
 /// The number of machines that a pool should have.
@@ -195,8 +197,10 @@
             Some(at) => now.since_ms(at) < FIRST_WORK_MS,
         };
         let late = u32::try_from(demand.late.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
-        let settling =
-            uncertain || demand.blocked > 0 || now.since_ms(self.began_at) < NEW_LEADER_MS;
+        let settling = uncertain
+            || demand.is_partial
+            || demand.blocked > 0
+            || now.since_ms(self.began_at) < NEW_LEADER_MS;
         let retain = if settling {
             recent_max.max(has)
         } else {
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -41,16 +41,21 @@
 /// Suffix of a cancellation's key, after the job id.
 const CANCEL_SUFFIX: &str = ".cancel";
 
-/// Returns the partition of a job's rows.
-pub fn job_partition(job: JobId) -> String {
+/// Returns the number of the partition of a job's rows.
+pub fn job_partition_number(job: JobId) -> u64 {
     // The high bits of a multiplicative hash spread sequential ids.
     const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
-    format!("j{}", (job.0.wrapping_mul(GOLDEN) >> 32) % JOB_PARTITIONS)
+    (job.0.wrapping_mul(GOLDEN) >> 32) % JOB_PARTITIONS
+}
+
+/// Returns the partition of a job's rows.
+pub fn job_partition(job: JobId) -> String {
+    job_partition_name(job_partition_number(job))
 }
 
-/// Returns the names of all partitions of the job table.
-pub fn job_partitions() -> impl Iterator<Item = String> {
-    (0..JOB_PARTITIONS).map(|part| format!("j{part}"))
+/// Returns the name of a partition of the job table.
+pub fn job_partition_name(number: u64) -> String {
+    format!("j{number}")
 }
 
 /// A parsed key of the job table.
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -67,6 +67,11 @@
         self.forgotten_jobs.push(job);
     }
 
+    /// Keeps the progress row of an id that was submitted again after its job had been removed.
+    pub(super) fn keep_job(&mut self, job: JobId) {
+        self.forgotten_jobs.retain(|forgotten| *forgotten != job);
+    }
+
     pub(super) fn record_wave(&mut self, number: u64, record: waves::Record) {
         self.waves.insert(number, record);
     }
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -68,13 +68,19 @@
             let demand = pools::Demand {
                 arrived: cpu.max(memory),
                 jobs: submitted.jobs,
+                is_partial: self.unread_partitions() > 0,
                 ..pools::Demand::default()
             };
             demands.insert(service.clone(), demand);
         }
         for worker in self.workers.values() {
             if let Some(demand) = demands.get_mut(&worker.listing.service) {
-                demand.running += machine_share(&worker.used, size);
+                let used = match worker.unreserved {
+                    Some(_) => worker.used,
+                    // The need of runs of unknown jobs is unknown.
+                    None => worker.listing.size,
+                };
+                demand.running += machine_share(&used, size);
                 if worker.listed {
                     demand.lost += machine_share(&worker.lost(), &worker.largest);
                 }
@@ -129,10 +135,13 @@
     /// until the worker has answered.
     pub fn usage(&self, worker: &id::Worker) -> Option<(u64, bool)> {
         let state = self.workers.get(worker).filter(|state| state.adopted)?;
-        Some((
-            machine_share(&state.used, &state.listing.size),
-            state.draining,
-        ))
+        // Runs and ends of unknown jobs keep the worker from being emptied.
+        let used = if self.orphans.has_runs_on(worker) {
+            &state.listing.size
+        } else {
+            &state.used
+        };
+        Some((machine_share(used, &state.listing.size), state.draining))
     }
 
     /// Queues a row that records a machine command before it is sent, with the time on the store's clock in
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the scheduler.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -7,6 +8,7 @@
 use crate::batch::record;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
+use crate::clock;
 use crate::id;
 
 /// Deployment settings of the scheduler.
@@ -103,6 +105,25 @@
     pub workers: Vec<(id::Worker, record::WorkerRow)>,
     /// Whether the previous leader can still send commands, to workers that have not received the new fence.
     pub predecessor_may_act: bool,
+    /// Jobs whose row exists but cannot be decoded.
+    pub undecodable: Vec<JobId>,
+    /// Numbers of the partitions of the job table that were not read.
+    pub unread: BTreeSet<u64>,
+}
+
+/// Rows of a partition of the job table that was read while the scheduler was running.
+#[derive(Clone, Debug, Default)]
+pub struct PartitionRows {
+    /// Number of the partition.
+    pub partition: u64,
+    /// Accepted jobs.
+    pub accepted: Vec<(JobId, record::Accepted)>,
+    /// Jobs with a cancellation.
+    pub cancelled: Vec<JobId>,
+    /// Jobs whose row exists but cannot be decoded.
+    pub undecodable: Vec<JobId>,
+    /// When the read began: it returns all jobs that were stored before.
+    pub began_at: clock::Instant,
 }
 
 /// Counters of ended runs since the scheduler started.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod open_jobs;
 mod plan;
 mod quotas;
+mod removal;
 mod reports;
 mod reservation;
 mod room;
@@ -33,12 +34,13 @@
 mod drain;
 mod orphans;
 mod tickets;
+mod unread;
 mod waiting;
 mod worker_loss;
 
 pub use commands::{Refusal, StartOutcome};
 pub use drain::DrainState;
-pub use message::{Counts, Output, Poll, RecoveredState, Settings, Start};
+pub use message::{Counts, Output, PartitionRows, Poll, RecoveredState, Settings, Start};
 pub use worker_loss::IncarnationEnd;
 
 /// Interval after which a stop is resent if the run has not ended, in milliseconds; longer than the timeout of one
@@ -66,6 +68,16 @@
     open_jobs: open_jobs::OpenJobs,
     /// Cancellations received before their job.
     early_cancels: BTreeSet<JobId>,
+    /// Recovered progress of jobs that are not known yet.
+    unclaimed_progress: HashMap<JobId, record::Progress>,
+    /// Whether partitions were read since obsolete progress was last searched for.
+    obsolete_progress_unchecked: bool,
+    /// Jobs whose row exists but cannot be decoded; their progress is kept.
+    undecodable: BTreeSet<JobId>,
+    /// Ended jobs whose rows are being removed.
+    jobs_in_removal: BTreeSet<JobId>,
+    /// Those of them that were not handed out yet.
+    expired_jobs: Vec<JobId>,
     workers: BTreeMap<id::Worker, worker_state::Worker>,
     /// Workers recorded by the previous leader that have not answered a poll yet.
     unresolved: BTreeMap<id::Worker, record::WorkerRow>,
@@ -120,10 +132,15 @@
             jobs: HashMap::new(),
             open_jobs: open_jobs::OpenJobs::default(),
             early_cancels: BTreeSet::new(),
+            unclaimed_progress: recovered.progress.into_iter().collect(),
+            obsolete_progress_unchecked: true,
+            undecodable: recovered.undecodable.into_iter().collect(),
+            jobs_in_removal: BTreeSet::new(),
+            expired_jobs: Vec::new(),
             workers: BTreeMap::new(),
             unresolved: recovered.workers.iter().cloned().collect(),
             missing_since: BTreeMap::new(),
-            orphans: orphans::Orphans::default(),
+            orphans: orphans::Orphans::new(recovered.unread),
             step_tickets: HashMap::new(),
             waiting: waiting::WaitingTasks::default(),
             reservations: reservation::Reservations::default(),
@@ -145,16 +162,6 @@
         for (id, accepted) in recovered.accepted {
             scheduler.add_job(id, accepted, true);
         }
-        for (id, progress) in &recovered.progress {
-            if let Some(job) = scheduler.jobs.get_mut(id) {
-                job.restore(progress);
-                let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
-                scheduler.crashed_tasks.extend(crashed.map(|(id, _)| id));
-                if job.state.is_final() {
-                    scheduler.open_jobs.remove(*id, &job.accepted.queue.service);
-                }
-            }
-        }
         for id in recovered.cancelled {
             scheduler.job_cancelled(id, now, 0);
         }
@@ -170,11 +177,16 @@
         }
     }
 
-    fn add_job(&mut self, id: JobId, accepted: record::Accepted, recovered: bool) {
-        if self.jobs.contains_key(&id) {
-            return;
+    /// Adds a job unless it is known, and returns whether it did.
+    fn add_job(&mut self, id: JobId, accepted: record::Accepted, recovered: bool) -> bool {
+        if self.jobs.contains_key(&id) && !self.remove_earlier_job(id, &accepted) {
+            return false;
         }
+        let progress = self.claim_progress(id, &accepted);
+        // Tasks of a job with progress may still run.
+        let recovered = recovered || progress.is_some();
         let service = accepted.queue.service.clone();
+        self.pending_rows.keep_job(id);
         if !recovered {
             let submitted = self.submitted_work.entry(service.clone()).or_default();
             submitted.add(&accepted.spec);
@@ -183,9 +195,17 @@
         if job.accepted.spec.schedule.is_none() {
             job.open_occurrence(0);
         }
+        if let Some(progress) = progress {
+            job.restore(&progress);
+            let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
+            self.crashed_tasks.extend(crashed.map(|(id, _)| id));
+        }
+        if !job.state.is_final() {
+            self.open_jobs.insert(id, &service);
+        }
         self.jobs.insert(id, job);
-        self.open_jobs.insert(id, &service);
         self.dirty_services.insert(service);
+        true
     }
 
     /// Cancels a job, or records the cancellation if the job is not known yet.
@@ -322,7 +342,8 @@
             self.stop_stuck_runs(now);
             self.check_waiting(now);
         }
-        self.remove_expired_jobs(unix_ms);
+        self.find_expired_jobs(unix_ms);
+        self.delete_obsolete_progress(unix_ms);
     }
 
     fn open_due_occurrences(&mut self, unix_ms: u64) {
@@ -363,26 +384,6 @@
         }
     }
 
-    fn remove_expired_jobs(&mut self, unix_ms: u64) {
-        // Twice the promised time, because the clocks of callers and of this node differ.
-        let keep_ms = self.settings.status_ms * 2;
-        let expired: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|job| {
-                job.committed_state.is_final()
-                    && job.ended_unix_ms > 0
-                    && job.ended_unix_ms + keep_ms < unix_ms
-            })
-            .map(|job| job.id)
-            .take(commit::ROWS_MAX / 4)
-            .collect();
-        for id in expired {
-            self.jobs.remove(&id);
-            self.pending_rows.forget_job(id);
-        }
-    }
-
     fn log(&mut self, text: String) {
         self.outputs.push(Output::Log(text));
     }
@@ -396,7 +397,9 @@
     ///
     /// `Completed` and `Failed` are returned only once they are committed.
     pub fn job_state(&self, id: JobId) -> Option<record::State> {
-        let job = self.jobs.get(&id)?;
+        let Some(job) = self.jobs.get(&id) else {
+            return self.state_of_unread(id);
+        };
         if job.committed_state.is_final() {
             return Some(job.committed_state);
         }
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -132,6 +132,38 @@
                 }
             }
         }
+        let unknown = self.unknown_use();
+        if unknown != Resources::default() {
+            // A run doesn't tell its account, so it counts for every account until its job is known.
+            for (account, _) in self.ledger.iter() {
+                let entry = unheard.entry(account.clone()).or_default();
+                *entry = entry.plus(&unknown);
+            }
+        }
         self.ledger.set_unheard(unheard);
     }
+
+    /// Returns the most that runs of unknown jobs can use: what known runs leave of their workers, and of workers that
+    /// have not answered while partitions of the job table are unread.
+    fn unknown_use(&self) -> Resources {
+        let mut unknown = Resources::default();
+        if self.config.accounts.is_none() {
+            return unknown;
+        }
+        let free = |worker: &worker_state::Worker| worker.largest.minus(&worker.used);
+        for worker in self.workers.values() {
+            if worker.unreserved.is_none() {
+                unknown = unknown.plus(&free(worker));
+            }
+        }
+        if self.unread_partitions() > 0 {
+            for id in self.unresolved.keys() {
+                let worker = self.workers.get(id).map(free);
+                let any = || self.workers.values().map(|worker| worker.largest);
+                let largest = any().max_by_key(|size| (size.cpu_milli, size.memory_mib));
+                unknown = unknown.plus(&worker.or(largest).unwrap_or_default());
+            }
+        }
+        unknown
+    }
 }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -95,6 +95,7 @@
         if worker.adopted && born_unix_ms != worker.started_unix_ms {
             worker.joined_at = now;
             worker.handled = 0;
+            worker.handled_ahead.clear();
             worker.acknowledged = 0;
             worker.lease_until_ms = 0;
             self.orphans.forget_worker(id);
@@ -120,8 +121,8 @@
         for run in &report.running {
             self.run_reported(id, run, now);
         }
-        let complete = self.apply_ends(id, &report.ended, now, unix_ms);
-        if complete && report.ended.len() < ENDS_MAX {
+        self.apply_ends(id, &report.ended, now, unix_ms);
+        if report.ended.len() < ENDS_MAX {
             self.release_missing(id, report, sent_at);
         }
         let unreserved = self.unreserved_use(id, report);
@@ -154,16 +155,22 @@
         }
     }
 
-    /// Handles the ends before the first whose job is still unknown, and returns whether this covered all of them.
+    /// Handles all ends whose job is known. Those after the first whose job is still unknown are acknowledged only after
+    /// that one, because a worker discards all ends up to the acknowledged number.
     fn apply_ends(
         &mut self,
         id: &id::Worker,
         ends: &[worker_state::EndedRun],
         now: clock::Instant,
         unix_ms: u64,
-    ) -> bool {
-        let mut complete = true;
+    ) {
+        let mut is_complete = true;
         for end in ends {
+            let Some(worker) = self.workers.get(id) else {
+                return;
+            };
+            let born_unix_ms = worker.started_unix_ms;
+            let is_new = end.number > worker.handled && !worker.handled_ahead.contains(&end.number);
             let run = worker_state::Run {
                 task: end.task,
                 run: end.run,
@@ -171,13 +178,29 @@
                 percent: 0,
                 usage: 0,
             };
-            if self.keep_orphan(id, run, now) {
-                complete = false;
-            } else if complete {
-                self.run_ended(id, end, now, unix_ms);
+            if is_new && self.keep_orphan(id, run, now) {
+                is_complete = false;
+                continue;
+            }
+            let Some(worker) = self.workers.get_mut(id) else {
+                return;
+            };
+            let moves = is_complete && end.number > worker.handled;
+            if moves {
+                worker.handled = end.number;
+                worker.handled_ahead.remove(&end.number);
+            } else if is_new {
+                worker.handled_ahead.insert(end.number);
+            }
+            if is_new {
+                self.apply_end(id, end, now, unix_ms);
+            }
+            if moves {
+                let change = self.changed_jobs.newest();
+                self.pending_rows
+                    .record_handled_end(id, born_unix_ms, end.number, change);
             }
         }
-        complete
     }
 
     pub(super) fn run_reported(
@@ -259,27 +282,6 @@
         });
     }
 
-    fn run_ended(
-        &mut self,
-        id: &id::Worker,
-        end: &worker_state::EndedRun,
-        now: clock::Instant,
-        unix_ms: u64,
-    ) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if end.number <= worker.handled {
-            return;
-        }
-        worker.handled = end.number;
-        let born_unix_ms = worker.started_unix_ms;
-        self.apply_end(id, end, now, unix_ms);
-        let change = self.changed_jobs.newest();
-        self.pending_rows
-            .record_handled_end(id, born_unix_ms, end.number, change);
-    }
-
     /// Applies the outcome of an ended run to its task.
     fn apply_end(
         &mut self,
--- /dev/null
+++ b/src/batch/scheduler/unread.rs
@@ -0,0 +1,63 @@
+//! Partitions of the job table that are read only after the scheduler has started.
+//!
+//! Answers the load of a takeover while the store refuses some partitions: jobs of the others proceed. The progress of
+//! unread jobs is kept from the start, because a job's tasks must not start before its progress is known.
+
+use crate::batch::JobId;
+use crate::batch::record;
+use crate::batch::scheduler::{PartitionRows, Scheduler};
+use crate::clock;
+
+impl Scheduler {
+    /// Adds the jobs of a partition, with their progress, cancellations and runs, and returns how many are new.
+    ///
+    /// All rows are applied before the next planning round, so no task of a cancelled job starts.
+    pub fn partition_read(
+        &mut self,
+        rows: PartitionRows,
+        now: clock::Instant,
+        unix_ms: u64,
+    ) -> usize {
+        // Tasks of jobs that a previous leader may have known can run on workers that have not answered.
+        let recovered = self.orphans.partition_read(rows.partition, rows.began_at);
+        self.undecodable.extend(rows.undecodable);
+        let mut added = 0;
+        for (id, accepted) in rows.accepted {
+            if !self.add_job(id, accepted, recovered) {
+                continue;
+            }
+            added += 1;
+            self.apply_orphans(id, now);
+            if self.early_cancels.remove(&id) {
+                self.job_cancelled(id, now, unix_ms);
+            }
+        }
+        for id in rows.cancelled {
+            self.job_cancelled(id, now, unix_ms);
+        }
+        self.obsolete_progress_unchecked = true;
+        added
+    }
+
+    /// Removes and returns the recovered progress of a job that becomes known.
+    pub(super) fn claim_progress(
+        &mut self,
+        id: JobId,
+        accepted: &record::Accepted,
+    ) -> Option<record::Progress> {
+        let progress = self.unclaimed_progress.remove(&id)?;
+        let is_obsolete =
+            progress.state.is_final() && self.is_resubmitted(progress.ended_unix_ms, accepted);
+        (!is_obsolete).then_some(progress)
+    }
+
+    /// Returns the final state of a job whose row has not been read. Its other states are uncertain, as a cancellation
+    /// would be unread as well.
+    pub(super) fn state_of_unread(&self, id: JobId) -> Option<record::State> {
+        if self.orphans.is_read(record::job_partition_number(id)) {
+            return None;
+        }
+        let progress = self.unclaimed_progress.get(&id)?;
+        progress.state.is_final().then_some(progress.state)
+    }
+}
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -137,8 +137,10 @@
     pub used: Resources,
     /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
     pub unreserved: Option<Resources>,
-    /// Number of the newest ended run that was handled; 0 for none.
+    /// Number of the ended run up to which all were handled; 0 for none.
     pub handled: u64,
+    /// Numbers of handled ended runs after one whose job is not known yet.
+    pub handled_ahead: BTreeSet<u64>,
     /// Number of the newest ended run that can be acknowledged; 0 for none.
     pub acknowledged: u64,
     /// When the worker was first listed as leaving.
@@ -177,6 +179,7 @@
             used: Resources::default(),
             unreserved: Some(Resources::default()),
             handled: 0,
+            handled_ahead: BTreeSet::new(),
             acknowledged: 0,
             leaving_since: None,
             draining: false,
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -6,7 +6,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wasabiloft::batch::scheduler::{
-    IncarnationEnd, Output, Poll, RecoveredState, Refusal, Scheduler, Settings, Start, StartOutcome,
+    IncarnationEnd, Output, PartitionRows, Poll, RecoveredState, Refusal, Scheduler, Settings,
+    Start, StartOutcome,
 };
 use wasabiloft::batch::{JobId, TaskId, queue, record, spec, worker_state};
 use wasabiloft::clock::Instant;
@@ -170,6 +171,8 @@
     polled_ms: BTreeMap<id::Worker, u64>,
     starts: Vec<(Start, u32)>,
     superseded: bool,
+    /// Partitions of the job table that the leader has not read yet.
+    unread: BTreeSet<u64>,
 }
 
 /// Fault rates, in thousandths of the events that they apply to.
@@ -220,6 +223,8 @@
     pub crash_down_ms: u64,
     /// When the schedulers hear next of a worker that a task crashed.
     crash_notices: Vec<(u64, String)>,
+    /// Partitions of the job table that cannot be read, and until when.
+    unavailable: (BTreeSet<u64>, u64),
 }
 
 impl Simulation {
@@ -244,6 +249,7 @@
             crashed_under: BTreeMap::new(),
             crash_down_ms: 3_000,
             crash_notices: Vec::new(),
+            unavailable: (BTreeSet::new(), 0),
         };
         for number in 0..workers {
             let name = format!("w{number}");
@@ -270,12 +276,17 @@
         if !predecessor_lives {
             self.leaders.clear();
         }
-        let rows = RecoveredState {
+        let unread = self.unavailable_partitions();
+        let mut rows = RecoveredState {
             progress: self.progress.clone().into_iter().collect(),
             workers: self.recorded_workers.clone().into_iter().collect(),
             predecessor_may_act: predecessor_lives,
+            unread: unread.clone(),
             ..self.stored.clone()
         };
+        let is_read = |job: &JobId| !unread.contains(&record::job_partition_number(*job));
+        rows.accepted.retain(|(job, _)| is_read(job));
+        rows.cancelled.retain(is_read);
         let mut scheduler = Scheduler::new(settings(), self.epoch, config(), rows, self.now());
         for worker in self.workers.values() {
             scheduler.worker_listed(worker.listing(), self.now());
@@ -288,10 +299,48 @@
             polled_ms: BTreeMap::new(),
             starts: Vec::new(),
             superseded: false,
+            unread,
         };
         self.leaders.insert(0, leader);
     }
 
+    /// Makes partitions of the job table unavailable for some time.
+    pub fn make_unavailable(&mut self, partitions: BTreeSet<u64>, for_ms: u64) {
+        self.unavailable = (partitions, self.now_ms + for_ms);
+    }
+
+    fn unavailable_partitions(&self) -> BTreeSet<u64> {
+        let (partitions, until_ms) = &self.unavailable;
+        if *until_ms > self.now_ms {
+            partitions.clone()
+        } else {
+            BTreeSet::new()
+        }
+    }
+
+    /// Lets a leader read a partition that is available again.
+    fn read_partition(&mut self, index: usize) {
+        let unavailable = self.unavailable_partitions();
+        let unread = &mut self.leaders[index].unread;
+        let Some(&partition) = unread.difference(&unavailable).next() else {
+            return;
+        };
+        unread.remove(&partition);
+        let is_in = |job: &JobId| record::job_partition_number(*job) == partition;
+        let stored = &self.stored;
+        let accepted = stored.accepted.iter().filter(|(job, _)| is_in(job));
+        let rows = PartitionRows {
+            partition,
+            accepted: accepted.cloned().collect(),
+            cancelled: stored.cancelled.iter().copied().filter(is_in).collect(),
+            undecodable: Vec::new(),
+            began_at: self.now(),
+        };
+        let (now, unix_ms) = (self.now(), self.now_ms);
+        let scheduler = &mut self.leaders[index].scheduler;
+        scheduler.partition_read(rows, now, unix_ms);
+    }
+
     /// Accepts a job and passes it to all schedulers.
     pub fn submit(&mut self, id: u64, accepted: record::Accepted) {
         self.stored.accepted.push((JobId(id), accepted.clone()));
@@ -573,12 +622,15 @@
 
     fn step_leader(&mut self, index: usize) {
         self.finish_commit(index);
+        self.read_partition(index);
         let now = self.now();
         let unix_ms = self.now_ms;
         let scheduler = &mut self.leaders[index].scheduler;
         if self.now_ms.is_multiple_of(50) {
             scheduler.tick(now, unix_ms);
             scheduler.evict_long_running(now);
+            // Submissions are passed on at once.
+            scheduler.jobs_read(now);
         }
         scheduler.plan(now, unix_ms);
         for output in scheduler.take_outputs() {
@@ -590,7 +642,13 @@
                 Output::StopPolling(worker) => {
                     leader.polled.remove(&worker);
                 }
-                Output::Start(start) => leader.starts.push((start, 0)),
+                Output::Start(start) => {
+                    if self.stored.cancelled.contains(&start.task.job) {
+                        let line = format!("{unix_ms} ms: CANCELLED {}", start.task);
+                        self.violations.push(line);
+                    }
+                    leader.starts.push((start, 0));
+                }
                 Output::Stop { worker, task, run } => self.stop(index, &worker, task, run),
                 Output::Superseded => leader.superseded = true,
                 Output::Log(line) => {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod test_batch_holder;
 mod test_batch_inherit;
 mod test_batch_pools;
+mod test_batch_recovery;
 mod test_batch_rejection;
 mod test_batch_relays;
 mod test_batch_room;
