--- a/node/src/batch/listings.rs
+++ b/node/src/batch/registry_feed.rs
@@ -1,4 +1,4 @@
-//! Follows the registry of workers while this node leads the duty.
+//! Follows the registry of workers while leading.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -19,9 +19,39 @@
 /// it.
 const ENTRIES_BACK_MS: u64 = 2_500;
 
+/// Reads the registry from the last page in `partial` on, which holds what was read before a page was refused.
+async fn read_registry(
+    shared: &shared::Shared,
+    partial: &mut Option<store::Page>,
+) -> Result<store::Page, store::Error> {
+    loop {
+        let last = partial.as_ref().and_then(|all| all.rows.last());
+        let from = last.map(|row| row.name.next_key());
+        let page = shared
+            .store
+            .page(
+                registry::TABLE,
+                "",
+                from.as_deref(),
+                store::PAGE_ROWS_MAX,
+                READ_TIMEOUT_MS,
+            )
+            .await?;
+        let is_last = !page.more || page.rows.is_empty();
+        match partial {
+            None => *partial = Some(page),
+            Some(all) => all.rows.extend(page.rows),
+        }
+        if let Some(all) = partial.take_if(|_| is_last) {
+            return Ok(all);
+        }
+    }
+}
+
 /// Follows the registry of workers.
 pub async fn follow(shared: Arc<shared::Shared>, leadership: Arc<leadership::Leadership>) {
     let mut after = None;
+    let mut partial = None;
     let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
     let mut lost_at = None;
     let mut trusted_at = wasabiloft::clock::Instant::ZERO;
@@ -33,12 +63,7 @@
                     .changes(registry::TABLE, version, leadership::POLL_WAIT_MS)
                     .await
             }
-            None => {
-                shared
-                    .store
-                    .rows(registry::TABLE, "", READ_TIMEOUT_MS)
-                    .await
-            }
+            None => read_registry(&shared, &mut partial).await,
         };
         let page = match outcome {
             Ok(page) => page,
--- a/node/src/batch/standby.rs
+++ b/node/src/batch/standby.rs
@@ -30,6 +30,7 @@
 struct Rows {
     accepted: BTreeMap<JobId, record::Accepted>,
     cancelled: BTreeSet<JobId>,
+    undecodable: BTreeSet<JobId>,
     version: u64,
 }
 
@@ -49,18 +50,17 @@
                 }
                 continue;
             }
-            let mut jobs = recovery::Jobs {
-                accepted: Vec::new(),
-                cancelled: Vec::new(),
-                complete: false,
-                version: 0,
-            };
-            recovery::apply_job_row(row, &mut jobs);
-            self.accepted.extend(jobs.accepted);
-            self.cancelled.extend(jobs.cancelled);
+            self.add(std::slice::from_ref(row));
         }
         self.version = self.version.max(page.version);
     }
+
+    fn add(&mut self, rows: &[store::Row]) {
+        let jobs = recovery::Jobs::decode(rows, &BTreeMap::new());
+        self.accepted.extend(jobs.accepted);
+        self.cancelled.extend(jobs.cancelled);
+        self.undecodable.extend(jobs.undecodable);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -99,7 +99,7 @@
     /// Returns the rows of jobs after this node claimed the duty; `None` if they must be read anew.
     ///
     /// Reads the changes until now: a job whose row was removed meanwhile has no progress row either and would run again.
-    pub async fn finish(mut self, shared: &shared::Shared) -> Option<recovery::Jobs> {
+    pub async fn finish(mut self, shared: &shared::Shared) -> Option<recovery::Recovered> {
         self.reads.shutdown().await;
         if !self.is_prepared() {
             return None;
@@ -118,12 +118,12 @@
             rows.apply(&page);
             if is_complete {
                 let rows = std::mem::take(&mut *rows);
-                return Some(recovery::Jobs {
+                let jobs = recovery::Jobs {
                     accepted: rows.accepted.into_iter().collect(),
                     cancelled: rows.cancelled.into_iter().collect(),
-                    complete: true,
-                    version: rows.version,
-                });
+                    undecodable: rows.undecodable.into_iter().collect(),
+                };
+                return Some(recovery::Recovered::with_jobs(jobs, rows.version));
             }
         }
         None
@@ -133,31 +133,39 @@
 async fn follow(shared: Arc<shared::Shared>, state: Arc<State>) {
     loop {
         let began_at = clock::since_boot();
-        match recovery::jobs(&shared).await {
-            Ok(jobs) => {
-                log::info(
-                    "duty",
-                    &format!(
-                        "standby prepared jobs={} read_ms={}",
-                        jobs.accepted.len(),
-                        clock::since_boot().since_ms(began_at)
-                    ),
-                );
-                *state.rows() = Rows {
-                    accepted: jobs.accepted.into_iter().collect(),
-                    cancelled: jobs.cancelled.into_iter().collect(),
-                    version: jobs.version,
-                };
-                state.is_prepared.store(true, Ordering::Relaxed);
-                follow_changes(&shared, &state).await;
-                state.is_prepared.store(false, Ordering::Relaxed);
-            }
-            Err(error) => log::info("duty", &format!("standby rows unread reason={error}")),
-        }
+        let rows = read(&shared).await;
+        log::info(
+            "duty",
+            &format!(
+                "standby prepared jobs={} read_ms={}",
+                rows.accepted.len(),
+                clock::since_boot().since_ms(began_at)
+            ),
+        );
+        *state.rows() = rows;
+        state.is_prepared.store(true, Ordering::Relaxed);
+        follow_changes(&shared, &state).await;
+        state.is_prepared.store(false, Ordering::Relaxed);
         time::sleep(Duration::from_millis(RETRY_MS)).await;
     }
 }
 
+/// Reads all partitions of the job table.
+async fn read(shared: &Arc<shared::Shared>) -> Rows {
+    let mut reader = recovery::Reader::of(shared, recovery::Scope::Jobs);
+    let mut rows = Rows {
+        version: u64::MAX,
+        ..Rows::default()
+    };
+    while !reader.reads().is_complete() {
+        let read = reader.next().await;
+        rows.add(&read.rows);
+        // A change between two reads has a version above the older of the two.
+        rows.version = rows.version.min(read.version);
+    }
+    rows
+}
+
 /// Follows changes until their history is unavailable.
 async fn follow_changes(shared: &shared::Shared, state: &State) {
     loop {
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -18,6 +18,7 @@
 mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_recovery;
 mod test_slots;
 mod test_soak;
 mod test_stop;
