--- a/tests/test_batch_submissions.rs
+++ b/tests/test_batch_submissions.rs
@@ -243,8 +243,8 @@
     }
 }
 
-/// Guards against refusals of callers who wait for a short time only. In the first second a partition can have 1.5 s of
-/// transactions waiting that nodes sent before they knew that the store is slow, so that not all can be written in time.
+/// Guards against refusals of callers who wait for a short time only. Nodes fill the partitions with up to 1.5 s of
+/// transactions before they know that the store is slow, so not all can be written in time; see KNOWN-RED.txt.
 #[test]
 fn callers_with_a_second_and_a_half_are_rarely_refused() {
     for seed in 0..4 {
