--- a/tests/test_batch_submissions.rs
+++ b/tests/test_batch_submissions.rs
@@ -243,10 +243,10 @@
     }
 }
 
-/// Guards against refusals of callers who wait for a short time only. Nodes fill the partitions with up to 1.5 s of
+/// Guards against refusals of callers who wait for a short time only. Fails: nodes fill the partitions with up to 1.5 s of
 /// transactions before they know that the store is slow, so not all can be written in time; see KNOWN-RED.txt.
 #[test]
-fn callers_with_a_second_and_a_half_are_rarely_refused() {
+fn callers_with_a_second_and_a_half_are_not_refused() {
     for seed in 0..4 {
         let mut world = World::new(NODES, Faults::default(), SLOW, seed);
         let seen = replay(&mut world, seed, 1_500, |at_ms| {
@@ -265,7 +265,7 @@
         let ((rejected, unknown), then) = (figures(&seen), figures(&before));
         let jobs = u32::try_from(seen.len()).expect("small");
         println!("seed {seed}, {jobs} jobs: {rejected}, {unknown}, one by one: {then:?}");
-        assert!(rejected * 100 <= jobs, "{rejected} refusals of {jobs} jobs");
+        assert_eq!(rejected, 0, "refusals of {jobs} jobs");
         assert!(seen.values().all(|job| job.accepted_ms.is_some()));
         assert!(then.0 * 100 > jobs, "one by one meets the bound: {then:?}");
     }
