--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -10,9 +10,10 @@
 use metrics::{counter, histogram};
 use wasabiloft::batch::JobId;
 use wasabiloft::batch::{queue, record, rejection};
+use wasabiloft::id;
 use wasabiloft_platform::submission;
 
-use crate::batch::{requests, shared};
+use crate::batch::{admission, gauges, requests, shared};
 use crate::clock;
 use crate::log;
 
@@ -47,6 +48,12 @@
     TooLarge,
     /// The method is not supported for this path.
     BadMethod,
+    /// A task of the job alone exceeds its account's quota, so the job was not stored; holds the message for the caller
+    /// and the seconds after which the same job can be tried again.
+    QuotaExceeded { message: String, wait_s: u64 },
+    /// The account submits more than its rate, so the job was not stored; holds the seconds after which the caller
+    /// should come back.
+    RateExceeded { wait_s: u64 },
     /// The request did not run and never will; the caller can retry.
     NotRun(&'static str),
     /// The request may have run; repeating the same request tells whether it did.
@@ -61,33 +68,63 @@
 /// Returns the configuration if it was recently confirmed to be the newest.
 pub fn current_config(shared: &shared::Shared) -> Option<Arc<queue::Config>> {
     let configured = shared.current_config();
-    let stale_ms = shared.settings().config_apply_ms * CONFIG_AGE_MAX_PERCENT / 100;
+    let stale_ms = shared.settings().config_in_force_ms() * CONFIG_AGE_MAX_PERCENT / 100;
     let age_ms = clock::since_boot().since_ms(configured.confirmed_at?);
     configured.config.filter(|_| age_ms < stale_ms)
 }
 
+/// What a request was found to be about, for logs and metrics.
+#[derive(Debug, Default)]
+struct Subject {
+    account: Option<id::Account>,
+    is_submission: bool,
+}
+
 async fn handle(State(shared): State<Arc<shared::Shared>>, request: Request<Body>) -> Response {
     let began_at = clock::since_boot();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let outcome = respond(&shared, &head.method, &head.headers, &path, body, began_at).await;
+    let mut subject = Subject::default();
+    let outcome = respond(
+        &shared,
+        &head.method,
+        &head.headers,
+        &path,
+        body,
+        began_at,
+        &mut subject,
+    )
+    .await;
     let took_ms = clock::since_boot().since_ms(began_at);
     let (status, label) = status(&outcome);
     histogram!("wasabiloft_request_ms", "method" => head.method.to_string()).record(took_ms as f64);
     counter!("wasabiloft_requests_total", "outcome" => label).increment(1);
+    let account_label = if subject.is_submission && status == StatusCode::OK {
+        "accepted"
+    } else {
+        label
+    };
+    gauges::count_request(&shared, subject.account.as_ref(), account_label);
+    let wait_s = wait_s(&shared, &outcome);
     if status != StatusCode::OK {
-        log::info(
-            "front",
-            &format!(
-                "answer method={} path={path} status={} outcome={outcome:?} took_ms={took_ms}",
-                head.method,
-                status.as_u16()
-            ),
+        let mut line = format!(
+            "answer method={} path={path} status={} outcome={outcome:?} took_ms={took_ms}",
+            head.method,
+            status.as_u16()
         );
+        if let Some(account) = &subject.account {
+            line.push_str(&format!(" account={account}"));
+        }
+        if let Some(wait_s) = wait_s {
+            line.push_str(&format!(" retry_after_s={wait_s}"));
+        }
+        log::info("front", &line);
     }
     let mut response = match outcome {
         Outcome::Done(body) => (status, body).into_response(),
-        Outcome::Invalid(message) => (status, message).into_response(),
+        Outcome::Invalid(message) | Outcome::QuotaExceeded { message, .. } => {
+            (status, message).into_response()
+        }
         _ => status.into_response(),
     };
     let headers = response.headers_mut();
@@ -103,8 +140,7 @@
             header::HeaderValue::from_static(KEY_SCHEME),
         );
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        let wait_s = rejection::retry_after_s(shared.store_silent_ms(), rand::random());
+    if let Some(wait_s) = wait_s {
         headers.insert(header::RETRY_AFTER, header::HeaderValue::from(wait_s));
     }
     if shared.stop.is_cancelled() {
@@ -116,6 +152,18 @@
     response
 }
 
+/// Returns after how many seconds the caller should come back, if it is told to.
+fn wait_s(shared: &shared::Shared, outcome: &Outcome) -> Option<u64> {
+    match outcome {
+        Outcome::QuotaExceeded { wait_s, .. } | Outcome::RateExceeded { wait_s } => Some(*wait_s),
+        Outcome::NotRun(_) => Some(rejection::retry_after_s(
+            shared.store_silent_ms(),
+            rand::random(),
+        )),
+        _ => None,
+    }
+}
+
 fn status(outcome: &Outcome) -> (StatusCode, &'static str) {
     match outcome {
         Outcome::Done(_) => (StatusCode::OK, "done"),
@@ -125,6 +173,8 @@
         Outcome::Invalid(_) => (StatusCode::BAD_REQUEST, "invalid"),
         Outcome::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
         Outcome::BadMethod => (StatusCode::METHOD_NOT_ALLOWED, "bad-method"),
+        Outcome::QuotaExceeded { .. } => (StatusCode::TOO_MANY_REQUESTS, "quota-exceeded"),
+        Outcome::RateExceeded { .. } => (StatusCode::TOO_MANY_REQUESTS, "rate-exceeded"),
         Outcome::NotRun(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason),
         Outcome::Unknown(reason) => (StatusCode::GATEWAY_TIMEOUT, reason),
     }
@@ -137,7 +187,9 @@
     path: &str,
     body: Body,
     began_at: wasabiloft::clock::Instant,
+    subject: &mut Subject,
 ) -> Outcome {
+    subject.is_submission = *method == Method::POST;
     let config = shared.current_config().config;
     let body_max = config.as_ref().map_or(0, |config| config.body_bytes_max);
     // The whole request is read first, so that no refusal is sent while the caller is still sending.
@@ -160,6 +212,7 @@
         queue::Access::Account(account) => Some(account),
         queue::Access::Denied => return Outcome::Unauthorized,
     };
+    subject.account = account.cloned();
     if body.len() > config.body_bytes_max {
         return Outcome::TooLarge;
     }
@@ -188,7 +241,12 @@
                     spec,
                     submitted_unix_ms: clock::unix_ms(),
                 };
-                requests::submit(shared, job, accepted, deadline).await
+                match (&config.accounts, account) {
+                    (Some(accounts), Some(account)) => {
+                        admission::submit(shared, accounts, account, job, accepted, deadline).await
+                    }
+                    _ => requests::submit(shared, job, accepted, deadline).await,
+                }
             }
             Err(message) => Outcome::Invalid(message),
         },
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! A node on the users' platform: accepts jobs from callers and leads the batch duty when elected.
 
+mod admission;
 mod channels;
 mod commit;
 mod configuration;
@@ -8,13 +9,19 @@
 mod forward;
 mod front;
 mod gauges;
+mod job_feed;
+mod lateness;
 mod leadership;
 mod peers;
 mod recovery;
+mod registry_feed;
 mod relay;
+mod removal;
 mod requests;
 mod server;
 mod shared;
+mod standby;
+mod submissions;
 mod watch;
 
 use std::path::Path;
@@ -62,6 +69,8 @@
     server::start(&shared, &mut tasks).await?;
     tasks.spawn(configuration::follow(Arc::clone(&shared)));
     tasks.spawn(duty::run(Arc::clone(&shared)));
+    let writer = tokio::spawn(submissions::run(Arc::clone(&shared)));
+    tasks.spawn(lateness::run(Arc::clone(&shared)));
     let mut check = time::interval(Duration::from_millis(SETTINGS_CHECK_MS));
     loop {
         tokio::select! {
@@ -86,6 +95,14 @@
         );
         tasks.shutdown().await;
     }
+    // Requests in progress need the writer until the last connection is closed.
+    shared.submissions.closed.cancel();
+    if let Err(error) = writer.await {
+        log::warn(
+            "node",
+            &format!("writer of submissions failed reason={error}"),
+        );
+    }
     log::info(
         "node",
         &format!(
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -14,11 +14,11 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{record, relays, succession};
+use wasabiloft::batch::{handover, record, relays, succession};
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
-use crate::batch::{forward, shared};
+use crate::batch::{admission, forward, shared};
 use crate::clock;
 
 /// Maximum time since a follower's last response from the store for it to take over from a leader that cannot reach
@@ -69,9 +69,30 @@
     /// CPU of the follower, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// Address at which other nodes reach the follower; absent from nodes of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
     /// How the follower can relay commands; absent if it stops.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<RelayOffer>,
+    /// Submissions that the follower was offered; absent if its configuration has no accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offered: Option<admission::Report>,
+    /// Name of the follower.
+    #[serde(default)]
+    pub node: String,
+    /// Incarnation of the follower; 0 if it can't be named as a successor.
+    #[serde(default)]
+    pub incarnation: u64,
+    /// Average delay of the follower's timer that its own work doesn't explain, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Whether the follower is slow or was so in the last seconds.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub slow: bool,
+    /// Whether the follower has read the rows of jobs and follows their changes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub prepared: bool,
 }
 
 /// A follower's offer to relay commands to workers.
@@ -97,6 +118,15 @@
     pub config_version: u64,
     /// Time since the leader's configuration was last confirmed to be the newest, in milliseconds.
     pub config_age_ms: Option<u64>,
+    /// Limits of accounts; absent if the follower reported no submissions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<admission::Reply>,
+    /// Whether the follower must read the rows of jobs, as the leader may hand the duty over to it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub prepare: bool,
+    /// Whether the leader is releasing the duty in favour of this follower.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub releasing: bool,
 }
 
 /// Query for the number of waiting jobs of a queue.
@@ -132,7 +162,17 @@
         ..HeartbeatReply::default()
     };
     reply.epoch = shared.own_epoch();
+    reply.releasing = heartbeat.incarnation != 0 && shared.successor() == heartbeat.incarnation;
     if let Some(leadership) = shared.leadership() {
+        if let Some(address) = heartbeat.peers {
+            shared.submissions.heard(address, now);
+        }
+        if heartbeat.incarnation != 0 {
+            let mut handover = leadership.handover();
+            handover.heard(follower(&heartbeat), now);
+            reply.prepare =
+                handover.instruction(heartbeat.incarnation) == handover::Instruction::Prepare;
+        }
         if let Some(offer) = heartbeat.relay {
             let strength = relays::Strength {
                 data_centre: offer.data_centre,
@@ -141,6 +181,9 @@
             };
             leadership.relays().heard(offer.address, strength, now);
         }
+        if let Some(report) = heartbeat.offered {
+            reply.admission = Some(admission::reported(&shared, &leadership, report));
+        }
         let store_reachable = heartbeat.store_silent_ms < FOLLOWER_FRESH_MS;
         // A slow store delays the commits of any leader, so only a leader without any response of the store steps down.
         reply.hand_over = store_reachable
@@ -154,10 +197,32 @@
         {
             leadership.step_down(heartbeat.cpu_milli);
         }
+    } else if reply.epoch > 0 {
+        // It reads its rows, which it repeats for as long as it holds the duty.
+        reply.hand_over = heartbeat.store_silent_ms < FOLLOWER_FRESH_MS
+            && shared.store_silent_ms() > LEADER_STALE_MS;
     }
     Json(reply)
 }
 
+/// Returns what a heartbeat says about its sender's fitness to lead.
+fn follower(heartbeat: &Heartbeat) -> handover::Follower {
+    handover::Follower {
+        node: heartbeat.node.clone(),
+        incarnation: heartbeat.incarnation,
+        cpu_milli: heartbeat.cpu_milli,
+        link_kbit_per_s: heartbeat
+            .relay
+            .as_ref()
+            .map_or(0, |offer| offer.link_kbit_per_s),
+        delay_ms: heartbeat.delay_ms,
+        slow: heartbeat.slow,
+        stopping: heartbeat.relay.is_none(),
+        store_silent_ms: heartbeat.store_silent_ms,
+        prepared: heartbeat.prepared,
+    }
+}
+
 /// Returns the newest configuration, to few followers at a time: it can be as long as the link carries in a second.
 async fn config(State(shared): State<Arc<shared::Shared>>) -> Result<Vec<u8>, StatusCode> {
     let Ok(_permit) = shared.config_transfers.try_acquire() else {
@@ -231,7 +296,8 @@
     get(client, &format!("/waiting?{query}"), timeout_ms).await
 }
 
-/// Sends a heartbeat and applies the configuration of the response.
+/// Sends a heartbeat and applies the configuration of the response; `is_prepared` says whether this node is a standby that
+/// has read its rows.
 ///
 /// # Errors
 ///
@@ -239,6 +305,7 @@
 pub async fn send_heartbeat(
     shared: &shared::Shared,
     address: SocketAddr,
+    is_prepared: bool,
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
     let configured = shared.current_config();
@@ -255,12 +322,22 @@
             .map_or(0, |config| config.version),
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
+        peers: Some(settings.peers),
         relay: (!shared.stop.is_cancelled()).then_some(relay),
+        offered: admission::report(shared, configured.config.as_deref()),
+        node: settings.node.clone(),
+        incarnation: shared.incarnation,
+        delay_ms: shared.meter.delay_ms(),
+        slow: shared.meter.was_slow(),
+        prepared: is_prepared,
     };
     let sent_at = clock::since_boot();
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
-    let reply: HeartbeatReply = reply.json()?;
+    let mut reply: HeartbeatReply = reply.json()?;
+    if let Some(limits) = reply.admission.take() {
+        admission::replied(shared, limits, sent_at);
+    }
     let own_version = configured.config.map_or(0, |config| config.version);
     if reply.config_version > own_version && shared.store_silent_ms() > STORE_SILENT_MS {
         fetch_config(shared, address).await;
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -15,6 +15,10 @@
 use crate::batch::leadership;
 use crate::clock;
 
+/// Time without a response of the store after which an outage is assumed, in milliseconds; above the wait of the polls
+/// that follow the configuration.
+const STORE_OUTAGE_MS: u64 = 1_300;
+
 /// The newest configuration that this node has received.
 #[derive(Clone, Debug, Default)]
 pub struct CurrentConfig {
@@ -64,10 +68,17 @@
     store_clock: Mutex<Option<(u64, wasabiloft::clock::Instant)>>,
     own_epoch: AtomicU64,
     waves: Mutex<BTreeMap<u64, RequestedWave>>,
+    successor: AtomicU64,
+    /// How late this process runs.
+    pub(super) meter: Arc<super::lateness::Meter>,
     pub(super) peers: super::peers::Clients,
     /// Permits for followers that read the configuration from this node.
     pub(super) config_transfers: Semaphore,
     pub(super) forwarding: super::forward::Breaker,
+    pub(super) submissions: super::submissions::Handle,
+    pub(super) admission: super::admission::Admission,
+    /// When the store last began to respond after an outage, in milliseconds since boot.
+    store_steady_since_ms: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -86,6 +97,8 @@
             duty: Mutex::default(),
             leadership: Mutex::default(),
             own_epoch: AtomicU64::new(0),
+            successor: AtomicU64::new(0),
+            meter: Arc::new(super::lateness::Meter::new(settings.cpu_milli)),
             waves: Mutex::default(),
             store_responded_ms: AtomicU64::new(clock::since_boot().as_ms()),
             store_clock: Mutex::default(),
@@ -93,6 +106,9 @@
             peers: super::peers::Clients::default(),
             config_transfers: Semaphore::new(super::peers::CONFIG_TRANSFERS_MAX),
             forwarding: super::forward::Breaker::default(),
+            submissions: super::submissions::Handle::default(),
+            admission: super::admission::Admission::default(),
+            store_steady_since_ms: AtomicU64::new(clock::since_boot().as_ms()),
         }
     }
 
@@ -169,6 +185,16 @@
         self.own_epoch.store(epoch, Ordering::Relaxed);
     }
 
+    /// Returns the incarnation of the node to which this leader hands the duty over, else 0.
+    pub fn successor(&self) -> u64 {
+        self.successor.load(Ordering::Relaxed)
+    }
+
+    /// Sets the incarnation of the node to which this leader hands the duty over; 0 for none.
+    pub fn set_successor(&self, incarnation: u64) {
+        self.successor.store(incarnation, Ordering::Relaxed);
+    }
+
     /// Records a requested wave; returns whether it is new.
     pub fn record_wave_request(&self, request: waves::Request) -> bool {
         let mut waves = lock(&self.waves);
@@ -187,8 +213,20 @@
 
     /// Records a response of the store at the current time.
     pub fn record_store_response(&self) {
-        self.store_responded_ms
-            .store(clock::since_boot().as_ms(), Ordering::Relaxed);
+        let now_ms = clock::since_boot().as_ms();
+        let before_ms = self.store_responded_ms.swap(now_ms, Ordering::Relaxed);
+        if now_ms.saturating_sub(before_ms) >= STORE_OUTAGE_MS {
+            self.store_steady_since_ms.store(now_ms, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the time since the store's last outage ended, or since the start, in milliseconds; 0 during an outage.
+    pub fn store_steady_ms(&self) -> u64 {
+        if self.store_silent_ms() >= STORE_OUTAGE_MS {
+            return 0;
+        }
+        let since_ms = self.store_steady_since_ms.load(Ordering::Relaxed);
+        clock::since_boot().as_ms().saturating_sub(since_ms)
     }
 
     /// Records the store's clock from a response, in milliseconds.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,18 +4,25 @@
 //! stored: the scheduler polls the workers, which enforce leases and fencing epochs. One node at a time leads the
 //! duty of placing tasks; see [`scheduler`].
 
+pub mod account_rates;
 pub mod accounts;
+pub mod admission_limit;
+pub mod handover;
 pub mod list_pause;
 pub mod machine_commands;
+pub mod order;
 pub mod pacing;
 pub mod pools;
 pub mod queue;
 pub mod rate_limit;
 pub mod record;
+pub mod recovery;
 pub mod recovery_pages;
 pub mod rejection;
 pub mod relays;
+pub mod slowness;
 pub mod spec;
+pub mod submissions;
 pub mod succession;
 pub mod waves;
 pub mod worker_state;
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -1,5 +1,6 @@
 //! Demand of the queues on the pools of machines.
 
+use crate::batch::order;
 use crate::batch::pools;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, plan};
@@ -68,13 +69,19 @@
             let demand = pools::Demand {
                 arrived: cpu.max(memory),
                 jobs: submitted.jobs,
+                is_partial: self.unread_partitions() > 0,
                 ..pools::Demand::default()
             };
             demands.insert(service.clone(), demand);
         }
         for worker in self.workers.values() {
             if let Some(demand) = demands.get_mut(&worker.listing.service) {
-                demand.running += machine_share(&worker.used, size);
+                let used = match worker.unreserved {
+                    Some(_) => worker.used,
+                    // The need of runs of unknown jobs is unknown.
+                    None => worker.listing.size,
+                };
+                demand.running += machine_share(&used, size);
                 if worker.listed {
                     demand.lost += machine_share(&worker.lost(), &worker.largest);
                 }
@@ -88,7 +95,12 @@
                 continue;
             };
             for (&occurrence, occurrence_state) in &job.occurrences {
-                let in_time = plan::class(job, occurrence, unix_ms) != plan::Class::Late;
+                // Long-running tasks keep their machines: an account's rate concerns work that ends.
+                let in_time = match plan::class(job, occurrence, unix_ms) {
+                    order::Class::LongRunning => true,
+                    order::Class::InTime => !job.beyond_rate,
+                    order::Class::Late => false,
+                };
                 for (number, step) in (0_u32..).zip(&occurrence_state.steps) {
                     let spec = &job.accepted.spec.steps[number as usize];
                     if spec.long_running && spec.per_worker_max > 0 {
@@ -129,10 +141,13 @@
     /// until the worker has answered.
     pub fn usage(&self, worker: &id::Worker) -> Option<(u64, bool)> {
         let state = self.workers.get(worker).filter(|state| state.adopted)?;
-        Some((
-            machine_share(&state.used, &state.listing.size),
-            state.draining,
-        ))
+        // Runs and ends of unknown jobs keep the worker from being emptied.
+        let used = if self.orphans.has_runs_on(worker) {
+            &state.listing.size
+        } else {
+            &state.used
+        };
+        Some((machine_share(used, &state.listing.size), state.draining))
     }
 
     /// Queues a row that records a machine command before it is sent, with the time on the store's clock in
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the scheduler.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -7,6 +8,7 @@
 use crate::batch::record;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
+use crate::clock;
 use crate::id;
 
 /// Deployment settings of the scheduler.
@@ -16,6 +18,13 @@
     pub lease_ms: u64,
     /// Time for which the state of an ended job can be queried, in milliseconds.
     pub status_ms: u64,
+    /// Window of the accounts' rates, in milliseconds: an account that was idle can submit the jobs of one window at once.
+    pub quota_window_ms: u64,
+}
+
+impl Settings {
+    /// Window of the accounts' rates in a deployment that states none, in milliseconds.
+    pub const QUOTA_WINDOW_DEFAULT_MS: u64 = 5_000;
 }
 
 /// A command to start a run.
@@ -103,6 +112,25 @@
     pub workers: Vec<(id::Worker, record::WorkerRow)>,
     /// Whether the previous leader can still send commands, to workers that have not received the new fence.
     pub predecessor_may_act: bool,
+    /// Jobs whose row exists but cannot be decoded.
+    pub undecodable: Vec<JobId>,
+    /// Numbers of the partitions of the job table that were not read.
+    pub unread: BTreeSet<u64>,
+}
+
+/// Rows of a partition of the job table that was read while the scheduler was running.
+#[derive(Clone, Debug, Default)]
+pub struct PartitionRows {
+    /// Number of the partition.
+    pub partition: u64,
+    /// Accepted jobs.
+    pub accepted: Vec<(JobId, record::Accepted)>,
+    /// Jobs with a cancellation.
+    pub cancelled: Vec<JobId>,
+    /// Jobs whose row exists but cannot be decoded.
+    pub undecodable: Vec<JobId>,
+    /// When the read began: it returns all jobs that were stored before.
+    pub began_at: clock::Instant,
 }
 
 /// Counters of ended runs since the scheduler started.
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -1,7 +1,7 @@
 //! The row store: conditional transactions, range reads and a change feed. Injected faults make it unavailable or slow,
 //! lose responses, apply writes late, or discard its change history.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,6 +10,8 @@
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router, routing};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time;
@@ -19,6 +21,9 @@
 /// Delay of a late write, in milliseconds; longer than any caller waits for the response.
 const LATE_WRITE_DELAY_MS: u64 = 1_600;
 
+/// A partition refuses transactions if more than this is waiting.
+const WAITING_MAX: Duration = Duration::from_secs(1);
+
 type Key = (String, String, String);
 
 /// A row as sent on the wire.
@@ -60,17 +65,38 @@
     changed: Notify,
     /// If set, every request gets status 503.
     pub unavailable: AtomicBool,
+    /// Partitions whose transactions and range reads get status 503.
+    refused_parts: Mutex<BTreeSet<String>>,
+    /// Random share of all requests that get status 503, in thousandths.
+    pub refused_milli: AtomicU32,
+    draws: Mutex<Draws>,
     /// Number of upcoming transactions that are applied without a response.
     pub lost_responses: AtomicU32,
     /// Number of upcoming transactions that are applied late and without a response.
     pub late_writes: AtomicU32,
     /// Delay added to each response to a transaction or range read, in milliseconds.
     pub delay_ms: AtomicU64,
+    /// Time that a partition takes for a transaction, in milliseconds; a partition processes them one by one.
+    pub transaction_ms: AtomicU64,
+    /// Number of transactions received for each table.
+    transactions: Mutex<BTreeMap<String, u64>>,
+    /// When each partition will have processed its transactions.
+    busy_until: Mutex<BTreeMap<String, time::Instant>>,
     /// The change feed no longer holds changes up to this version.
     compacted_version: AtomicU64,
     clock: Clock,
 }
 
+/// Decides which requests are refused at random.
+#[derive(Debug)]
+struct Draws(SmallRng);
+
+impl Default for Draws {
+    fn default() -> Self {
+        Self(SmallRng::seed_from_u64(1))
+    }
+}
+
 /// Time at which the store's clock started.
 #[derive(Debug)]
 struct Clock(time::Instant);
@@ -178,6 +204,19 @@
         let _ = self.apply(transaction);
     }
 
+    /// Refuses transactions and range reads of some partitions, and of no others. Changes of all are still fed.
+    pub fn refuse_parts(&self, parts: BTreeSet<String>) {
+        *lock(&self.refused_parts) = parts;
+    }
+
+    /// Returns whether a request is refused that covers a partition, if any.
+    fn refuses(&self, part: Option<&str>) -> bool {
+        let refused_milli = self.refused_milli.load(Ordering::Relaxed);
+        self.unavailable.load(Ordering::Relaxed)
+            || part.is_some_and(|part| lock(&self.refused_parts).contains(part))
+            || refused_milli > 0 && lock(&self.draws).0.random_range(0..1_000) < refused_milli
+    }
+
     /// Discards the change history up to the current version.
     pub fn compact(&self) {
         let version = lock(&self.rows).version;
@@ -189,6 +228,33 @@
         u64::try_from(self.clock.0.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the number of transactions received that wrote to a table.
+    pub fn transactions(&self, table: &str) -> u64 {
+        lock(&self.transactions).get(table).copied().unwrap_or(0)
+    }
+
+    /// Waits until a partition has processed the transactions before this one and this one; returns false if too many
+    /// are waiting.
+    async fn wait_for_partition(&self, part: &str) -> bool {
+        let duration = Duration::from_millis(self.transaction_ms.load(Ordering::Relaxed));
+        if duration.is_zero() {
+            return true;
+        }
+        let done_at = {
+            let mut busy_until = lock(&self.busy_until);
+            let now = time::Instant::now();
+            let busy_until = busy_until.entry(part.to_owned()).or_insert(now);
+            let start = now.max(*busy_until);
+            if start.duration_since(now) > WAITING_MAX {
+                return false;
+            }
+            *busy_until = start + duration;
+            *busy_until
+        };
+        time::sleep_until(done_at).await;
+        true
+    }
+
     async fn delay_response(&self) {
         let delay_ms = self.delay_ms.load(Ordering::Relaxed);
         if delay_ms > 0 {
@@ -276,9 +342,22 @@
     State(store): State<Arc<Store>>,
     Json(transaction): Json<Transaction>,
 ) -> Response {
-    if store.unavailable.load(Ordering::Relaxed) {
+    let mut rows = transaction
+        .expect_rev
+        .iter()
+        .chain(&transaction.writes)
+        .chain(&transaction.remove);
+    if store.refuses(rows.next().map(|row| row.part.as_str())) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if let Some(row) = transaction.writes.first() {
+        *lock(&store.transactions)
+            .entry(row.table.clone())
+            .or_default() += 1;
+        if !store.wait_for_partition(&row.part).await {
+            return StatusCode::TOO_MANY_REQUESTS.into_response();
+        }
+    }
     store.delay_response().await;
     if consume_fault(&store.late_writes) {
         // Applied in a separate task, as the caller gives up first and its disconnect must not cancel the write.
@@ -309,7 +388,7 @@
 }
 
 async fn range(State(store): State<Arc<Store>>, Query(range): Query<Range>) -> Response {
-    if store.unavailable.load(Ordering::Relaxed) {
+    if store.refuses(Some(&range.part)) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     store.delay_response().await;
@@ -338,6 +417,9 @@
 async fn feed(State(store): State<Arc<Store>>, Query(feed): Query<Feed>) -> Response {
     let wait = Duration::from_millis(feed.wait_ms);
     let until = time::Instant::now() + wait;
+    if store.refuses(None) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     loop {
         let changed = store.changed.notified();
         if store.unavailable.load(Ordering::Relaxed) {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,12 +1,14 @@
 //! Tests of the decision library, one module per component.
 
 mod fake_slots;
+mod fake_submissions;
 mod fake_table;
 mod fake_workers;
 #[path = "../measure/src/keys_world.rs"]
 mod keys_world;
 mod test_admission;
 mod test_batch_accounts;
+mod test_batch_admission_limit;
 mod test_batch_authority;
 mod test_batch_budget;
 mod test_batch_capacity;
@@ -14,10 +16,14 @@
 mod test_batch_faults;
 mod test_batch_holder;
 mod test_batch_inherit;
+mod test_batch_order;
 mod test_batch_pools;
+mod test_batch_recovery;
 mod test_batch_rejection;
 mod test_batch_relays;
 mod test_batch_room;
+mod test_batch_slowness;
+mod test_batch_submissions;
 mod test_batch_succession;
 mod test_batch_trials;
 mod test_config;
