accounts: the order's rate window follows the settings; only jobs beyond a rate limit admission

Joins the parts: the token buckets of the scheduling order use the window that the settings state, and admission is limited only while jobs that the order has marked as beyond their account's rate can't be in time. Test simulations share one configuration.

--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -177,7 +177,10 @@
     Settings {
         lease_ms: LEASE_MS.min(settings.worker_lease_max_ms),
         status_ms: settings.job_status_ms,
-        quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
+        quota_window_ms: settings
+            .accounts
+            .rate_window_ms
+            .unwrap_or(Settings::QUOTA_WINDOW_DEFAULT_MS),
     }
 }
 
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -115,14 +115,15 @@
         self.ledger.set_unexpected(id, unexpected);
     }
 
-    /// Returns the accounts with a job that has no run yet and can no longer meet its objective.
+    /// Returns the accounts with a job beyond their rate that has no run yet and can no longer meet its objective.
     pub fn late_accounts(&self, unix_ms: u64) -> BTreeSet<id::Account> {
         let mut late = BTreeSet::new();
         for job in self.open_jobs.iter().filter_map(|id| self.jobs.get(id)) {
             let Some(account) = &job.accepted.account else {
                 continue;
             };
-            let is_late = !late.contains(account)
+            let is_late = job.beyond_rate
+                && !late.contains(account)
                 && !job.has_started()
                 && job
                     .occurrences
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -201,7 +201,6 @@
     pub now_ms: u64,
     rng: SmallRng,
     faults: Faults,
-    config: Arc<queue::Config>,
     /// The workers by name.
     pub workers: BTreeMap<String, Worker>,
     /// The running schedulers, newest first.
@@ -245,7 +244,6 @@
         config: Arc<queue::Config>,
     ) -> Self {
         let mut sim = Self {
-            config,
             now_ms: 0,
             rng: SmallRng::seed_from_u64(seed),
             faults,
@@ -254,7 +252,7 @@
             delayed: Vec::new(),
             stored: RecoveredState::default(),
             progress: BTreeMap::new(),
-            config: config(),
+            config,
             recorded_workers: BTreeMap::new(),
             epoch: 0,
             acknowledged_done: BTreeSet::new(),
