--- a/tests/test_batch_order.rs
+++ b/tests/test_batch_order.rs
@@ -329,6 +329,8 @@
         RecoveredState::default(),
         wasabiloft::clock::Instant::ZERO,
     );
+    // The lines on the configured accounts.
+    scheduler.take_outputs();
     let now = wasabiloft::clock::Instant::from_ms(10);
     for id in 0..8 {
         scheduler.job_accepted(JobId(id), job(&[4], Some(account(0)), 10), now);
