pools: a new leader forecasts from the arrivals that the rows of jobs show

Change: the forecast starts with the recovered jobs of the last two windows. Checked: a_new_leader_follows_a_rise_from_the_rows_of_jobs, which fails without them.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -302,6 +302,12 @@
         };
         let (demands, spare) = {
             let scheduler = self.leadership.scheduler();
+            if !self.forecast.knows_earlier() {
+                let arrivals = scheduler.earlier_arrivals(&size, clock::unix_ms());
+                let jobs: usize = arrivals.values().map(Vec::len).sum();
+                log::info("fleet", &format!("earlier arrivals jobs={jobs}"));
+                self.forecast.set_earlier(arrivals, now);
+            }
             (
                 scheduler.demands(&size, now, clock::unix_ms()),
                 scheduler.config().spare_pool().cloned(),
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -11,6 +11,8 @@
 /// Time over which the arrival rate is measured, in milliseconds: about the duration of one move, including its
 /// command and the next list of machines.
 const WINDOW_MS: u64 = 1_500;
+/// Time before a new leader from which it needs arrivals, in milliseconds: the two windows that are compared.
+pub const HISTORY_MS: u64 = 2 * WINDOW_MS;
 /// How far ahead demand is forecast from its trend, in milliseconds: the duration of a move and of noticing it.
 const AHEAD_MS: u64 = 2_000;
 /// Arrivals count as a rise if they exceed the earlier window by more than this many standard deviations of random
@@ -134,6 +136,15 @@
     jobs: u64,
 }
 
+/// Work that arrived before a new leader began, from the row of its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Time since the job was submitted, in milliseconds.
+    pub age_ms: u64,
+    /// Work of the job, as capacity times milliseconds.
+    pub arrived: u64,
+}
+
 /// Forecasts how many machines each pool needs.
 #[derive(Clone, Debug)]
 pub struct Forecast {
@@ -144,6 +155,8 @@
     needs: BTreeMap<id::Service, VecDeque<(clock::Instant, u32)>>,
     /// Since when long-running tasks of a service wait.
     blocked_since: BTreeMap<id::Service, clock::Instant>,
+    /// Total work and number of jobs that arrived before this leader, by service; absent until they were stated.
+    earlier: Option<BTreeMap<id::Service, (u64, u64)>>,
 }
 
 impl Forecast {
@@ -155,7 +168,42 @@
             samples: BTreeMap::new(),
             needs: BTreeMap::new(),
             blocked_since: BTreeMap::new(),
+            earlier: None,
+        }
+    }
+
+    /// Returns whether the arrivals before this leader were stated.
+    pub fn knows_earlier(&self) -> bool {
+        self.earlier.is_some()
+    }
+
+    /// Starts with what arrived in the last [`HISTORY_MS`] before this leader.
+    ///
+    /// Without it, a leader that takes over during a rise forecasts none until it has seen two windows of arrivals.
+    pub fn set_earlier(
+        &mut self,
+        arrivals: BTreeMap<id::Service, Vec<Arrival>>,
+        now: clock::Instant,
+    ) {
+        let mut earlier = BTreeMap::new();
+        for (service, mut arrivals) in arrivals {
+            arrivals.sort_by_key(|arrival| std::cmp::Reverse(arrival.age_ms));
+            let mut total = Sample {
+                at: clock::Instant::from_ms(now.as_ms().saturating_sub(HISTORY_MS)),
+                arrived: 0,
+                jobs: 0,
+            };
+            let samples = self.samples.entry(service.clone()).or_default();
+            samples.push_back(total);
+            for arrival in arrivals {
+                total.at = clock::Instant::from_ms(now.as_ms().saturating_sub(arrival.age_ms));
+                total.arrived += arrival.arrived;
+                total.jobs += 1;
+                samples.push_back(total);
+            }
+            earlier.insert(service, (total.arrived, total.jobs));
         }
+        self.earlier = Some(earlier);
     }
 
     /// Returns the target of a pool that has `has` machines, and records the demand.
@@ -228,10 +276,15 @@
 
     /// Returns the capacity that arriving work will use [`AHEAD_MS`] from now, by the trend of the last two windows.
     fn rate_ahead(&mut self, service: &id::Service, demand: &Demand, now: clock::Instant) -> u64 {
+        let earlier = self.earlier.as_ref();
+        let (arrived, jobs) = earlier
+            .and_then(|earlier| earlier.get(service))
+            .copied()
+            .unwrap_or_default();
         let present = Sample {
             at: now,
-            arrived: demand.arrived,
-            jobs: demand.jobs,
+            arrived: arrived + demand.arrived,
+            jobs: jobs + demand.jobs,
         };
         let samples = self.samples.entry(service.clone()).or_default();
         samples.push_back(present);
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -30,6 +30,13 @@
 }
 
 impl SubmittedWork {
+    /// Returns the work as thousandths of a machine times milliseconds: the larger of the processor and memory shares.
+    fn share(&self, size: &Resources) -> u64 {
+        let cpu = self.cpu_milli_ms * pools::MACHINE_MILLI / size.cpu_milli.max(1);
+        let memory = self.memory_mib_ms * pools::MACHINE_MILLI / size.memory_mib.max(1);
+        cpu.max(memory)
+    }
+
     /// Adds the steps of a job that are not long-running.
     pub(super) fn add(&mut self, spec: &spec::Spec) {
         let occurrences = spec
@@ -47,6 +54,32 @@
 }
 
 impl Scheduler {
+    /// Returns the jobs within their accounts' rates that arrived before this scheduler, in the last
+    /// [`pools::HISTORY_MS`], with their work in thousandths of a machine of the given size.
+    pub fn earlier_arrivals(
+        &self,
+        size: &Resources,
+        unix_ms: u64,
+    ) -> BTreeMap<id::Service, Vec<pools::Arrival>> {
+        let mut arrivals: BTreeMap<id::Service, Vec<pools::Arrival>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let age_ms = unix_ms.saturating_sub(job.accepted.submitted_unix_ms);
+            if !job.recovered || job.beyond_rate || age_ms >= pools::HISTORY_MS {
+                continue;
+            }
+            let mut submitted = SubmittedWork::default();
+            submitted.add(&job.accepted.spec);
+            if submitted.jobs > 0 {
+                let service = job.accepted.queue.service.clone();
+                arrivals.entry(service).or_default().push(pools::Arrival {
+                    age_ms,
+                    arrived: submitted.share(size),
+                });
+            }
+        }
+        arrivals
+    }
+
     /// Returns the demand of each service that is not a spare pool, in thousandths of a machine of the given size.
     pub fn demands(
         &self,
@@ -64,10 +97,8 @@
                 .get(service)
                 .copied()
                 .unwrap_or_default();
-            let cpu = submitted.cpu_milli_ms * pools::MACHINE_MILLI / size.cpu_milli.max(1);
-            let memory = submitted.memory_mib_ms * pools::MACHINE_MILLI / size.memory_mib.max(1);
             let demand = pools::Demand {
-                arrived: cpu.max(memory),
+                arrived: submitted.share(size),
                 jobs: submitted.jobs,
                 is_partial: self.unread_partitions() > 0,
                 ..pools::Demand::default()
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -144,6 +144,41 @@
     assert!(target > 90, "{target}");
 }
 
+/// Guards against a takeover during a rise after which the pool stops growing until two windows of arrivals were seen.
+#[test]
+fn a_new_leader_follows_a_rise_from_the_rows_of_jobs() {
+    let service = id::Service::new("quotes");
+    let mut before = Forecast::new(Instant::ZERO);
+    let mut arrivals = Vec::new();
+    let (mut arrived, mut jobs, mut old) = (0, 0, 0);
+    let begins_ms = 23_000;
+    for tick in 0..30_u64 {
+        let at_ms = 20_000 + tick * 100;
+        let more = tick / 4;
+        arrived += more * pools::MACHINE_MILLI * 1_000;
+        jobs += more;
+        for _ in 0..more {
+            arrivals.push(pools::Arrival {
+                age_ms: begins_ms - at_ms,
+                arrived: pools::MACHINE_MILLI * 1_000,
+            });
+        }
+        let running = more * 10 * pools::MACHINE_MILLI;
+        let now = Instant::from_ms(at_ms);
+        let target = before.target(&service, &demand(running, arrived, jobs), 3, now);
+        old = target.need;
+    }
+    let now = Instant::from_ms(begins_ms);
+    let running = 70 * pools::MACHINE_MILLI;
+    let mut forgetful = Forecast::new(now);
+    let without = forgetful.target(&service, &demand(running, 0, 0), 3, now);
+    let mut informed = Forecast::new(now);
+    informed.set_earlier([(service.clone(), arrivals)].into(), now);
+    let with = informed.target(&service, &demand(running, 0, 0), 3, now);
+    assert!(with.need * 10 >= old * 9, "{} after {old}", with.need);
+    assert!(without.need * 10 < old * 9, "{} after {old}", without.need);
+}
+
 #[test]
 fn one_large_job_is_no_rise() {
     let service = id::Service::new("bookings");
