review: an order of a replaced leader reaches a machine late

Case 4, a script: the leader is cut off while upkeeps are on their way. Its calls time out and are closed without a reset, so the network delivers them when the cut ends, after the orders of the next leader (ONE).

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -335,7 +335,7 @@
         self.born, self.clock0 = int(time.time() * 1000), now()
         self.fence, self.until, self.running, self.highest = 0, 0, {}, {}
         self.ends, self.number, self.acked = [], 0, 0
-        self.seq, self.draining, self.alive = 0, False, True
+        self.seq, self.draining, self.alive, self.linked, self.heard_at = 0, False, True, True, 0.0
         self.changed = asyncio.Event()
         self.held = []  # (address of the sender, ...) hooks of a case
 
@@ -375,9 +375,24 @@
 
     async def heartbeats(self):
         while True:
-            self.lab.store.put_json("servers", self.id, self.entry())
+            if self.linked:
+                self.lab.store.put_json("servers", self.id, self.entry())
+                self.heard_at = now()
             await asyncio.sleep(self.HEARTBEAT_S)
 
+    async def before_heartbeat(self, margin_s):
+        """Waits until the next heartbeat is due in `margin_s`."""
+        heard_at = self.heard_at
+        while self.heard_at == heard_at:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(self.HEARTBEAT_S - margin_s)
+
+    def set_linked(self, linked):
+        """A cut from all machines and the store that refuses connections; what runs goes on."""
+        self.linked = linked
+        if not linked:
+            self.http.stop()
+
     async def work(self):
         while True:
             await asyncio.sleep(0.01)
@@ -481,6 +496,77 @@
         return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "endedRuns": ends}
 
 
+class Link:
+    """A TCP proxy from one node to one address of the platform, which can be partitioned.
+
+    While it is cut, bytes of either side wait. When it heals, they go on, also if their sender has closed the connection
+    in the meantime; they are lost if it has reset the connection (DEPLOY.md, Network).
+    """
+
+    def __init__(self, target):
+        self.target, self.whole, self.on_bytes = target, asyncio.Event(), None
+        self.whole.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=256)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    def cut(self):
+        self.whole.clear()
+
+    def heal(self):
+        self.whole.set()
+
+    async def serve(self, reader, writer):
+        ip, port = self.target.rsplit(":", 1)
+        await self.whole.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            self.pump(reader, far_writer, True), self.pump(far_reader, writer, False), return_exceptions=True
+        )
+        for side in (writer, far_writer):
+            side.close()
+
+    async def pump(self, reader, writer, outward):
+        chunks, was_reset = asyncio.Queue(), False
+
+        async def fill():
+            nonlocal was_reset
+            try:
+                while True:
+                    data = await reader.read(65536)
+                    if data and outward and self.on_bytes:
+                        self.on_bytes(data)
+                    chunks.put_nowait(data)
+                    if not data:
+                        return
+            except OSError:
+                was_reset = True
+                chunks.put_nowait(b"")
+
+        filling = asyncio.create_task(fill())
+        try:
+            while True:
+                data = await chunks.get()
+                await self.whole.wait()
+                if was_reset:
+                    writer.transport.abort()
+                    return
+                if not data:
+                    if writer.can_write_eof():
+                        writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        finally:
+            filling.cancel()
+
+
 class Cloud:
     """The machine interface. `machines` maps a name to its entry; a spare machine is off."""
 
@@ -616,8 +702,12 @@
         self.commands = []
         self.random = random.Random(int(os.environ.get("SEED", "1")))
 
-    async def start(self, services, node_store=None, node_cloud=None, with_cloud=True):
+    async def start(self, services):
         """`services` maps a name to its number of machines, of 32 cores, four to a rack."""
+        await self.prepare(services)
+        self.start_nodes(lambda _: self.store.http.address, lambda _: self.cloud.http.address)
+
+    async def prepare(self, services):
         if not os.path.exists(os.path.join(ROOT, COMMAND[0])):
             raise FileNotFoundError(COMMAND[0])
         self.store = await Store(self.record).start()
@@ -627,10 +717,11 @@
             for number in range(count):
                 await self.add_machine(service, number)
         self.configure()
+
+    def start_nodes(self, store, cloud):
+        """Starts the entry nodes; the functions return the addresses by which a node reaches the platform."""
         for number in range(self.count):
-            store = node_store(number) if node_store else self.store.http.address
-            cloud = node_cloud(number) if node_cloud else self.cloud.http.address
-            node = Node(self, number + 1, f"127.0.{10 + number}.1", store, cloud if with_cloud else None)
+            node = Node(self, number + 1, f"127.0.{10 + number}.1", store(number), cloud(number))
             self.nodes.append(node)
             node.start()
 
@@ -688,6 +779,26 @@
         asyncio.create_task(back())
         asyncio.create_task(unlist())
 
+    async def cut_runner(self, runner, cut_s):
+        """node_cut `servers refuse`: a runner is partitioned from all machines and the store, and runs on."""
+        self.record(f"disruption: runner {runner.id} is cut off for {cut_s} s, connections are refused")
+        runner.set_linked(False)
+
+        async def unlist():
+            await asyncio.sleep(max(0.0, runner.heard_at + 3 * Runner.HEARTBEAT_S - now()))
+            if not runner.linked:
+                self.store.put("servers", "", runner.id, None)
+                self.record(f"store: entry of {runner.id} expires after three intervals of silence")
+
+        async def heal():
+            await asyncio.sleep(cut_s)
+            runner.linked = True
+            await runner.http.start()
+            self.record(f"disruption: the cut of runner {runner.id} ends")
+
+        asyncio.create_task(unlist())
+        asyncio.create_task(heal())
+
     async def machine_command(self, path, wire, headers):
         """Moves and upkeep aren't needed by most cases; a machine takes neither."""
         self.record(f"cloud: {path} {wire} holder={headers.get('x-lease-holder')} -> 409 busy")
