--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -917,22 +917,27 @@
 def main(case, case_folder, limit_s=115, **options):
     """Runs `case(lab)`, which returns the broken rules as texts. Exits with 1, 0 or 2 as the issue says."""
     lab = Lab(case_folder, **options)
-    code = 2
-    try:
-        broken = asyncio.run(asyncio.wait_for(case(lab), limit_s))
+
+    def end(code):
+        lab.end()
+        sys.stdout.flush()
+        sys.stderr.flush()
+        # Open connections of the stand-ins end with the process.
+        os._exit(code)
+
+    async def run():
+        try:
+            broken = await asyncio.wait_for(case(lab), limit_s)
+        except Exception as error:  # The case couldn't run.
+            lab.record(f"could not run: {error!r}")
+            print(f"could not run: {error!r}", file=sys.stderr)
+            end(2)
         for text in broken:
             lab.record(f"RULE BROKEN {text}")
             print(f"RULE BROKEN {text}")
         if not broken:
             lab.record("all rules held")
             print("all rules held")
-        code = 1 if broken else 0
-    except Exception as error:  # The case couldn't run.
-        lab.record(f"could not run: {error!r}")
-        print(f"could not run: {error!r}", file=sys.stderr)
-    finally:
-        lab.end()
-    sys.stdout.flush()
-    sys.stderr.flush()
-    # Open connections of the stand-ins end with the process.
-    os._exit(code)
+        end(1 if broken else 0)
+
+    asyncio.run(run())
