--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -807,9 +807,10 @@
         asyncio.create_task(heal())
 
     async def machine_command(self, path, wire, headers):
-        """Moves and upkeep aren't needed by most cases; a machine takes neither."""
-        self.record(f"cloud: {path} {wire} holder={headers.get('x-lease-holder')} -> 409 busy")
-        return 409, {"reason": "busy"}
+        """Most cases need no moves: each pool is one of other machines, and no wave is due."""
+        status, reason = (409, "wave") if path == "/machine-upkeep" else (400, None)
+        self.record(f"cloud: {path} {wire} holder={headers.get('x-lease-holder')} -> {status} {reason or ''}")
+        return status, ({"reason": reason} if reason else {})
 
     def run_began(self, runner, run, fence):
         self.record(f"run begins task={run.task} run={run.run} runner={runner.id} fence={fence} from={run.saved or '-'}")
