scheduler: log what a second start relies on, and runs that outlive their release

Change: each release of a task keeps the worker, the run, the reason and the time; the next start logs them (released=...). 'worker gone' tells silence, registration and the rest of the lease; 'fleet: worker missing' tells what the list of machines showed. A run that a worker reports although it was released is logged as 'run outlived its release' and counted (wasabiloft_runs_outlived_total): it shows from inside that a task ran twice. No decision changes.

--- a/node/src/batch/fleet/commands.rs
+++ b/node/src/batch/fleet/commands.rs
@@ -145,9 +145,11 @@
         self.busy.remove(&result.vm);
         let done = result.outcome == Some(ChangeOutcome::Yes);
         if done && let Some(worker) = &result.worker {
-            self.leadership
-                .scheduler()
-                .incarnation_ended(worker, IncarnationEnd::MachineOrder);
+            self.leadership.scheduler().incarnation_ended(
+                worker,
+                IncarnationEnd::MachineOrder,
+                now,
+            );
             self.leadership.wake.notify_one();
         }
         match (&result.command, result.outcome) {
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -205,7 +205,7 @@
                 self.sent.remove(&machine.vm);
             }
         }
-        self.end_missing_incarnations(&list);
+        self.end_missing_incarnations(&list, requested_at);
         self.positions = list
             .iter()
             .enumerate()
@@ -215,7 +215,11 @@
     }
 
     /// Ends the incarnations of workers whose machine no longer runs them: crashed, moved, in maintenance, or removed.
-    fn end_missing_incarnations(&mut self, list: &[pools::Machine]) {
+    fn end_missing_incarnations(
+        &mut self,
+        list: &[pools::Machine],
+        requested_at: wasabiloft::clock::Instant,
+    ) {
         let now = clock::since_boot();
         let current: BTreeSet<&id::Worker> = list
             .iter()
@@ -224,7 +228,18 @@
         let mut scheduler = self.leadership.scheduler();
         for before in self.list.iter() {
             if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
-                scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout);
+                let shown = list.iter().find(|machine| machine.vm == before.vm);
+                log::info(
+                    "fleet",
+                    &format!(
+                        "worker missing worker={worker} vm={} state={:?} shown={:?} list_ms={}",
+                        before.vm,
+                        shown.map(|machine| machine.state),
+                        shown.and_then(|machine| machine.worker.as_ref()),
+                        now.since_ms(requested_at)
+                    ),
+                );
+                scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout, now);
             }
         }
         scheduler.resolve_missing(&current, now);
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -369,9 +369,11 @@
                 return;
             }
             Ok(Response::OtherIncarnation) => {
-                leadership
-                    .scheduler()
-                    .incarnation_ended(id, IncarnationEnd::OtherLife);
+                leadership.scheduler().incarnation_ended(
+                    id,
+                    IncarnationEnd::OtherLife,
+                    clock::since_boot(),
+                );
                 leadership.wake.notify_one();
                 return;
             }
@@ -396,9 +398,11 @@
                 );
             }
             if refusals >= REFUSALS_UNTIL_REMOVED && has_left(&leadership, id) {
-                leadership
-                    .scheduler()
-                    .incarnation_ended(id, IncarnationEnd::Left);
+                leadership.scheduler().incarnation_ended(
+                    id,
+                    IncarnationEnd::Left,
+                    clock::since_boot(),
+                );
                 leadership.wake.notify_one();
                 return;
             }
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -4,6 +4,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::scheduler::job;
+use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::worker_loss::IncarnationEnd;
 use crate::batch::scheduler::{Output, Scheduler};
 use crate::clock;
@@ -83,7 +84,7 @@
                 reason: Refusal::OtherLife,
                 ..
             } => {
-                self.incarnation_ended(worker, IncarnationEnd::OtherLife);
+                self.incarnation_ended(worker, IncarnationEnd::OtherLife, now);
                 return;
             }
             _ => {}
@@ -173,7 +174,7 @@
         {
             self.remove_ticket(&id, worker);
         }
-        self.release_task(id);
+        self.release_task(id, Release::NotStarted, now);
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(&id)) {
             task.not_before = now.after_ms(pause_ms);
         }
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::batch::record;
+use crate::batch::scheduler::release;
 use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
@@ -69,6 +70,8 @@
     pub last_failed_on: Option<id::Worker>,
     /// Crashes of workers that are held against the task.
     pub crashes: Vec<record::Crash>,
+    /// The newest run that was taken for ended, with the reason.
+    pub released: Option<release::Released>,
 }
 
 impl Task {
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -148,4 +148,6 @@
     pub workers_crashed: u64,
     /// Jobs that were given up because their tasks crash workers.
     pub given_up: u64,
+    /// Reports of runs that were at work although they had been taken for ended.
+    pub outlived: u64,
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod quotas;
 mod rates;
+mod release;
 mod removal;
 mod reports;
 mod reservation;
@@ -43,6 +44,7 @@
 pub use commands::{Refusal, StartOutcome};
 pub use drain::DrainState;
 pub use message::{Counts, Output, PartitionRows, Poll, RecoveredState, Settings, Start};
+pub use release::{Release, Released};
 pub use worker_loss::IncarnationEnd;
 
 /// Interval after which a stop is resent if the run has not ended, in milliseconds; longer than the timeout of one
@@ -299,23 +301,6 @@
         }
     }
 
-    /// Releases the capacity of a task whose run is over, so that the task waits for its next start.
-    fn release_task(&mut self, id: TaskId) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let spec = Arc::clone(&job.accepted);
-        let Some(active) = job.take_active(&id) else {
-            return;
-        };
-        self.refund(&spec, &id);
-        let need = plan::need(&spec.spec.steps[id.step as usize]);
-        if let Some(worker) = self.workers.get_mut(&active.worker) {
-            worker.release(&id, &need);
-        }
-        self.dirty_services.insert(spec.queue.service.clone());
-    }
-
     /// Requests that the active run of a task is stopped.
     fn stop_task(&mut self, id: TaskId, reason: job::StopReason, now: clock::Instant) {
         let Some(active) = self
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::order;
 use crate::batch::scheduler::{Output, Scheduler, Start};
-use crate::batch::scheduler::{job, room};
+use crate::batch::scheduler::{job, release, room};
 use crate::batch::spec;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
@@ -294,6 +294,7 @@
         task.last_run = run;
         let checkpoint = task.checkpoint.clone();
         let failures = task.failed_runs.len();
+        let released = release::LogFields(task.released.as_ref(), now).to_string();
         let active = job::ActiveRun {
             worker: worker.clone(),
             run,
@@ -309,7 +310,7 @@
         job.set_active(&id, active);
         self.charge(&accepted, &id);
         self.log(format!(
-            "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures} {turn}"
+            "start task={id} run={run} worker={worker} heard_ms={heard_ms} used_milli={used_milli} failures={failures} {released} {turn}"
         ));
         self.outputs.push(Output::Start(Start {
             worker: worker.clone(),
--- /dev/null
+++ b/src/batch/scheduler/release.rs
@@ -0,0 +1,123 @@
+//! Releases of tasks: a run is taken for ended, so that its task can start again. Each release keeps what it relied on.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::batch::TaskId;
+use crate::batch::scheduler::worker_loss::IncarnationEnd;
+use crate::batch::scheduler::{Scheduler, plan};
+use crate::clock;
+use crate::id;
+
+/// Why a run was taken for ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// The worker reported its end.
+    Reported,
+    /// It was missing from a report that must list it.
+    Missing,
+    /// Its start was refused, or didn't leave this node.
+    NotStarted,
+    /// The incarnation of its worker has ended.
+    IncarnationEnded(IncarnationEnd),
+    /// The lease of its worker has lapsed.
+    LeaseLapsed,
+}
+
+impl Release {
+    /// Returns the name that the log gives to the reason.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Reported => "reported",
+            Self::Missing => "missing",
+            Self::NotStarted => "not-started",
+            Self::IncarnationEnded(end) => end.label(),
+            Self::LeaseLapsed => "lease-lapsed",
+        }
+    }
+}
+
+/// The newest release of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// The worker that had the run.
+    pub worker: id::Worker,
+    /// Number of the run.
+    pub run: u32,
+    /// Why the run was taken for ended.
+    pub by: Release,
+    /// When it was taken for ended.
+    pub at: clock::Instant,
+}
+
+/// The newest release of a task as log fields.
+pub(super) struct LogFields<'a>(pub Option<&'a Released>, pub clock::Instant);
+
+impl fmt::Display for LogFields<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self(None, _) => write!(formatter, "released=none"),
+            Self(Some(released), now) => write!(
+                formatter,
+                "released={} released_run={} released_worker={} released_ms={}",
+                released.by.label(),
+                released.run,
+                released.worker,
+                now.since_ms(released.at)
+            ),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Releases a task whose run has ended, and its capacity, so that the task waits for its next start.
+    pub(super) fn release_task(&mut self, id: TaskId, by: Release, now: clock::Instant) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.accepted);
+        let Some(active) = job.take_active(&id) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(&id) {
+            task.released = Some(Released {
+                worker: active.worker.clone(),
+                run: active.run,
+                by,
+                at: now,
+            });
+        }
+        self.refund(&spec, &id);
+        let need = plan::need(&spec.spec.steps[id.step as usize]);
+        if let Some(worker) = self.workers.get_mut(&active.worker) {
+            worker.release(&id, &need);
+        }
+        self.dirty_services.insert(spec.queue.service.clone());
+    }
+
+    /// Logs and counts a run that is at work although it was taken for ended, so that its task may run twice.
+    pub(super) fn check_outlived(
+        &mut self,
+        worker: &id::Worker,
+        id: &TaskId,
+        run: u32,
+        now: clock::Instant,
+    ) {
+        let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else {
+            return;
+        };
+        let released = task.released.as_ref();
+        let Some(released) =
+            released.filter(|released| released.worker == *worker && released.run == run)
+        else {
+            return;
+        };
+        let line = format!(
+            "run outlived its release task={id} run={run} worker={worker} {} active={}",
+            LogFields(Some(released), now),
+            task.active.is_some()
+        );
+        self.counts.outlived += 1;
+        self.log(line);
+    }
+}
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -5,6 +5,7 @@
 use crate::batch::TaskId;
 use crate::batch::record;
 use crate::batch::scheduler::job;
+use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Poll, Scheduler, plan};
 use crate::batch::worker_state;
 use crate::clock;
@@ -123,7 +124,7 @@
         }
         self.apply_ends(id, &report.ended, now, unix_ms);
         if report.ended.len() < ENDS_MAX {
-            self.release_missing(id, report, sent_at);
+            self.release_missing(id, report, sent_at, now);
         }
         let unreserved = self.unreserved_use(id, report);
         self.count_unexpected(id, report);
@@ -244,6 +245,10 @@
                 }
             }
             None if !task.done && !is_over => {
+                self.check_outlived(id, &run.task, run.run, now);
+                let Some(job) = self.jobs.get_mut(&run.task.job) else {
+                    return;
+                };
                 let active = job::ActiveRun {
                     worker: id.clone(),
                     run: run.run,
@@ -265,6 +270,7 @@
             }
             _ => {
                 let reason = if is_over { "job-over" } else { "run-elsewhere" };
+                self.check_outlived(id, &run.task, run.run, now);
                 self.stop_unexpected(id, run.task, run.run, reason);
             }
         }
@@ -290,7 +296,7 @@
         now: clock::Instant,
         unix_ms: u64,
     ) {
-        let was_active = self.close_run(id, end);
+        let was_active = self.close_run(id, end, now);
         self.log(format!(
             "end task={} run={} worker={id} how={:?} number={}",
             end.task, end.run, end.outcome, end.number
@@ -329,7 +335,12 @@
     }
 
     /// Releases an ended run, and returns whether it was the active run of its task.
-    fn close_run(&mut self, id: &id::Worker, end: &worker_state::EndedRun) -> bool {
+    fn close_run(
+        &mut self,
+        id: &id::Worker,
+        end: &worker_state::EndedRun,
+        now: clock::Instant,
+    ) -> bool {
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return false;
         };
@@ -348,7 +359,7 @@
             .as_ref()
             .is_some_and(|active| active.worker == *id && active.run == end.run);
         if was_active {
-            self.release_task(end.task);
+            self.release_task(end.task, Release::Reported, now);
         }
         was_active
     }
@@ -450,6 +461,7 @@
         id: &id::Worker,
         report: &worker_state::Report,
         sent_at: clock::Instant,
+        now: clock::Instant,
     ) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -479,7 +491,7 @@
         for task in missing {
             self.log(format!("run missing task={task} worker={id}"));
             self.counts.lost += 1;
-            self.release_task(task);
+            self.release_task(task, Release::Missing, now);
         }
     }
 }
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::batch::TaskId;
+use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Output, Scheduler, crashes};
 use crate::batch::worker_state;
 use crate::clock;
@@ -34,7 +35,7 @@
 
 impl IncarnationEnd {
     /// Returns the name that the log gives to the reason.
-    fn label(self) -> &'static str {
+    pub(super) fn label(self) -> &'static str {
         match self {
             Self::MachineWithout => "machine-without",
             Self::OtherLife => "other-life",
@@ -55,7 +56,7 @@
 
 impl Scheduler {
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
-    pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd) {
+    pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd, now: clock::Instant) {
         self.unresolved.remove(id);
         self.orphans.forget_worker(id);
         self.ledger.set_unexpected(id, Vec::new());
@@ -66,8 +67,14 @@
         // The list can show a move or maintenance before its command is answered; those begin on empty workers.
         let crashed = end.is_crash() && !worker.listing.leaving && !worker.tasks.is_empty();
         self.log(format!(
-            "worker gone worker={id} reason={reason} crashed={crashed} tasks={}",
-            worker.tasks.len()
+            "worker gone worker={id} reason={reason} crashed={crashed} tasks={} silent_ms={} unanswered={} listed={} \
+             leaving={} lease_left_ms={}",
+            worker.tasks.len(),
+            now.since_ms(worker.last_response_at),
+            worker.unanswered,
+            worker.listed,
+            worker.listing.leaving,
+            worker.lease_left_ms(now)
         ));
         if crashed {
             self.counts.workers_crashed += 1;
@@ -85,7 +92,7 @@
                 survived_ms.is_some(),
                 survived_ms.unwrap_or(0)
             ));
-            self.release_task(*task);
+            self.release_task(*task, Release::IncarnationEnded(end), now);
         }
     }
 
@@ -175,7 +182,7 @@
                 self.dirty_services.insert(row.service);
             }
             if self.workers.contains_key(&worker) {
-                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout);
+                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout, now);
             } else {
                 self.pending_rows.remove_worker(&worker);
             }
@@ -208,7 +215,7 @@
                 continue;
             };
             if !worker.listed {
-                self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted);
+                self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted, now);
                 continue;
             }
             let worker = worker.clone();
@@ -224,7 +231,7 @@
                 self.log(format!(
                     "run lost task={task} worker={id} reason=lease-lapsed"
                 ));
-                self.release_task(task);
+                self.release_task(task, Release::LeaseLapsed, now);
             }
         }
     }
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -230,6 +230,16 @@
         Some(clock_ms + now.since_ms(at) + lease_ms)
     }
 
+    /// Returns the time until every lease that the worker can have received has certainly lapsed, in milliseconds; 0 if
+    /// they have.
+    pub fn lease_left_ms(&self, now: clock::Instant) -> u64 {
+        let Some((clock_ms, at)) = self.clock else {
+            return self.lease_until_ms;
+        };
+        let elapsed_ms = now.since_ms(at) * (1_000 - CLOCK_LAG_MILLI) / 1_000;
+        (self.lease_until_ms + STOP_TIME_MS).saturating_sub(clock_ms + elapsed_ms)
+    }
+
     /// Returns whether every lease that the worker can have received has certainly lapsed.
     pub fn is_lapsed(&self, now: clock::Instant) -> bool {
         let Some((clock_ms, at)) = self.clock else {
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -529,7 +529,7 @@
                 if is_down {
                     leader
                         .scheduler
-                        .incarnation_ended(&id, IncarnationEnd::MachineWithout);
+                        .incarnation_ended(&id, IncarnationEnd::MachineWithout, now);
                 } else {
                     leader.scheduler.worker_listed(listing(&name), now);
                 }
--- a/tests/test_batch_crashes.rs
+++ b/tests/test_batch_crashes.rs
@@ -189,8 +189,9 @@
         id::Worker::new(&run.expect("a run").1)
     };
     let first = place(&sim);
+    let now = sim.now();
     sim.scheduler()
-        .incarnation_ended(&first, IncarnationEnd::MachineWithout);
+        .incarnation_ended(&first, IncarnationEnd::MachineWithout, now);
     sim.workers
         .get_mut(first.as_str())
         .expect("known")
@@ -203,8 +204,9 @@
     let names: Vec<String> = sim.workers.keys().cloned().collect();
     for name in names {
         let worker = id::Worker::new(&name);
+        let now = sim.now();
         sim.scheduler()
-            .incarnation_ended(&worker, IncarnationEnd::MachineWithout);
+            .incarnation_ended(&worker, IncarnationEnd::MachineWithout, now);
     }
     sim.run(200);
     assert_eq!(sim.state(2), Some(record::State::Running));
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -155,7 +155,7 @@
     let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
     scheduler.poll_answered(&a, &report(vec![(task(0), 3)], vec![]), now, now, 0);
     scheduler.poll_answered(&b, &report(vec![], vec![]), now, now, 0);
-    scheduler.incarnation_ended(&a, IncarnationEnd::MachineWithout);
+    scheduler.incarnation_ended(&a, IncarnationEnd::MachineWithout, now);
     scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now.after_ms(40));
     scheduler.plan(now.after_ms(40), 0);
     assert_eq!(started(&mut scheduler), vec![task(0)]);
--- a/tests/test_batch_trials.rs
+++ b/tests/test_batch_trials.rs
@@ -143,8 +143,11 @@
 
     fn crash(&mut self, worker: &id::Worker) {
         self.running.remove(worker);
-        self.scheduler
-            .incarnation_ended(worker, IncarnationEnd::MachineWithout);
+        self.scheduler.incarnation_ended(
+            worker,
+            IncarnationEnd::MachineWithout,
+            Instant::from_ms(self.now_ms),
+        );
     }
 
     fn place(&self, job: u64) -> Option<id::Worker> {
