fleet: a response to a machine command ends no worker; repeats go only to the worker that was meant

Cause: the leader took the response 'done' to a command for the end of the worker that the newest list showed. The platform also answers so if the change was done before. An upkeep without a response was carried out; the machine came back with a new worker, which the registry showed before a list did and which got tasks; the repeat was answered, and that worker counted as ended with all its tasks. At its next heartbeat it was listed again, and its runs were stopped as unexpected. Change: only a list of machines shows that a machine no longer runs a worker. A command remembers the worker that it was first meant for: it is repeated only while the machine still runs that worker, or is in maintenance; otherwise its outcome counts as unknown, and the machine gets a new command once it is empty. Checked with: tests/test_batch_live_workers.rs, library tests.

--- a/node/src/batch/fleet/commands.rs
+++ b/node/src/batch/fleet/commands.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::machine_commands;
-use wasabiloft::batch::scheduler::IncarnationEnd;
 use wasabiloft::id;
 use wasabiloft_platform::machines::ChangeOutcome;
 
@@ -145,12 +144,7 @@
         self.busy.remove(&result.vm);
         let done = result.outcome == Some(ChangeOutcome::Yes);
         if done && let Some(worker) = &result.worker {
-            self.leadership.scheduler().incarnation_ended(
-                worker,
-                IncarnationEnd::MachineOrder,
-                now,
-            );
-            self.leadership.wake.notify_one();
+            self.answered.insert(result.vm.clone(), worker.clone(), now);
         }
         match (&result.command, result.outcome) {
             (Command::Move { to }, Some(ChangeOutcome::Yes)) => {
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -9,7 +9,7 @@
 
 use tokio::task::JoinSet;
 use tokio::time;
-use wasabiloft::batch::{list_pause, pools, rate_limit, waves};
+use wasabiloft::batch::{list_pause, machine_commands, pools, rate_limit, waves};
 use wasabiloft::id;
 use wasabiloft_platform::machines::{Credentials, Machines};
 use wasabiloft_platform::{store, upkeep};
@@ -17,7 +17,7 @@
 use crate::batch::{leadership, shared};
 use crate::clock;
 use crate::log;
-use wasabiloft::batch::scheduler::{DrainState, IncarnationEnd};
+use wasabiloft::batch::scheduler::DrainState;
 
 /// Remaining time of the duty's lease that a command to a machine requires, in milliseconds; covers the command's
 /// transmission and a pause of the node.
@@ -45,6 +45,8 @@
     busy: BTreeSet<id::Vm>,
     /// Commands that wait until their records are committed.
     pending: BTreeMap<id::Vm, commands::PendingCommand>,
+    /// Commands that were answered as done, until a list shows their effect.
+    answered: machine_commands::Answered,
     /// Target pools of moved machines, until a list shows them there.
     sent: BTreeMap<id::Vm, id::Service>,
     paused: BTreeMap<id::Vm, wasabiloft::clock::Instant>,
@@ -73,6 +75,7 @@
         list: Arc::default(),
         positions: HashMap::new(),
         busy: BTreeSet::new(),
+        answered: machine_commands::Answered::default(),
         sent: BTreeMap::new(),
         paused: recovered.held_off,
         pending: BTreeMap::new(),
@@ -212,9 +215,14 @@
             .map(|(position, machine)| (machine.vm.clone(), position))
             .collect();
         self.list = Arc::new(list);
+        for vm in self.answered.machines_listed(&self.list, requested_at) {
+            log::info("fleet", &format!("change was done before vm={vm}"));
+            self.set_draining_vm(&vm, false);
+        }
     }
 
-    /// Ends the incarnations of workers whose machine no longer runs them: crashed, moved, in maintenance, or removed.
+    /// Passes the workers that the list shows to the scheduler, which ends those whose machine no longer runs them: crashed,
+    /// moved, in maintenance, or removed.
     fn end_missing_incarnations(
         &mut self,
         list: &[pools::Machine],
@@ -225,7 +233,6 @@
             .iter()
             .filter_map(|machine| machine.worker.as_ref())
             .collect();
-        let mut scheduler = self.leadership.scheduler();
         for before in self.list.iter() {
             if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
                 let shown = list.iter().find(|machine| machine.vm == before.vm);
@@ -239,25 +246,39 @@
                         now.since_ms(requested_at)
                     ),
                 );
-                scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout, now);
             }
         }
-        scheduler.resolve_missing(&current, now);
-        drop(scheduler);
+        self.leadership.scheduler().machines_listed(&current, now);
         self.leadership.wake.notify_one();
     }
 
     /// Repeats commands without a response; the platform treats a repeat as the same command.
     fn repeat_unanswered(&mut self) {
-        let mut again = Vec::new();
+        let (mut again, mut unknown) = (Vec::new(), Vec::new());
         for (number, wave) in &self.waves {
-            for vm in wave.unanswered().filter(|vm| !self.busy.contains(*vm)) {
-                again.push((vm.clone(), *number));
+            for (vm, worker) in wave.unanswered() {
+                let Some(machine) = self.machine(vm).filter(|_| !self.busy.contains(vm)) else {
+                    continue;
+                };
+                if machine_commands::may_repeat(worker, machine) {
+                    again.push((vm.clone(), *number));
+                } else if machine.state == pools::State::Up {
+                    unknown.push((vm.clone(), *number));
+                }
             }
         }
         for (vm, wave) in again {
             self.begin_command(&vm, commands::Command::Upkeep { wave });
         }
+        for (vm, number) in unknown {
+            log::info(
+                "fleet",
+                &format!("command outcome unknown vm={vm} wave={number}"),
+            );
+            if let Some(wave) = self.waves.get_mut(&number) {
+                wave.on_outcome_unknown(&vm);
+            }
+        }
     }
 
     /// Starts maintenance on machines without tasks; returns the machines that a wave needs soon.
@@ -296,8 +317,9 @@
         }
         for (vm, wave) in ready {
             if self.is_empty(&vm) && self.budget.try_acquire(now) {
+                let worker = self.machine(&vm).and_then(|machine| machine.worker.clone());
                 if let Some(wave) = self.waves.get_mut(&wave) {
-                    wave.on_command(&vm, now);
+                    wave.on_command(&vm, worker.as_ref(), now);
                 }
                 self.begin_command(&vm, commands::Command::Upkeep { wave });
             } else {
--- /dev/null
+++ b/src/batch/scheduler/machine_list.rs
@@ -0,0 +1,74 @@
+//! The list of machines as evidence about workers: which have ended because no machine runs them any more.
+
+use std::collections::BTreeSet;
+
+use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::worker_loss::IncarnationEnd;
+use crate::clock;
+use crate::id;
+
+/// A worker that no list has shown yet has ended if it is missing for this long, in milliseconds; longer than two
+/// intervals between lists.
+const MISSING_MS: u64 = 400;
+/// A worker is in the list of machines this long after it was first seen, in milliseconds.
+const LISTED_AFTER_MS: u64 = 1_000;
+
+impl Scheduler {
+    /// Applies a list of machines that names the workers in `current`.
+    pub fn machines_listed(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
+        let mut ended = Vec::new();
+        for (id, worker) in &mut self.workers {
+            if current.contains(id) {
+                worker.on_machine = true;
+            } else if worker.on_machine {
+                ended.push(id.clone());
+            }
+        }
+        for id in ended {
+            self.incarnation_ended(&id, IncarnationEnd::MachineWithout, now);
+        }
+        self.end_unlisted(current, now);
+    }
+
+    /// Ends workers that no list has shown: those of the previous leader, and those that ended before any list showed
+    /// them.
+    ///
+    /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
+    /// apart.
+    fn end_unlisted(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
+        let silent = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.adopted
+                    && worker.unanswered
+                    && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
+            })
+            .map(|(id, _)| id);
+        let missing: BTreeSet<id::Worker> = self
+            .unresolved
+            .keys()
+            .chain(silent)
+            .filter(|worker| !current.contains(worker))
+            .cloned()
+            .collect();
+        self.missing_since
+            .retain(|worker, _| missing.contains(worker));
+        for worker in missing {
+            let since = *self.missing_since.entry(worker.clone()).or_insert(now);
+            if now.since_ms(since) < MISSING_MS {
+                continue;
+            }
+            self.missing_since.remove(&worker);
+            if let Some(row) = self.unresolved.remove(&worker) {
+                self.log(format!("worker of previous leader gone worker={worker}"));
+                self.dirty_services.insert(row.service);
+            }
+            if self.workers.contains_key(&worker) {
+                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout, now);
+            } else {
+                self.pending_rows.remove_worker(&worker);
+            }
+        }
+    }
+}
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod ends;
 mod gang;
 pub mod job;
+mod machine_list;
 mod message;
 mod open_jobs;
 mod plan;
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -12,11 +12,6 @@
 /// Time added to the longest lease plus 2 % for slow clocks, in milliseconds; covers a stop. That long after the
 /// previous leader's last command, work on its workers that answer nobody has ended.
 const LEASE_EXPIRY_SLACK_MS: u64 = 500;
-/// A worker that is missing from lists of machines for this long has ended, in milliseconds;
-/// longer than two intervals between lists.
-const MISSING_MS: u64 = 400;
-/// A worker is in the list of machines this long after it was first seen, in milliseconds.
-const LISTED_AFTER_MS: u64 = 1_000;
 
 /// How the end of a worker's incarnation was proven.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,8 +22,6 @@
     OtherLife,
     /// It announced its stop, is no longer registered and refuses connections.
     Left,
-    /// A command moved its machine or began the machine's maintenance.
-    MachineOrder,
     /// It is no longer registered, and all its leases have lapsed.
     LapsedUnlisted,
 }
@@ -40,7 +33,6 @@
             Self::MachineWithout => "machine-without",
             Self::OtherLife => "other-life",
             Self::Left => "left",
-            Self::MachineOrder => "machine-order",
             Self::LapsedUnlisted => "lapsed-unlisted",
         }
     }
@@ -49,7 +41,7 @@
     fn is_crash(self) -> bool {
         match self {
             Self::MachineWithout | Self::OtherLife => true,
-            Self::Left | Self::MachineOrder | Self::LapsedUnlisted => false,
+            Self::Left | Self::LapsedUnlisted => false,
         }
     }
 }
@@ -147,48 +139,6 @@
         }
     }
 
-    /// Removes workers that no machine runs any more: those of the previous leader, and those that ended before any list
-    /// showed them.
-    ///
-    /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
-    /// apart.
-    pub fn resolve_missing(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
-        let silent = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.adopted
-                    && worker.unanswered
-                    && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
-            })
-            .map(|(id, _)| id);
-        let missing: BTreeSet<id::Worker> = self
-            .unresolved
-            .keys()
-            .chain(silent)
-            .filter(|worker| !current.contains(worker))
-            .cloned()
-            .collect();
-        self.missing_since
-            .retain(|worker, _| missing.contains(worker));
-        for worker in missing {
-            let since = *self.missing_since.entry(worker.clone()).or_insert(now);
-            if now.since_ms(since) < MISSING_MS {
-                continue;
-            }
-            self.missing_since.remove(&worker);
-            if let Some(row) = self.unresolved.remove(&worker) {
-                self.log(format!("worker of previous leader gone worker={worker}"));
-                self.dirty_services.insert(row.service);
-            }
-            if self.workers.contains_key(&worker) {
-                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout, now);
-            } else {
-                self.pending_rows.remove_worker(&worker);
-            }
-        }
-    }
-
     /// Records that this process didn't run for `stalled_ms`. That time doesn't count as silence of the workers, whose
     /// reports may wait unread with the ends of their runs.
     pub fn excuse_silence(&mut self, stalled_ms: u64) {
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -48,8 +48,10 @@
 }
 
 /// A machine that can be unavailable because of its maintenance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Maintenance {
+    /// Worker that the first command was meant for; `None` if the machine ran none.
+    worker: Option<id::Worker>,
     commanded_at: clock::Instant,
     responded_at: Option<clock::Instant>,
 }
@@ -108,12 +110,12 @@
         (self.request.at_once_max as usize).saturating_sub(self.in_maintenance.len())
     }
 
-    /// Returns the machines whose command got no response, so that it has to be repeated.
-    pub fn unanswered(&self) -> impl Iterator<Item = &id::Vm> {
+    /// Returns the machines whose command got no response, each with the worker that the first command was meant for.
+    pub fn unanswered(&self) -> impl Iterator<Item = (&id::Vm, Option<&id::Worker>)> {
         self.in_maintenance
             .iter()
             .filter(|(_, machine)| machine.responded_at.is_none())
-            .map(|(vm, _)| vm)
+            .map(|(vm, machine)| (vm, machine.worker.as_ref()))
     }
 
     /// Returns whether machines in use have to be drained for the wave to end in time.
@@ -126,11 +128,12 @@
         self.age_ms + now.since_ms(self.tracked_since) + needed_ms * 2 > self.request.deadline_ms
     }
 
-    /// Records that a command is about to be sent.
-    pub fn on_command(&mut self, vm: &id::Vm, now: clock::Instant) {
+    /// Records that a command is about to be sent, meant for `worker`.
+    pub fn on_command(&mut self, vm: &id::Vm, worker: Option<&id::Worker>, now: clock::Instant) {
         self.in_maintenance
             .entry(vm.clone())
             .or_insert(Maintenance {
+                worker: worker.cloned(),
                 commanded_at: now,
                 responded_at: None,
             });
@@ -144,6 +147,12 @@
         }
     }
 
+    /// Records that the outcome of a command is unknown and it can't be repeated; the machine gets a new one once it is
+    /// empty.
+    pub fn on_outcome_unknown(&mut self, vm: &id::Vm) {
+        self.in_maintenance.remove(vm);
+    }
+
     /// Records that the platform refused a command, which therefore had no effect.
     pub fn on_refused(&mut self, vm: &id::Vm) {
         self.in_maintenance.remove(vm);
@@ -173,6 +182,7 @@
             self.in_maintenance
                 .entry(vm.clone())
                 .or_insert(Maintenance {
+                    worker: None,
                     commanded_at: now,
                     responded_at: Some(now),
                 });
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -115,6 +115,8 @@
     pub largest: Resources,
     /// Whether the registry still lists the worker.
     pub listed: bool,
+    /// Whether a list of machines has shown the worker.
+    pub on_machine: bool,
     /// When this incarnation was first seen.
     pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
@@ -169,6 +171,7 @@
             largest: listing.size,
             listing,
             listed: true,
+            on_machine: false,
             joined_at: now,
             started_unix_ms: 0,
             adopted: false,
--- /dev/null
+++ b/tests/test_batch_live_workers.rs
@@ -0,0 +1,151 @@
+//! Workers that run on while some evidence says that they have ended.
+
+use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
+use wasabiloft::batch::{JobId, TaskId, machine_commands, pools, waves, worker_state};
+use wasabiloft::clock::Instant;
+use wasabiloft::id;
+
+use crate::fake_workers::{accepted, config, listing, settings, step};
+
+const JOB: JobId = JobId(1);
+
+fn report(running: &[(TaskId, u32)]) -> worker_state::Report {
+    worker_state::Report {
+        clock_ms: 5,
+        started_unix_ms: Some(1),
+        running: running
+            .iter()
+            .map(|(task, run)| worker_state::Run {
+                task: *task,
+                run: *run,
+                checkpoint: None,
+                percent: 10,
+                usage: 0,
+            })
+            .collect(),
+        ended: Vec::new(),
+    }
+}
+
+fn starts(scheduler: &mut Scheduler) -> Vec<(id::Worker, TaskId, u32)> {
+    let outputs = scheduler.take_outputs().into_iter();
+    outputs
+        .filter_map(|output| match output {
+            Output::Start(start) => Some((start.worker, start.task, start.run)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Returns a scheduler with workers `a` and `b` and one running task, and the worker that runs it.
+fn one_run(now: Instant) -> (Scheduler, id::Worker, TaskId, u32) {
+    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
+    for worker in ["a", "b"] {
+        scheduler.worker_listed(listing(worker), now);
+    }
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    for worker in ["a", "b"] {
+        scheduler.poll_answered(&id::Worker::new(worker), &report(&[]), now, now, 0);
+    }
+    scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
+    scheduler.plan(now, 0);
+    let (worker, task, run) = starts(&mut scheduler).remove(0);
+    (scheduler, worker, task, run)
+}
+
+/// Guards against work that waits for a lease: the crash of a worker that a list had shown is noticed by the next list.
+#[test]
+fn a_silent_worker_that_a_list_no_longer_shows_has_ended() {
+    let now = Instant::from_ms(1_000);
+    let (mut scheduler, worker, ..) = one_run(now);
+    let other = id::Worker::new(if worker.as_str() == "a" { "b" } else { "a" });
+    scheduler.machines_listed(&[&worker, &other].into(), now);
+    let later = now.after_ms(150);
+    scheduler.machines_listed(&[&other].into(), later);
+    scheduler.plan(later, 0);
+    let started: Vec<id::Worker> = starts(&mut scheduler)
+        .into_iter()
+        .map(|start| start.0)
+        .collect();
+    assert_eq!(started, [other]);
+}
+
+fn machine(state: pools::State, worker: Option<&str>) -> pools::Machine {
+    pools::Machine {
+        vm: id::Vm::new("m"),
+        pool: id::Service::new("counter"),
+        state,
+        data_centre: id::DataCentre::new("suva"),
+        rack: None,
+        kind: "a".into(),
+        size: wasabiloft::platform::Resources::default(),
+        worker: worker.map(id::Worker::new),
+    }
+}
+
+/// Guards against a command that ends work that began since: it was repeated to the machine's next worker.
+#[test]
+fn a_command_is_repeated_only_to_the_worker_that_it_was_meant_for() {
+    let old = id::Worker::new("old");
+    let may_repeat =
+        |state, worker| machine_commands::may_repeat(Some(&old), &machine(state, worker));
+    assert!(may_repeat(pools::State::Up, Some("old")));
+    assert!(may_repeat(pools::State::Upkeep, None));
+    assert!(!may_repeat(pools::State::Up, Some("new")));
+    assert!(!may_repeat(pools::State::Up, None));
+    assert!(!may_repeat(pools::State::Moving, None));
+    assert!(!may_repeat(pools::State::Down, None));
+}
+
+/// Guards against a sound worker that nobody uses: a command that was done before drained it for good.
+#[test]
+fn a_worker_that_outlives_a_command_is_found_by_the_next_list() {
+    let mut answered = machine_commands::Answered::default();
+    let (vm, worker) = (id::Vm::new("m"), id::Worker::new("w"));
+    let at = Instant::from_ms(1_000);
+    let up = [machine(pools::State::Up, Some("w"))];
+    answered.insert(vm.clone(), worker.clone(), at);
+    assert!(
+        answered
+            .machines_listed(&up, Instant::from_ms(990))
+            .is_empty(),
+        "an older list"
+    );
+    assert_eq!(
+        answered.machines_listed(&up, at.after_ms(20)),
+        std::slice::from_ref(&vm)
+    );
+    assert!(
+        answered.machines_listed(&up, at.after_ms(40)).is_empty(),
+        "told once"
+    );
+    answered.insert(vm, worker, at);
+    let down = [machine(pools::State::Upkeep, None)];
+    assert!(answered.machines_listed(&down, at.after_ms(20)).is_empty());
+    assert!(
+        answered.machines_listed(&up, at.after_ms(40)).is_empty(),
+        "its end was seen"
+    );
+}
+
+/// Guards against a wave that never completes: a command whose outcome stays unknown is sent anew to an empty machine.
+#[test]
+fn a_machine_whose_command_has_an_unknown_outcome_remains_in_its_wave() {
+    let request = waves::Request {
+        number: 1,
+        vms: vec![id::Vm::new("m")],
+        deadline_ms: 20_000,
+        at_once_max: 1,
+    };
+    let mut wave = waves::Wave::new(request, waves::Record::default(), 0, Instant::ZERO);
+    let (vm, worker) = (id::Vm::new("m"), id::Worker::new("w"));
+    wave.on_command(&vm, Some(&worker), Instant::ZERO);
+    assert_eq!(
+        wave.unanswered().collect::<Vec<_>>(),
+        [(&vm, Some(&worker))]
+    );
+    assert_eq!((wave.remaining().count(), wave.free_slots()), (0, 0));
+    wave.on_outcome_unknown(&vm);
+    assert_eq!((wave.remaining().count(), wave.free_slots()), (1, 1));
+}
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -258,8 +258,8 @@
     let mut wave = wave(2);
     let up: BTreeSet<id::Vm> = ["a", "b", "c"].map(id::Vm::new).into();
     let (a, b) = (id::Vm::new("a"), id::Vm::new("b"));
-    wave.on_command(&a, Instant::from_ms(10));
-    wave.on_command(&b, Instant::from_ms(10));
+    wave.on_command(&a, None, Instant::from_ms(10));
+    wave.on_command(&b, None, Instant::from_ms(10));
     assert_eq!(wave.free_slots(), 0);
     wave.on_begun(&a, Instant::from_ms(30));
     wave.on_seen_up(&up, Instant::from_ms(500), 2_000);
@@ -281,10 +281,10 @@
 fn a_wave_is_completed_when_each_machine_has_begun() {
     let mut wave = wave(3);
     for name in ["a", "b"] {
-        wave.on_command(&id::Vm::new(name), Instant::ZERO);
+        wave.on_command(&id::Vm::new(name), None, Instant::ZERO);
         wave.on_begun(&id::Vm::new(name), Instant::ZERO);
     }
-    wave.on_command(&id::Vm::new("c"), Instant::ZERO);
+    wave.on_command(&id::Vm::new("c"), None, Instant::ZERO);
     assert!(!wave.is_completed());
     wave.exclude(&id::Vm::new("c"));
     assert!(wave.is_completed());
