scheduler: a list of machines ends no worker that answered after it was requested

Cause: a list shows a moment between its request and its response. A worker that was missing from it ended at once, even if it had answered a poll since, so that its tasks started beside their runs. Checked with: a_list_older_than_a_worker_s_answer_does_not_end_the_worker, library tests.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -248,7 +248,9 @@
                 );
             }
         }
-        self.leadership.scheduler().machines_listed(&current, now);
+        self.leadership
+            .scheduler()
+            .machines_listed(&current, requested_at, now);
         self.leadership.wake.notify_one();
     }
 
--- a/src/batch/scheduler/machine_list.rs
+++ b/src/batch/scheduler/machine_list.rs
@@ -1,9 +1,12 @@
 //! The list of machines as evidence about workers: which have ended because no machine runs them any more.
+//!
+//! A list shows the state at some moment between its request and its response. It proves nothing about a worker that
+//! answered a poll after the request was sent; the next list does.
 
 use std::collections::BTreeSet;
 
-use crate::batch::scheduler::Scheduler;
 use crate::batch::scheduler::worker_loss::IncarnationEnd;
+use crate::batch::scheduler::{Output, Scheduler};
 use crate::clock;
 use crate::id;
 
@@ -14,19 +17,37 @@
 const LISTED_AFTER_MS: u64 = 1_000;
 
 impl Scheduler {
-    /// Applies a list of machines that names the workers in `current`.
-    pub fn machines_listed(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
-        let mut ended = Vec::new();
+    /// Applies a list of machines that was requested at `requested_at` and names the workers in `current`.
+    pub fn machines_listed(
+        &mut self,
+        current: &BTreeSet<&id::Worker>,
+        requested_at: clock::Instant,
+        now: clock::Instant,
+    ) {
+        let (mut ended, mut contradicted) = (Vec::new(), Vec::new());
         for (id, worker) in &mut self.workers {
             if current.contains(id) {
                 worker.on_machine = true;
-            } else if worker.on_machine {
+                continue;
+            }
+            if !worker.on_machine {
+                continue;
+            }
+            if worker.last_response_at < requested_at {
                 ended.push(id.clone());
+            } else {
+                contradicted.push(id.clone());
             }
         }
         for id in ended {
             self.incarnation_ended(&id, IncarnationEnd::MachineWithout, now);
         }
+        for id in contradicted {
+            self.outputs.push(Output::Log(format!(
+                "worker answers without a machine worker={id} list_ms={}",
+                now.since_ms(requested_at)
+            )));
+        }
         self.end_unlisted(current, now);
     }
 
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -215,7 +215,7 @@
     for after_ms in (100..3_000).step_by(200) {
         let at = now.after_ms(after_ms);
         scheduler.poll_answered(&b, &report(vec![], vec![]), at, at, 0);
-        scheduler.machines_listed(&listed, at);
+        scheduler.machines_listed(&listed, at, at);
         scheduler.plan(at, 0);
         if !started(&mut scheduler).is_empty() {
             started_at_ms.get_or_insert(after_ms);
--- a/tests/test_batch_live_workers.rs
+++ b/tests/test_batch_live_workers.rs
@@ -1,5 +1,7 @@
 //! Workers that run on while some evidence says that they have ended.
 
+use std::collections::BTreeSet;
+
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
 use wasabiloft::batch::{JobId, TaskId, machine_commands, pools, waves, worker_state};
 use wasabiloft::clock::Instant;
@@ -54,15 +56,38 @@
     (scheduler, worker, task, run)
 }
 
+/// Guards against a second run beside the first: a list of machines from before the worker's last answer ended the
+/// worker.
+#[test]
+fn a_list_older_than_a_worker_s_answer_does_not_end_the_worker() {
+    let now = Instant::from_ms(1_000);
+    let (mut scheduler, worker, task, run) = one_run(now);
+    let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
+    scheduler.machines_listed(&[&a, &b].into(), now, now);
+    let (requested, answered, applied) = (now.after_ms(10), now.after_ms(20), now.after_ms(30));
+    scheduler.poll_answered(&worker, &report(&[(task, run)]), now, answered, 0);
+    scheduler.machines_listed(&BTreeSet::new(), requested, applied);
+    scheduler.plan(applied, 0);
+    assert_eq!(starts(&mut scheduler), []);
+    assert!(scheduler.workers().contains_key(&worker));
+
+    let (requested, applied) = (now.after_ms(40), now.after_ms(50));
+    scheduler.machines_listed(&BTreeSet::new(), requested, applied);
+    assert!(
+        !scheduler.workers().contains_key(&worker),
+        "silent since then"
+    );
+}
+
 /// Guards against work that waits for a lease: the crash of a worker that a list had shown is noticed by the next list.
 #[test]
 fn a_silent_worker_that_a_list_no_longer_shows_has_ended() {
     let now = Instant::from_ms(1_000);
     let (mut scheduler, worker, ..) = one_run(now);
     let other = id::Worker::new(if worker.as_str() == "a" { "b" } else { "a" });
-    scheduler.machines_listed(&[&worker, &other].into(), now);
+    scheduler.machines_listed(&[&worker, &other].into(), now, now);
     let later = now.after_ms(150);
-    scheduler.machines_listed(&[&other].into(), later);
+    scheduler.machines_listed(&[&other].into(), later, later);
     scheduler.plan(later, 0);
     let started: Vec<id::Worker> = starts(&mut scheduler)
         .into_iter()
