standins: refused connections, drains, faults of the machine API and a record of every run

Cause: the soak could not do what the users' machines did when tasks ran twice: no connection was refused or reset, no worker drained or lost its entry, and the machine API never failed. A task that was started twice was reported without how its first run went on, so that the two records of the incident could not be told apart.

Change: the proxy resets and refuses; the world changes what the registry shows of a worker; the machine API falls silent, is busy, slow, or delivers its lists late; workers execute commands late; a scenario scripts faults one by one. The checker keeps every run and reports pairs that break TWICE as the rule words it: overlapping runs, and a start after an end as done that is acknowledged then or later, unless the lease lapsed between the two. The former check of a start after an acknowledged end disregarded that exception and missed acknowledgements that come after the start. Maintenance is counted for each wave.

--- a/standins/src/hosted/checker.rs
+++ b/standins/src/hosted/checker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex;
 
+use super::history::{History, Outcome, Run};
 use super::lock;
 
 /// Outcome of submitting a job, as its caller knows it.
@@ -44,8 +45,7 @@
     running: BTreeMap<String, String>,
     /// Tasks with a run that ended as done.
     done: BTreeSet<String>,
-    /// Done tasks whose end was acknowledged; they must never start again.
-    acknowledged: BTreeSet<String>,
+    history: History,
     start_counts: BTreeMap<String, u32>,
     /// CPU quota of each account that has one, in thousandths of a core.
     quotas_milli: BTreeMap<String, u64>,
@@ -103,15 +103,18 @@
         }
     }
 
-    /// Records that a worker incarnation started a run. If callers announced jobs, the task must belong to one of them.
-    pub fn run_started(&self, task: &str, spec: &str, incarnation: &str) {
+    /// Records that a worker started a run by a command with the given fence. If callers announced jobs, the task must
+    /// belong to one of them.
+    pub fn run_started(&self, run: &Run<'_>, spec: &str, fence: u64) {
+        let task = run.task;
         let mut inner = lock(&self.inner);
         *inner.start_counts.entry(task.to_owned()).or_default() += 1;
+        inner.history.started(run, fence);
         let violations = inner.start_violations(task, spec);
         inner.violations.extend(violations);
         inner
             .running
-            .insert(task.to_owned(), incarnation.to_owned());
+            .insert(task.to_owned(), run.incarnation.to_owned());
         let over_quota = inner.over_quota(task);
         inner.violations.extend(over_quota);
         if let Some(job) = parse_task(task).and_then(|(job, _)| inner.jobs.get_mut(job)) {
@@ -119,17 +122,29 @@
         }
     }
 
+    /// Records a command to stop a run.
+    pub fn stop_received(&self, run: &Run<'_>) {
+        lock(&self.inner).history.stop_received(run);
+    }
+
     /// Records the end of a run.
-    pub fn run_ended(&self, task: &str, incarnation: &str, done: bool) {
+    pub fn run_ended(&self, run: &Run<'_>, outcome: Outcome) {
         let mut inner = lock(&self.inner);
-        if inner.running.get(task).is_some_and(|on| on == incarnation) {
-            inner.running.remove(task);
+        inner.history.ended(run, outcome);
+        let on = inner.running.get(run.task);
+        if on.is_some_and(|on| on == run.incarnation) {
+            inner.running.remove(run.task);
         }
-        if done {
-            inner.done.insert(task.to_owned());
+        if outcome == Outcome::Done {
+            inner.done.insert(run.task.to_owned());
         }
     }
 
+    /// Names the node that held the duty under a fence, for reports.
+    pub fn set_starter(&self, fence: u64, node: &str) {
+        lock(&self.inner).history.set_starter(fence, node);
+    }
+
     /// Records a start that brought a worker over its CPU capacity, both in thousandths of a core.
     pub fn capacity_exceeded(
         &self,
@@ -143,16 +158,18 @@
         ));
     }
 
-    /// Records that a node acknowledged the end of a run.
-    pub fn end_acknowledged(&self, task: &str, done: bool) {
-        if done {
-            lock(&self.inner).acknowledged.insert(task.to_owned());
-        }
+    /// Records that a node acknowledged the end of a run; `lapsed_between` tells whether the worker's lease lapsed after
+    /// the end and before the acknowledgement.
+    pub fn end_acknowledged(&self, run: &Run<'_>, lapsed_between: bool) {
+        let mut inner = lock(&self.inner);
+        inner.history.acknowledged(run, lapsed_between);
     }
 
     /// Records the end of a worker incarnation and of all its runs.
     pub fn incarnation_ended(&self, incarnation: &str) {
-        lock(&self.inner).running.retain(|_, on| on != incarnation);
+        let mut inner = lock(&self.inner);
+        inner.history.incarnation_ended(incarnation);
+        inner.running.retain(|_, on| on != incarnation);
     }
 
     /// Checks a job's state that a node reported to a caller.
@@ -192,7 +209,10 @@
 
     /// Returns the violations found so far, sorted and without duplicates.
     pub fn violations(&self) -> Vec<String> {
-        lock(&self.inner).violations.iter().cloned().collect()
+        let inner = lock(&self.inner);
+        let twice = inner.history.violations();
+        let all: BTreeSet<String> = inner.violations.iter().cloned().chain(twice).collect();
+        all.into_iter().collect()
     }
 }
 
@@ -215,16 +235,6 @@
     /// Returns the violations that a start of a task shows.
     fn start_violations(&self, task: &str, spec: &str) -> Vec<String> {
         let mut violations = Vec::new();
-        if let Some(incarnation) = self.running.get(task) {
-            violations.push(format!(
-                "task {task} was started while it runs on {incarnation}"
-            ));
-        }
-        if self.acknowledged.contains(task) {
-            violations.push(format!(
-                "task {task} was started after its end was acknowledged"
-            ));
-        }
         if self.jobs.is_empty() {
             return violations;
         }
--- a/standins/src/hosted/machines.rs
+++ b/standins/src/hosted/machines.rs
@@ -34,6 +34,8 @@
     pub pool: String,
     /// State reported during an outage, and when the outage ends.
     outage: Option<(&'static str, time::Instant)>,
+    /// Wave of the last maintenance.
+    wave: Option<u64>,
     incarnations: u32,
 }
 
@@ -52,8 +54,27 @@
     inner: Mutex<Inner>,
     checker: Arc<Checker>,
     spare: String,
+    fault: Mutex<Option<Fault>>,
 }
 
+/// Fault of the machine API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Commands are executed; nothing is answered.
+    Silent,
+    /// Lists are answered until the next command; from that command on the API is silent.
+    SilentFromCommand,
+    /// Every request gets this status, and commands are not executed.
+    Busy(StatusCode),
+    /// Requests are executed and answered this much later, in milliseconds.
+    Slow(u64),
+    /// Lists are answered this much later, in milliseconds; they show the machines as of the request.
+    LateList(u64),
+}
+
+/// Time for which a silent API withholds a response, longer than any caller waits.
+const WITHHELD: Duration = Duration::from_secs(60);
+
 #[derive(Deserialize)]
 struct Move {
     machine: String,
@@ -77,6 +98,7 @@
             inner: Mutex::default(),
             checker,
             spare: spare.to_owned(),
+            fault: Mutex::default(),
         });
         let router = Router::new()
             .route("/machines", routing::get(list))
@@ -92,11 +114,35 @@
             worker,
             pool: pool.to_owned(),
             outage: None,
+            wave: None,
             incarnations: 1,
         };
         lock(&self.inner).machines.insert(name.to_owned(), machine);
     }
 
+    /// Replaces the injected fault.
+    pub fn set_fault(&self, fault: Option<Fault>) {
+        *lock(&self.fault) = fault;
+    }
+
+    fn fall_silent_from_command(&self) {
+        let mut fault = lock(&self.fault);
+        if *fault == Some(Fault::SilentFromCommand) {
+            *fault = Some(Fault::Silent);
+        }
+    }
+
+    /// Switches a machine off for a time in milliseconds, as when its worker has left; it comes back with another worker.
+    /// Does nothing if the machine isn't up.
+    pub fn stop(&self, name: &str, for_ms: u64) {
+        let mut inner = lock(&self.inner);
+        let machine = inner.machines.get_mut(name);
+        let is_up = |machine: &&mut Machine| machine.outage.is_none() && machine.pool != self.spare;
+        if let Some(machine) = machine.filter(is_up) {
+            Self::shut_down(machine, "down", for_ms);
+        }
+    }
+
     /// Adds a maintenance wave that operators requested.
     pub fn add_wave(&self, number: u64, machines: &[String], max_concurrent: usize) {
         let wave = (
@@ -212,14 +258,102 @@
         let until = time::Instant::now() + Duration::from_millis(for_ms);
         machine.outage = Some((state, until));
     }
+
+    fn move_to_pool(&self, headers: &HeaderMap, command: Move) -> Response {
+        self.refresh();
+        let mut inner = lock(&self.inner);
+        if let Some(status) = self.check_command(&mut inner, headers, &command.machine) {
+            return refused(status);
+        }
+        if let Some(machine) = inner.machines.get_mut(&command.machine)
+            && machine.pool != command.pool
+        {
+            machine.pool = command.pool;
+            Self::shut_down(machine, "moving", MOVE_MS);
+        }
+        StatusCode::OK.into_response()
+    }
+
+    fn begin_maintenance(&self, headers: &HeaderMap, command: &Maintenance) -> Response {
+        self.refresh();
+        let mut inner = lock(&self.inner);
+        let done = inner
+            .waves
+            .get(&command.wave)
+            .is_some_and(|(_, _, started)| started.contains(&command.machine));
+        if done {
+            return StatusCode::OK.into_response();
+        }
+        if let Some(status) = self.check_command(&mut inner, headers, &command.machine) {
+            return refused(status);
+        }
+        let maintained = inner
+            .machines
+            .values()
+            .filter(|machine| matches!(machine.outage, Some(("upkeep", _))))
+            .filter(|machine| machine.wave == Some(command.wave))
+            .count();
+        let Some((_, max_concurrent, started)) = inner.waves.get_mut(&command.wave) else {
+            return (StatusCode::CONFLICT, Json(json!({"reason": "wave"}))).into_response();
+        };
+        started.insert(command.machine.clone());
+        if maintained >= *max_concurrent {
+            let text = format!(
+                "maintenance started on {} while {maintained} machines were in maintenance",
+                command.machine
+            );
+            self.checker.add_violation(text);
+        }
+        if let Some(machine) = inner.machines.get_mut(&command.machine) {
+            machine.wave = Some(command.wave);
+            Self::shut_down(machine, "upkeep", MAINTENANCE_MS);
+        }
+        StatusCode::OK.into_response()
+    }
 }
 
 fn refused(status: StatusCode) -> Response {
     (status, Json(json!({"reason": "busy"}))).into_response()
 }
 
-async fn list(State(machines): State<Arc<Machines>>) -> Json<Value> {
-    Json(machines.to_json())
+/// Waits or refuses as the injected fault demands before a request is executed.
+async fn begin(machines: &Machines) -> Option<Response> {
+    let fault = *lock(&machines.fault);
+    match fault {
+        Some(Fault::Busy(status)) => Some(refused(status)),
+        Some(Fault::Slow(delay_ms)) => {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+            None
+        }
+        Some(Fault::Silent | Fault::SilentFromCommand | Fault::LateList(_)) | None => None,
+    }
+}
+
+/// Responds to a command that was executed.
+async fn respond_to_command(machines: &Machines, response: Response) -> Response {
+    machines.fall_silent_from_command();
+    respond(machines, response).await
+}
+
+/// Withholds the response of a request if the API is silent.
+async fn respond(machines: &Machines, response: Response) -> Response {
+    let fault = *lock(&machines.fault);
+    if fault == Some(Fault::Silent) {
+        time::sleep(WITHHELD).await;
+    }
+    response
+}
+
+async fn list(State(machines): State<Arc<Machines>>) -> Response {
+    if let Some(refused) = begin(&machines).await {
+        return refused;
+    }
+    let list = machines.to_json();
+    let fault = *lock(&machines.fault);
+    if let Some(Fault::LateList(delay_ms)) = fault {
+        time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+    respond(&machines, Json(list).into_response()).await
 }
 
 async fn change_pool(
@@ -227,18 +361,11 @@
     headers: HeaderMap,
     Json(command): Json<Move>,
 ) -> Response {
-    machines.refresh();
-    let mut inner = lock(&machines.inner);
-    if let Some(status) = machines.check_command(&mut inner, &headers, &command.machine) {
-        return refused(status);
+    if let Some(refused) = begin(&machines).await {
+        return refused;
     }
-    if let Some(machine) = inner.machines.get_mut(&command.machine)
-        && machine.pool != command.pool
-    {
-        machine.pool = command.pool;
-        Machines::shut_down(machine, "moving", MOVE_MS);
-    }
-    StatusCode::OK.into_response()
+    let response = machines.move_to_pool(&headers, command);
+    respond_to_command(&machines, response).await
 }
 
 async fn maintain(
@@ -246,36 +373,9 @@
     headers: HeaderMap,
     Json(command): Json<Maintenance>,
 ) -> Response {
-    machines.refresh();
-    let mut inner = lock(&machines.inner);
-    let done = inner
-        .waves
-        .get(&command.wave)
-        .is_some_and(|(_, _, started)| started.contains(&command.machine));
-    if done {
-        return StatusCode::OK.into_response();
-    }
-    if let Some(status) = machines.check_command(&mut inner, &headers, &command.machine) {
-        return refused(status);
-    }
-    let maintained = inner
-        .machines
-        .values()
-        .filter(|machine| matches!(machine.outage, Some(("upkeep", _))))
-        .count();
-    let Some((_, max_concurrent, started)) = inner.waves.get_mut(&command.wave) else {
-        return (StatusCode::CONFLICT, Json(json!({"reason": "wave"}))).into_response();
-    };
-    started.insert(command.machine.clone());
-    if maintained >= *max_concurrent {
-        let text = format!(
-            "maintenance started on {} while {maintained} machines were in maintenance",
-            command.machine
-        );
-        machines.checker.add_violation(text);
-    }
-    if let Some(machine) = inner.machines.get_mut(&command.machine) {
-        Machines::shut_down(machine, "upkeep", MAINTENANCE_MS);
+    if let Some(refused) = begin(&machines).await {
+        return refused;
     }
-    StatusCode::OK.into_response()
+    let response = machines.begin_maintenance(&headers, &command);
+    respond_to_command(&machines, response).await
 }
--- a/standins/src/hosted/mod.rs
+++ b/standins/src/hosted/mod.rs
@@ -2,6 +2,7 @@
 //! the daemon as a child process that uses them.
 
 pub mod checker;
+pub mod history;
 pub mod machines;
 pub mod process;
 pub mod store;
--- a/standins/src/hosted/worker.rs
+++ b/standins/src/hosted/worker/mod.rs
@@ -2,94 +2,36 @@
 //! capacity, and can be unresponsive, switched off, resized, or restarted with a new incarnation. A worker that doesn't
 //! enforce its capacity reports each start that exceeds it to the checker.
 
+mod server;
+mod spec;
+
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
-use axum::extract::State;
+use axum::Json;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
-use axum::{Json, Router, routing};
-use serde::Deserialize;
 use serde_json::json;
 use tokio::time;
 
+use self::server::{Hold, Start, Stop};
+pub use self::spec::Settings;
+use self::spec::TaskSpec;
 use super::checker::Checker;
+use super::history::{Outcome, Run};
 use super::{Listening, listen, lock};
 
-/// Interval at which due runs are ended and a long poll is checked, in milliseconds.
+/// Interval at which due runs are ended, in milliseconds.
 const POLL_MS: u64 = 5;
 /// A lower capacity counts this long after the change, in milliseconds: the platform's contact time and one heartbeat.
 const SHRUNK_COUNTS_MS: u64 = 4_000;
 /// Longest lease that a worker accepts, in milliseconds; the platform's value.
 const LEASE_MAX_MS: u64 = 10_000;
-/// CPU of a run whose spec names none, in thousandths of a core.
-const CPU_DEFAULT_MILLI: u64 = 500;
 /// Time that a long-running task needs to report full progress, in milliseconds.
 const WARM_UP_MS: u64 = 200;
 
-/// Settings of a worker.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Duration of a run whose spec names none, in milliseconds.
-    pub task_ms: u64,
-    /// CPU capacity at first, in thousandths of a core.
-    pub cpu_milli: u64,
-    /// Whether the worker refuses starts that exceed its capacity.
-    pub enforces_capacity: bool,
-    /// Time that a stop takes, in milliseconds.
-    pub stop_ms: u64,
-    /// Speed of the worker's monotonic clock, in thousandths; the platform allows it to be 2 % slow.
-    pub clock_milli: u64,
-}
-
-impl Settings {
-    /// Returns the settings of a worker with 8 cores and an exact clock.
-    pub fn new(task_ms: u64) -> Self {
-        Self {
-            task_ms,
-            cpu_milli: 8_000,
-            enforces_capacity: true,
-            stop_ms: 0,
-            clock_milli: 1_000,
-        }
-    }
-}
-
-/// Content of a task's spec, a list of the words `work_ms=N`, `cpu=N`, `lasts` and `fails`.
-#[derive(Clone, Copy, Debug)]
-struct TaskSpec {
-    duration_ms: u64,
-    cpu_milli: u64,
-    long_running: bool,
-    fails: bool,
-}
-
-impl TaskSpec {
-    fn parse(spec: &str, task_ms: u64) -> Self {
-        let mut task_spec = Self {
-            duration_ms: task_ms,
-            cpu_milli: CPU_DEFAULT_MILLI,
-            long_running: false,
-            fails: false,
-        };
-        for word in spec.split(' ') {
-            match word.split_once('=') {
-                Some(("work_ms", text)) => task_spec.duration_ms = text.parse().unwrap_or(task_ms),
-                Some(("cpu", text)) => {
-                    task_spec.cpu_milli = text.parse().unwrap_or(CPU_DEFAULT_MILLI)
-                }
-                _ => {
-                    task_spec.long_running |= word == "lasts";
-                    task_spec.fails |= word == "fails";
-                }
-            }
-        }
-        task_spec
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     run: u32,
@@ -110,8 +52,20 @@
     /// Highest run number of each task that this incarnation started or stopped.
     highest_runs: BTreeMap<String, u32>,
     /// Unacknowledged ends of runs: number, task, run, outcome.
-    ends: Vec<(u64, String, u32, &'static str)>,
+    ends: Vec<End>,
     last_end_number: u64,
+    /// When the lease was last seen to have lapsed.
+    lapsed_at: Option<time::Instant>,
+}
+
+/// The end of a run, until a node acknowledges it.
+#[derive(Debug)]
+struct End {
+    number: u64,
+    task: String,
+    run: u32,
+    outcome: Outcome,
+    at: time::Instant,
 }
 
 impl Incarnation {
@@ -126,6 +80,7 @@
             highest_runs: BTreeMap::new(),
             ends: Vec::new(),
             last_end_number: 0,
+            lapsed_at: None,
         }
     }
 
@@ -147,39 +102,13 @@
     pub unresponsive: AtomicBool,
     /// If set, the worker is switched off and answers every request with status 503.
     pub off: AtomicBool,
+    /// Number of upcoming commands that are executed late and without a response.
+    pub late_commands: AtomicU32,
+    /// Delay of late commands, in milliseconds.
+    pub late_ms: AtomicU64,
     lapsed: AtomicUsize,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Start {
-    task: String,
-    run_id: u32,
-    spec: String,
-    until_ms: u64,
-    fence_token: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Stop {
-    task: String,
-    run_id: u32,
-    fence_token: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Hold {
-    fence_token: u64,
-    #[serde(default)]
-    until_ms: u64,
-    #[serde(default)]
-    ack_index: u64,
-    #[serde(default)]
-    wait_ms: u64,
-}
-
 impl Worker {
     /// Starts a worker with default settings, a checker of its own and no id.
     ///
@@ -207,13 +136,11 @@
             incarnation: Mutex::new(Incarnation::new(id, 1)),
             unresponsive: AtomicBool::new(false),
             off: AtomicBool::new(false),
+            late_commands: AtomicU32::new(0),
+            late_ms: AtomicU64::new(0),
             lapsed: AtomicUsize::new(0),
         });
-        let router = Router::new()
-            .route("/run-start", routing::post(run_start))
-            .route("/run-stop", routing::post(run_stop))
-            .route("/hold", routing::post(hold))
-            .with_state(Arc::clone(&state));
+        let router = server::router(&state);
         tokio::spawn(end_due_runs_until_dropped(Arc::downgrade(&state)));
         listen(state, router).await
     }
@@ -305,7 +232,10 @@
     fn end_due_runs(&self) {
         let mut incarnation = lock(&self.incarnation);
         let lapsed = self.clock_ms(&incarnation) > incarnation.lease_until_ms;
-        let ended: Vec<(String, &'static str)> = incarnation
+        if lapsed {
+            incarnation.lapsed_at = Some(time::Instant::now());
+        }
+        let ended: Vec<(String, Outcome)> = incarnation
             .running
             .iter()
             .filter_map(|(task, running)| {
@@ -314,14 +244,14 @@
                     .stops_at
                     .is_some_and(|at| time::Instant::now() >= at)
                 {
-                    return Some((task.clone(), "stopped"));
+                    return Some((task.clone(), Outcome::Stopped));
                 }
                 let finished = !running.task_spec.long_running
                     && elapsed >= Duration::from_millis(running.task_spec.duration_ms);
                 let outcome = match (finished, lapsed) {
-                    (true, _) if running.task_spec.fails => "failed",
-                    (true, _) => "done",
-                    (false, true) => "lapsed",
+                    (true, _) if running.task_spec.fails => Outcome::Failed,
+                    (true, _) => Outcome::Done,
+                    (false, true) => Outcome::Lapsed,
                     (false, false) => return None,
                 };
                 Some((task.clone(), outcome))
@@ -332,22 +262,30 @@
         }
     }
 
-    fn end(&self, incarnation: &mut Incarnation, task: &str, outcome: &'static str) {
-        if let Some(running) = incarnation.running.remove(task) {
-            if outcome == "lapsed" {
-                self.lapsed.fetch_add(1, Ordering::Relaxed);
-            }
-            incarnation.last_end_number += 1;
-            let end = (
-                incarnation.last_end_number,
-                task.to_owned(),
-                running.run,
-                outcome,
-            );
-            incarnation.ends.push(end);
-            self.checker
-                .run_ended(task, &incarnation.name(), outcome == "done");
+    fn end(&self, incarnation: &mut Incarnation, task: &str, outcome: Outcome) {
+        let Some(running) = incarnation.running.remove(task) else {
+            return;
+        };
+        if outcome == Outcome::Lapsed {
+            self.lapsed.fetch_add(1, Ordering::Relaxed);
         }
+        incarnation.last_end_number += 1;
+        incarnation.ends.push(End {
+            number: incarnation.last_end_number,
+            task: task.to_owned(),
+            run: running.run,
+            outcome,
+            at: time::Instant::now(),
+        });
+        let name = incarnation.name();
+        self.checker.run_ended(
+            &Run {
+                task,
+                run: running.run,
+                incarnation: &name,
+            },
+            outcome,
+        );
     }
 
     fn start_run(&self, headers: &HeaderMap, start: &Start) -> Response {
@@ -399,8 +337,14 @@
         incarnation
             .highest_runs
             .insert(start.task.clone(), start.run_id);
+        let name = incarnation.name();
+        let run = Run {
+            task: &start.task,
+            run: start.run_id,
+            incarnation: &name,
+        };
         self.checker
-            .run_started(&start.task, &start.spec, &incarnation.name());
+            .run_started(&run, &start.spec, start.fence_token);
         let running = Running {
             run: start.run_id,
             task_spec,
@@ -424,13 +368,19 @@
             .entry(stop.task.clone())
             .or_default();
         *highest_run = stop.run_id.max(*highest_run);
+        let name = incarnation.name();
         let running = incarnation.running.get_mut(&stop.task);
         if let Some(running) = running.filter(|running| running.run == stop.run_id) {
             let stop_ms = self.settings.stop_ms;
             let stops_at = time::Instant::now() + Duration::from_millis(stop_ms);
             running.stops_at.get_or_insert(stops_at);
+            self.checker.stop_received(&Run {
+                task: &stop.task,
+                run: stop.run_id,
+                incarnation: &name,
+            });
             if stop_ms == 0 {
-                self.end(&mut incarnation, &stop.task, "stopped");
+                self.end(&mut incarnation, &stop.task, Outcome::Stopped);
             }
         }
         Json(json!({"clockMs": self.clock_ms(&incarnation)})).into_response()
@@ -450,13 +400,21 @@
             .until_ms
             .min(self.clock_ms(&incarnation) + LEASE_MAX_MS);
         incarnation.lease_until_ms = incarnation.lease_until_ms.max(until_ms);
+        let name = incarnation.name();
+        let lapsed_at = incarnation.lapsed_at;
         let ends = std::mem::take(&mut incarnation.ends);
         for end in ends {
-            if end.0 > hold.ack_index {
+            if end.number > hold.ack_index {
                 incarnation.ends.push(end);
-            } else {
-                self.checker.end_acknowledged(&end.1, end.3 == "done");
+                continue;
             }
+            let run = Run {
+                task: &end.task,
+                run: end.run,
+                incarnation: &name,
+            };
+            let lapsed_between = lapsed_at.is_some_and(|at| at > end.at);
+            self.checker.end_acknowledged(&run, lapsed_between);
         }
         None
     }
@@ -488,7 +446,7 @@
         let ends: Vec<_> = incarnation
             .ends
             .iter()
-            .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
+            .map(|end| json!([end.number, end.task, end.run, end.outcome.label(), ""]))
             .collect();
         Json(json!({
             "clockMs": self.clock_ms(&incarnation),
@@ -498,14 +456,6 @@
         }))
         .into_response()
     }
-
-    async fn answer(&self, response: Response) -> Response {
-        if self.unresponsive.load(Ordering::Relaxed) {
-            // Longer than any caller waits for a response.
-            time::sleep(Duration::from_secs(60)).await;
-        }
-        response
-    }
 }
 
 /// Ends due runs periodically, also while no requests arrive, until the worker is dropped.
@@ -516,40 +466,3 @@
         time::sleep(Duration::from_millis(POLL_MS)).await;
     }
 }
-
-async fn run_start(
-    State(worker): State<Arc<Worker>>,
-    headers: HeaderMap,
-    Json(start): Json<Start>,
-) -> Response {
-    let response = worker.start_run(&headers, &start);
-    worker.answer(response).await
-}
-
-async fn run_stop(
-    State(worker): State<Arc<Worker>>,
-    headers: HeaderMap,
-    Json(stop): Json<Stop>,
-) -> Response {
-    let response = worker.stop_run(&headers, &stop);
-    worker.answer(response).await
-}
-
-async fn hold(
-    State(worker): State<Arc<Worker>>,
-    headers: HeaderMap,
-    Json(hold): Json<Hold>,
-) -> Response {
-    let until = time::Instant::now() + Duration::from_millis(hold.wait_ms);
-    if let Some(refused) = worker.begin_poll(&headers, &hold) {
-        return refused;
-    }
-    loop {
-        worker.end_due_runs();
-        if time::Instant::now() >= until || worker.has_ends() {
-            let response = worker.report(&headers);
-            return worker.answer(response).await;
-        }
-        time::sleep(Duration::from_millis(POLL_MS)).await;
-    }
-}
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, tcp};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, tcp};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time;
 
 /// Largest number of bytes forwarded in one write.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// Fault that the proxy injects into connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     pub black_hole: bool,
     /// Closes open connections, and new ones directly after accepting them.
     pub cut: bool,
+    /// Resets open connections and refuses new ones, as a host on which nothing listens.
+    pub refuse: bool,
     /// Number of response bytes after which a connection is closed; absent for no limit.
     pub cut_after_bytes: Option<u64>,
 }
@@ -80,23 +84,56 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, fault: watch::Receiver<Fault>) {
+async fn accept(listener: TcpListener, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
     let mut connections = JoinSet::new();
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = listener;
     loop {
+        let changes = fault.clone();
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(forward(stream, target, fault.clone()));
+                    connections.spawn(forward(stream, target, changes));
                 }
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
+            () = wait_until(&mut fault, |fault| fault.refuse) => {
+                drop(listener);
+                match listen_after_refusals(address, &mut fault).await {
+                    Ok(again) => listener = again,
+                    Err(_) => return,
+                }
+            }
         }
     }
 }
 
+/// Refuses connections until the fault ends, then listens again.
+///
+/// # Errors
+///
+/// Returns an error if another process took the port.
+async fn listen_after_refusals(
+    address: SocketAddr,
+    fault: &mut watch::Receiver<Fault>,
+) -> io::Result<TcpListener> {
+    // A bound socket that doesn't listen keeps the port, and the system refuses connections to it.
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    wait_until(fault, |fault| !fault.refuse).await;
+    socket.listen(BACKLOG)
+}
+
 async fn forward(caller: TcpStream, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
     let initial_fault = *fault.borrow_and_update();
-    if initial_fault.cut {
+    if initial_fault.cut || initial_fault.refuse {
         return;
     }
     let Ok(server) = TcpStream::connect(target).await else {
@@ -104,8 +141,9 @@
     };
     // With Nagle's algorithm, small messages wait for the peer's acknowledgement.
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
-    let (caller_read, caller_write) = caller.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (mut caller, mut server) = (caller, server);
+    let (caller_read, caller_write) = caller.split();
+    let (server_read, server_write) = server.split();
     let requests = Direction {
         from: caller_read,
         to: server_write,
@@ -120,27 +158,40 @@
         initial_fault,
         is_response: true,
     };
-    tokio::select! {
-        () = async { tokio::join!(requests.pump(), responses.pump()); } => {}
-        () = wait_until_cut(&mut fault) => {}
+    let is_reset = tokio::select! {
+        () = async { tokio::join!(requests.pump(), responses.pump()); } => false,
+        () = wait_until(&mut fault, |fault| fault.cut || fault.refuse) => fault.borrow().refuse,
+    };
+    if is_reset {
+        // Without lingering, the close sends a reset. If that can't be set, the close still ends the connection.
+        let _ = (caller.set_zero_linger(), server.set_zero_linger());
     }
 }
 
-async fn wait_until_cut(fault: &mut watch::Receiver<Fault>) {
+async fn wait_until<F>(fault: &mut watch::Receiver<Fault>, condition: F)
+where
+    F: FnMut(&Fault) -> bool,
+{
     // The sender is dropped only with the proxy, which drops the connection as well.
-    let _ = fault.wait_for(|fault| fault.cut).await;
+    let _ = fault.wait_for(condition).await;
 }
 
-struct Direction {
-    from: tcp::OwnedReadHalf,
-    to: tcp::OwnedWriteHalf,
+struct Direction<'a> {
+    from: tcp::ReadHalf<'a>,
+    to: tcp::WriteHalf<'a>,
     fault: watch::Receiver<Fault>,
     initial_fault: Fault,
     is_response: bool,
 }
 
-impl Direction {
+impl Direction<'_> {
     async fn pump(mut self) {
+        self.forward().await;
+        // The peer can have closed the connection already.
+        let _ = self.to.shutdown().await;
+    }
+
+    async fn forward(&mut self) {
         let mut buffer = vec![0; CHUNK_BYTES];
         let mut passed_bytes = 0;
         loop {
@@ -148,8 +199,6 @@
                 return;
             };
             if count == 0 {
-                // The peer can have closed the connection already.
-                let _ = self.to.shutdown().await;
                 return;
             }
             self.wait_until_passable().await;
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -93,7 +93,7 @@
 /// Key that no account has.
 const UNKNOWN_KEY: &str = "unknown";
 
-async fn send_request(
+pub(super) async fn send_request(
     world: &World,
     client: &Client,
     address: SocketAddr,
@@ -318,7 +318,7 @@
     account.map(|account| world.accounts.current(account))
 }
 
-fn body(spec: &str, steps: &[u32], long_running: bool) -> Vec<u8> {
+pub(super) fn body(spec: &str, steps: &[u32], long_running: bool) -> Vec<u8> {
     let steps: Vec<_> = (0_u32..)
         .zip(steps)
         .map(|(number, count)| {
@@ -420,6 +420,6 @@
             ));
         }
     }
-    unfinished_work.extend(world.unfinished_wave());
+    unfinished_work.extend(world.unfinished_waves());
     unfinished_work
 }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -6,7 +6,8 @@
 mod accounts;
 mod callers;
 mod faults;
-mod world;
+pub mod scenario;
+pub mod world;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -52,6 +53,8 @@
     pub callers: usize,
     /// Number of client accounts; with 0, callers need no key.
     pub accounts: usize,
+    /// Whether operators request a maintenance wave at the start.
+    pub wave: bool,
 }
 
 impl Options {
@@ -65,6 +68,7 @@
             machines: 6,
             callers: 6,
             accounts: 0,
+            wave: true,
         }
     }
 }
@@ -121,7 +125,7 @@
     updates.abort();
     // The task was aborted, so its result is ignored.
     let _ = updates.await;
-    let violations = world.checker.violations();
+    let violations = world.violations();
     let count = |outcome| jobs.iter().filter(|job| job.submission == outcome).count();
     Ok(Report {
         seed: options.seed,
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -1,6 +1,6 @@
 //! The environment of a soak: the stand-in platform, its workers behind proxies, and the daemons.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -41,8 +41,8 @@
 const LINK_WIDE_KBIT_PER_S: u64 = 1_000_000;
 /// The same in a soak with an even seed: the leader commands two workers itself and each relay one.
 const LINK_THIN_KBIT_PER_S: u64 = 160;
-/// Number of the maintenance wave that operators request.
-const WAVE: u64 = 1;
+/// Number of the maintenance wave that operators request first.
+pub const FIRST_WAVE: u64 = 1;
 /// Limit of machines of the wave in maintenance at the same time.
 const WAVE_MAX_CONCURRENT: usize = 2;
 
@@ -52,6 +52,33 @@
     pub worker: Listening<Worker>,
     /// The proxy in front of it, whose address the worker's entry names.
     pub proxy: Proxy,
+    /// Name of its machine.
+    pub machine: String,
+    /// What the registry shows of it.
+    pub registration: Mutex<Registration>,
+}
+
+/// What the registry shows of a worker whose machine is up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Registration {
+    /// It takes work.
+    #[default]
+    Ready,
+    /// It announced its stop.
+    Draining,
+    /// Its entry was removed.
+    Removed,
+}
+
+impl Registration {
+    /// Returns the state in the worker's entry; `None` without an entry.
+    fn state(self) -> Option<&'static str> {
+        match self {
+            Self::Ready => Some("ready"),
+            Self::Draining => Some("draining"),
+            Self::Removed => None,
+        }
+    }
 }
 
 /// The processes and stand-ins of a soak.
@@ -64,6 +91,8 @@
     pub store_proxies: Vec<Proxy>,
     /// The machine API.
     pub machines: Listening<Machines>,
+    /// The proxy in front of the machine API.
+    pub machines_proxy: Proxy,
     /// The workers of all machines, spare ones included.
     pub workers: Vec<ProxiedWorker>,
     /// The daemons, by node number.
@@ -75,6 +104,10 @@
     /// Number of calls that were answered 401 as they should be.
     pub denied: AtomicUsize,
     version: Mutex<u64>,
+    /// The workers' entries as last written, by worker id.
+    entries: Mutex<BTreeMap<String, String>>,
+    /// Numbers of the requested waves.
+    waves: Mutex<Vec<u64>>,
     folder: Mutex<TempDir>,
 }
 
@@ -85,6 +118,7 @@
         let checker = Arc::new(Checker::default());
         let store = Store::start().await?;
         let machines = Machines::start(SPARE, Arc::clone(&checker)).await?;
+        let machines_proxy = Proxy::start(machines.address).await?;
         let folder = tempfile::Builder::new().prefix("soak-").tempdir()?;
         let mut workers = Vec::new();
         let mut wave = Vec::new();
@@ -105,10 +139,15 @@
             worker.state.off.store(off, Ordering::Relaxed);
             machines.state.add(&name, pool, Arc::clone(&worker.state));
             let proxy = Proxy::start(worker.address).await?;
-            workers.push(ProxiedWorker { worker, proxy });
             if number % 2 == 0 {
-                wave.push(name);
+                wave.push(name.clone());
             }
+            workers.push(ProxiedWorker {
+                worker,
+                proxy,
+                machine: name,
+                registration: Mutex::default(),
+            });
         }
         let mut store_proxies = Vec::new();
         let mut nodes = Vec::new();
@@ -116,12 +155,15 @@
             checker,
             store_proxies: Vec::new(),
             machines,
+            machines_proxy,
             workers,
             nodes: Vec::new(),
             addresses: Vec::new(),
             accounts: Accounts::new(options.accounts),
             denied: AtomicUsize::new(0),
             version: Mutex::new(0),
+            entries: Mutex::default(),
+            waves: Mutex::default(),
             folder: Mutex::new(folder),
             store,
         };
@@ -133,12 +175,12 @@
             }
         }
         world.configure(&[]);
-        world.write_entries(&mut BTreeSet::new());
+        world.write_entries();
         for number in 0..options.nodes {
             let store_proxy = Proxy::start(world.store.address).await?;
             let platform = Platform {
                 store: store_proxy.address(),
-                machines: Some(world.machines.address),
+                machines: Some(world.machines_proxy.address()),
                 link_kbit_per_s: if options.seed.is_multiple_of(2) {
                     LINK_THIN_KBIT_PER_S
                 } else {
@@ -152,7 +194,9 @@
         world.addresses = nodes.iter().map(|node| node.address).collect();
         world.nodes = nodes.into_iter().map(Mutex::new).collect();
         world.store_proxies = store_proxies;
-        world.request_wave(&wave);
+        if options.wave {
+            world.request_wave(FIRST_WAVE, &wave);
+        }
         Ok(world)
     }
 
@@ -205,30 +249,40 @@
         self.put("op", "config", &config.to_string());
     }
 
-    fn request_wave(&self, names: &[String]) {
+    /// Requests a maintenance wave of the named machines.
+    pub fn request_wave(&self, number: u64, names: &[String]) {
         self.machines
             .state
-            .add_wave(WAVE, names, WAVE_MAX_CONCURRENT);
+            .add_wave(number, names, WAVE_MAX_CONCURRENT);
         let wave = json!({
-            "wave": WAVE, "machines": names, "deadlineS": 20, "maxCount": WAVE_MAX_CONCURRENT,
+            "wave": number, "machines": names, "deadlineS": 20, "maxCount": WAVE_MAX_CONCURRENT,
         });
-        self.put("op", &format!("wave/{WAVE}"), &wave.to_string());
+        let mut waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        waves.push(number);
+        self.put("op", &format!("wave/{number}"), &wave.to_string());
     }
 
-    /// Describes the requested wave if it isn't reported as completed. Reports a violation if it is reported too early.
-    pub fn unfinished_wave(&self) -> Option<String> {
-        let key = format!("wave/{WAVE}");
+    /// Describes the requested waves that aren't reported as completed. Adds a violation for each that is reported too
+    /// early.
+    pub fn unfinished_waves(&self) -> Vec<String> {
+        let waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        let unfinished = |number: &u64| self.unfinished_wave(*number);
+        waves.iter().filter_map(unfinished).collect()
+    }
+
+    fn unfinished_wave(&self, number: u64) -> Option<String> {
+        let key = format!("wave/{number}");
         let reported = self.store.state.get("status", "", &key);
         let reported = reported.and_then(|text| STANDARD.decode(text).ok());
         let reported =
             reported.is_some_and(|text| String::from_utf8_lossy(&text).contains("completed"));
-        let started = self.machines.state.wave_started(WAVE);
+        let started = self.machines.state.wave_started(number);
         if reported && !started {
             let text = "a wave was reported as completed before maintenance had started on all its machines";
             self.checker.add_violation(text.to_owned());
         }
         (!reported).then(|| {
-            format!("the wave was not reported as completed; all machines started: {started}")
+            format!("wave {number} was not reported as completed; all machines started: {started}")
         })
     }
 
@@ -238,46 +292,85 @@
 
     /// Updates the machines and the workers' entries periodically, until the task is aborted.
     pub async fn run_updates(self: Arc<Self>) {
-        let mut listed = BTreeSet::new();
         loop {
-            self.write_entries(&mut listed);
+            self.write_entries();
             time::sleep(Duration::from_millis(ENTRY_INTERVAL_MS)).await;
         }
     }
 
-    fn write_entries(&self, listed: &mut BTreeSet<String>) {
-        let mut present = BTreeSet::new();
+    /// Changes what the registry shows of a worker, at once.
+    pub fn register(&self, worker: usize, registration: Registration) {
+        let shown = &self.workers[worker].registration;
+        *shown.lock().unwrap_or_else(PoisonError::into_inner) = registration;
+        self.write_entries();
+    }
+
+    /// Writes the entries that have changed, and removes those of workers that are gone.
+    fn write_entries(&self) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut present = BTreeMap::new();
         for (worker, pool, id) in self.machines.state.refresh() {
             let proxied = self
                 .workers
                 .iter()
                 .find(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
             let Some(proxied) = proxied else { continue };
-            present.insert(id.clone());
-            let (_, born) = worker.incarnation();
-            if !listed.insert(format!("{id}/{born}")) {
+            let registration = proxied.registration.lock();
+            let registration = *registration.unwrap_or_else(PoisonError::into_inner);
+            let Some(state) = registration.state() else {
                 continue;
-            }
+            };
+            let (_, born) = worker.incarnation();
             let entry = json!({
                 "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
-                "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": born, "clockMs": 1,
+                "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": born, "clockMs": 1,
                 "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
                 "labels": ["a", "r1"],
             });
-            self.put("servers", &id, &entry.to_string());
+            present.insert(id, entry.to_string());
         }
-        let removed: Vec<String> = listed
-            .iter()
-            .filter(|incarnation| {
-                !present.contains(incarnation.split('/').next().unwrap_or_default())
-            })
-            .cloned()
-            .collect();
-        for incarnation in removed {
-            listed.remove(&incarnation);
-            let id = incarnation.split('/').next().unwrap_or_default();
+        for (id, entry) in &present {
+            if entries.get(id) != Some(entry) {
+                self.put("servers", id, entry);
+            }
+        }
+        for id in entries.keys().filter(|id| !present.contains_key(*id)) {
             self.store.state.remove("servers", id);
         }
+        *entries = present;
+    }
+
+    /// Returns the node that took the duty over last and its epoch, by the daemons' logs.
+    pub fn leader(&self) -> Option<(usize, u64)> {
+        self.terms()
+            .into_iter()
+            .map(|(epoch, node)| (node, epoch))
+            .next_back()
+    }
+
+    /// Returns the epochs of the duty with their nodes, by the daemons' logs.
+    pub fn terms(&self) -> BTreeMap<u64, usize> {
+        let mut terms = BTreeMap::new();
+        for number in 0..self.nodes.len() {
+            let log = self.node(number).log().unwrap_or_default();
+            let epochs = log.split("holds epoch=").skip(1);
+            let epochs = epochs.filter_map(|rest| {
+                rest.split(|c: char| !c.is_ascii_digit())
+                    .next()?
+                    .parse()
+                    .ok()
+            });
+            terms.extend(epochs.map(|epoch: u64| (epoch, number)));
+        }
+        terms
+    }
+
+    /// Returns the violations found so far, with the names of the nodes that started the runs.
+    pub fn violations(&self) -> Vec<String> {
+        for (epoch, node) in self.terms() {
+            self.checker.set_starter(epoch, &format!("node-{node}"));
+        }
+        self.checker.violations()
     }
 
     /// Ends all faults, resumes paused processes and restarts those that have exited.
@@ -291,16 +384,19 @@
             .store_proxies
             .iter()
             .chain(self.workers.iter().map(|proxied| &proxied.proxy))
+            .chain([&self.machines_proxy])
         {
             proxy.set(Fault::default());
             proxy.silence_open();
         }
+        self.machines.state.set_fault(None);
         for proxied in &self.workers {
-            proxied
-                .worker
-                .state
-                .unresponsive
-                .store(false, Ordering::Relaxed);
+            let worker = &proxied.worker.state;
+            worker.unresponsive.store(false, Ordering::Relaxed);
+            worker.late_commands.store(0, Ordering::Relaxed);
+        }
+        for worker in 0..self.workers.len() {
+            self.register(worker, Registration::Ready);
         }
         for number in 0..self.nodes.len() {
             let mut node = self.node(number);
