--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -23,3 +23,4 @@
 mod test_soak;
 mod test_stop;
 mod test_submissions;
+mod test_twice;
