standins: soak with series of overlapping faults

Cause: the soak drew one fault at a time, and none of workers that run on while they are unreachable, or of the machine API.

Change: several faults begin together, some in quick succession: workers that refuse connections, whose entries expire, that drain and are cut off, restart under their ids or execute commands late; the machine API silent, busy, slow, refused or with late lists, while further waves are requested; a leader paused while workers are cut off. Workers write their entries at each heartbeat.

--- a/standins/src/hosted/history.rs
+++ b/standins/src/hosted/history.rs
@@ -82,6 +82,8 @@
     StoppedAndNoted,
     /// It was never stopped, and no node acknowledged its end.
     NeitherStoppedNorNoted,
+    /// It goes on.
+    Running,
     /// Another sequence.
     Other,
 }
@@ -91,6 +93,7 @@
         match self {
             Self::StoppedAndNoted => "stopped-and-noted",
             Self::NeitherStoppedNorNoted => "neither-stopped-nor-noted",
+            Self::Running => "running",
             Self::Other => "other",
         }
     }
@@ -221,10 +224,12 @@
 impl Record {
     /// Returns the signature of the run, of which a second run has started.
     fn signature(&self) -> Signature {
-        let is_stopped = matches!(self.ended, Some((Outcome::Stopped, _)));
-        match (is_stopped, self.stopped, self.noted) {
-            (true, Some(_), Some(_)) => Signature::StoppedAndNoted,
-            (false, None, None) => Signature::NeitherStoppedNorNoted,
+        let Some((outcome, _)) = self.ended else {
+            return Signature::Running;
+        };
+        match (outcome, self.stopped, self.noted) {
+            (Outcome::Stopped, Some(_), Some(_)) => Signature::StoppedAndNoted,
+            (Outcome::Done | Outcome::Lapsed, None, None) => Signature::NeitherStoppedNorNoted,
             _ => Signature::Other,
         }
     }
--- a/standins/src/hosted/worker/server.rs
+++ b/standins/src/hosted/worker/server.rs
@@ -79,11 +79,15 @@
 {
     if is_late(&worker.late_commands) {
         let delay_ms = worker.late_ms.load(Ordering::Relaxed);
+        let received_by = worker.incarnation();
         // A task of its own, as the caller gives up first and its disconnect must not cancel the command.
         tokio::spawn(async move {
             time::sleep(Duration::from_millis(delay_ms)).await;
-            // No caller waits for the response.
-            let _ = command(&worker);
+            // A process that ends takes the commands that it has received with it.
+            if worker.incarnation() == received_by {
+                // No caller waits for the response.
+                let _ = command(&worker);
+            }
         });
         time::sleep(WITHHELD).await;
         return StatusCode::GATEWAY_TIMEOUT.into_response();
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -1,5 +1,8 @@
 //! Fault injection of a soak: faults are drawn from the seed and can overlap.
 
+mod kind;
+mod workers;
+
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,9 +14,10 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
-use crate::proxy::Fault;
-use crate::soak::Options;
+use self::kind::Kind;
+use crate::proxy::{self, Fault};
 use crate::soak::world::World;
+use crate::soak::{self, Options};
 
 /// Time before the first fault, in milliseconds.
 const CALM_MS: u64 = 1_500;
@@ -25,58 +29,10 @@
 const STOP_TIMEOUT_MS: u64 = 6_000;
 /// Time between the exit of a terminated process and its restart, in milliseconds.
 const RESTART_DELAY_MS: u64 = 300;
-/// Delay added to the responses of a slow store, in milliseconds.
-const STORE_DELAY_MS: Range<u64> = 50..600;
-
-/// A fault, with the index of the affected node or worker where it has one.
-#[derive(Clone, Copy, Debug)]
-enum Kind {
-    Kill(usize),
-    KillAll,
-    Pause(usize),
-    Terminate(usize),
-    Reload(usize),
-    StoreAway,
-    StoreSlow(u64),
-    StoreLosesAnswers(u32),
-    StoreWritesLate(u32),
-    StoreForgets,
-    WayCut(usize),
-    WayOneWay(usize),
-    WaySilent(usize),
-    WorkerCut(usize),
-    WorkerOneWay(usize),
-    WorkerDelayed(usize, u64),
-    WorkerCrash(usize),
-    WorkerMute(usize),
-    Configure,
-}
-
-fn draw(rng: &mut SmallRng, nodes: usize, workers: usize) -> Kind {
-    let node = rng.random_range(0..nodes);
-    let worker = rng.random_range(0..workers);
-    match rng.random_range(0..20) {
-        0 | 1 => Kind::Kill(node),
-        2 => Kind::KillAll,
-        3 => Kind::Pause(node),
-        4 | 5 => Kind::Terminate(node),
-        6 => Kind::Reload(node),
-        7 => Kind::StoreAway,
-        8 => Kind::StoreSlow(rng.random_range(STORE_DELAY_MS)),
-        9 => Kind::StoreLosesAnswers(rng.random_range(1..5)),
-        10 => Kind::StoreWritesLate(rng.random_range(1..4)),
-        11 => Kind::StoreForgets,
-        12 => Kind::WayCut(node),
-        13 => Kind::WayOneWay(node),
-        14 => Kind::WaySilent(node),
-        15 => Kind::WorkerCut(worker),
-        16 => Kind::WorkerOneWay(worker),
-        17 => Kind::WorkerDelayed(worker, rng.random_range(20..400)),
-        18 if rng.random_bool(0.5) => Kind::WorkerCrash(worker),
-        18 => Kind::WorkerMute(worker),
-        _ => Kind::Configure,
-    }
-}
+/// Probability that the next faults of a series follow in quick succession.
+const QUICK_SHARE: f64 = 0.35;
+/// Time between faults in quick succession, in milliseconds.
+const QUICK_INTERVAL_MS: Range<u64> = 10..200;
 
 /// Injects faults for the duration of the run. Returns a description of each.
 pub async fn inject_all(world: &Arc<World>, options: &Options) -> Vec<String> {
@@ -86,12 +42,26 @@
     let mut active_faults = JoinSet::new();
     time::sleep(Duration::from_millis(CALM_MS)).await;
     while started_at.elapsed() < Duration::from_millis(options.run_ms) {
-        let kind = draw(&mut rng, world.nodes.len(), world.workers.len());
-        let duration_ms = rng.random_range(DURATION_MS);
-        let at_ms = started_at.elapsed().as_millis();
-        injected.push(format!("{at_ms} ms: {kind:?} for {duration_ms} ms"));
-        active_faults.spawn(inject(Arc::clone(world), kind, duration_ms));
-        let pause_ms = rng.random_range(INTERVAL_MS);
+        let (nodes, workers) = (world.nodes.len(), world.workers.len());
+        let kinds = match options.faults {
+            soak::Faults::Single => vec![kind::draw(&mut rng, nodes, workers)],
+            soak::Faults::Series => kind::draw_together(&mut rng, nodes, workers),
+        };
+        for kind in kinds {
+            let duration_ms = rng.random_range(DURATION_MS);
+            let at_ms = started_at.elapsed().as_millis();
+            injected.push(format!("{at_ms} ms: {kind:?} for {duration_ms} ms"));
+            active_faults.spawn(inject(Arc::clone(world), kind, duration_ms));
+        }
+        let is_quick = match options.faults {
+            soak::Faults::Single => false,
+            soak::Faults::Series => rng.random_bool(QUICK_SHARE),
+        };
+        let pause_ms = if is_quick {
+            rng.random_range(QUICK_INTERVAL_MS)
+        } else {
+            rng.random_range(INTERVAL_MS)
+        };
         time::sleep(Duration::from_millis(pause_ms)).await;
     }
     while active_faults.join_next().await.is_some() {}
@@ -194,10 +164,57 @@
             sleep(duration_ms).await;
             world.configure(&[]);
         }
+        Kind::WorkerSevered(worker, cut) => {
+            inject_at_proxy(&world.workers[worker].proxy, cut.fault(), duration_ms).await;
+        }
+        Kind::WorkerExpires(worker, cut) => {
+            workers::expire(&world, worker, cut, duration_ms).await;
+        }
+        Kind::WorkerLeaves(leave) => workers::leave(&world, leave, duration_ms).await,
+        Kind::WorkerRestarts(worker) => workers::restart(&world, worker, duration_ms).await,
+        Kind::WorkerLate(worker, count, late_ms) => {
+            let worker = &world.workers[worker].worker.state;
+            worker.late_ms.store(late_ms, Ordering::Relaxed);
+            worker.late_commands.store(count, Ordering::Relaxed);
+        }
+        Kind::Machines(fault) => {
+            world.machines.state.set_fault(Some(fault));
+            sleep(duration_ms).await;
+            world.machines.state.set_fault(None);
+        }
+        Kind::MachinesRefused => {
+            let refuse = kind::Cut::Refuses.fault();
+            inject_at_proxy(&world.machines_proxy, refuse, duration_ms).await;
+        }
+        Kind::Wave(first) => world.request_next_wave(first),
+        Kind::LeaderPaused(paused) => pause_leader(&world, paused, duration_ms).await,
     }
 }
 
-async fn inject_at_proxy(proxy: &crate::proxy::Proxy, fault: Fault, duration_ms: u64) {
+/// Pauses the leader for the duration, and cuts off workers for half of it or for longer.
+async fn pause_leader(world: &World, paused: kind::PausedLeader, duration_ms: u64) {
+    let Some((leader, _)) = world.leader() else {
+        return;
+    };
+    world.node(leader).signal(Signal::STOP);
+    let cut_ms = if paused.cut_ends_first {
+        duration_ms / 2
+    } else {
+        duration_ms * 3 / 2
+    };
+    let [first, second] = paused.workers.map(|worker| &world.workers[worker].proxy);
+    let fault = paused.cut.fault();
+    tokio::join!(
+        inject_at_proxy(first, fault, cut_ms),
+        inject_at_proxy(second, fault, cut_ms),
+        async {
+            sleep(duration_ms).await;
+            world.node(leader).signal(Signal::CONT);
+        },
+    );
+}
+
+async fn inject_at_proxy(proxy: &proxy::Proxy, fault: Fault, duration_ms: u64) {
     proxy.set(fault);
     sleep(duration_ms).await;
     proxy.set(Fault::default());
--- /dev/null
+++ b/standins/src/soak/faults/workers.rs
@@ -0,0 +1,70 @@
+//! Faults of workers that take several steps: expired entries, planned stops and restarts.
+
+use crate::soak::faults::kind::{Cut, Leave};
+use crate::soak::faults::{inject_at_proxy, sleep};
+use crate::soak::world::{HEARTBEAT_MS, Registration, World};
+
+/// Time for which a worker serves after it announced its stop, in milliseconds; the platform's value.
+const DRAIN_MS: u64 = 2_000;
+/// Longest time without a process during a restart, in milliseconds.
+const RESTART_MAX_MS: u64 = 800;
+/// Interval between two checks whether a machine has another worker, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 20;
+
+/// Cuts a worker off from nodes and store until its entry has expired, and for the duration after that.
+pub(super) async fn expire(world: &World, worker: usize, cut: Cut, duration_ms: u64) {
+    world.cut_from_store(worker, 0);
+    let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
+    inject_at_proxy(&world.workers[worker].proxy, cut.fault(), cut_ms).await;
+    world.join_to_store(worker);
+}
+
+/// Restarts a worker's process under its id; meanwhile its port refuses connections.
+pub(super) async fn restart(world: &World, worker: usize, duration_ms: u64) {
+    let proxied = &world.workers[worker];
+    let state = &proxied.worker.state;
+    let (Some(id), _) = state.incarnation() else {
+        return;
+    };
+    proxied.proxy.set(Cut::Refuses.fault());
+    state.start_incarnation(Some(id));
+    sleep(duration_ms.min(RESTART_MAX_MS)).await;
+    proxied.proxy.set(crate::proxy::Fault::default());
+}
+
+/// Lets a worker announce its stop, lose its entry and exit; its machine comes back with another worker. A worker that is
+/// cut off as well runs on until its entry has expired.
+pub(super) async fn leave(world: &World, leave: Leave, duration_ms: u64) {
+    let worker = leave.worker;
+    let proxied = &world.workers[worker];
+    let state = &proxied.worker.state;
+    let (Some(id), _) = state.incarnation() else {
+        return;
+    };
+    let is_same = || state.incarnation().0.as_ref() == Some(&id);
+    world.register(worker, Registration::Draining);
+    match leave.cut {
+        Some((cut, after_ms)) => {
+            sleep(after_ms).await;
+            world.cut_from_store(worker, 0);
+            if is_same() {
+                let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
+                inject_at_proxy(&proxied.proxy, cut.fault(), cut_ms).await;
+            }
+        }
+        None => sleep(DRAIN_MS + duration_ms / 2).await,
+    }
+    if is_same() {
+        world.register(worker, Registration::Removed);
+        sleep(leave.gap_ms).await;
+    }
+    if is_same() {
+        proxied.proxy.set(Cut::Refuses.fault());
+        world.machines.state.stop(&proxied.machine, duration_ms);
+        while state.incarnation().0.is_none() {
+            sleep(CHECK_INTERVAL_MS).await;
+        }
+        proxied.proxy.set(crate::proxy::Fault::default());
+    }
+    world.join_to_store(worker);
+}
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -36,6 +36,16 @@
     ),
 ];
 
+/// How faults are drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Faults {
+    /// One at a time, of nodes, the store and the paths to workers; they overlap if they last.
+    Single,
+    /// Several at a time and in quick succession, also of the machine API and of workers that run on while they are
+    /// unreachable.
+    Series,
+}
+
 /// Options of a soak.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -55,6 +65,8 @@
     pub accounts: usize,
     /// Whether operators request a maintenance wave at the start.
     pub wave: bool,
+    /// How faults are drawn.
+    pub faults: Faults,
 }
 
 impl Options {
@@ -69,6 +81,17 @@
             callers: 6,
             accounts: 0,
             wave: true,
+            faults: Faults::Single,
+        }
+    }
+
+    /// Returns options with many processes.
+    pub fn large(daemon: PathBuf, seed: u64) -> Self {
+        Self {
+            nodes: 24,
+            machines: 48,
+            callers: 24,
+            ..Self::new(daemon, seed)
         }
     }
 }
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -35,6 +35,8 @@
 const SPARE: &str = "rest";
 /// Interval at which the workers' entries in the store are updated, in milliseconds.
 const ENTRY_INTERVAL_MS: u64 = 300;
+/// Interval at which a worker writes its entry, in milliseconds. The entry is removed after three intervals without.
+pub const HEARTBEAT_MS: u64 = 1_000;
 /// CPU of a machine, in thousandths of a core.
 const CPU_MILLI: u64 = 4_000;
 /// Bandwidth that the nodes' settings state, in kbit/s, in a soak with an odd seed: no relays are needed.
@@ -55,7 +57,16 @@
     /// Name of its machine.
     pub machine: String,
     /// What the registry shows of it.
-    pub registration: Mutex<Registration>,
+    entry: Mutex<Entry>,
+}
+
+/// What a worker writes to the registry.
+#[derive(Debug, Default)]
+struct Entry {
+    /// The last change, with the id of the worker to which it applies; later workers of the machine are ready.
+    registration: Option<(String, Registration)>,
+    /// Since when the worker doesn't reach the store.
+    unreachable_since: Option<time::Instant>,
 }
 
 /// What the registry shows of a worker whose machine is up.
@@ -103,6 +114,7 @@
     pub accounts: Accounts,
     /// Number of calls that were answered 401 as they should be.
     pub denied: AtomicUsize,
+    started_at: time::Instant,
     version: Mutex<u64>,
     /// The workers' entries as last written, by worker id.
     entries: Mutex<BTreeMap<String, String>>,
@@ -146,7 +158,7 @@
                 worker,
                 proxy,
                 machine: name,
-                registration: Mutex::default(),
+                entry: Mutex::default(),
             });
         }
         let mut store_proxies = Vec::new();
@@ -161,6 +173,7 @@
             addresses: Vec::new(),
             accounts: Accounts::new(options.accounts),
             denied: AtomicUsize::new(0),
+            started_at: time::Instant::now(),
             version: Mutex::new(0),
             entries: Mutex::default(),
             waves: Mutex::default(),
@@ -262,6 +275,16 @@
         self.put("op", &format!("wave/{number}"), &wave.to_string());
     }
 
+    /// Requests another wave, of every third machine from the given one on.
+    pub fn request_next_wave(&self, first: usize) {
+        let waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = waves.last().map_or(FIRST_WAVE, |last| last + 1);
+        drop(waves);
+        let machines = self.workers.iter().skip(first).step_by(3);
+        let names: Vec<String> = machines.map(|proxied| proxied.machine.clone()).collect();
+        self.request_wave(number, &names);
+    }
+
     /// Describes the requested waves that aren't reported as completed. Adds a violation for each that is reported too
     /// early.
     pub fn unfinished_waves(&self) -> Vec<String> {
@@ -298,36 +321,45 @@
         }
     }
 
-    /// Changes what the registry shows of a worker, at once.
+    /// Changes what the registry shows of the worker that now runs on a machine, at once.
     pub fn register(&self, worker: usize, registration: Registration) {
-        let shown = &self.workers[worker].registration;
-        *shown.lock().unwrap_or_else(PoisonError::into_inner) = registration;
+        let proxied = &self.workers[worker];
+        let (id, _) = proxied.worker.state.incarnation();
+        let mut entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
+        entry.registration = id.map(|id| (id, registration));
+        drop(entry);
         self.write_entries();
     }
 
+    /// Cuts a worker off from the store, so that its entry expires; it last wrote its entry `silent_ms` ago.
+    pub fn cut_from_store(&self, worker: usize, silent_ms: u64) {
+        let since = time::Instant::now() - Duration::from_millis(silent_ms);
+        self.set_unreachable_since(worker, Some(since));
+    }
+
+    /// Ends the cut of [`World::cut_from_store`].
+    pub fn join_to_store(&self, worker: usize) {
+        self.set_unreachable_since(worker, None);
+    }
+
+    fn set_unreachable_since(&self, worker: usize, since: Option<time::Instant>) {
+        let entry = &self.workers[worker].entry;
+        let mut entry = entry.lock().unwrap_or_else(PoisonError::into_inner);
+        entry.unreachable_since = since;
+    }
+
     /// Writes the entries that have changed, and removes those of workers that are gone.
     fn write_entries(&self) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let mut present = BTreeMap::new();
         for (worker, pool, id) in self.machines.state.refresh() {
-            let proxied = self
-                .workers
-                .iter()
-                .find(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
-            let Some(proxied) = proxied else { continue };
-            let registration = proxied.registration.lock();
-            let registration = *registration.unwrap_or_else(PoisonError::into_inner);
-            let Some(state) = registration.state() else {
-                continue;
-            };
-            let (_, born) = worker.incarnation();
-            let entry = json!({
-                "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
-                "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": born, "clockMs": 1,
-                "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
-                "labels": ["a", "r1"],
-            });
-            present.insert(id, entry.to_string());
+            let mut workers = self.workers.iter();
+            let position = workers.position(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
+            if let Some(position) = position
+                && let Some(entry) = self.entry(position, &pool, &id, entries.get(&id))
+            {
+                present.insert(id, entry);
+            }
         }
         for (id, entry) in &present {
             if entries.get(id) != Some(entry) {
@@ -340,6 +372,40 @@
         *entries = present;
     }
 
+    /// Returns a worker's entry; `None` if it has none.
+    fn entry(
+        &self,
+        number: usize,
+        pool: &str,
+        id: &str,
+        written: Option<&String>,
+    ) -> Option<String> {
+        let proxied = &self.workers[number];
+        let worker = &proxied.worker.state;
+        let entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registration = match &entry.registration {
+            Some((changed, registration)) if changed == id => *registration,
+            _ => Registration::Ready,
+        };
+        let state = registration.state()?;
+        if let Some(since) = entry.unreachable_since {
+            let is_expired = since.elapsed() >= Duration::from_millis(3 * HEARTBEAT_MS);
+            return written.filter(|_| !is_expired).cloned();
+        }
+        let (_, born) = worker.incarnation();
+        let elapsed_ms = self.started_at.elapsed().as_millis();
+        // Workers write at different times.
+        let phase_ms = number as u128 * 137 % u128::from(HEARTBEAT_MS);
+        let seq = (elapsed_ms + phase_ms) / u128::from(HEARTBEAT_MS);
+        let entry = json!({
+            "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq as u64, "born": born, "clockMs": 1,
+            "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
+            "labels": ["a", "r1"],
+        });
+        Some(entry.to_string())
+    }
+
     /// Returns the node that took the duty over last and its epoch, by the daemons' logs.
     pub fn leader(&self) -> Option<(usize, u64)> {
         self.terms()
@@ -397,6 +463,7 @@
         }
         for worker in 0..self.workers.len() {
             self.register(worker, Registration::Ready);
+            self.join_to_store(worker);
         }
         for number in 0..self.nodes.len() {
             let mut node = self.node(number);
--- a/standins/src/soak_command.rs
+++ b/standins/src/soak_command.rs
@@ -25,11 +25,15 @@
     --machines N      Number of machines in service pools; a third as many more are spares. [default: 6]
     --callers N       Number of concurrent callers. [default: 6]
     --accounts N      Number of client accounts, whose keys are added and revoked meanwhile. [default: 0, no keys]
-    --regressions     Run the seeds that have failed before instead.
+    --single          Draw faults one at a time, of nodes, the store and the paths to workers.
+                      [default: several at a time, also of the machine API and of unreachable workers]
+    --large-every N   Run every Nth seed with 24 daemons, 48 machines and 24 callers. [default: 0, none]
+    --regressions     Run the seeds that have failed before instead, with --single.
     -h, --help        Show this help.
 
 Prints one line for each seed. If a guarantee was violated, prints the log directory, the violations and the faults too,
-and exits with a failure status. Only processes that the soak started are signalled.
+and exits with a failure status. Only processes that the soak started are signalled. CI runs a few seeds for seconds;
+the long run is by hand: standin soak --daemon target/release/wasabiloftd --seed 1 --seeds 50 --large-every 10
 ";
 
 pub fn run(argv: &[OsString]) -> Result<ExitCode, String> {
@@ -37,7 +41,8 @@
 
     let seed = SmallRng::from_os_rng().random_range(0..1_000_000_000);
     let mut options = soak::Options::new(PathBuf::new(), seed);
-    let (mut seeds, mut regressions) = (1, false);
+    options.faults = soak::Faults::Series;
+    let (mut seeds, mut regressions, mut large_every) = (1, false, 0);
     let mut parser = util::parser(argv);
     while let Some(arg) = parser.next().map_err(util::words)? {
         match arg {
@@ -49,6 +54,8 @@
             Long("machines") => options.machines = number(&mut parser)?.clamp(3, 200) as usize,
             Long("callers") => options.callers = number(&mut parser)?.clamp(1, 200) as usize,
             Long("accounts") => options.accounts = number(&mut parser)?.min(20) as usize,
+            Long("single") => options.faults = soak::Faults::Single,
+            Long("large-every") => large_every = number(&mut parser)?,
             Long("regressions") => regressions = true,
             Short('h') | Long("help") => {
                 print!("{USAGE}");
@@ -60,6 +67,9 @@
     if options.daemon.as_os_str().is_empty() {
         return Err(USAGE.to_owned());
     }
+    if regressions {
+        options.faults = soak::Faults::Single;
+    }
     let seeds: Vec<u64> = if regressions {
         soak::REGRESSIONS.iter().map(|(seed, _)| *seed).collect()
     } else {
@@ -67,7 +77,7 @@
     };
     util::block_on(async {
         tokio::select! {
-            outcome = run_seeds(options, seeds) => outcome,
+            outcome = run_seeds(options, seeds, large_every) => outcome,
             // Dropping the other branch ends the processes and stand-ins that it started.
             signal = util::wait_for_signal() => signal.map(|()| ExitCode::FAILURE),
         }
@@ -81,13 +91,23 @@
     value.parse().map_err(util::words)
 }
 
-async fn run_seeds(options: soak::Options, seeds: Vec<u64>) -> Result<ExitCode, String> {
+async fn run_seeds(
+    options: soak::Options,
+    seeds: Vec<u64>,
+    large_every: u64,
+) -> Result<ExitCode, String> {
     let mut failed = 0;
     for &seed in &seeds {
-        let options = soak::Options {
+        let mut options = soak::Options {
             seed,
             ..options.clone()
         };
+        if large_every > 0 && seed.is_multiple_of(large_every) {
+            let large = soak::Options::large(options.daemon.clone(), seed);
+            options.nodes = large.nodes;
+            options.machines = large.machines;
+            options.callers = large.callers;
+        }
         let report = soak::run(&options).await.map_err(util::words)?;
         println!(
             "seed={seed} jobs={} accepted={} refused={} starts={} faults={} broken={}",
