watch: refused connections and a missing entry don't end a draining worker

Cause: three refused connections and a missing registry entry counted as the end of a draining worker. A network that refuses connections, and an entry that expires, show only that the worker can't be reached; its runs go on under their lease. A draining worker is never polled again after that, so its runs end unheard. Change: this evidence is gone. Such a worker ends when the list of machines no longer shows it, when another incarnation answers, or when its lease has lapsed. Failures of relayed commands no longer tell whether a connection was refused, as nothing asks.

--- a/node/src/batch/relay/link.rs
+++ b/node/src/batch/relay/link.rs
@@ -174,7 +174,6 @@
 fn failure(verdict: Verdict, reason: &str) -> Failure {
     Failure {
         verdict,
-        refused: false,
         reason: reason.into(),
     }
 }
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -73,8 +73,6 @@
 pub struct Failure {
     /// Whether the command can have had an effect.
     pub verdict: Verdict,
-    /// Whether the worker's address refused the connection.
-    pub refused: bool,
     /// Description of the failure for logs.
     pub reason: String,
 }
@@ -83,7 +81,6 @@
     fn from(error: call::NoAnswer) -> Self {
         Self {
             verdict: error.verdict,
-            refused: error.refused,
             reason: error.reason,
         }
     }
@@ -163,7 +160,6 @@
             let Some(text) = text else {
                 return Err(Failure {
                     verdict: Verdict::NotRun,
-                    refused: false,
                     reason: format!("no text of job {}", task.job),
                 });
             };
--- a/node/src/batch/relay/server.rs
+++ b/node/src/batch/relay/server.rs
@@ -195,7 +195,6 @@
         number: request.number,
         outcome: Err(Failure {
             verdict: Verdict::NotRun,
-            refused: false,
             reason: "the relay received the command too late".into(),
         }),
     }
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -35,8 +35,6 @@
 const UNCOMMITTED_PAUSE_MS: u64 = 60;
 /// Maximum number of concurrent commands to one worker; each needs a connection.
 const CONCURRENT_COMMANDS_MAX: usize = 3;
-/// Consecutive refused connections after which a leaving worker counts as removed.
-const REFUSALS_UNTIL_REMOVED: u32 = 3;
 
 /// A worker that is polled.
 struct PolledWorker {
@@ -335,7 +333,6 @@
 fn unexpected(response: &Response) -> Failure {
     Failure {
         verdict: Verdict::MayHaveRun,
-        refused: false,
         reason: format!("unexpected response {response:?}"),
     }
 }
@@ -348,7 +345,6 @@
 ) {
     let id = &recipient.target.worker;
     let mut retry_ms = POLL_RETRY_MS.0;
-    let mut refusals = 0;
     loop {
         let sent_at = clock::since_boot();
         let Some(poll) = leadership.scheduler().next_poll(id, sent_at) else {
@@ -359,7 +355,6 @@
         let error = match outcome.await {
             Ok(Response::Report(report)) => {
                 retry_ms = POLL_RETRY_MS.0;
-                refusals = 0;
                 apply_report(&leadership, id, &report, sent_at).await;
                 continue;
             }
@@ -390,34 +385,18 @@
         if let Some(error) = error {
             metrics::counter!("wasabiloft_looks_unanswered_total").increment(1);
             leadership.scheduler().poll_failed(id);
-            refusals = if error.refused { refusals + 1 } else { 0 };
             if retry_ms == POLL_RETRY_MS.0 {
                 log::info(
                     "holder",
                     &format!("worker silent worker={id} reason={}", error.reason),
                 );
             }
-            if refusals >= REFUSALS_UNTIL_REMOVED && has_left(&leadership, id) {
-                leadership.scheduler().incarnation_ended(
-                    id,
-                    IncarnationEnd::Left,
-                    clock::since_boot(),
-                );
-                leadership.wake.notify_one();
-                return;
-            }
         }
         time::sleep(Duration::from_millis(retry_ms)).await;
         retry_ms = (retry_ms * 2).min(POLL_RETRY_MS.1);
     }
 }
 
-fn has_left(leadership: &leadership::Leadership, id: &id::Worker) -> bool {
-    let scheduler = leadership.scheduler();
-    let worker = scheduler.workers().get(id);
-    worker.is_some_and(|worker| worker.listing.leaving && !worker.listed)
-}
-
 async fn apply_report(
     leadership: &leadership::Leadership,
     id: &id::Worker,
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -20,8 +20,6 @@
     MachineWithout,
     /// Another incarnation answers at its address.
     OtherLife,
-    /// It announced its stop, is no longer registered and refuses connections.
-    Left,
     /// It is no longer registered, and all its leases have lapsed.
     LapsedUnlisted,
 }
@@ -32,7 +30,6 @@
         match self {
             Self::MachineWithout => "machine-without",
             Self::OtherLife => "other-life",
-            Self::Left => "left",
             Self::LapsedUnlisted => "lapsed-unlisted",
         }
     }
@@ -41,7 +38,7 @@
     fn is_crash(self) -> bool {
         match self {
             Self::MachineWithout | Self::OtherLife => true,
-            Self::Left | Self::LapsedUnlisted => false,
+            Self::LapsedUnlisted => false,
         }
     }
 }
