standins: send rows, machines and runs as given JSON texts

The stand-ins could show only well-formed entries, so no test could put one of another writer beside sound ones.

--- a/standins/src/hosted/machines.rs
+++ b/standins/src/hosted/machines.rs
@@ -8,8 +8,9 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router, routing};
-use serde::Deserialize;
-use serde_json::{Value, json};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use serde_json::value::{RawValue, to_raw_value};
 use tokio::time;
 
 use super::checker::Checker;
@@ -52,6 +53,16 @@
     inner: Mutex<Inner>,
     checker: Arc<Checker>,
     spare: String,
+    /// JSON texts that the list shows in place of machines, or beside them.
+    texts: Mutex<BTreeMap<String, String>>,
+}
+
+/// A page of the list.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    machines: Vec<Box<RawValue>>,
+    next_page_token: &'static str,
 }
 
 #[derive(Deserialize)]
@@ -77,6 +88,7 @@
             inner: Mutex::default(),
             checker,
             spare: spare.to_owned(),
+            texts: Mutex::default(),
         });
         let router = Router::new()
             .route("/machines", routing::get(list))
@@ -141,10 +153,28 @@
         running
     }
 
-    fn to_json(&self) -> Value {
+    /// Lists a JSON text in place of a machine's entry, or beside the others at the name's position; `None` ends that.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the text isn't JSON.
+    pub fn list_as(&self, name: &str, text: Option<&str>) {
+        let mut texts = lock(&self.texts);
+        match text {
+            Some(text) => {
+                RawValue::from_string(text.to_owned()).expect("JSON");
+                texts.insert(name.to_owned(), text.to_owned());
+            }
+            None => {
+                texts.remove(name);
+            }
+        }
+    }
+
+    fn page(&self) -> Page {
         self.refresh();
         let inner = lock(&self.inner);
-        let machines: Vec<Value> = inner
+        let mut machines: BTreeMap<&str, Box<RawValue>> = inner
             .machines
             .iter()
             .map(|(name, machine)| {
@@ -154,15 +184,24 @@
                 } else {
                     machine.worker.incarnation().0
                 };
-                json!({
+                let entry = json!({
                     "machine": name, "pool": machine.pool, "zone": "andes",
                     "state": machine.outage.map_or("up", |(state, _)| state),
                     "labels": ["a", "r1"], "id": id,
                     "capacity": {"cpu": machine.worker.cpu_milli(), "memMb": MEMORY_MIB, "gpu": 0},
-                })
+                });
+                (name.as_str(), to_raw_value(&entry).expect("JSON"))
             })
             .collect();
-        json!({ "machines": machines, "nextPageToken": "" })
+        let texts = lock(&self.texts);
+        for (name, text) in texts.iter() {
+            let text = RawValue::from_string(text.clone()).expect("JSON");
+            machines.insert(name, text);
+        }
+        Page {
+            machines: machines.into_values().collect(),
+            next_page_token: "",
+        }
     }
 
     /// Checks and records the lease holder of a command. Returns an error status if the machine can't execute it.
@@ -218,8 +257,8 @@
     (status, Json(json!({"reason": "busy"}))).into_response()
 }
 
-async fn list(State(machines): State<Arc<Machines>>) -> Json<Value> {
-    Json(machines.to_json())
+async fn list(State(machines): State<Arc<Machines>>) -> Json<Page> {
+    Json(machines.page())
 }
 
 async fn change_pool(
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 use tokio::sync::Notify;
 use tokio::time;
 
@@ -44,9 +45,20 @@
     /// True if the row was removed.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub deleted: bool,
+    /// JSON text that the store sends in place of the row, if set.
+    #[serde(skip)]
+    text: Option<String>,
 }
 
 impl Row {
+    fn wire(self) -> Box<RawValue> {
+        let text = match self.text {
+            Some(text) => RawValue::from_string(text),
+            None => to_raw_value(&self),
+        };
+        text.expect("a row is valid JSON")
+    }
+
     fn name(&self) -> Key {
         (self.table.clone(), self.part.clone(), self.key.clone())
     }
@@ -121,7 +133,7 @@
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Page {
-    rows: Vec<Row>,
+    rows: Vec<Box<RawValue>>,
     more_pages: bool,
     record_version: u64,
     now_ms: u64,
@@ -168,12 +180,29 @@
 
     /// Writes a row without conditions, as an operator or a worker does; `value` is in base64.
     pub fn put(&self, table: &str, key: &str, value: &str) {
-        let row = Row {
+        self.put_row(Row {
             table: table.into(),
             key: key.into(),
             value: Some(value.into()),
             ..Row::default()
-        };
+        });
+    }
+
+    /// Makes the store send a JSON text in place of a row.
+    ///
+    /// # Panics
+    ///
+    /// A response with the row panics if the text isn't JSON.
+    pub fn put_text(&self, table: &str, key: &str, text: &str) {
+        self.put_row(Row {
+            table: table.into(),
+            key: key.into(),
+            text: Some(text.into()),
+            ..Row::default()
+        });
+    }
+
+    fn put_row(&self, row: Row) {
         let mut rows = lock(&self.rows);
         rows.version += 1;
         let record_version = rows.version;
@@ -322,7 +351,7 @@
             .collect();
         changed.sort_by_key(|row| row.record_version);
         Page {
-            rows: changed,
+            rows: changed.into_iter().map(Row::wire).collect(),
             more_pages: false,
             record_version: rows.version,
             now_ms: self.now_ms(),
@@ -379,7 +408,7 @@
         Err(rows) => (StatusCode::PRECONDITION_FAILED, rows, 0),
     };
     let page = Page {
-        rows,
+        rows: rows.into_iter().map(Row::wire).collect(),
         more_pages: false,
         record_version,
         now_ms: store.now_ms(),
@@ -406,7 +435,7 @@
         .collect();
     let more_pages = found.len() > range.limit;
     Json(Page {
-        rows: found.into_iter().take(range.limit).collect(),
+        rows: found.into_iter().take(range.limit).map(Row::wire).collect(),
         more_pages,
         record_version: rows.version,
         now_ms: store.now_ms(),
--- a/standins/src/hosted/worker.rs
+++ b/standins/src/hosted/worker.rs
@@ -12,7 +12,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router, routing};
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time;
 
 use super::checker::Checker;
@@ -147,6 +147,8 @@
     pub unresponsive: AtomicBool,
     /// If set, the worker is switched off and answers every request with status 503.
     pub off: AtomicBool,
+    /// Row that reports list beside the runs in progress, if set.
+    odd_run: Mutex<Option<Value>>,
     lapsed: AtomicUsize,
 }
 
@@ -207,6 +209,7 @@
             incarnation: Mutex::new(Incarnation::new(id, 1)),
             unresponsive: AtomicBool::new(false),
             off: AtomicBool::new(false),
+            odd_run: Mutex::default(),
             lapsed: AtomicUsize::new(0),
         });
         let router = Router::new()
@@ -242,6 +245,11 @@
         (incarnation.id.clone(), incarnation.born_unix_ms)
     }
 
+    /// Sets the row that reports list beside the runs in progress.
+    pub fn report_beside(&self, row: Option<Value>) {
+        *lock(&self.odd_run) = row;
+    }
+
     /// Returns the number of runs that ended because the lease lapsed.
     pub fn lapsed_count(&self) -> usize {
         self.lapsed.load(Ordering::Relaxed)
@@ -480,11 +488,12 @@
             };
             (elapsed * 100 / total_ms.max(1)).min(100)
         };
-        let running: Vec<_> = incarnation
+        let mut running: Vec<_> = incarnation
             .running
             .iter()
             .map(|(task, running)| json!([task, running.run, "", percent(running), 0]))
             .collect();
+        running.extend(lock(&self.odd_run).clone());
         let ends: Vec<_> = incarnation
             .ends
             .iter()
