--- a/src/platform.rs
+++ b/src/platform.rs
@@ -116,12 +116,12 @@
 }
 
 impl Resources {
-    /// Returns the sum of two amounts.
+    /// Returns the sum of two amounts, at most the largest number.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
