store: an odd row no longer makes a whole page unreadable

Cause: all rows of a page were decoded together, so one row that the store sends oddly (a value, key or version of another type, a lone surrogate, bytes that aren't UTF-8) failed the call. The feed of the registry then got no further: no worker that joined later was used. A value that isn't base64 also looked like a removed row: a standby forgot its job, callers were told that there is no such job, and the registry's feed named it in no line.

Change: a page that can't be decoded in one piece is decoded row by row. A row whose name can be read has no value, others are counted. Rows say whether they were removed. Reading all rows ends at a page without a readable name, which doesn't tell where the next one begins. Pages without odd rows take the same path as before.

Checked: sound_entries_are_followed_beside_rows_that_the_store_sends_oddly (node) and sound_rows_of_a_page_are_read_beside_odd_ones (platform) failed before and pass.

--- a/node/src/batch/forward.rs
+++ b/node/src/batch/forward.rs
@@ -322,6 +322,7 @@
         Ok(ReadReply::Row(row)) => Ok(row.map(|(text, version)| store::Row {
             name: name.clone(),
             value: Some(text.into_bytes()),
+            removed: false,
             version,
         })),
         Ok(ReadReply::Failed) | Err(_) => Err(()),
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -11,7 +11,7 @@
 use wasabiloft::batch::recovery::{Part, Reads};
 use wasabiloft::batch::{JobId, record, recovery_pages, scheduler};
 use wasabiloft::id;
-use wasabiloft_platform::store;
+use wasabiloft_platform::{excerpt, store};
 
 use crate::batch::shared;
 use crate::clock;
@@ -37,9 +37,12 @@
     pub fn decode(rows: &[store::Row], removed: &BTreeMap<JobId, u64>) -> Self {
         let mut jobs = Self::default();
         for row in rows {
-            let Some(value) = &row.value else { continue };
+            if row.removed {
+                continue;
+            }
             let Some(key) = record::JobKey::parse(&row.name.key) else {
-                log::warn("holder", &format!("row ignored key={}", row.name.key));
+                let key = excerpt::excerpt(&row.name.key);
+                log::warn("holder", &format!("row ignored key={key}"));
                 continue;
             };
             let (record::JobKey::Accepted(job) | record::JobKey::Cancelled(job)) = key;
@@ -50,12 +53,9 @@
                 continue;
             }
             match key {
-                record::JobKey::Accepted(job) => match serde_json::from_slice(value) {
-                    Ok(accepted) => jobs.accepted.push((job, accepted)),
-                    Err(error) => {
-                        log_decode_error(row, &error);
-                        jobs.undecodable.push(job);
-                    }
+                record::JobKey::Accepted(job) => match decode(row) {
+                    Some(accepted) => jobs.accepted.push((job, accepted)),
+                    None => jobs.undecodable.push(job),
                 },
                 record::JobKey::Cancelled(job) => jobs.cancelled.push(job),
             }
@@ -64,12 +64,14 @@
     }
 }
 
-fn log_decode_error(row: &store::Row, error: &serde_json::Error) {
+fn log_decode_error(row: &store::Row, reason: &str) {
     log::warn(
         "holder",
         &format!(
-            "cannot decode row table={} key={} reason={error}",
-            row.name.table, row.name.key
+            "cannot decode row table={} key={} reason={}",
+            row.name.table,
+            excerpt::excerpt(&row.name.key),
+            excerpt::excerpt(reason)
         ),
     );
 }
@@ -342,9 +344,13 @@
 where
     T: serde::de::DeserializeOwned,
 {
-    let decoded = serde_json::from_slice(row.value.as_ref()?);
+    let Some(value) = &row.value else {
+        log_decode_error(row, "no readable content");
+        return None;
+    };
+    let decoded = serde_json::from_slice(value);
     decoded
-        .inspect_err(|error| log_decode_error(row, error))
+        .inspect_err(|error| log_decode_error(row, &error.to_string()))
         .ok()
 }
 
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -100,7 +100,7 @@
             match shared.store.row(name, timeout_ms).await {
                 Ok(row) => {
                     shared.record_store_response();
-                    return Ok(row.filter(|row| row.value.is_some()));
+                    return Ok(row.filter(|row| !row.removed));
                 }
                 Err(_) => metrics::counter!("wasabiloft_store_retries_total").increment(1),
             }
--- a/node/src/batch/standby.rs
+++ b/node/src/batch/standby.rs
@@ -38,7 +38,7 @@
     /// Applies a page of changes, which also contains removals.
     fn apply(&mut self, page: &store::Page) {
         for row in &page.rows {
-            if row.value.is_none() {
+            if row.removed {
                 match record::JobKey::parse(&row.name.key) {
                     Some(record::JobKey::Accepted(job)) => {
                         self.accepted.remove(&job);
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -380,7 +380,7 @@
         }
         Ok(store::CommitOutcome::CheckFailed(rows)) => {
             shared.record_store_response();
-            let existing = rows.iter().filter(|row| row.value.is_some());
+            let existing = rows.iter().filter(|row| !row.removed);
             let keys = existing.filter_map(|row| record::JobKey::parse(&row.name.key));
             Outcome::CheckFailed(keys.collect())
         }
