registry: a known worker whose entry turns odd is not taken for unlisted

Cause: an entry that can't be read counted as a missing one. For a leaving worker that is half of the proof that it has ended: after three refused connections its tasks were started elsewhere, without waiting for its lease. And each version of an odd entry was logged, with its whole text.

Change: a worker whose entry can't be read gets no new tasks and stays listed until the entry can be read again or is removed. Its runs are followed, and released only as those of any other worker are.

--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -22,6 +22,7 @@
 mod shared;
 mod standby;
 mod submissions;
+mod unreadable;
 mod watch;
 
 use std::path::Path;
--- a/node/src/batch/registry_feed.rs
+++ b/node/src/batch/registry_feed.rs
@@ -6,7 +6,7 @@
 use wasabiloft::id;
 use wasabiloft_platform::{registry, store};
 
-use crate::batch::{leadership, shared};
+use crate::batch::{leadership, shared, unreadable};
 use crate::clock;
 use crate::log;
 
@@ -40,7 +40,10 @@
         let is_last = !page.more || page.rows.is_empty();
         match partial {
             None => *partial = Some(page),
-            Some(all) => all.rows.extend(page.rows),
+            Some(all) => {
+                all.rows.extend(page.rows);
+                all.unnamed += page.unnamed;
+            }
         }
         if let Some(all) = partial.take_if(|_| is_last) {
             return Ok(all);
@@ -53,6 +56,7 @@
     let mut after = None;
     let mut partial = None;
     let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
+    let mut unreadable = unreadable::Unreadable::new("registry", "holder");
     let mut lost_at = None;
     let mut trusted_at = wasabiloft::clock::Instant::ZERO;
     while !leadership.ended.is_cancelled() {
@@ -100,9 +104,21 @@
                 known.remove(&worker);
                 leadership.scheduler().worker_unlisted(&worker);
             }
+            unreadable.retain(|key| present.contains(&id::Worker::new(key)));
+        }
+        if page.unnamed > 0 {
+            let line = format!("entries without a readable key rows={}", page.unnamed);
+            unreadable.found("", &line);
         }
         for row in &page.rows {
-            apply_entry(&leadership, row, &mut known, now >= trusted_at);
+            let removals_trusted = now >= trusted_at;
+            apply_entry(
+                &leadership,
+                row,
+                &mut known,
+                &mut unreadable,
+                removals_trusted,
+            );
         }
         after = Some(page.version.max(after.unwrap_or(0)));
         leadership.wake.notify_one();
@@ -114,23 +130,31 @@
     leadership: &leadership::Leadership,
     row: &store::Row,
     known: &mut BTreeMap<id::Worker, u64>,
+    unreadable: &mut unreadable::Unreadable,
     removals_trusted: bool,
 ) {
     let id = id::Worker::new(&row.name.key);
     let now = clock::since_boot();
+    if row.removed {
+        unreadable.resolved(&row.name.key);
+        if removals_trusted {
+            known.remove(&id);
+            leadership.scheduler().worker_unlisted(&id);
+        }
+        return;
+    }
     match registry::decode(row) {
         Ok(listing) => {
+            if unreadable.resolved(&row.name.key) {
+                log::info("holder", &format!("entry can be used again worker={id}"));
+            }
             known.insert(id, row.version);
             leadership.scheduler().worker_listed(listing, now);
         }
         Err(error) => {
-            if row.value.is_some() {
-                log::warn("holder", &error.to_string());
-            }
-            if removals_trusted || row.value.is_some() {
-                known.remove(&id);
-                leadership.scheduler().worker_unlisted(&id);
-            }
+            unreadable.found(&row.name.key, &error.to_string());
+            // The entry doesn't prove that the worker has left, so what runs there is followed on.
+            leadership.scheduler().worker_unreadable(&id);
         }
     }
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -299,6 +299,14 @@
         }
     }
 
+    /// Records that a worker's registry entry cannot be read. It gets no new tasks until an entry can be read again, and
+    /// its tasks are kept.
+    pub fn worker_unreadable(&mut self, id: &id::Worker) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.readable = false;
+        }
+    }
+
     /// Releases the capacity of a task whose run is over, so that the task waits for its next start.
     fn release_task(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -119,6 +119,8 @@
     pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
     pub started_unix_ms: u64,
+    /// Whether the worker's newest registry entry could be read.
+    pub readable: bool,
     /// Whether the worker has responded to a poll of this leader, which raised the worker's fencing epoch.
     pub adopted: bool,
     /// Whether the worker's row is committed, so that the next leader knows the worker.
@@ -175,6 +177,7 @@
             recorded: false,
             clock: None,
             last_response_at: now,
+            readable: true,
             excused_ms: 0,
             unanswered: false,
             lease_until_ms: 0,
@@ -206,6 +209,7 @@
         self.largest.minus(&self.listing.size)
     }
 
+        self.readable = true;
     /// Records a response with the worker's clock in milliseconds.
     pub fn on_response(&mut self, clock_ms: u64, now: clock::Instant) {
         self.clock = Some((clock_ms, now));
@@ -269,6 +273,7 @@
     }
 
     /// Returns whether the free capacity covers `need`.
+            && self.readable
     pub fn has_capacity(&self, need: &Resources) -> bool {
         self.unreserved.is_some_and(|unreserved| {
             unreserved
@@ -329,6 +334,7 @@
 
     /// Returns whether the worker's last runs all failed; it then gets one task at a time as a trial.
     pub fn is_suspect(&self) -> bool {
+            && self.readable
         self.failures >= SUSPECT_FAILURES
     }
 }
