fleet: an odd machine no longer makes the list of machines unreadable

Cause: the list's entries were decoded together, so one odd entry failed each reading: no machine was moved or maintained, and no crash was seen in the list, for as long as the entry was there.

A machine whose entry can't be read stays as the list before showed it, in a state in which it is neither moved nor maintained, and its worker isn't taken for gone. If not even the name can be read, that holds for every machine that the list lacks. Such a list excludes none of these machines from a wave and doesn't prove that workers which no list has shown have ended.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -14,7 +14,7 @@
 use wasabiloft_platform::machines::{Credentials, Machines};
 use wasabiloft_platform::{store, upkeep};
 
-use crate::batch::{leadership, shared};
+use crate::batch::{leadership, shared, unreadable};
 use crate::clock;
 use crate::log;
 use wasabiloft::batch::scheduler::{DrainState, IncarnationEnd};
@@ -50,6 +50,7 @@
     paused: BTreeMap<id::Vm, wasabiloft::clock::Instant>,
     commands: JoinSet<commands::CommandResult>,
     logged_at: wasabiloft::clock::Instant,
+    unreadable: unreadable::Unreadable,
 }
 
 /// Manages the fleet until the leadership ends.
@@ -78,6 +79,7 @@
         pending: BTreeMap::new(),
         commands: JoinSet::new(),
         logged_at: wasabiloft::clock::Instant::ZERO,
+        unreadable: unreadable::Unreadable::new("machines", "fleet"),
         shared,
         leadership,
     };
@@ -148,7 +150,8 @@
                         listing.machines.len()
                     ),
                 );
-                self.apply_list(listing.machines, requested_at);
+                self.log_unreadable(&listing.warnings);
+                self.apply_list(listing.machines, &listing.unreadable, requested_at);
                 pause_ms
             }
             Err(error) => {
@@ -165,7 +168,22 @@
         pause_ms
     }
 
-    fn apply_list(&mut self, list: Vec<pools::Machine>, requested_at: wasabiloft::clock::Instant) {
+    fn log_unreadable(&mut self, warnings: &[String]) {
+        self.unreadable
+            .retain(|known| warnings.iter().any(|warning| warning == known));
+        for warning in warnings {
+            let line = format!("machine unreadable {warning}");
+            self.unreadable.found(warning, &line);
+        }
+    }
+
+    fn apply_list(
+        &mut self,
+        mut list: Vec<pools::Machine>,
+        unreadable: &pools::Unreadable,
+        requested_at: wasabiloft::clock::Instant,
+    ) {
+        unreadable.keep_from(&self.list, &mut list);
         let settings = self.shared.settings();
         let up: BTreeSet<id::Vm> = list
             .iter()
@@ -187,7 +205,7 @@
             );
             let removed: Vec<id::Vm> = wave
                 .remaining()
-                .filter(|vm| !known.contains(*vm))
+                .filter(|vm| !known.contains(*vm) && !unreadable.may_include(vm))
                 .cloned()
                 .collect();
             for vm in removed {
@@ -205,7 +223,7 @@
                 self.sent.remove(&machine.vm);
             }
         }
-        self.end_missing_incarnations(&list);
+        self.end_missing_incarnations(&list, unreadable.is_empty());
         self.positions = list
             .iter()
             .enumerate()
@@ -215,7 +233,9 @@
     }
 
     /// Ends the incarnations of workers whose machine no longer runs them: crashed, moved, in maintenance, or removed.
-    fn end_missing_incarnations(&mut self, list: &[pools::Machine]) {
+    ///
+    /// A list with unreadable entries proves nothing about workers that no list has shown.
+    fn end_missing_incarnations(&mut self, list: &[pools::Machine], is_whole: bool) {
         let now = clock::since_boot();
         let current: BTreeSet<&id::Worker> = list
             .iter()
@@ -227,7 +247,9 @@
                 scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout);
             }
         }
-        scheduler.resolve_missing(&current, now);
+        if is_whole {
+            scheduler.resolve_missing(&current, now);
+        }
         drop(scheduler);
         self.leadership.wake.notify_one();
     }
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -1,6 +1,7 @@
 //! Assignment of machines to pools: enough machines where work arrives, the rest powered off.
 
 mod forecast;
+mod unreadable;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,6 +9,7 @@
 use crate::platform::Resources;
 
 pub use forecast::{Arrival, Forecast, HISTORY_MS};
+pub use unreadable::Unreadable;
 
 /// One machine in the unit of demand, thousandths of a machine.
 pub const MACHINE_MILLI: u64 = 1_000;
@@ -23,6 +25,8 @@
     Upkeep,
     /// Down and not in maintenance.
     Down,
+    /// Not known, as the machine's entry cannot be read; the other fields are those of an earlier list.
+    Unreadable,
 }
 
 /// A machine's entry in the platform's list.
