worker: an odd row of a report no longer makes its worker silent

Cause: one row that can't be read failed the whole report. The poll counted as unanswered, the lease wasn't renewed, and after 4 s all tasks of the worker lapsed.

Change: rows are decoded one by one, and a report says how many of its runs and ends can't be read. Beside such a run, no run counts as missing and the worker takes no new task, as the run's need isn't known; beside such an end, none is acknowledged, as the worker would discard it. Rows are counted in wasabiloft_entries_unreadable_total{what="report"}.

--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -303,6 +303,8 @@
                 };
                 worker.ended.retain(|end| end.number > sent.acknowledged);
                 let report = worker_state::Report {
+                    unreadable_runs: 0,
+                    unreadable_ends: 0,
                     clock_ms: now_ms,
                     started_unix_ms: Some(1),
                     running: worker
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -467,6 +467,8 @@
     metrics::counter!("wasabiloft_workers_crashed_total")
         .increment(now.workers_crashed - before.workers_crashed);
     metrics::counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
+    metrics::counter!("wasabiloft_entries_unreadable_total", "what" => "report")
+        .increment(now.unreadable_rows - before.unreadable_rows);
 }
 
 /// Waits for some time, or until the leadership ends.
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -148,4 +148,6 @@
     pub workers_crashed: u64,
     /// Jobs that were given up because their tasks crash workers.
     pub given_up: u64,
+    /// Rows of workers' reports that cannot be read.
+    pub unreadable_rows: u64,
 }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -107,6 +107,19 @@
         worker.started_unix_ms = born_unix_ms;
         worker.unanswered = false;
         worker.on_response(report.clock_ms, now);
+        let is_whole = report.unreadable_runs == 0 && report.unreadable_ends == 0;
+        if worker.reports_whole != is_whole {
+            worker.reports_whole = is_whole;
+            self.log(format!(
+                "report read worker={id} unreadable_runs={} unreadable_ends={}",
+                report.unreadable_runs, report.unreadable_ends
+            ));
+        }
+        self.counts.unreadable_rows +=
+            u64::from(report.unreadable_runs) + u64::from(report.unreadable_ends);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         if !worker.adopted {
             worker.adopted = true;
             self.unresolved.remove(id);
@@ -121,8 +134,10 @@
         for run in &report.running {
             self.run_reported(id, run, now);
         }
-        self.apply_ends(id, &report.ended, now, unix_ms);
-        if report.ended.len() < ENDS_MAX {
+        self.apply_ends(id, report, now, unix_ms);
+        let is_whole = report.unreadable_runs == 0 && report.unreadable_ends == 0;
+        // A run that the report seems to lack can be one that cannot be read.
+        if is_whole && report.ended.len() < ENDS_MAX {
             self.release_missing(id, report, sent_at);
         }
         let unreserved = self.unreserved_use(id, report);
@@ -136,6 +151,9 @@
     /// Returns the capacity of the reported runs that have none reserved, which take it until their end is listed.
     fn unreserved_use(&self, id: &id::Worker, report: &worker_state::Report) -> Option<Resources> {
         let worker = self.workers.get(id)?;
+        if report.unreadable_runs > 0 {
+            return None;
+        }
         let mut total = Resources::default();
         for run in &report.running {
             if worker.tasks.contains(&run.task) {
@@ -156,16 +174,17 @@
     }
 
     /// Handles all ends whose job is known. Those after the first whose job is still unknown are acknowledged only after
-    /// that one, because a worker discards all ends up to the acknowledged number.
+    /// that one, because a worker discards all ends up to the acknowledged number. Next to an end that cannot be read, none
+    /// is acknowledged.
     fn apply_ends(
         &mut self,
         id: &id::Worker,
-        ends: &[worker_state::EndedRun],
+        report: &worker_state::Report,
         now: clock::Instant,
         unix_ms: u64,
     ) {
-        let mut is_complete = true;
-        for end in ends {
+        let mut is_complete = report.unreadable_ends == 0;
+        for end in &report.ended {
             let Some(worker) = self.workers.get(id) else {
                 return;
             };
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -104,6 +104,10 @@
     pub running: Vec<Run>,
     /// Ended runs that are not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Number of further runs in progress that cannot be read.
+    pub unreadable_runs: u32,
+    /// Number of further ended runs that cannot be read.
+    pub unreadable_ends: u32,
 }
 
 /// The state of a worker, kept by the scheduler.
@@ -115,12 +119,12 @@
     pub largest: Resources,
     /// Whether the registry still lists the worker.
     pub listed: bool,
+    /// Whether the worker's newest registry entry could be read.
+    pub readable: bool,
     /// When this incarnation was first seen.
     pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
     pub started_unix_ms: u64,
-    /// Whether the worker's newest registry entry could be read.
-    pub readable: bool,
     /// Whether the worker has responded to a poll of this leader, which raised the worker's fencing epoch.
     pub adopted: bool,
     /// Whether the worker's row is committed, so that the next leader knows the worker.
@@ -139,6 +143,8 @@
     pub tasks: BTreeSet<TaskId>,
     /// Capacity reserved for these tasks.
     pub used: Resources,
+    /// Whether all rows of the newest report could be read.
+    pub reports_whole: bool,
     /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
     pub unreserved: Option<Resources>,
     /// Number of the ended run up to which all were handled; 0 for none.
@@ -171,18 +177,19 @@
             largest: listing.size,
             listing,
             listed: true,
+            readable: true,
             joined_at: now,
             started_unix_ms: 0,
             adopted: false,
             recorded: false,
             clock: None,
             last_response_at: now,
-            readable: true,
             excused_ms: 0,
             unanswered: false,
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
+            reports_whole: true,
             unreserved: Some(Resources::default()),
             handled: 0,
             handled_ahead: BTreeSet::new(),
@@ -202,6 +209,7 @@
     pub fn update(&mut self, listing: Listing) {
         self.largest = self.largest.max(&listing.size);
         self.listing = listing;
+        self.readable = true;
     }
 
     /// Returns the capacity by which the worker has shrunk.
@@ -209,7 +217,6 @@
         self.largest.minus(&self.listing.size)
     }
 
-        self.readable = true;
     /// Records a response with the worker's clock in milliseconds.
     pub fn on_response(&mut self, clock_ms: u64, now: clock::Instant) {
         self.clock = Some((clock_ms, now));
@@ -266,6 +273,7 @@
         self.adopted
             && self.recorded
             && self.listed
+            && self.readable
             && !self.listing.leaving
             && !self.draining
             && now >= self.paused_until
@@ -273,7 +281,6 @@
     }
 
     /// Returns whether the free capacity covers `need`.
-            && self.readable
     pub fn has_capacity(&self, need: &Resources) -> bool {
         self.unreserved.is_some_and(|unreserved| {
             unreserved
@@ -327,6 +334,7 @@
     pub fn is_healthy(&self, now: clock::Instant) -> bool {
         self.adopted
             && self.listed
+            && self.readable
             && !self.listing.leaving
             && !self.is_suspect()
             && self.silent_ms(now) < SILENT_MS
@@ -334,7 +342,6 @@
 
     /// Returns whether the worker's last runs all failed; it then gets one task at a time as a trial.
     pub fn is_suspect(&self) -> bool {
-            && self.readable
         self.failures >= SUSPECT_FAILURES
     }
 }
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -987,6 +987,8 @@
                 usage: 0,
             });
         worker_state::Report {
+            unreadable_runs: 0,
+            unreadable_ends: 0,
             clock_ms: now_ms,
             started_unix_ms: Some(self.born_ms),
             running: running.collect(),
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -43,6 +43,8 @@
         usage: 0,
     });
     worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: now.as_ms(),
         started_unix_ms: Some(1),
         running: running.collect(),
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -144,6 +144,8 @@
     let batch = scheduler.take_batch();
     scheduler.batch_committed(&batch);
     let report = |ends| worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: Vec::new(),
@@ -228,6 +230,8 @@
     let batch = scheduler.take_batch();
     scheduler.batch_committed(&batch);
     let report = worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: Vec::new(),
@@ -283,6 +287,8 @@
     let id = id::Worker::new("unheard");
     assert_eq!(scheduler.drain_state(&id), DrainState::Unknown);
     let report = worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: Vec::new(),
@@ -298,6 +304,8 @@
     let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
     let names = ["allowed", "refused"].map(id::Worker::new);
     let report = worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: Vec::new(),
@@ -384,6 +392,8 @@
     let batch = scheduler.take_batch();
     scheduler.batch_committed(&batch);
     let mut report = worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: Vec::new(),
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -25,6 +25,8 @@
     ends: Vec<(u64, TaskId, u32, worker_state::Outcome)>,
 ) -> worker_state::Report {
     worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: running
--- a/tests/test_batch_recovery.rs
+++ b/tests/test_batch_recovery.rs
@@ -271,6 +271,8 @@
             checkpoint: None,
         });
     worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: running.collect(),
--- a/tests/test_batch_trials.rs
+++ b/tests/test_batch_trials.rs
@@ -98,6 +98,8 @@
                 usage: 0,
             });
             let report = worker_state::Report {
+                unreadable_runs: 0,
+                unreadable_ends: 0,
                 clock_ms: self.now_ms,
                 started_unix_ms: Some(1),
                 running: running.collect(),
