recovery: a worker whose row can't be read holds back recovered tasks

Cause: a new leader skipped rows of the worker table that it couldn't decode, so it started recovered tasks without waiting for that worker, which may run them until its lease lapses.

Change: such a worker counts as one that may run tasks of any service, until it answers, is gone, or its lease has lapsed.

Checked: recovered_tasks_wait_for_a_worker_whose_row_cannot_be_read. Without the change of may_run the row's service matches none; found by reading, no such row was seen.

--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -317,10 +317,9 @@
         match read.part {
             Part::Workers => {
                 for row in &read.rows {
-                    if let Some(worker) = decode(row) {
-                        let id = id::Worker::new(&row.name.key);
-                        self.state.workers.push((id, worker));
-                    }
+                    let worker = decode(row).unwrap_or_else(record::WorkerRow::unreadable);
+                    let id = id::Worker::new(&row.name.key);
+                    self.state.workers.push((id, worker));
                 }
             }
             Part::Progress => {
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -211,10 +211,24 @@
 /// The row of a worker that can run tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRow {
-    /// Service whose tasks the worker runs.
+    /// Service whose tasks the worker runs; has no name if the row cannot be read.
     pub service: id::Service,
 }
 
+impl WorkerRow {
+    /// Returns the row of a worker whose row cannot be read.
+    pub fn unreadable() -> Self {
+        Self {
+            service: id::Service::new(""),
+        }
+    }
+
+    /// Returns whether the worker may run tasks of a service; one whose row cannot be read may run those of any.
+    pub fn may_run(&self, service: &id::Service) -> bool {
+        self.service == *service || self.service.as_str().is_empty()
+    }
+}
+
 /// The row of the newest command for a machine, committed before the command is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineRow {
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -109,7 +109,7 @@
         if self
             .unresolved
             .values()
-            .any(|worker| worker.service == *service)
+            .any(|worker| worker.may_run(service))
         {
             return None;
         }
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -1,6 +1,7 @@
 //! Planning: which waiting tasks start, in which order, and on which worker.
 
 use crate::batch::order;
+use crate::batch::record;
 use crate::batch::scheduler::{Output, Scheduler, Start};
 use crate::batch::scheduler::{job, room};
 use crate::batch::spec;
@@ -73,7 +74,13 @@
         self.release_reservations(now);
         self.count_unheard();
         self.mark_rates(unix_ms);
-        for service in std::mem::take(&mut self.dirty_services) {
+        let mut dirty_services = std::mem::take(&mut self.dirty_services);
+        let row_unread = record::WorkerRow::unreadable();
+        if dirty_services.contains(&row_unread.service) {
+            // The worker whose row could not be read held back the tasks of all services.
+            dirty_services.extend(self.config.services.keys().cloned());
+        }
+        for service in dirty_services {
             self.plan_service(&service, now, unix_ms);
         }
     }
@@ -82,7 +89,7 @@
         let has_unresolved = self
             .unresolved
             .values()
-            .any(|worker| worker.service == *service);
+            .any(|worker| worker.may_run(service));
         let candidates = self.candidates(service, has_unresolved, unix_ms);
         if candidates.is_empty() {
             return;
--- a/src/batch/scheduler/waiting.rs
+++ b/src/batch/scheduler/waiting.rs
@@ -155,7 +155,7 @@
             *counter += 1;
         }
         let unresolved = self.unresolved.values();
-        let unresolved = unresolved.filter(|row| row.service == *service).count();
+        let unresolved = unresolved.filter(|row| row.may_run(service)).count();
         let count = self.long_running_waiting(service);
         self.log(format!(
             "long-running task waits task={id} service={service} waits_ms={} need_milli={} count={count} \
