tests: odd entries, machines, reports and rows, and arbitrary input

Odd entries are put before, between and after sound ones, in the first list, in changes, and in the list that is read after a gap of the history, beside real daemons; all decoders of the platform's formats get arbitrary bytes, damaged documents and documents with an odd value (fixed seeds, 2,000 cases of each, 300 through a connection).

--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 use wasabiloft_platform::call::Client;
 use wasabiloft_standins::hosted::Listening;
+use wasabiloft_standins::hosted::machines::Machines;
 use wasabiloft_standins::hosted::process::{Node, Platform};
 use wasabiloft_standins::hosted::store::Store;
 use wasabiloft_standins::hosted::worker::{Settings, Worker};
@@ -33,6 +34,9 @@
     pub workers: Vec<Listening<Worker>>,
     /// Node processes.
     pub nodes: Vec<Node>,
+    /// Stand-in for the machine interface, if the platform has one.
+    pub machines: Option<Listening<Machines>>,
+    settings: Settings,
     folder: TempDir,
     link_kbit_per_s: u64,
     enforces_capacity: bool,
@@ -68,6 +72,23 @@
         workers: usize,
         settings: Settings,
         link_kbit_per_s: u64,
+    ) -> Self {
+        Self::start_on(nodes, workers, settings, link_kbit_per_s, None).await
+    }
+
+    /// Starts a cluster whose workers run on machines `m-0` and so on of one pool.
+    pub async fn start_with_machines(nodes: usize, workers: usize, task_ms: u64) -> Self {
+        let machines = Machines::start("spare", Arc::default()).await;
+        let machines = Some(machines.expect("a machine interface"));
+        Self::start_on(nodes, workers, Settings::new(task_ms), 1_000_000, machines).await
+    }
+
+    async fn start_on(
+        nodes: usize,
+        workers: usize,
+        settings: Settings,
+        link_kbit_per_s: u64,
+        machines: Option<Listening<Machines>>,
     ) -> Self {
         let mut cluster = Self {
             link_kbit_per_s,
@@ -75,13 +96,13 @@
             store: Store::start().await.expect("a store"),
             workers: Vec::new(),
             nodes: Vec::new(),
+            machines,
+            settings,
             folder: tempfile::tempdir().expect("a folder"),
         };
         cluster.configure(1, &[PREFIX]);
-        for number in 0..workers {
-            let worker = Worker::start_as(settings.clone(), None, Arc::default());
-            cluster.workers.push(worker.await.expect("a worker"));
-            cluster.put_entry(number);
+        for _ in 0..workers {
+            cluster.add_worker().await;
         }
         for number in 0..nodes {
             let node = cluster.start_node(number);
@@ -93,14 +114,34 @@
         cluster
     }
 
-    /// Writes a worker's registry entry.
-    fn put_entry(&self, worker: usize) {
+    /// Starts a worker and writes its registry entry.
+    pub async fn add_worker(&mut self) {
+        let number = self.workers.len();
+        let id = self.machines.as_ref().map(|_| format!("i-{number}"));
+        let worker = Worker::start_as(self.settings.clone(), id, Arc::default());
+        let worker = worker.await.expect("a worker");
+        if let Some(machines) = &self.machines {
+            let machine = format!("m-{number}");
+            let state = Arc::clone(&worker.state);
+            machines.state.add(&machine, "counter", state);
+        }
+        self.workers.push(worker);
+        self.put_entry(number);
+    }
+
+    /// Returns a worker's registry entry.
+    pub fn entry(&self, worker: usize) -> serde_json::Value {
         let Listening { address, state, .. } = &self.workers[worker];
-        let entry = json!({
+        json!({
             "service": "counter", "address": address, "zone": "andes", "version": "v1",
             "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "clockMs": 1,
             "capacity": {"cpu": state.cpu_milli(), "memMb": 16_000, "gpu": 0}, "labels": ["a", "r1"],
-        });
+        })
+    }
+
+    /// Writes a worker's registry entry.
+    pub fn put_entry(&self, worker: usize) {
+        let entry = self.entry(worker);
         self.put("servers", &format!("i-{worker}"), &entry.to_string());
     }
 
@@ -152,13 +193,14 @@
         let daemon = Path::new(env!("CARGO_BIN_EXE_wasabiloftd"));
         let platform = Platform {
             store: self.store.address,
-            machines: None,
+            machines: self.machines.as_ref().map(|machines| machines.address),
             link_kbit_per_s: self.link_kbit_per_s,
         };
         Node::start(daemon, self.folder.path(), number, platform).expect("the daemon starts")
     }
 
-    async fn until_ready(&self, node: usize) {
+    /// Waits until a node is ready.
+    pub async fn until_ready(&self, node: usize) {
         let ready = Client::new(self.nodes[node].ready);
         until("the node is ready", async || {
             let response = ready.get("/ready", 500).await;
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -18,6 +18,8 @@
 mod test_keys;
 mod test_links;
 mod test_nodes;
+mod test_odd_entries;
+mod test_odd_machines;
 mod test_recovery;
 mod test_slots;
 mod test_soak;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -16,6 +16,7 @@
 mod test_batch_faults;
 mod test_batch_holder;
 mod test_batch_inherit;
+mod test_batch_odd_entries;
 mod test_batch_order;
 mod test_batch_pools;
 mod test_batch_recovery;
