--- a/src/batch/machine_commands.rs
+++ b/src/batch/machine_commands.rs
@@ -42,7 +42,7 @@
     match machine.state {
         pools::State::Up => machine.worker.as_ref() == worker,
         pools::State::Upkeep => true,
-        pools::State::Moving | pools::State::Down => false,
+        pools::State::Moving | pools::State::Down | pools::State::Unreadable => false,
     }
 }
 
@@ -71,7 +71,7 @@
             let Some((worker, answered_at)) = self.workers.get(&machine.vm) else {
                 continue;
             };
-            if requested_at <= *answered_at {
+            if requested_at <= *answered_at || machine.state == pools::State::Unreadable {
                 continue;
             }
             if machine.state == pools::State::Up && machine.worker.as_ref() == Some(worker) {
--- a/src/batch/scheduler/machine_list.rs
+++ b/src/batch/scheduler/machine_list.rs
@@ -18,9 +18,12 @@
 
 impl Scheduler {
     /// Applies a list of machines that was requested at `requested_at` and names the workers in `current`.
+    ///
+    /// A list that is not whole, as entries of it can't be read, proves nothing about workers that no list has shown.
     pub fn machines_listed(
         &mut self,
         current: &BTreeSet<&id::Worker>,
+        is_whole: bool,
         requested_at: clock::Instant,
         now: clock::Instant,
     ) {
@@ -48,7 +51,9 @@
                 now.since_ms(requested_at)
             )));
         }
-        self.end_unlisted(current, now);
+        if is_whole {
+            self.end_unlisted(current, now);
+        }
     }
 
     /// Ends workers that no list has shown: those of the previous leader, and those that ended before any list showed
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -150,4 +150,6 @@
     pub given_up: u64,
     /// Reports of runs that were at work although they had been taken for ended.
     pub outlived: u64,
+    /// Rows of workers' reports that cannot be read.
+    pub unreadable_rows: u64,
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -302,6 +302,14 @@
         }
     }
 
+    /// Records that a worker's registry entry cannot be read. It gets no new tasks until an entry can be read again, and
+    /// its tasks are kept.
+    pub fn worker_unreadable(&mut self, id: &id::Worker) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.readable = false;
+        }
+    }
+
     /// Requests that the active run of a task is stopped.
     fn stop_task(&mut self, id: TaskId, reason: job::StopReason, now: clock::Instant) {
         let Some(active) = self
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -104,6 +104,10 @@
     pub running: Vec<Run>,
     /// Ended runs that are not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Number of further runs in progress that cannot be read.
+    pub unreadable_runs: u32,
+    /// Number of further ended runs that cannot be read.
+    pub unreadable_ends: u32,
 }
 
 /// The state of a worker, kept by the scheduler.
@@ -117,6 +121,8 @@
     pub listed: bool,
     /// Whether a list of machines has shown the worker.
     pub on_machine: bool,
+    /// Whether the worker's newest registry entry could be read.
+    pub readable: bool,
     /// When this incarnation was first seen.
     pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
@@ -139,6 +145,8 @@
     pub tasks: BTreeSet<TaskId>,
     /// Capacity reserved for these tasks.
     pub used: Resources,
+    /// Whether all rows of the newest report could be read.
+    pub reports_whole: bool,
     /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
     pub unreserved: Option<Resources>,
     /// Number of the ended run up to which all were handled; 0 for none.
@@ -172,6 +180,7 @@
             listing,
             listed: true,
             on_machine: false,
+            readable: true,
             joined_at: now,
             started_unix_ms: 0,
             adopted: false,
@@ -183,6 +192,7 @@
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
+            reports_whole: true,
             unreserved: Some(Resources::default()),
             handled: 0,
             handled_ahead: BTreeSet::new(),
@@ -202,6 +212,7 @@
     pub fn update(&mut self, listing: Listing) {
         self.largest = self.largest.max(&listing.size);
         self.listing = listing;
+        self.readable = true;
     }
 
     /// Returns the capacity by which the worker has shrunk.
@@ -275,6 +286,7 @@
         self.adopted
             && self.recorded
             && self.listed
+            && self.readable
             && !self.listing.leaving
             && !self.draining
             && now >= self.paused_until
@@ -335,6 +347,7 @@
     pub fn is_healthy(&self, now: clock::Instant) -> bool {
         self.adopted
             && self.listed
+            && self.readable
             && !self.listing.leaving
             && !self.is_suspect()
             && self.silent_ms(now) < SILENT_MS
--- a/standins/src/hosted/worker/mod.rs
+++ b/standins/src/hosted/worker/mod.rs
@@ -13,7 +13,7 @@
 use axum::Json;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time;
 
 use self::server::{Hold, Start, Stop};
@@ -106,6 +106,8 @@
     pub late_commands: AtomicU32,
     /// Delay of late commands, in milliseconds.
     pub late_ms: AtomicU64,
+    /// Row that reports list beside the runs in progress, if set.
+    odd_run: Mutex<Option<Value>>,
     lapsed: AtomicUsize,
 }
 
@@ -138,6 +140,7 @@
             off: AtomicBool::new(false),
             late_commands: AtomicU32::new(0),
             late_ms: AtomicU64::new(0),
+            odd_run: Mutex::default(),
             lapsed: AtomicUsize::new(0),
         });
         let router = server::router(&state);
@@ -169,6 +172,11 @@
         (incarnation.id.clone(), incarnation.born_unix_ms)
     }
 
+    /// Sets the row that reports list beside the runs in progress.
+    pub fn report_beside(&self, row: Option<Value>) {
+        *lock(&self.odd_run) = row;
+    }
+
     /// Returns the number of runs that ended because the lease lapsed.
     pub fn lapsed_count(&self) -> usize {
         self.lapsed.load(Ordering::Relaxed)
@@ -438,11 +446,12 @@
             };
             (elapsed * 100 / total_ms.max(1)).min(100)
         };
-        let running: Vec<_> = incarnation
+        let mut running: Vec<_> = incarnation
             .running
             .iter()
             .map(|(task, running)| json!([task, running.run, "", percent(running), 0]))
             .collect();
+        running.extend(lock(&self.odd_run).clone());
         let ends: Vec<_> = incarnation
             .ends
             .iter()
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -25,6 +25,8 @@
     ends: Vec<(u64, TaskId, u32, worker_state::Outcome)>,
 ) -> worker_state::Report {
     worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
         clock_ms: 5,
         started_unix_ms: Some(1),
         running: running
@@ -215,7 +217,7 @@
     for after_ms in (100..3_000).step_by(200) {
         let at = now.after_ms(after_ms);
         scheduler.poll_answered(&b, &report(vec![], vec![]), at, at, 0);
-        scheduler.machines_listed(&listed, at, at);
+        scheduler.machines_listed(&listed, true, at, at);
         scheduler.plan(at, 0);
         if !started(&mut scheduler).is_empty() {
             started_at_ms.get_or_insert(after_ms);
--- a/tests/test_batch_live_workers.rs
+++ b/tests/test_batch_live_workers.rs
@@ -3,32 +3,15 @@
 use std::collections::BTreeSet;
 
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId, machine_commands, pools, waves, worker_state};
+use wasabiloft::batch::{JobId, TaskId, machine_commands, pools, waves};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
+use crate::fake_reports;
 use crate::fake_workers::{accepted, config, listing, settings, step};
 
 const JOB: JobId = JobId(1);
 
-fn report(running: &[(TaskId, u32)]) -> worker_state::Report {
-    worker_state::Report {
-        clock_ms: 5,
-        started_unix_ms: Some(1),
-        running: running
-            .iter()
-            .map(|(task, run)| worker_state::Run {
-                task: *task,
-                run: *run,
-                checkpoint: None,
-                percent: 10,
-                usage: 0,
-            })
-            .collect(),
-        ended: Vec::new(),
-    }
-}
-
 fn starts(scheduler: &mut Scheduler) -> Vec<(id::Worker, TaskId, u32)> {
     let outputs = scheduler.take_outputs().into_iter();
     outputs
@@ -48,7 +31,13 @@
     let batch = scheduler.take_batch();
     scheduler.batch_committed(&batch);
     for worker in ["a", "b"] {
-        scheduler.poll_answered(&id::Worker::new(worker), &report(&[]), now, now, 0);
+        scheduler.poll_answered(
+            &id::Worker::new(worker),
+            &fake_reports::running(&[]),
+            now,
+            now,
+            0,
+        );
     }
     scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
     scheduler.plan(now, 0);
@@ -63,16 +52,22 @@
     let now = Instant::from_ms(1_000);
     let (mut scheduler, worker, task, run) = one_run(now);
     let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
-    scheduler.machines_listed(&[&a, &b].into(), now, now);
+    scheduler.machines_listed(&[&a, &b].into(), true, now, now);
     let (requested, answered, applied) = (now.after_ms(10), now.after_ms(20), now.after_ms(30));
-    scheduler.poll_answered(&worker, &report(&[(task, run)]), now, answered, 0);
-    scheduler.machines_listed(&BTreeSet::new(), requested, applied);
+    scheduler.poll_answered(
+        &worker,
+        &fake_reports::running(&[(task, run)]),
+        now,
+        answered,
+        0,
+    );
+    scheduler.machines_listed(&BTreeSet::new(), true, requested, applied);
     scheduler.plan(applied, 0);
     assert_eq!(starts(&mut scheduler), []);
     assert!(scheduler.workers().contains_key(&worker));
 
     let (requested, applied) = (now.after_ms(40), now.after_ms(50));
-    scheduler.machines_listed(&BTreeSet::new(), requested, applied);
+    scheduler.machines_listed(&BTreeSet::new(), true, requested, applied);
     assert!(
         !scheduler.workers().contains_key(&worker),
         "silent since then"
@@ -85,9 +80,9 @@
     let now = Instant::from_ms(1_000);
     let (mut scheduler, worker, ..) = one_run(now);
     let other = id::Worker::new(if worker.as_str() == "a" { "b" } else { "a" });
-    scheduler.machines_listed(&[&worker, &other].into(), now, now);
+    scheduler.machines_listed(&[&worker, &other].into(), true, now, now);
     let later = now.after_ms(150);
-    scheduler.machines_listed(&[&other].into(), later, later);
+    scheduler.machines_listed(&[&other].into(), true, later, later);
     scheduler.plan(later, 0);
     let started: Vec<id::Worker> = starts(&mut scheduler)
         .into_iter()
--- a/tests/test_batch_release.rs
+++ b/tests/test_batch_release.rs
@@ -1,10 +1,11 @@
 //! Releases of tasks: what the log says about a second start, and about a run that goes on after it.
 
 use wasabiloft::batch::scheduler::{IncarnationEnd, Output, RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId, worker_state};
+use wasabiloft::batch::{JobId, TaskId};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
+use crate::fake_reports;
 use crate::fake_workers::{accepted, config, listing, settings, step};
 
 const JOB: JobId = JobId(1);
@@ -15,24 +16,6 @@
     index: 0,
 };
 
-fn report(running: &[u32]) -> worker_state::Report {
-    worker_state::Report {
-        clock_ms: 5,
-        started_unix_ms: Some(1),
-        running: running
-            .iter()
-            .map(|run| worker_state::Run {
-                task: TASK,
-                run: *run,
-                checkpoint: None,
-                percent: 10,
-                usage: 0,
-            })
-            .collect(),
-        ended: Vec::new(),
-    }
-}
-
 fn outputs(scheduler: &mut Scheduler) -> (Vec<(id::Worker, u32)>, Vec<String>) {
     let (mut starts, mut lines) = (Vec::new(), Vec::new());
     for output in scheduler.take_outputs() {
@@ -56,7 +39,13 @@
     let batch = scheduler.take_batch();
     scheduler.batch_committed(&batch);
     for worker in ["a", "b"] {
-        scheduler.poll_answered(&id::Worker::new(worker), &report(&[]), now, now, 0);
+        scheduler.poll_answered(
+            &id::Worker::new(worker),
+            &fake_reports::running(&[]),
+            now,
+            now,
+            0,
+        );
     }
     scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
     scheduler.plan(now, 0);
@@ -84,7 +73,13 @@
 
     let again = later.after_ms(300);
     scheduler.worker_listed(listing(worker.as_str()), again);
-    scheduler.poll_answered(&worker, &report(&[run]), again, again, 0);
+    scheduler.poll_answered(
+        &worker,
+        &fake_reports::running(&[(TASK, run)]),
+        again,
+        again,
+        0,
+    );
     let (_, lines) = outputs(&mut scheduler);
     let outlived = format!(
         "run outlived its release task={TASK} run={run} worker={worker} {released} released_ms=300"
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision library, one module per component.
 
+mod fake_reports;
 mod fake_slots;
 mod fake_submissions;
 mod fake_table;
@@ -17,6 +18,7 @@
 mod test_batch_holder;
 mod test_batch_inherit;
 mod test_batch_live_workers;
+mod test_batch_odd_entries;
 mod test_batch_order;
 mod test_batch_pools;
 mod test_batch_recovery;
