standins: long tasks in soaks with series of faults

Cause: all tasks were shorter than the time until an entry expires, so that no task of a worker that was taken for ended was left.

Change: a fifth of the jobs have tasks of 2 to 5.5 s. Faults of the machine API come with a maintenance wave.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -17,9 +17,9 @@
 
 use crate::client::Client;
 use crate::hosted::checker::Submission;
-use crate::soak::Options;
 use crate::soak::accounts::{self, Expected};
 use crate::soak::world::{HOST, QUEUES, World};
+use crate::soak::{Faults, Options};
 
 /// Request deadline that callers send, and their timeout for the response, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
@@ -29,6 +29,12 @@
 const VISIBLE_MS: u64 = 3_000;
 /// Pause of a caller between requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 30..250;
+/// Pause of a caller in a soak with series of faults, in milliseconds; leaves room for long tasks.
+const LONG_PAUSE_MS: std::ops::Range<u64> = 60..800;
+/// Share of jobs with long tasks in a soak with series of faults. Shorter tasks end before their worker's entry expires.
+const LONG_SHARE: f64 = 0.2;
+/// Duration of a long task, in milliseconds.
+const LONG_MS: std::ops::Range<u64> = 2_000..5_500;
 
 /// A job and its outcome as its caller knows them.
 #[derive(Clone, Debug)]
@@ -77,6 +83,7 @@
             client: Client::default(),
             rng: SmallRng::seed_from_u64(seed),
             account: (options.accounts > 0).then(|| number % options.accounts),
+            faults: options.faults,
         };
         tasks.spawn(caller.run(number, stop.clone()));
     }
@@ -88,6 +95,7 @@
     client: Client,
     rng: SmallRng,
     account: Option<usize>,
+    faults: Faults,
 }
 
 /// Key that no account has.
@@ -147,7 +155,10 @@
             jobs.push(self.submit(number, true).await);
         }
         while !stop.is_cancelled() {
-            let pause_ms = self.rng.random_range(PAUSE_MS);
+            let pause_ms = self.rng.random_range(match self.faults {
+                Faults::Single => PAUSE_MS,
+                Faults::Series => LONG_PAUSE_MS,
+            });
             time::sleep(Duration::from_millis(pause_ms)).await;
             match self.rng.random_range(0..10) {
                 0..5 => {
@@ -223,8 +234,12 @@
             (vec![2], "lasts cpu=800".into())
         } else {
             let count = self.rng.random_range(1..3);
-            let steps = (0..count).map(|_| self.rng.random_range(1..5)).collect();
-            let work_ms = self.rng.random_range(30..900);
+            let mut steps: Vec<u32> = (0..count).map(|_| self.rng.random_range(1..5)).collect();
+            let work_ms = self.work_ms(fails);
+            if work_ms >= LONG_MS.start {
+                // Long jobs have one step, so that all of them can complete in time after the faults.
+                steps.truncate(1);
+            }
             let fails = if fails { " fails" } else { "" };
             (steps, format!("work_ms={work_ms} cpu=700{fails}"))
         };
@@ -252,6 +267,17 @@
         }
     }
 
+    /// Draws the duration of a job's tasks, in milliseconds. Tasks that fail are short, as they run several times.
+    fn work_ms(&mut self, fails: bool) -> u64 {
+        let is_long = match self.faults {
+            _ if fails => false,
+            Faults::Single => false,
+            Faults::Series => self.rng.random_bool(LONG_SHARE),
+        };
+        self.rng
+            .random_range(if is_long { LONG_MS } else { 30..900 })
+    }
+
     async fn submit_with_retries(&mut self, path: &str, body: &[u8]) -> Submission {
         let mut uncertain = false;
         for _ in 0..ATTEMPTS {
--- a/standins/src/soak/faults/kind.rs
+++ b/standins/src/soak/faults/kind.rs
@@ -8,6 +8,7 @@
 
 use crate::hosted::machines;
 use crate::proxy;
+use crate::soak::world::HEARTBEAT_MS;
 
 /// Delay added to the responses of a slow store, in milliseconds.
 const STORE_DELAY_MS: Range<u64> = 50..600;
@@ -19,6 +20,8 @@
 const DRAIN_TO_CUT_MS: Range<u64> = 0..2_500;
 /// Time from the removal of an entry to the end of its worker's process, in milliseconds.
 const REMOVAL_TO_EXIT_MS: Range<u64> = 0..400;
+/// Shares of faults of nodes and the store, one of which a seed draws.
+const SINGLE_SHARES: [f64; 3] = [0.0, 0.1, 0.4];
 /// Number of faults that begin at the same time in a series.
 const TOGETHER: Range<usize> = 1..5;
 
@@ -46,16 +49,17 @@
     Configure,
     /// A worker runs on, but the nodes don't reach it.
     WorkerSevered(usize, Cut),
-    /// The same, and the worker doesn't reach the store either, so that its entry expires.
-    WorkerExpires(usize, Cut),
+    /// The same, and the worker doesn't reach the store either, so that its entry expires; it last wrote its entry so many
+    /// milliseconds ago.
+    WorkerExpires(usize, Cut, u64),
     /// A worker drains and leaves; another worker starts on its machine.
     WorkerLeaves(Leave),
     /// A worker's process starts again under its id.
     WorkerRestarts(usize),
     /// A worker executes this many commands late, by this time in milliseconds.
     WorkerLate(usize, u32, u64),
-    /// The machine API fails.
-    Machines(machines::Fault),
+    /// The machine API fails while a maintenance wave, of every third machine from this one on, is under way.
+    Machines(machines::Fault, usize),
     /// Connections to the machine API are reset and refused.
     MachinesRefused,
     /// Operators request another maintenance wave, of every third machine from this one on.
@@ -102,6 +106,8 @@
     pub(super) worker: usize,
     /// Network failure while it drains, and its time after the announcement, in milliseconds.
     pub(super) cut: Option<(Cut, u64)>,
+    /// Time since it last wrote its entry when its network fails, in milliseconds.
+    pub(super) silent_ms: u64,
     /// Time from the removal of its entry to the end of its process, in milliseconds.
     pub(super) gap_ms: u64,
 }
@@ -142,11 +148,22 @@
     }
 }
 
+/// Draws the share of faults of nodes and the store in a soak. With a high share, few leaders live long enough to see a
+/// worker that they lost again.
+pub(super) fn draw_single_share(rng: &mut SmallRng) -> f64 {
+    SINGLE_SHARES[rng.random_range(0..SINGLE_SHARES.len())]
+}
+
 /// Draws the faults that begin at the same time in a soak with series of faults.
-pub(super) fn draw_together(rng: &mut SmallRng, nodes: usize, workers: usize) -> Vec<Kind> {
+pub(super) fn draw_together(
+    rng: &mut SmallRng,
+    single_share: f64,
+    nodes: usize,
+    workers: usize,
+) -> Vec<Kind> {
     let count = rng.random_range(TOGETHER);
     let kinds = (0..count).map(|_| {
-        if rng.random_bool(0.4) {
+        if rng.random_bool(single_share) {
             draw(rng, nodes, workers)
         } else {
             draw_unreachable(rng, workers)
@@ -168,10 +185,14 @@
     let worker = rng.random_range(0..workers);
     match rng.random_range(0..16) {
         0 | 1 => Kind::WorkerSevered(worker, draw_cut(rng)),
-        2 | 3 => Kind::WorkerExpires(worker, draw_cut(rng)),
+        2 | 3 => {
+            let cut = draw_cut(rng);
+            Kind::WorkerExpires(worker, cut, rng.random_range(0..HEARTBEAT_MS))
+        }
         number @ 4..8 => Kind::WorkerLeaves(Leave {
             worker,
             cut: (number > 4).then(|| (draw_cut(rng), rng.random_range(DRAIN_TO_CUT_MS))),
+            silent_ms: rng.random_range(0..HEARTBEAT_MS),
             gap_ms: rng.random_range(REMOVAL_TO_EXIT_MS),
         }),
         8 => Kind::WorkerRestarts(worker),
@@ -179,7 +200,7 @@
             let count = rng.random_range(1..6);
             Kind::WorkerLate(worker, count, rng.random_range(LATE_MS))
         }
-        10 | 11 => Kind::Machines(draw_machines(rng)),
+        10 | 11 => Kind::Machines(draw_machines(rng), worker % 3),
         12 => Kind::MachinesRefused,
         13 => Kind::Wave(worker % 3),
         _ => Kind::LeaderPaused(PausedLeader {
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -37,6 +37,10 @@
 /// Injects faults for the duration of the run. Returns a description of each.
 pub async fn inject_all(world: &Arc<World>, options: &Options) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(options.seed ^ 0xfa17);
+    let single_share = match options.faults {
+        soak::Faults::Single => 1.0,
+        soak::Faults::Series => kind::draw_single_share(&mut rng),
+    };
     let started_at = time::Instant::now();
     let mut injected = Vec::new();
     let mut active_faults = JoinSet::new();
@@ -45,7 +49,7 @@
         let (nodes, workers) = (world.nodes.len(), world.workers.len());
         let kinds = match options.faults {
             soak::Faults::Single => vec![kind::draw(&mut rng, nodes, workers)],
-            soak::Faults::Series => kind::draw_together(&mut rng, nodes, workers),
+            soak::Faults::Series => kind::draw_together(&mut rng, single_share, nodes, workers),
         };
         for kind in kinds {
             let duration_ms = rng.random_range(DURATION_MS);
@@ -167,8 +171,8 @@
         Kind::WorkerSevered(worker, cut) => {
             inject_at_proxy(&world.workers[worker].proxy, cut.fault(), duration_ms).await;
         }
-        Kind::WorkerExpires(worker, cut) => {
-            workers::expire(&world, worker, cut, duration_ms).await;
+        Kind::WorkerExpires(worker, cut, silent_ms) => {
+            workers::expire(&world, worker, cut, silent_ms, duration_ms).await;
         }
         Kind::WorkerLeaves(leave) => workers::leave(&world, leave, duration_ms).await,
         Kind::WorkerRestarts(worker) => workers::restart(&world, worker, duration_ms).await,
@@ -177,7 +181,8 @@
             worker.late_ms.store(late_ms, Ordering::Relaxed);
             worker.late_commands.store(count, Ordering::Relaxed);
         }
-        Kind::Machines(fault) => {
+        Kind::Machines(fault, first) => {
+            world.request_next_wave(first);
             world.machines.state.set_fault(Some(fault));
             sleep(duration_ms).await;
             world.machines.state.set_fault(None);
--- a/standins/src/soak/faults/workers.rs
+++ b/standins/src/soak/faults/workers.rs
@@ -12,8 +12,14 @@
 const CHECK_INTERVAL_MS: u64 = 20;
 
 /// Cuts a worker off from nodes and store until its entry has expired, and for the duration after that.
-pub(super) async fn expire(world: &World, worker: usize, cut: Cut, duration_ms: u64) {
-    world.cut_from_store(worker, 0);
+pub(super) async fn expire(
+    world: &World,
+    worker: usize,
+    cut: Cut,
+    silent_ms: u64,
+    duration_ms: u64,
+) {
+    world.cut_from_store(worker, silent_ms);
     let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
     inject_at_proxy(&world.workers[worker].proxy, cut.fault(), cut_ms).await;
     world.join_to_store(worker);
@@ -46,7 +52,7 @@
     match leave.cut {
         Some((cut, after_ms)) => {
             sleep(after_ms).await;
-            world.cut_from_store(worker, 0);
+            world.cut_from_store(worker, leave.silent_ms);
             if is_same() {
                 let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
                 inject_at_proxy(&proxied.proxy, cut.fault(), cut_ms).await;
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -275,11 +275,16 @@
         self.put("op", &format!("wave/{number}"), &wave.to_string());
     }
 
-    /// Requests another wave, of every third machine from the given one on.
+    /// Requests another wave, of every third machine from the given one on, if maintenance of the last one has started on
+    /// all its machines.
     pub fn request_next_wave(&self, first: usize) {
         let waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
-        let number = waves.last().map_or(FIRST_WAVE, |last| last + 1);
+        let last = waves.last().copied();
         drop(waves);
+        if last.is_some_and(|last| !self.machines.state.wave_started(last)) {
+            return;
+        }
+        let number = last.map_or(FIRST_WAVE, |last| last + 1);
         let machines = self.workers.iter().skip(first).step_by(3);
         let names: Vec<String> = machines.map(|proxied| proxied.machine.clone()).collect();
         self.request_wave(number, &names);
