leadership: a leader that stood still sends nothing until a later commit succeeds

Change: a process that stood still for as long as a follower's heartbeat waits (400 ms) has no authority: it plans nothing, sends no start, stop, pace or machine command and renews no lease, until a commit that it sent afterwards succeeds. Log lines 'duty: authority lost' and 'regained', counter wasabiloft_authority_lost_total. Refused connections no longer prove that a leader is dead: the claim is made as before, but new jobs wait for workers that nobody has heard, as after any claim beside a leader that may act.

--- a/node/src/batch/channels.rs
+++ b/node/src/batch/channels.rs
@@ -8,6 +8,7 @@
 use wasabiloft::batch::relays::Route;
 use wasabiloft::batch::worker_state;
 use wasabiloft::id;
+use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::worker;
 
 use crate::batch::leadership;
@@ -89,6 +90,17 @@
         mut command: Command,
         timeout_ms: u64,
     ) -> Result<Response, Failure> {
+        if !self.leadership.may_act() {
+            match &mut command {
+                Command::Poll(poll) => poll.until_ms = None,
+                Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {
+                    return Err(Failure {
+                        verdict: Verdict::NotRun,
+                        reason: "the leader has no authority".into(),
+                    });
+                }
+            }
+        }
         let epoch = self.leadership.epoch;
         match self.channel(recipient) {
             Channel::Direct(client) => message::execute(&client, &command, epoch, timeout_ms).await,
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::time;
+use wasabiloft::batch::authority::HEARTBEAT_TIMEOUT_MS;
 use wasabiloft::batch::{record, succession};
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::store;
@@ -13,8 +14,6 @@
 use crate::clock;
 use crate::log;
 
-/// Timeout of a heartbeat, in milliseconds; far above a round trip and the pauses of a busy leader.
-const HEARTBEAT_TIMEOUT_MS: u64 = 400;
 /// If the duty's row is unchanged for this long while the store responds, the leader counts as dead, in milliseconds;
 /// three times the longest pause between the leader's commits.
 const UNCHANGED_LIMIT_MS: u64 = 800;
@@ -174,8 +173,10 @@
 enum Evidence {
     /// No evidence.
     None,
-    /// The leader's process is dead, or it responded that it does not lead the duty.
-    Dead,
+    /// Its process responded that it does not lead the duty.
+    NotLeading,
+    /// Its address refuses connections: its process is dead, or the network refuses them.
+    Refused,
     /// The leader is alive but cannot reach the store and requests a handover.
     RequestsHandover,
 }
@@ -221,7 +222,7 @@
             .is_some_and(|duty| duty.incarnation == shared.incarnation);
         if own || address == shared.settings().peers {
             // The row names an earlier incarnation of this node, or a superseded one.
-            return self.check_row(shared, Evidence::Dead).await;
+            return self.check_row(shared, Evidence::NotLeading).await;
         }
         let now = clock::since_boot();
         if self
@@ -259,7 +260,7 @@
                 }
                 Step::Follow
             }
-            Ok(_) => self.check_row(shared, Evidence::Dead).await,
+            Ok(_) => self.check_row(shared, Evidence::NotLeading).await,
             Err(error) => {
                 if error.refused {
                     self.refusals += 1;
@@ -269,7 +270,7 @@
                 }
                 // Two refusals are required because a reset of connections causes the same error for a moment.
                 let evidence = if self.refusals >= 2 {
-                    Evidence::Dead
+                    Evidence::Refused
                 } else {
                     Evidence::None
                 };
@@ -313,7 +314,7 @@
         }
         if evidence != Evidence::None && known {
             return Step::Claim {
-                previous_leader_may_act: evidence == Evidence::RequestsHandover,
+                previous_leader_may_act: evidence != Evidence::NotLeading,
             };
         }
         if version != self.version {
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -111,7 +111,7 @@
     /// Returns whether a command to a machine can be sent: the remaining lease covers its transmission.
     fn can_send(&self) -> bool {
         let lease_ms = self.shared.settings().duty_lease_ms;
-        self.leadership.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
+        self.leadership.may_act() && self.leadership.since_commit_ms() + LEASE_MARGIN_MS < lease_ms
     }
 
     /// Reads the list of machines and acts on it; returns the pause until the next round, in milliseconds.
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
-use wasabiloft::batch::{JobId, handover, queue, record, relays};
+use wasabiloft::batch::{JobId, authority, handover, queue, record, relays};
 use wasabiloft::id;
 use wasabiloft_platform::{settings, store};
 
@@ -57,6 +57,7 @@
     /// Cancelled when the duty is lost or released.
     pub ended: CancellationToken,
     committed_ms: AtomicU64,
+    authority: Mutex<authority::Authority>,
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
@@ -116,6 +117,36 @@
     /// Records when the newest successful commit was sent.
     pub fn commit_sent(&self, at: wasabiloft::clock::Instant) {
         self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
+        self.may_act();
+        if self.authority().committed(at) {
+            log::info("duty", &format!("authority regained epoch={}", self.epoch));
+            self.wake.notify_one();
+        }
+    }
+
+    fn authority(&self) -> MutexGuard<'_, authority::Authority> {
+        self.authority
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether commands may be sent to workers and machines.
+    pub fn may_act(&self) -> bool {
+        let mut authority = self.authority();
+        let stalled_ms = authority.observe(clock::since_boot());
+        let may_act = authority.may_act();
+        drop(authority);
+        if let Some(stalled_ms) = stalled_ms {
+            metrics::counter!("wasabiloft_authority_lost_total").increment(1);
+            log::info(
+                "duty",
+                &format!(
+                    "authority lost epoch={} stalled_ms={stalled_ms}",
+                    self.epoch
+                ),
+            );
+        }
+        may_act
     }
 
     /// Releases the duty in favour of a node with more CPU, given in thousandths of a core.
@@ -395,6 +426,7 @@
         committed: Notify::new(),
         commands_committed: Notify::new(),
         ended: CancellationToken::new(),
+        authority: Mutex::new(authority::Authority::new(now)),
         committed_ms: AtomicU64::new(renewed_ms.load(Ordering::Relaxed)),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
@@ -417,10 +449,13 @@
         tokio::select! {
             () = leadership.wake.notified() => {}
             _ = tick.tick() => {
+                let may_act = leadership.may_act();
                 let mut scheduler = leadership.scheduler();
                 let now = clock::since_boot();
                 scheduler.tick(now, clock::unix_ms());
-                scheduler.evict_long_running(now);
+                if may_act {
+                    scheduler.evict_long_running(now);
+                }
                 let counts = scheduler.counts();
                 drop(scheduler);
                 count_ends(&previous_counts, &counts);
@@ -429,8 +464,11 @@
         }
         let round_at = time::Instant::now();
         let outputs = {
+            let may_act = leadership.may_act();
             let mut scheduler = leadership.scheduler();
-            scheduler.plan(clock::since_boot(), clock::unix_ms());
+            if may_act {
+                scheduler.plan(clock::since_boot(), clock::unix_ms());
+            }
             scheduler.take_outputs()
         };
         for output in outputs {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -46,7 +46,7 @@
 pub use drain::DrainState;
 pub use message::{Counts, Output, PartitionRows, Poll, RecoveredState, Settings, Start};
 pub use release::{Release, Released};
-pub use worker_loss::IncarnationEnd;
+pub use worker_loss::{IncarnationEnd, lease_expiry_ms};
 
 /// Interval after which a stop is resent if the run has not ended, in milliseconds; longer than the timeout of one
 /// call.
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -13,6 +13,12 @@
 /// previous leader's last command, work on its workers that answer nobody has ended.
 const LEASE_EXPIRY_SLACK_MS: u64 = 500;
 
+/// Returns how long a new leader waits, in milliseconds from its beginning, before it takes the workers of previous leaders
+/// that answer nobody for lapsed.
+pub fn lease_expiry_ms(lease_ms: u64) -> u64 {
+    lease_ms * 102 / 100 + LEASE_EXPIRY_SLACK_MS
+}
+
 /// How the end of a worker's incarnation was proven.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IncarnationEnd {
@@ -123,8 +129,7 @@
         if self.unresolved.is_empty() {
             return;
         }
-        let longest_ms = self.settings.lease_ms * 102 / 100 + LEASE_EXPIRY_SLACK_MS;
-        if now.since_ms(self.started_at) < longest_ms {
+        if now.since_ms(self.started_at) < lease_expiry_ms(self.settings.lease_ms) {
             return;
         }
         for (worker, row) in std::mem::take(&mut self.unresolved) {
--- a/tests/test_batch_authority.rs
+++ b/tests/test_batch_authority.rs
@@ -1,7 +1,8 @@
-//! A new leader holds off from machines that the previous leader commanded recently.
+//! What a leader may still do: a new leader holds off from machines that the previous leader commanded recently, and a
+//! leader that stood still sends nothing.
 
 use proptest::{prop_assert, proptest};
-use wasabiloft::batch::machine_commands;
+use wasabiloft::batch::{authority, machine_commands, scheduler};
 use wasabiloft::clock::Instant;
 
 const LEASE_MS: u64 = 3_000;
@@ -45,3 +46,48 @@
         Instant::from_ms(1_200)
     ));
 }
+
+/// Guards against commands of a leader that stood still: its successor doesn't expect them any more.
+#[test]
+fn a_leader_that_stood_still_sends_nothing_until_a_later_commit_succeeds() {
+    let at = Instant::from_ms;
+    let mut authority = authority::Authority::new(at(1_000));
+    assert_eq!(authority.observe(at(1_300)), None);
+    assert!(authority.may_act());
+    assert_eq!(authority.observe(at(4_800)), Some(3_500));
+    assert!(!authority.may_act());
+    assert!(
+        !authority.committed(at(1_200)),
+        "sent before it stood still"
+    );
+    assert_eq!(authority.observe(at(4_850)), None);
+    assert!(!authority.may_act());
+    assert!(authority.committed(at(4_810)));
+    assert!(authority.may_act());
+}
+
+proptest! {
+    #![proptest_config(crate::fixed_seed(500))]
+
+    /// Guards against two runs of a task: a start or a lease that the previous leader decided before it stood still lapses
+    /// before its successor takes the worker for lapsed, however late it arrives.
+    #[test]
+    fn what_a_frozen_leader_decided_lapses_before_its_successor_acts(
+        decided_ms in 0_u64..1_000,
+        frozen_ms in authority::HEARTBEAT_TIMEOUT_MS..6_000,
+        claimed_after_ms in authority::HEARTBEAT_TIMEOUT_MS..3_000,
+        arrival_ms in 0_u64..8_000,
+        worker_clock_milli in 980_u64..=1_000,
+    ) {
+        // The leader stands still right after its decision; its follower's heartbeat times out before the claim.
+        let mut leader = authority::Authority::new(Instant::from_ms(decided_ms));
+        let resumed_ms = decided_ms + frozen_ms;
+        leader.observe(Instant::from_ms(resumed_ms));
+        prop_assert!(!leader.may_act(), "it decides nothing more");
+        let successor_acts_ms = decided_ms + claimed_after_ms + scheduler::lease_expiry_ms(LEASE_MS);
+        let lapses_ms = decided_ms + LEASE_MS * 1_000 / worker_clock_milli;
+        let stopped_ms = lapses_ms + 200;
+        // A command that arrives after its lease is refused as late.
+        prop_assert!(arrival_ms >= LEASE_MS * 1_000 / worker_clock_milli || stopped_ms < successor_acts_ms);
+    }
+}
