--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -99,6 +99,15 @@
             worker.handled_ahead.clear();
             worker.acknowledged = 0;
             worker.lease_until_ms = 0;
+            // The new incarnation knows nothing of a stop that the earlier one acknowledged.
+            let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
+            for task in tasks {
+                let job = self.jobs.get_mut(&task.job);
+                let task = job.and_then(|job| job.task_mut(&task));
+                if let Some(active) = task.and_then(|task| task.active.as_mut()) {
+                    active.stop_acked_at = None;
+                }
+            }
             self.orphans.forget_worker(id);
             self.log(format!("worker restarted with the same id worker={id}"));
         }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod test_batch_budget;
 mod test_batch_capacity;
 mod test_batch_crashes;
+mod test_batch_evidence;
 mod test_batch_faults;
 mod test_batch_holder;
 mod test_batch_inherit;
