--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -206,8 +206,10 @@
                 requested_at,
                 settings.maintenance_ms + RETURN_MARGIN_MS,
             );
+            let unanswered = wave.unanswered().map(|(vm, _)| vm);
             let removed: Vec<id::Vm> = wave
                 .remaining()
+                .chain(unanswered)
                 .filter(|vm| !known.contains(*vm) && !unreadable.may_include(vm))
                 .cloned()
                 .collect();
@@ -285,7 +287,7 @@
                 };
                 if machine_commands::may_repeat(worker, machine) {
                     again.push((vm.clone(), *number));
-                } else if machine.state == pools::State::Up {
+                } else if machine.state != pools::State::Unreadable {
                     unknown.push((vm.clone(), *number));
                 }
             }
--- a/src/batch/scheduler/machine_list.rs
+++ b/src/batch/scheduler/machine_list.rs
@@ -31,6 +31,7 @@
         for (id, worker) in &mut self.workers {
             if current.contains(id) {
                 worker.on_machine = true;
+                worker.contradicts_list = false;
                 continue;
             }
             if !worker.on_machine {
@@ -38,7 +39,7 @@
             }
             if worker.last_response_at < requested_at {
                 ended.push(id.clone());
-            } else {
+            } else if !std::mem::replace(&mut worker.contradicts_list, true) {
                 contradicted.push(id.clone());
             }
         }
@@ -52,7 +53,7 @@
             )));
         }
         if is_whole {
-            self.end_unlisted(current, now);
+            self.end_unlisted(current, requested_at, now);
         }
     }
 
@@ -61,13 +62,19 @@
     ///
     /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
     /// apart.
-    fn end_unlisted(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
+    fn end_unlisted(
+        &mut self,
+        current: &BTreeSet<&id::Worker>,
+        requested_at: clock::Instant,
+        now: clock::Instant,
+    ) {
         let silent = self
             .workers
             .iter()
             .filter(|(_, worker)| {
                 worker.adopted
                     && worker.unanswered
+                    && worker.last_response_at < requested_at
                     && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
             })
             .map(|(id, _)| id);
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -121,6 +121,8 @@
     pub listed: bool,
     /// Whether a list of machines has shown the worker.
     pub on_machine: bool,
+    /// Whether the worker answers although the newest list of machines doesn't show it; logged once.
+    pub contradicts_list: bool,
     /// Whether the worker's newest registry entry could be read.
     pub readable: bool,
     /// When this incarnation was first seen.
@@ -180,6 +182,7 @@
             listing,
             listed: true,
             on_machine: false,
+            contradicts_list: false,
             readable: true,
             joined_at: now,
             started_unix_ms: 0,
