measure: search for histories that run a task twice

Change: `measure search` draws histories of one to six faults (cuts, crashes, restarts under the same id, drains, lost entries, standstills, an unavailable or slow machine interface, maintenance, moves, held-up and lost messages) around the real scheduler, and checks TWICE and ONE. Workers, store, registry and machine interface follow the platform's documents; decisions that the nodes take outside of the library are in search/shell.rs. A broken history is shrunk and printed with what happened.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -14,6 +14,7 @@
 mod order;
 mod placement;
 mod retry;
+mod search;
 mod slots;
 mod spare;
 mod tally;
@@ -41,6 +42,7 @@
     order       Jobs done in time by several scheduling orders while a pool is overloaded.
     placement   Placement decisions a second and memory against workers and queue length.
     retry       Attempts per request while endpoints fail, and in a storm of repeats.
+    search      Searches for histories that break the rules, with faults of every kind.
     slots       Slot use of many entry nodes against one ideal queue.
     spare       The spare buffer held, and VM moves against the fewest with hindsight.
 
@@ -61,6 +63,7 @@
         Some("order") => order::run(argv).map_err(Into::into),
         Some("placement") => placement::run(argv).map_err(Into::into),
         Some("retry") => retry::run(argv).map_err(Into::into),
+        Some("search") => search::run(argv).map_err(Into::into),
         Some("slots") => slots::run(argv).map_err(Into::into),
         Some("spare") => spare::run(argv).map_err(Into::into),
         Some("--help" | "-h") => {
--- /dev/null
+++ b/measure/src/search/shrink.rs
@@ -0,0 +1,39 @@
+//! Shrinks a history while it breaks the same rule.
+
+use crate::search::check::Violation;
+use crate::search::history::History;
+use crate::search::world::World;
+
+/// Runs a history and returns its first violation.
+pub fn first_violation(history: &History) -> Option<Violation> {
+    let mut world = World::new(history.clone(), false);
+    world.run();
+    world.checks.violations.into_iter().next()
+}
+
+/// Returns the simplest history found that breaks a rule.
+pub fn shrink(history: &History, rule: &str) -> History {
+    let mut shortest = history.clone();
+    loop {
+        let breaks =
+            |history: &History| first_violation(history).is_some_and(|seen| seen.rule == rule);
+        let Some(simpler) = shortest.simpler().into_iter().find(breaks) else {
+            return shortest;
+        };
+        shortest = simpler;
+    }
+}
+
+/// Returns the kinds of the faults, by which histories of the same fault are told apart.
+pub fn signature(history: &History) -> Vec<String> {
+    let faults = history.faults.iter();
+    let mut kinds: Vec<String> = faults
+        .map(|fault| {
+            let text = format!("{:?}", fault.kind);
+            let name = text.split([' ', '{']).next().unwrap_or_default();
+            name.to_owned()
+        })
+        .collect();
+    kinds.sort();
+    kinds
+}
