measure: search with several jobs, queued starts and successors

Cause: starts that wait for one of a worker's three places are sent seconds later, and a woken leader sends starts for jobs that arrived meanwhile; neither could happen in the search. A successor needs a leader in trouble, which was drawn too rarely.

--- a/measure/src/search.rs
+++ b/measure/src/search.rs
@@ -1,12 +1,18 @@
 //! `measure search`: searches for histories that break the rules, with the real decision code in a simulated deployment.
 
 mod check;
+mod commands;
+mod commits;
+mod faults;
+mod follower;
 mod history;
+mod network;
 mod node;
 mod platform;
 mod runner;
 mod shell;
 mod shrink;
+mod term;
 mod world;
 
 use std::collections::BTreeMap;
@@ -31,6 +37,7 @@
     --seconds N      Draws histories for this long instead.
     --threads N      1 if not given.
     --seed N         1 if not given.
+    --without LIST   Names of faults that don't happen, separated by commas.
     --found N        Shrinks and prints at most so many histories, of different kinds; 8 if not given.
     --replay JSON    Runs this history and prints what happens instead.
 ";
@@ -41,6 +48,7 @@
     seconds: Option<u64>,
     threads: u64,
     seed: u64,
+    without: Vec<String>,
     found: usize,
     replay: Option<String>,
 }
@@ -54,6 +62,7 @@
             seconds: None,
             threads: 1,
             seed: 1,
+            without: Vec::new(),
             found: 8,
             replay: None,
         };
@@ -65,6 +74,10 @@
                 Long("seconds") => args.seconds = Some(parser.value()?.parse()?),
                 Long("threads") => args.threads = parser.value()?.parse()?,
                 Long("seed") => args.seed = parser.value()?.parse()?,
+                Long("without") => {
+                    let list = parser.value()?.string()?;
+                    args.without = list.split(',').map(str::to_owned).collect();
+                }
                 Long("found") => args.found = parser.value()?.parse()?,
                 Long("replay") => args.replay = Some(parser.value()?.string()?),
                 Long("help") | Short('h') => return Ok(None),
@@ -90,6 +103,7 @@
 struct Summary {
     seed: u64,
     nodes: usize,
+    without: Vec<String>,
     runs: u64,
     violations: u64,
     by_rule: BTreeMap<&'static str, u64>,
@@ -165,6 +179,7 @@
     Summary {
         seed: args.seed,
         nodes: args.nodes,
+        without: args.without.clone(),
         runs,
         violations: broken.len() as u64,
         by_rule,
@@ -178,7 +193,7 @@
     let mut run = first;
     while run < runs && until.is_none_or(|until| Instant::now() < until) {
         let mut rng = SmallRng::seed_from_u64(args.seed.wrapping_mul(1 << 32).wrapping_add(run));
-        let history = history::History::draw(&mut rng, args.nodes);
+        let history = history::History::draw(&mut rng, args.nodes, &args.without);
         if let Some(violation) = shrink::first_violation(&history) {
             broken.push(Broken {
                 run,
@@ -195,7 +210,7 @@
 /// Shrinks broken histories; of those that consist of the same kinds of faults only the first is kept.
 fn shrink_all(args: &Args, broken: &[Broken]) -> Vec<Found> {
     let mut found: Vec<Found> = Vec::new();
-    let mut kinds: Vec<Vec<String>> = Vec::new();
+    let mut kinds: Vec<Vec<&'static str>> = Vec::new();
     for broken in broken {
         if found.len() >= args.found {
             break;
--- a/measure/src/search/history.rs
+++ b/measure/src/search/history.rs
@@ -21,11 +21,19 @@
     pub nodes: usize,
     /// Machines, each with one worker.
     pub vms: usize,
-    /// Tasks of the one job.
+    /// Time that a message between a node and a worker takes, in milliseconds.
+    pub latency_ms: u64,
+    /// Cores of a worker; each task takes one.
+    pub cores: u64,
+    /// Number of jobs.
+    pub jobs: u64,
+    /// Interval between two jobs, in milliseconds.
+    pub every_ms: u64,
+    /// Tasks of a job.
     pub tasks: u32,
     /// Duration of a task, in milliseconds.
     pub task_ms: u64,
-    /// When the job is submitted, in milliseconds.
+    /// When the first job is submitted, in milliseconds.
     pub submit_ms: u64,
     /// Whether the clocks of the workers are 2 % slow.
     pub slow_clocks: bool,
@@ -67,15 +75,28 @@
     CommitAnswer,
 }
 
+/// What a process handles first when it wakes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum First {
+    /// Messages in the order of their arrival, before timers.
+    #[default]
+    Answers,
+    /// Timers that are due.
+    Timers,
+    /// New jobs and changes of the registry, and what is decided on them.
+    Feeds,
+}
+
 /// What happens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "what")]
 pub enum Kind {
-    /// A node stands still. When it wakes, timers that are due act before or after waiting messages are read.
+    /// A node stands still.
     Freeze {
         node: usize,
         for_ms: u64,
-        timers_first: bool,
+        first: First,
     },
     /// A node's process ends and starts again.
     Restart { node: usize, for_ms: u64 },
@@ -188,7 +209,7 @@
             0 => Self::Freeze {
                 node,
                 for_ms,
-                timers_first: rng.random(),
+                first: [First::Answers, First::Timers, First::Feeds][rng.random_range(0..3)],
             },
             1 if nodes > 1 => Self::Restart { node, for_ms },
             2 => Self::Cut {
@@ -236,6 +257,43 @@
         }
     }
 
+    /// Draws a fault of the first leader that lasts long enough for a successor.
+    fn draw_of_leader<R>(rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        let for_ms = [2_500, 3_500, 4_500, 5_500][rng.random_range(0..4)];
+        if rng.random_bool(0.3) {
+            return Self::StoreAway { node: 0, for_ms };
+        }
+        Self::Freeze {
+            node: 0,
+            for_ms,
+            first: [First::Answers, First::Timers, First::Feeds][rng.random_range(0..3)],
+        }
+    }
+
+    /// Returns the fault's name, as in its JSON form; a restart under the same id is `same-id`.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Freeze { .. } => "freeze",
+            Self::Restart { .. } => "restart",
+            Self::Cut { .. } => "cut",
+            Self::Isolate { .. } => "isolate",
+            Self::StoreAway { .. } => "store-away",
+            Self::Crash { same_id: true, .. } => "same-id",
+            Self::Crash { .. } => "crash",
+            Self::Drain { .. } => "drain",
+            Self::Unlist { .. } => "unlist",
+            Self::CloudAway { .. } => "cloud-away",
+            Self::CloudSlow { .. } => "cloud-slow",
+            Self::Wave { .. } => "wave",
+            Self::Move { .. } => "move",
+            Self::HoldUp { .. } => "hold-up",
+            Self::Lose { .. } => "lose",
+        }
+    }
+
     /// Returns shorter or simpler forms.
     fn simpler(&self) -> Vec<Self> {
         let mut simpler = Vec::new();
@@ -267,29 +325,52 @@
 }
 
 impl History {
-    /// Draws a history with one to six faults.
-    pub fn draw<R>(rng: &mut R, nodes: usize) -> Self
+    /// Draws a history with one to six faults, none of them named in `without`.
+    pub fn draw<R>(rng: &mut R, nodes: usize, without: &[String]) -> Self
     where
         R: Rng,
     {
+        let mut at_ms = rng.random_range(2..60) * GRID_MS;
+        // Many short tasks are started all the time; few long ones run long enough to be seen twice.
+        let (jobs, every_ms, tasks, task_ms) = [
+            (1, 0, 1, 9_000),
+            (1, 0, 8, 9_000),
+            (1, 0, 30, 700),
+            (30, 300, 1, 700),
+            (20, 400, 2, 1_500),
+            (12, 500, 2, 5_000),
+        ][rng.random_range(0..6)];
         let setup = Setup {
             nodes,
             vms: rng.random_range(2..=3),
-            tasks: rng.random_range(1..=4),
-            task_ms: [700, 3_000, 9_000][rng.random_range(0..3)],
-            submit_ms: rng.random_range(0..10) * 500 + 100,
+            latency_ms: [1, 20][rng.random_range(0..2)],
+            cores: [2, 8][rng.random_range(0..2)],
+            jobs,
+            every_ms,
+            tasks,
+            task_ms,
+            submit_ms: (at_ms + rng.random_range(0..60) * GRID_MS).saturating_sub(1_000),
             slow_clocks: rng.random(),
         };
         let mut vm = rng.random_range(0..setup.vms);
-        let mut at_ms = rng.random_range(2..60) * GRID_MS;
         let mut faults = Vec::new();
+        if nodes > 1 && rng.random_bool(0.7) {
+            // Only a leader in trouble has a successor; others matter while both act.
+            let kind = Kind::draw_of_leader(rng);
+            if !without.iter().any(|name| name == kind.name()) {
+                faults.push(Fault { at_ms, kind });
+            }
+            at_ms += rng.random_range(0..40) * GRID_MS;
+        }
         for _ in 0..rng.random_range(1..=6) {
             // Faults of the same worker, shortly after each other, interact most.
             if rng.random_bool(0.3) {
                 vm = rng.random_range(0..setup.vms);
             }
             let kind = Kind::draw(rng, nodes, vm);
-            faults.push(Fault { at_ms, kind });
+            if !without.iter().any(|name| name == kind.name()) {
+                faults.push(Fault { at_ms, kind });
+            }
             let pause_ms = match rng.random_range(0..3) {
                 0 => rng.random_range(0..10) * GRID_MS,
                 1 => rng.random_range(0..40) * GRID_MS,
@@ -313,6 +394,18 @@
                 nodes: 1,
                 ..self.setup.clone()
             },
+            Setup {
+                latency_ms: 1,
+                ..self.setup.clone()
+            },
+            Setup {
+                jobs: 1,
+                ..self.setup.clone()
+            },
+            Setup {
+                jobs: self.setup.jobs / 2 + 1,
+                ..self.setup.clone()
+            },
             Setup {
                 tasks: 1,
                 ..self.setup.clone()
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -55,8 +55,8 @@
 }
 
 impl Store {
-    /// Stores the job.
-    pub fn submit(&mut self, tasks: u32, task_ms: u64) {
+    /// Stores a job.
+    pub fn submit(&mut self, job: u64, tasks: u32, task_ms: u64) {
         let step = spec::Step {
             tasks,
             need: Resources {
@@ -85,7 +85,7 @@
             },
             submitted_unix_ms: 0,
         };
-        self.accepted.push((JobId(1), accepted));
+        self.accepted.push((JobId(job), accepted));
     }
 
     /// Applies a transaction and returns the answer.
--- a/measure/src/search/runner.rs
+++ b/measure/src/search/runner.rs
@@ -7,14 +7,14 @@
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
 
+use crate::search::history::Setup;
+
 /// Longest lease that a worker accepts, in milliseconds; a longer one is shortened.
 const LEASE_MAX_MS: u64 = 10_000;
 /// Time that a stop takes, in milliseconds; at most 200 on the platform.
 const STOP_MS: u64 = 150;
 /// Rate of a slow clock, in thousandths.
 const SLOW_MILLI: u64 = 980;
-/// Cores of a worker; each task takes one.
-pub const CORES: u64 = 4;
 
 /// A run in progress.
 #[derive(Clone, Debug)]
@@ -46,6 +46,7 @@
     pub born_ms: u64,
     clock_base_ms: u64,
     slow: bool,
+    cores: u64,
     /// Highest fencing epoch received.
     pub fence: u64,
     lease_until_ms: u64,
@@ -70,13 +71,20 @@
 
 impl Life {
     /// Begins a life; its clock shows `clock_base_ms`.
-    pub fn new(number: u64, id: id::Worker, now_ms: u64, clock_base_ms: u64, slow: bool) -> Self {
+    pub fn new(
+        number: u64,
+        id: id::Worker,
+        now_ms: u64,
+        clock_base_ms: u64,
+        setup: &Setup,
+    ) -> Self {
         Self {
+            cores: setup.cores,
+            slow: setup.slow_clocks,
             number,
             id,
             born_ms: now_ms,
             clock_base_ms,
-            slow,
             fence: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -95,7 +103,7 @@
             address: ([10, 0, 0, 1], u16::try_from(vm).unwrap_or(0) + 1).into(),
             data_centre: id::DataCentre::new("z0"),
             size: Resources {
-                cpu_milli: CORES * 1_000,
+                cpu_milli: self.cores * 1_000,
                 memory_mib: 16_000,
                 accelerators: 0,
             },
@@ -201,7 +209,7 @@
         if start.run <= highest || known.is_some() {
             return Err(Refusal::Superseded);
         }
-        if self.running.len() as u64 >= CORES {
+        if self.running.len() as u64 >= self.cores {
             return Err(Refusal::NoRoom);
         }
         let running = Running {
--- a/measure/src/search/shrink.rs
+++ b/measure/src/search/shrink.rs
@@ -25,15 +25,9 @@
 }
 
 /// Returns the kinds of the faults, by which histories of the same fault are told apart.
-pub fn signature(history: &History) -> Vec<String> {
+pub fn signature(history: &History) -> Vec<&'static str> {
     let faults = history.faults.iter();
-    let mut kinds: Vec<String> = faults
-        .map(|fault| {
-            let text = format!("{:?}", fault.kind);
-            let name = text.split([' ', '{']).next().unwrap_or_default();
-            name.to_owned()
-        })
-        .collect();
-    kinds.sort();
-    kinds
+    let mut names: Vec<&'static str> = faults.map(|fault| fault.kind.name()).collect();
+    names.sort_unstable();
+    names
 }
--- /dev/null
+++ b/measure/src/search/term.rs
@@ -0,0 +1,108 @@
+//! The term of a leader: its beginning, its planning and what it learns.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
+use wasabiloft::batch::{queue, worker_state};
+use wasabiloft::id;
+
+use crate::search::node::{RENEW_INTERVAL_MS, TAKEOVER_READ_MS, Term, Timer};
+use crate::search::shell;
+use crate::search::world::{POOL, World};
+
+/// Length of the workers' leases, in milliseconds.
+const LEASE_MS: u64 = 4_000;
+
+impl World {
+    pub(super) fn plan(&mut self, node: usize) {
+        let now = self.now();
+        let Some(term) = &mut self.nodes[node].term else {
+            return;
+        };
+        term.planned_ms = now.as_ms();
+        term.scheduler.plan(now, now.as_ms());
+        for output in term.scheduler.take_outputs() {
+            self.execute(node, output);
+        }
+        self.commit(node);
+    }
+
+    /// Passes a change of the registry to a leader.
+    pub fn registry_changed(
+        &mut self,
+        node: usize,
+        worker: &id::Worker,
+        listing: Option<worker_state::Listing>,
+    ) {
+        let now = self.now();
+        if let Some(term) = &mut self.nodes[node].term {
+            term.registry
+                .apply(&mut term.scheduler, worker, listing, now);
+            self.wake(node);
+        }
+    }
+
+    /// Passes an accepted job to a leader.
+    pub fn job_known(&mut self, node: usize, job: u64) {
+        let now = self.now();
+        let accepted = self.store.accepted.iter().find(|(id, _)| id.0 == job);
+        let Some((job, accepted)) = accepted.cloned() else {
+            return;
+        };
+        if let Some(term) = &mut self.nodes[node].term {
+            term.scheduler.job_accepted(job, accepted, now);
+            self.wake(node);
+        }
+    }
+
+    pub(super) fn lead(&mut self, node: usize, may_act: bool, epoch: u64) {
+        let now = self.now();
+        self.note(|| format!("n{node} leads epoch={epoch}"));
+        let store = &self.store;
+        let recovered = RecoveredState {
+            accepted: store.accepted.clone(),
+            progress: store.progress.clone().into_iter().collect(),
+            workers: store.workers.clone().into_iter().collect(),
+            predecessor_may_act: may_act,
+            ..RecoveredState::default()
+        };
+        let settings = Settings {
+            lease_ms: LEASE_MS,
+            status_ms: 120_000,
+            quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
+        };
+        let service = queue::Service {
+            enforces_capacity: true,
+            spare: false,
+        };
+        let config = Arc::new(queue::Config {
+            version: 1,
+            services: [(id::Service::new(POOL), service)].into(),
+            ..queue::Config::default()
+        });
+        let mut scheduler = Scheduler::new(settings, epoch, config, recovered, now);
+        for listing in self.listings() {
+            scheduler.worker_listed(listing, now);
+        }
+        let term = Term {
+            epoch,
+            scheduler,
+            polls: BTreeMap::new(),
+            channels: BTreeMap::new(),
+            fleet: shell::Fleet::recover(&self.store.commands, now),
+            version: self.nodes[node].known.0,
+            in_flight: None,
+            committed_ms: now.as_ms().saturating_sub(TAKEOVER_READ_MS),
+            next_commit_ms: 0,
+            planned_ms: 0,
+            plan_scheduled: false,
+            registry: shell::Registry::default(),
+        };
+        self.nodes[node].claims = false;
+        self.nodes[node].term = Some(term);
+        self.push_timer(node, now.as_ms(), Timer::Tick);
+        self.push_timer(node, now.as_ms(), Timer::Round);
+        self.push_timer(node, now.as_ms() + RENEW_INTERVAL_MS, Timer::Commit);
+    }
+}
