--- a/measure/src/search/commands.rs
+++ b/measure/src/search/commands.rs
@@ -204,19 +204,11 @@
             Answer::Fenced => self.end_term(node, "fenced"),
             Answer::OtherLife => {
                 term.scheduler
-                    .incarnation_ended(worker, IncarnationEnd::OtherLife);
+                    .incarnation_ended(worker, IncarnationEnd::OtherLife, now);
                 self.wake(node);
             }
             _ => {
-                let refused = matches!(answer, Answer::Failed { refused: true });
                 term.scheduler.poll_failed(worker);
-                let state = term.scheduler.workers().get(worker);
-                if task.poller.on_failure(refused, state) {
-                    term.scheduler
-                        .incarnation_ended(worker, IncarnationEnd::Left);
-                    self.wake(node);
-                    return;
-                }
                 let pause_ms = task.poller.pause_ms();
                 self.poll_later(node, worker, pause_ms);
             }
--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -4,15 +4,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wasabiloft::batch::scheduler::{DrainState, IncarnationEnd, Scheduler};
+use wasabiloft::batch::scheduler::{DrainState, Scheduler};
 use wasabiloft::batch::{machine_commands, pools, record, waves, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 /// First and longest pause after a poll without a response, in milliseconds.
 const POLL_RETRY_MS: (u64, u64) = (40, 400);
-/// Consecutive refused connections after which a leaving worker counts as removed.
-const REFUSALS_UNTIL_REMOVED: u32 = 3;
 /// Remaining time of the duty's lease that a command to a machine requires, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 1_000;
 /// Length of the duty's lease, in milliseconds.
@@ -32,7 +30,6 @@
 #[derive(Clone, Debug)]
 pub struct Poller {
     retry_ms: u64,
-    refusals: u32,
 }
 
 impl Poller {
@@ -40,7 +37,6 @@
     pub fn new() -> Self {
         Self {
             retry_ms: POLL_RETRY_MS.0,
-            refusals: 0,
         }
     }
 
@@ -49,12 +45,6 @@
         *self = Self::new();
     }
 
-    /// Records a poll without a response, and returns whether the worker has left.
-    pub fn on_failure(&mut self, is_refused: bool, worker: Option<&worker_state::Worker>) -> bool {
-        self.refusals = if is_refused { self.refusals + 1 } else { 0 };
-        self.refusals >= REFUSALS_UNTIL_REMOVED && has_left(worker)
-    }
-
     /// Returns the pause until the next poll after one without a response, in milliseconds.
     pub fn pause_ms(&mut self) -> u64 {
         let pause_ms = self.retry_ms;
@@ -63,10 +53,6 @@
     }
 }
 
-fn has_left(worker: Option<&worker_state::Worker>) -> bool {
-    worker.is_some_and(|worker| worker.listing.leaving && !worker.listed)
-}
-
 /// Trust in removals from the registry.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -132,6 +118,7 @@
     list: Vec<pools::Machine>,
     busy: BTreeSet<id::Vm>,
     pending: BTreeMap<id::Vm, PendingCommand>,
+    answered: machine_commands::Answered,
     paused: BTreeMap<id::Vm, Instant>,
 }
 
@@ -182,26 +169,15 @@
             wave.on_seen_in_maintenance(&in_maintenance, requested_at);
             wave.on_seen_up(&up, requested_at, MAINTENANCE_MS + RETURN_MARGIN_MS);
         }
-        self.end_missing_incarnations(scheduler, &list, now);
-        self.list = list;
-    }
-
-    fn end_missing_incarnations(
-        &self,
-        scheduler: &mut Scheduler,
-        list: &[pools::Machine],
-        now: Instant,
-    ) {
         let current: BTreeSet<&id::Worker> = list
             .iter()
             .filter_map(|machine| machine.worker.as_ref())
             .collect();
-        for before in &self.list {
-            if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
-                scheduler.incarnation_ended(worker, IncarnationEnd::MachineWithout);
-            }
+        scheduler.machines_listed(&current, requested_at, now);
+        self.list = list;
+        for vm in self.answered.machines_listed(&self.list, requested_at) {
+            self.set_draining(scheduler, &vm, false);
         }
-        scheduler.resolve_missing(&current, now);
     }
 
     /// Begins the commands of a round; `wanted` are machines that demand requires in another pool.
@@ -229,15 +205,27 @@
     }
 
     fn repeat_unanswered(&mut self, scheduler: &mut Scheduler, now: Instant) {
-        let mut again = Vec::new();
+        let (mut again, mut unknown) = (Vec::new(), Vec::new());
         for (number, wave) in &self.waves {
-            for vm in wave.unanswered().filter(|vm| !self.busy.contains(*vm)) {
-                again.push((vm.clone(), *number));
+            for (vm, worker) in wave.unanswered() {
+                let Some(machine) = self.machine(vm).filter(|_| !self.busy.contains(vm)) else {
+                    continue;
+                };
+                if machine_commands::may_repeat(worker, machine) {
+                    again.push((vm.clone(), *number));
+                } else if machine.state == pools::State::Up {
+                    unknown.push((vm.clone(), *number));
+                }
             }
         }
         for (vm, wave) in again {
             self.begin_command(scheduler, &vm, Command::Upkeep { wave }, now);
         }
+        for (vm, number) in unknown {
+            if let Some(wave) = self.waves.get_mut(&number) {
+                wave.on_outcome_unknown(&vm);
+            }
+        }
     }
 
     fn start_maintenance(&mut self, scheduler: &mut Scheduler, now: Instant) {
@@ -264,8 +252,9 @@
             }
         }
         for (vm, number) in ready {
+            let worker = self.machine(&vm).and_then(|machine| machine.worker.clone());
             if let Some(wave) = self.waves.get_mut(&number) {
-                wave.on_command(&vm, now);
+                wave.on_command(&vm, worker.as_ref(), now);
             }
             self.begin_command(scheduler, &vm, Command::Upkeep { wave: number }, now);
         }
@@ -329,7 +318,7 @@
         if outcome == Some(CommandOutcome::Yes)
             && let Some(worker) = &sent.worker
         {
-            scheduler.incarnation_ended(worker, IncarnationEnd::MachineOrder);
+            self.answered.insert(vm.clone(), worker.clone(), now);
         }
         match (&sent.command, outcome) {
             (Command::Move { .. }, Some(CommandOutcome::Yes)) | (Command::Upkeep { .. }, None) => {}
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::batch::TaskId;
+use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Output, Scheduler, crashes};
 use crate::batch::worker_state;
 use crate::clock;
@@ -11,11 +12,6 @@
 /// Time added to the longest lease plus 2 % for slow clocks, in milliseconds; covers a stop. That long after the
 /// previous leader's last command, work on its workers that answer nobody has ended.
 const LEASE_EXPIRY_SLACK_MS: u64 = 500;
-/// A worker that is missing from lists of machines for this long has ended, in milliseconds;
-/// longer than two intervals between lists.
-const MISSING_MS: u64 = 400;
-/// A worker is in the list of machines this long after it was first seen, in milliseconds.
-const LISTED_AFTER_MS: u64 = 1_000;
 
 /// How the end of a worker's incarnation was proven.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,22 +20,16 @@
     MachineWithout,
     /// Another incarnation answers at its address.
     OtherLife,
-    /// It announced its stop, is no longer registered and refuses connections.
-    Left,
-    /// A command moved its machine or began the machine's maintenance.
-    MachineOrder,
     /// It is no longer registered, and all its leases have lapsed.
     LapsedUnlisted,
 }
 
 impl IncarnationEnd {
     /// Returns the name that the log gives to the reason.
-    fn label(self) -> &'static str {
+    pub(super) fn label(self) -> &'static str {
         match self {
             Self::MachineWithout => "machine-without",
             Self::OtherLife => "other-life",
-            Self::Left => "left",
-            Self::MachineOrder => "machine-order",
             Self::LapsedUnlisted => "lapsed-unlisted",
         }
     }
@@ -48,14 +38,14 @@
     fn is_crash(self) -> bool {
         match self {
             Self::MachineWithout | Self::OtherLife => true,
-            Self::Left | Self::MachineOrder | Self::LapsedUnlisted => false,
+            Self::LapsedUnlisted => false,
         }
     }
 }
 
 impl Scheduler {
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
-    pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd) {
+    pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd, now: clock::Instant) {
         self.unresolved.remove(id);
         self.orphans.forget_worker(id);
         self.ledger.set_unexpected(id, Vec::new());
@@ -66,8 +56,14 @@
         // The list can show a move or maintenance before its command is answered; those begin on empty workers.
         let crashed = end.is_crash() && !worker.listing.leaving && !worker.tasks.is_empty();
         self.log(format!(
-            "worker gone worker={id} reason={reason} crashed={crashed} tasks={}",
-            worker.tasks.len()
+            "worker gone worker={id} reason={reason} crashed={crashed} tasks={} silent_ms={} unanswered={} listed={} \
+             leaving={} lease_left_ms={}",
+            worker.tasks.len(),
+            now.since_ms(worker.last_response_at),
+            worker.unanswered,
+            worker.listed,
+            worker.listing.leaving,
+            worker.lease_left_ms(now)
         ));
         if crashed {
             self.counts.workers_crashed += 1;
@@ -85,7 +81,7 @@
                 survived_ms.is_some(),
                 survived_ms.unwrap_or(0)
             ));
-            self.release_task(*task);
+            self.release_task(*task, Release::IncarnationEnded(end), now);
         }
     }
 
@@ -140,48 +136,6 @@
         }
     }
 
-    /// Removes workers that no machine runs any more: those of the previous leader, and those that ended before any list
-    /// showed them.
-    ///
-    /// A worker that has just started can be missing from one list, so it has to be missing from two lists some time
-    /// apart.
-    pub fn resolve_missing(&mut self, current: &BTreeSet<&id::Worker>, now: clock::Instant) {
-        let silent = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                worker.adopted
-                    && worker.unanswered
-                    && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
-            })
-            .map(|(id, _)| id);
-        let missing: BTreeSet<id::Worker> = self
-            .unresolved
-            .keys()
-            .chain(silent)
-            .filter(|worker| !current.contains(worker))
-            .cloned()
-            .collect();
-        self.missing_since
-            .retain(|worker, _| missing.contains(worker));
-        for worker in missing {
-            let since = *self.missing_since.entry(worker.clone()).or_insert(now);
-            if now.since_ms(since) < MISSING_MS {
-                continue;
-            }
-            self.missing_since.remove(&worker);
-            if let Some(row) = self.unresolved.remove(&worker) {
-                self.log(format!("worker of previous leader gone worker={worker}"));
-                self.dirty_services.insert(row.service);
-            }
-            if self.workers.contains_key(&worker) {
-                self.incarnation_ended(&worker, IncarnationEnd::MachineWithout);
-            } else {
-                self.pending_rows.remove_worker(&worker);
-            }
-        }
-    }
-
     /// Records that this process didn't run for `stalled_ms`. That time doesn't count as silence of the workers, whose
     /// reports may wait unread with the ends of their runs.
     pub fn excuse_silence(&mut self, stalled_ms: u64) {
@@ -208,7 +162,7 @@
                 continue;
             };
             if !worker.listed {
-                self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted);
+                self.incarnation_ended(&id, IncarnationEnd::LapsedUnlisted, now);
                 continue;
             }
             let worker = worker.clone();
@@ -224,7 +178,7 @@
                 self.log(format!(
                     "run lost task={task} worker={id} reason=lease-lapsed"
                 ));
-                self.release_task(task);
+                self.release_task(task, Release::LeaseLapsed, now);
             }
         }
     }
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -1,6 +1,6 @@
 //! The environment of a soak: the stand-in platform, its workers behind proxies, and the daemons.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -35,14 +35,16 @@
 const SPARE: &str = "rest";
 /// Interval at which the workers' entries in the store are updated, in milliseconds.
 const ENTRY_INTERVAL_MS: u64 = 300;
+/// Interval at which a worker writes its entry, in milliseconds. The entry is removed after three intervals without.
+pub const HEARTBEAT_MS: u64 = 1_000;
 /// CPU of a machine, in thousandths of a core.
 const CPU_MILLI: u64 = 4_000;
 /// Bandwidth that the nodes' settings state, in kbit/s, in a soak with an odd seed: no relays are needed.
 const LINK_WIDE_KBIT_PER_S: u64 = 1_000_000;
 /// The same in a soak with an even seed: the leader commands two workers itself and each relay one.
 const LINK_THIN_KBIT_PER_S: u64 = 160;
-/// Number of the maintenance wave that operators request.
-const WAVE: u64 = 1;
+/// Number of the maintenance wave that operators request first.
+pub const FIRST_WAVE: u64 = 1;
 /// Limit of machines of the wave in maintenance at the same time.
 const WAVE_MAX_CONCURRENT: usize = 2;
 
@@ -52,6 +54,42 @@
     pub worker: Listening<Worker>,
     /// The proxy in front of it, whose address the worker's entry names.
     pub proxy: Proxy,
+    /// Name of its machine.
+    pub machine: String,
+    /// What the registry shows of it.
+    entry: Mutex<Entry>,
+}
+
+/// What a worker writes to the registry.
+#[derive(Debug, Default)]
+struct Entry {
+    /// The last change, with the id of the worker to which it applies; later workers of the machine are ready.
+    registration: Option<(String, Registration)>,
+    /// Since when the worker doesn't reach the store.
+    unreachable_since: Option<time::Instant>,
+}
+
+/// What the registry shows of a worker whose machine is up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Registration {
+    /// It takes work.
+    #[default]
+    Ready,
+    /// It announced its stop.
+    Draining,
+    /// Its entry was removed.
+    Removed,
+}
+
+impl Registration {
+    /// Returns the state in the worker's entry; `None` without an entry.
+    fn state(self) -> Option<&'static str> {
+        match self {
+            Self::Ready => Some("ready"),
+            Self::Draining => Some("draining"),
+            Self::Removed => None,
+        }
+    }
 }
 
 /// The processes and stand-ins of a soak.
@@ -64,6 +102,8 @@
     pub store_proxies: Vec<Proxy>,
     /// The machine API.
     pub machines: Listening<Machines>,
+    /// The proxy in front of the machine API.
+    pub machines_proxy: Proxy,
     /// The workers of all machines, spare ones included.
     pub workers: Vec<ProxiedWorker>,
     /// The daemons, by node number.
@@ -74,7 +114,12 @@
     pub accounts: Accounts,
     /// Number of calls that were answered 401 as they should be.
     pub denied: AtomicUsize,
+    started_at: time::Instant,
     version: Mutex<u64>,
+    /// The workers' entries as last written, by worker id.
+    entries: Mutex<BTreeMap<String, String>>,
+    /// Numbers of the requested waves.
+    waves: Mutex<Vec<u64>>,
     folder: Mutex<TempDir>,
 }
 
@@ -85,6 +130,7 @@
         let checker = Arc::new(Checker::default());
         let store = Store::start().await?;
         let machines = Machines::start(SPARE, Arc::clone(&checker)).await?;
+        let machines_proxy = Proxy::start(machines.address).await?;
         let folder = tempfile::Builder::new().prefix("soak-").tempdir()?;
         let mut workers = Vec::new();
         let mut wave = Vec::new();
@@ -105,10 +151,15 @@
             worker.state.off.store(off, Ordering::Relaxed);
             machines.state.add(&name, pool, Arc::clone(&worker.state));
             let proxy = Proxy::start(worker.address).await?;
-            workers.push(ProxiedWorker { worker, proxy });
             if number % 2 == 0 {
-                wave.push(name);
+                wave.push(name.clone());
             }
+            workers.push(ProxiedWorker {
+                worker,
+                proxy,
+                machine: name,
+                entry: Mutex::default(),
+            });
         }
         let mut store_proxies = Vec::new();
         let mut nodes = Vec::new();
@@ -116,12 +167,16 @@
             checker,
             store_proxies: Vec::new(),
             machines,
+            machines_proxy,
             workers,
             nodes: Vec::new(),
             addresses: Vec::new(),
             accounts: Accounts::new(options.accounts),
             denied: AtomicUsize::new(0),
+            started_at: time::Instant::now(),
             version: Mutex::new(0),
+            entries: Mutex::default(),
+            waves: Mutex::default(),
             folder: Mutex::new(folder),
             store,
         };
@@ -133,12 +188,12 @@
             }
         }
         world.configure(&[]);
-        world.write_entries(&mut BTreeSet::new());
+        world.write_entries();
         for number in 0..options.nodes {
             let store_proxy = Proxy::start(world.store.address).await?;
             let platform = Platform {
                 store: store_proxy.address(),
-                machines: Some(world.machines.address),
+                machines: Some(world.machines_proxy.address()),
                 link_kbit_per_s: if options.seed.is_multiple_of(2) {
                     LINK_THIN_KBIT_PER_S
                 } else {
@@ -152,7 +207,9 @@
         world.addresses = nodes.iter().map(|node| node.address).collect();
         world.nodes = nodes.into_iter().map(Mutex::new).collect();
         world.store_proxies = store_proxies;
-        world.request_wave(&wave);
+        if options.wave {
+            world.request_wave(FIRST_WAVE, &wave);
+        }
         Ok(world)
     }
 
@@ -205,30 +262,50 @@
         self.put("op", "config", &config.to_string());
     }
 
-    fn request_wave(&self, names: &[String]) {
+    /// Requests a maintenance wave of the named machines.
+    pub fn request_wave(&self, number: u64, names: &[String]) {
         self.machines
             .state
-            .add_wave(WAVE, names, WAVE_MAX_CONCURRENT);
+            .add_wave(number, names, WAVE_MAX_CONCURRENT);
         let wave = json!({
-            "wave": WAVE, "machines": names, "deadlineS": 20, "maxCount": WAVE_MAX_CONCURRENT,
+            "wave": number, "machines": names, "deadlineS": 20, "maxCount": WAVE_MAX_CONCURRENT,
         });
-        self.put("op", &format!("wave/{WAVE}"), &wave.to_string());
+        let mut waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        waves.push(number);
+        self.put("op", &format!("wave/{number}"), &wave.to_string());
+    }
+
+    /// Requests another wave, of every third machine from the given one on.
+    pub fn request_next_wave(&self, first: usize) {
+        let waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = waves.last().map_or(FIRST_WAVE, |last| last + 1);
+        drop(waves);
+        let machines = self.workers.iter().skip(first).step_by(3);
+        let names: Vec<String> = machines.map(|proxied| proxied.machine.clone()).collect();
+        self.request_wave(number, &names);
     }
 
-    /// Describes the requested wave if it isn't reported as completed. Reports a violation if it is reported too early.
-    pub fn unfinished_wave(&self) -> Option<String> {
-        let key = format!("wave/{WAVE}");
+    /// Describes the requested waves that aren't reported as completed. Adds a violation for each that is reported too
+    /// early.
+    pub fn unfinished_waves(&self) -> Vec<String> {
+        let waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        let unfinished = |number: &u64| self.unfinished_wave(*number);
+        waves.iter().filter_map(unfinished).collect()
+    }
+
+    fn unfinished_wave(&self, number: u64) -> Option<String> {
+        let key = format!("wave/{number}");
         let reported = self.store.state.get("status", "", &key);
         let reported = reported.and_then(|text| STANDARD.decode(text).ok());
         let reported =
             reported.is_some_and(|text| String::from_utf8_lossy(&text).contains("completed"));
-        let started = self.machines.state.wave_started(WAVE);
+        let started = self.machines.state.wave_started(number);
         if reported && !started {
             let text = "a wave was reported as completed before maintenance had started on all its machines";
             self.checker.add_violation(text.to_owned());
         }
         (!reported).then(|| {
-            format!("the wave was not reported as completed; all machines started: {started}")
+            format!("wave {number} was not reported as completed; all machines started: {started}")
         })
     }
 
@@ -238,46 +315,128 @@
 
     /// Updates the machines and the workers' entries periodically, until the task is aborted.
     pub async fn run_updates(self: Arc<Self>) {
-        let mut listed = BTreeSet::new();
         loop {
-            self.write_entries(&mut listed);
+            self.write_entries();
             time::sleep(Duration::from_millis(ENTRY_INTERVAL_MS)).await;
         }
     }
 
-    fn write_entries(&self, listed: &mut BTreeSet<String>) {
-        let mut present = BTreeSet::new();
+    /// Changes what the registry shows of the worker that now runs on a machine, at once.
+    pub fn register(&self, worker: usize, registration: Registration) {
+        let proxied = &self.workers[worker];
+        let (id, _) = proxied.worker.state.incarnation();
+        let mut entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
+        entry.registration = id.map(|id| (id, registration));
+        drop(entry);
+        self.write_entries();
+    }
+
+    /// Cuts a worker off from the store, so that its entry expires; it last wrote its entry `silent_ms` ago.
+    pub fn cut_from_store(&self, worker: usize, silent_ms: u64) {
+        let since = time::Instant::now() - Duration::from_millis(silent_ms);
+        self.set_unreachable_since(worker, Some(since));
+    }
+
+    /// Ends the cut of [`World::cut_from_store`].
+    pub fn join_to_store(&self, worker: usize) {
+        self.set_unreachable_since(worker, None);
+    }
+
+    fn set_unreachable_since(&self, worker: usize, since: Option<time::Instant>) {
+        let entry = &self.workers[worker].entry;
+        let mut entry = entry.lock().unwrap_or_else(PoisonError::into_inner);
+        entry.unreachable_since = since;
+    }
+
+    /// Writes the entries that have changed, and removes those of workers that are gone.
+    fn write_entries(&self) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut present = BTreeMap::new();
         for (worker, pool, id) in self.machines.state.refresh() {
-            let proxied = self
-                .workers
-                .iter()
-                .find(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
-            let Some(proxied) = proxied else { continue };
-            present.insert(id.clone());
-            let (_, born) = worker.incarnation();
-            if !listed.insert(format!("{id}/{born}")) {
-                continue;
+            let mut workers = self.workers.iter();
+            let position = workers.position(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
+            if let Some(position) = position
+                && let Some(entry) = self.entry(position, &pool, &id, entries.get(&id))
+            {
+                present.insert(id, entry);
             }
-            let entry = json!({
-                "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
-                "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": born, "clockMs": 1,
-                "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
-                "labels": ["a", "r1"],
-            });
-            self.put("servers", &id, &entry.to_string());
         }
-        let removed: Vec<String> = listed
-            .iter()
-            .filter(|incarnation| {
-                !present.contains(incarnation.split('/').next().unwrap_or_default())
-            })
-            .cloned()
-            .collect();
-        for incarnation in removed {
-            listed.remove(&incarnation);
-            let id = incarnation.split('/').next().unwrap_or_default();
+        for (id, entry) in &present {
+            if entries.get(id) != Some(entry) {
+                self.put("servers", id, entry);
+            }
+        }
+        for id in entries.keys().filter(|id| !present.contains_key(*id)) {
             self.store.state.remove("servers", id);
         }
+        *entries = present;
+    }
+
+    /// Returns a worker's entry; `None` if it has none.
+    fn entry(
+        &self,
+        number: usize,
+        pool: &str,
+        id: &str,
+        written: Option<&String>,
+    ) -> Option<String> {
+        let proxied = &self.workers[number];
+        let worker = &proxied.worker.state;
+        let entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registration = match &entry.registration {
+            Some((changed, registration)) if changed == id => *registration,
+            _ => Registration::Ready,
+        };
+        let state = registration.state()?;
+        if let Some(since) = entry.unreachable_since {
+            let is_expired = since.elapsed() >= Duration::from_millis(3 * HEARTBEAT_MS);
+            return written.filter(|_| !is_expired).cloned();
+        }
+        let (_, born) = worker.incarnation();
+        let elapsed_ms = self.started_at.elapsed().as_millis();
+        // Workers write at different times.
+        let phase_ms = number as u128 * 137 % u128::from(HEARTBEAT_MS);
+        let seq = (elapsed_ms + phase_ms) / u128::from(HEARTBEAT_MS);
+        let entry = json!({
+            "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq as u64, "born": born, "clockMs": 1,
+            "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
+            "labels": ["a", "r1"],
+        });
+        Some(entry.to_string())
+    }
+
+    /// Returns the node that took the duty over last and its epoch, by the daemons' logs.
+    pub fn leader(&self) -> Option<(usize, u64)> {
+        self.terms()
+            .into_iter()
+            .map(|(epoch, node)| (node, epoch))
+            .next_back()
+    }
+
+    /// Returns the epochs of the duty with their nodes, by the daemons' logs.
+    pub fn terms(&self) -> BTreeMap<u64, usize> {
+        let mut terms = BTreeMap::new();
+        for number in 0..self.nodes.len() {
+            let log = self.node(number).log().unwrap_or_default();
+            let epochs = log.split("holds epoch=").skip(1);
+            let epochs = epochs.filter_map(|rest| {
+                rest.split(|c: char| !c.is_ascii_digit())
+                    .next()?
+                    .parse()
+                    .ok()
+            });
+            terms.extend(epochs.map(|epoch: u64| (epoch, number)));
+        }
+        terms
+    }
+
+    /// Returns the violations found so far, with the names of the nodes that started the runs.
+    pub fn violations(&self) -> Vec<String> {
+        for (epoch, node) in self.terms() {
+            self.checker.set_starter(epoch, &format!("node-{node}"));
+        }
+        self.checker.violations()
     }
 
     /// Ends all faults, resumes paused processes and restarts those that have exited.
@@ -291,16 +450,20 @@
             .store_proxies
             .iter()
             .chain(self.workers.iter().map(|proxied| &proxied.proxy))
+            .chain([&self.machines_proxy])
         {
             proxy.set(Fault::default());
             proxy.silence_open();
         }
+        self.machines.state.set_fault(None);
         for proxied in &self.workers {
-            proxied
-                .worker
-                .state
-                .unresponsive
-                .store(false, Ordering::Relaxed);
+            let worker = &proxied.worker.state;
+            worker.unresponsive.store(false, Ordering::Relaxed);
+            worker.late_commands.store(0, Ordering::Relaxed);
+        }
+        for worker in 0..self.workers.len() {
+            self.register(worker, Registration::Ready);
+            self.join_to_store(worker);
         }
         for number in 0..self.nodes.len() {
             let mut node = self.node(number);
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -155,7 +155,7 @@
     let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
     scheduler.poll_answered(&a, &report(vec![(task(0), 3)], vec![]), now, now, 0);
     scheduler.poll_answered(&b, &report(vec![], vec![]), now, now, 0);
-    scheduler.incarnation_ended(&a, IncarnationEnd::MachineWithout);
+    scheduler.incarnation_ended(&a, IncarnationEnd::MachineWithout, now);
     scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now.after_ms(40));
     scheduler.plan(now.after_ms(40), 0);
     assert_eq!(started(&mut scheduler), vec![task(0)]);
@@ -215,7 +215,7 @@
     for after_ms in (100..3_000).step_by(200) {
         let at = now.after_ms(after_ms);
         scheduler.poll_answered(&b, &report(vec![], vec![]), at, at, 0);
-        scheduler.resolve_missing(&listed, at);
+        scheduler.machines_listed(&listed, at, at);
         scheduler.plan(at, 0);
         if !started(&mut scheduler).is_empty() {
             started_at_ms.get_or_insert(after_ms);
