--- /dev/null
+++ b/measure/src/search/node.rs
@@ -0,0 +1,433 @@
+//! Nodes: the term of a leader, its calls, and the followers that take over.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use wasabiloft::batch::TaskId;
+use wasabiloft::batch::scheduler::{Scheduler, Start};
+use wasabiloft::clock::Instant;
+use wasabiloft::id;
+
+use crate::search::history::First;
+use crate::search::platform::Transaction;
+use crate::search::shell;
+use crate::search::world::{Answer, Event, World};
+
+/// Minimum pause between two planning rounds, in milliseconds.
+pub(super) const PLAN_PAUSE_MS: u64 = 4;
+/// Interval at which timers are checked, in milliseconds.
+pub(super) const TICK_MS: u64 = 50;
+/// Interval at which an idle leader rewrites the duty's row, in milliseconds.
+pub(super) const RENEW_INTERVAL_MS: u64 = 250;
+/// Timeout of a call to the machine interface, in milliseconds.
+pub(super) const CLOUD_TIMEOUT_MS: u64 = 1_500;
+/// Pause between two lists of machines, in milliseconds.
+pub(super) const LIST_PAUSE_MS: u64 = 150;
+/// Interval between two heartbeats of a follower, in milliseconds.
+pub(super) const HEARTBEAT_MS: u64 = 250;
+/// Time that the rows of a takeover take to be read, in milliseconds.
+pub(super) const TAKEOVER_READ_MS: u64 = 30;
+
+/// A node's timer.
+#[derive(Clone, Debug)]
+pub enum Timer {
+    /// The process runs again after it stood still.
+    Wake,
+    /// Time-dependent decisions of the scheduler.
+    Tick,
+    /// A planning round.
+    Plan,
+    /// A commit, if one is due.
+    Commit,
+    /// A transaction without a response is sent again.
+    ResendCommit,
+    /// The next poll of a worker.
+    Poll { worker: id::Worker, turn: u64 },
+    /// A call got no response in time.
+    Timeout(u64),
+    /// The next list of machines.
+    Round,
+    /// The follower's next step.
+    Follow,
+    /// The duty's row is read.
+    RowRead {
+        evidence: shell::Evidence,
+        sent_at_ms: u64,
+    },
+    /// The rows of a takeover are read.
+    Lead { may_act: bool, epoch: u64 },
+}
+
+/// A call in progress.
+#[derive(Debug)]
+pub(super) enum Call {
+    Poll {
+        worker: id::Worker,
+        turn: u64,
+        sent_at: Instant,
+    },
+    Start {
+        start: Start,
+        channel: u64,
+        send: u32,
+        may_have_run: bool,
+    },
+    Stop {
+        worker: id::Worker,
+        task: TaskId,
+        run: u32,
+    },
+    Commit,
+    List {
+        requested_at: Instant,
+    },
+    Command {
+        vm: id::Vm,
+        sent: shell::PendingCommand,
+    },
+    Claim {
+        may_act: bool,
+        epoch: u64,
+    },
+}
+
+#[derive(Debug)]
+pub(super) struct PollTask {
+    pub(super) poller: shell::Poller,
+    pub(super) vm: usize,
+    pub(super) channel: u64,
+    /// Number of the next step; earlier timers and responses are void.
+    pub(super) turn: u64,
+    pub(super) waits_for_commit: bool,
+}
+
+/// Starts to one worker, of which a few are in progress at a time.
+#[derive(Debug, Default)]
+pub(super) struct StartChannel {
+    pub(super) vm: usize,
+    pub(super) in_progress: usize,
+    pub(super) waiting: VecDeque<Start>,
+}
+
+/// The state of a leader.
+#[derive(Debug)]
+pub(super) struct Term {
+    pub(super) epoch: u64,
+    pub(super) scheduler: Scheduler,
+    pub(super) polls: BTreeMap<id::Worker, PollTask>,
+    /// By the turn in which the polls of the worker began; kept when they end, as starts are not given up then.
+    pub(super) channels: BTreeMap<u64, StartChannel>,
+    pub(super) fleet: shell::Fleet,
+    pub(super) version: u64,
+    pub(super) in_flight: Option<(Transaction, u64)>,
+    pub(super) committed_ms: u64,
+    pub(super) next_commit_ms: u64,
+    pub(super) planned_ms: u64,
+    pub(super) plan_scheduled: bool,
+    pub(super) registry: shell::Registry,
+}
+
+/// A node.
+#[derive(Debug)]
+pub struct Node {
+    /// Raised when the process or its term ends; timers of earlier ones are void.
+    pub incarnation: u64,
+    /// The process stands still until this time, in milliseconds.
+    pub frozen_until_ms: u64,
+    /// Length of the newest standstill, in milliseconds.
+    pub frozen_for_ms: u64,
+    /// What the process handles first when it wakes.
+    pub first: First,
+    /// The node doesn't reach the platform until this time, in milliseconds.
+    pub store_away_until_ms: u64,
+    pub(super) down_until_ms: u64,
+    pub(super) connected: BTreeSet<(usize, bool)>,
+    pub(super) calls: BTreeMap<u64, (Option<usize>, Call)>,
+    pub(super) next_call: u64,
+    pub(super) turns: u64,
+    pub(super) term: Option<Term>,
+    pub(super) claims: bool,
+    pub(super) follower: shell::Follower,
+    pub(super) refusals: u32,
+    pub(super) unresponsive_ms: Option<u64>,
+    /// Version, holder and epoch of the duty's row as it was read last.
+    pub(super) known: (u64, Option<usize>, u64),
+}
+
+impl Node {
+    /// Creates a node that follows.
+    pub fn new() -> Self {
+        Self {
+            incarnation: 0,
+            frozen_until_ms: 0,
+            frozen_for_ms: 0,
+            first: First::default(),
+            store_away_until_ms: 0,
+            down_until_ms: 0,
+            connected: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            turns: 0,
+            term: None,
+            claims: false,
+            follower: shell::Follower::default(),
+            refusals: 0,
+            unresponsive_ms: None,
+            known: (0, None, 0),
+        }
+    }
+
+    /// Returns the order in which an event that waited is handled when the process wakes.
+    pub fn class_after_freeze(&self, event: &Event) -> u8 {
+        let is_feed = matches!(event, Event::Job { .. } | Event::Registry { .. });
+        let is_timer = match event {
+            Event::Timer {
+                timer: Timer::Timeout(_),
+                ..
+            } => return 3,
+            Event::Timer {
+                timer: Timer::Wake, ..
+            } if self.first == First::Feeds => return 0,
+            Event::Timer {
+                timer: Timer::Plan, ..
+            } if self.first == First::Feeds => return 1,
+            Event::Timer { .. } => true,
+            _ => false,
+        };
+        // Decisions on what is handled first have class 1.
+        match (self.first, is_timer, is_feed) {
+            (First::Timers, true, _) | (First::Feeds, _, true) => 0,
+            (First::Answers | First::Timers, false, _) => 1,
+            (First::Answers, true, _) | (First::Feeds, _, false) => 2,
+        }
+    }
+
+    /// Returns the calls in progress to a VM's worker.
+    pub fn calls_to(&self, vm: usize) -> Vec<u64> {
+        let calls = self.calls.iter();
+        calls
+            .filter(|(_, (target, _))| *target == Some(vm))
+            .map(|(call, _)| *call)
+            .collect()
+    }
+
+    /// Returns the fencing epoch of the node's commands; 0 if it doesn't lead.
+    pub fn epoch(&self) -> u64 {
+        self.term.as_ref().map_or(0, |term| term.epoch)
+    }
+
+    /// Returns whether the client of a VM's worker has a connection.
+    pub fn is_connected(&self, vm: usize, is_poll: bool) -> bool {
+        self.connected.contains(&(vm, is_poll))
+    }
+
+    /// Records that a connection was opened.
+    pub fn connect(&mut self, vm: usize, is_poll: bool) {
+        self.connected.insert((vm, is_poll));
+    }
+
+    fn call(&mut self, target: Option<usize>, call: Call) -> u64 {
+        self.next_call += 1;
+        self.calls.insert(self.next_call, (target, call));
+        self.next_call
+    }
+}
+
+impl World {
+    pub(super) fn now(&self) -> Instant {
+        Instant::from_ms(self.now_ms)
+    }
+
+    /// Adds a timer of a node.
+    pub fn push_timer(&mut self, node: usize, at_ms: u64, timer: Timer) {
+        let incarnation = self.nodes[node].incarnation;
+        let event = Event::Timer {
+            node,
+            incarnation,
+            timer,
+        };
+        self.push(at_ms, event);
+    }
+
+    /// Begins a node's process; the first node claims the duty at once.
+    pub fn begin_node(&mut self, node: usize) {
+        if node == 0 && self.now_ms == 0 {
+            self.claim(node, false);
+        } else {
+            self.push_timer(node, self.now_ms + HEARTBEAT_MS, Timer::Follow);
+        }
+    }
+
+    /// Ends a node's process and starts it again later.
+    pub fn restart_node(&mut self, node: usize, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        let before = &self.nodes[node];
+        let fresh = Node {
+            incarnation: before.incarnation + 1,
+            next_call: before.next_call,
+            store_away_until_ms: before.store_away_until_ms,
+            down_until_ms: until_ms,
+            ..Node::new()
+        };
+        self.nodes[node] = fresh;
+        self.push_timer(node, until_ms, Timer::Follow);
+    }
+
+    /// Cuts a node off from the platform.
+    pub fn cut_store(&mut self, node: usize, until_ms: u64) {
+        self.nodes[node].store_away_until_ms = until_ms;
+        if let Some(term) = &mut self.nodes[node].term {
+            term.registry.on_outage_end(Instant::from_ms(until_ms));
+        }
+    }
+
+    pub(super) fn end_term(&mut self, node: usize, reason: &str) {
+        let epoch = self.nodes[node].epoch();
+        self.note(|| format!("n{node} stops leading epoch={epoch}: {reason}"));
+        let state = &mut self.nodes[node];
+        state.term = None;
+        state.calls.clear();
+        state.connected.clear();
+        state.incarnation += 1;
+        state.follower = shell::Follower::default();
+        self.push_timer(node, self.now_ms + HEARTBEAT_MS, Timer::Follow);
+    }
+
+    /// Handles a node's timer.
+    pub fn timer(&mut self, node: usize, timer: Timer) {
+        match timer {
+            Timer::Wake => {
+                let for_ms = self.nodes[node].frozen_for_ms;
+                if let Some(term) = &mut self.nodes[node].term {
+                    term.scheduler.excuse_silence(for_ms);
+                }
+            }
+            Timer::Tick => {
+                let now = self.now();
+                if let Some(term) = &mut self.nodes[node].term {
+                    term.scheduler.tick(now, now.as_ms());
+                    term.scheduler.evict_long_running(now);
+                    term.scheduler.jobs_read(now);
+                    self.push_timer(node, now.as_ms() + TICK_MS, Timer::Tick);
+                    self.plan(node);
+                }
+            }
+            Timer::Plan => {
+                if let Some(term) = &mut self.nodes[node].term {
+                    term.plan_scheduled = false;
+                    self.plan(node);
+                }
+            }
+            Timer::Commit => self.commit(node),
+            Timer::ResendCommit => self.send_commit(node),
+            Timer::Poll { worker, turn } => self.poll(node, &worker, turn),
+            Timer::Timeout(call) => self.timed_out(node, call),
+            Timer::Round => self.request_list(node),
+            Timer::Follow => self.follow(node),
+            Timer::RowRead {
+                evidence,
+                sent_at_ms,
+            } => self.row_read(node, evidence, sent_at_ms),
+            Timer::Lead { may_act, epoch } => self.lead(node, may_act, epoch),
+        }
+    }
+
+    pub(super) fn timed_out(&mut self, node: usize, call: u64) {
+        let state = &mut self.nodes[node];
+        let Some((target, what)) = state.calls.get(&call) else {
+            return;
+        };
+        if let Some(vm) = target {
+            let is_poll = matches!(what, Call::Poll { .. });
+            state.connected.remove(&(*vm, is_poll));
+        }
+        self.answered(node, call, Answer::Failed { refused: false });
+    }
+
+    pub(super) fn call(
+        &mut self,
+        node: usize,
+        target: Option<usize>,
+        call: Call,
+        timeout_ms: u64,
+    ) -> u64 {
+        let number = self.nodes[node].call(target, call);
+        self.push_timer(node, self.now_ms + timeout_ms, Timer::Timeout(number));
+        number
+    }
+
+    /// Schedules a planning round.
+    pub(super) fn wake(&mut self, node: usize) {
+        let now_ms = self.now_ms;
+        if let Some(term) = &mut self.nodes[node].term
+            && !term.plan_scheduled
+        {
+            term.plan_scheduled = true;
+            let at_ms = now_ms.max(term.planned_ms + PLAN_PAUSE_MS);
+            self.push_timer(node, at_ms, Timer::Plan);
+        }
+    }
+
+    /// Handles the answer to a call, or its failure.
+    pub fn answered(&mut self, node: usize, call: u64, answer: Answer) {
+        let Some((_, call)) = self.nodes[node].calls.remove(&call) else {
+            return;
+        };
+        let now = self.now();
+        match call {
+            Call::Poll {
+                worker,
+                turn,
+                sent_at,
+            } => self.poll_answered(node, &worker, turn, sent_at, answer),
+            Call::Start {
+                start,
+                channel,
+                send,
+                may_have_run,
+            } => self.start_answered(node, channel, start, send, may_have_run, &answer),
+            Call::Stop { worker, task, run } => {
+                if let (Answer::Stopped, Some(term)) = (&answer, &mut self.nodes[node].term) {
+                    term.scheduler.stop_answered(&worker, task, run, now);
+                }
+            }
+            Call::Commit => self.commit_answered(node, &answer),
+            Call::List { requested_at } => {
+                if let Some(term) = &mut self.nodes[node].term {
+                    if let Answer::List(list) = answer {
+                        term.fleet
+                            .apply_list(&mut term.scheduler, list, requested_at, now);
+                        if shell::can_send(now.as_ms().saturating_sub(term.committed_ms)) {
+                            let wanted = &self.wanted;
+                            term.fleet.round(&mut term.scheduler, wanted, now);
+                        }
+                    }
+                    self.push_timer(node, now.as_ms() + LIST_PAUSE_MS, Timer::Round);
+                    self.wake(node);
+                    self.commit(node);
+                }
+            }
+            Call::Command { vm, sent } => {
+                let outcome = match answer {
+                    Answer::Commanded(outcome) => Some(outcome),
+                    _ => None,
+                };
+                if let Some(term) = &mut self.nodes[node].term {
+                    term.fleet
+                        .handle_result(&mut term.scheduler, &vm, &sent, outcome, now);
+                    self.wake(node);
+                    self.commit(node);
+                }
+            }
+            Call::Claim { may_act, epoch } => {
+                if let Answer::Committed(version) = answer {
+                    self.nodes[node].known = (version, Some(node), epoch);
+                    let timer = Timer::Lead { may_act, epoch };
+                    self.push_timer(node, now.as_ms() + TAKEOVER_READ_MS, timer);
+                } else {
+                    self.nodes[node].claims = false;
+                    self.push_timer(node, now.as_ms() + HEARTBEAT_MS, Timer::Follow);
+                }
+            }
+        }
+    }
+}
