registry: a worker of a service that the configuration doesn't name is not used

Cause: any worker was polled, whatever service its entry names. By the protocol an entry with a service that isn't named names no runner to use, and a poll raises the fence of a runner that may be another system's.

Workers that were used before are followed on.

Before, the worker was listed and polled at once, by reading of worker_listed.

--- a/node/src/batch/registry_feed.rs
+++ b/node/src/batch/registry_feed.rs
@@ -57,6 +57,8 @@
     let mut partial = None;
     let mut known: BTreeMap<id::Worker, u64> = BTreeMap::new();
     let mut unreadable = unreadable::Unreadable::new("registry", "holder");
+    // Entries of services that the configuration doesn't name; a later version may.
+    let mut unserved: BTreeMap<id::Worker, store::Row> = BTreeMap::new();
     let mut lost_at = None;
     let mut trusted_at = wasabiloft::clock::Instant::ZERO;
     while !leadership.ended.is_cancelled() {
@@ -105,20 +107,30 @@
                 leadership.scheduler().worker_unlisted(&worker);
             }
             unreadable.retain(|key| present.contains(&id::Worker::new(key)));
+            unserved.clear();
         }
         if page.unnamed > 0 {
             let line = format!("entries without a readable key rows={}", page.unnamed);
             unreadable.found("", &line);
         }
-        for row in &page.rows {
+        let mut rows = std::mem::take(&mut unserved);
+        rows.extend(
+            page.rows
+                .into_iter()
+                .map(|row| (id::Worker::new(&row.name.key), row)),
+        );
+        for (worker, row) in rows {
             let removals_trusted = now >= trusted_at;
-            apply_entry(
+            let is_served = apply_entry(
                 &leadership,
-                row,
+                &row,
                 &mut known,
                 &mut unreadable,
                 removals_trusted,
             );
+            if !is_served {
+                unserved.insert(worker, row);
+            }
         }
         after = Some(page.version.max(after.unwrap_or(0)));
         leadership.wake.notify_one();
@@ -126,13 +138,14 @@
     }
 }
 
+/// Applies an entry; returns `false` if the configuration doesn't name its service.
 fn apply_entry(
     leadership: &leadership::Leadership,
     row: &store::Row,
     known: &mut BTreeMap<id::Worker, u64>,
     unreadable: &mut unreadable::Unreadable,
     removals_trusted: bool,
-) {
+) -> bool {
     let id = id::Worker::new(&row.name.key);
     let now = clock::since_boot();
     if row.removed {
@@ -141,15 +154,26 @@
             known.remove(&id);
             leadership.scheduler().worker_unlisted(&id);
         }
-        return;
+        return true;
     }
     match registry::decode(row) {
         Ok(listing) => {
+            let mut scheduler = leadership.scheduler();
+            if !scheduler.may_use(&listing) {
+                drop(scheduler);
+                let line = format!(
+                    "entry {id} can't be used: no service={} in the configuration",
+                    listing.service
+                );
+                unreadable.found(&row.name.key, &line);
+                return false;
+            }
+            scheduler.worker_listed(listing, now);
+            drop(scheduler);
             if unreadable.resolved(&row.name.key) {
                 log::info("holder", &format!("entry can be used again worker={id}"));
             }
             known.insert(id, row.version);
-            leadership.scheduler().worker_listed(listing, now);
         }
         Err(error) => {
             unreadable.found(&row.name.key, &error.to_string());
@@ -157,4 +181,5 @@
             leadership.scheduler().worker_unreadable(&id);
         }
     }
+    true
 }
--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -164,7 +164,8 @@
         self.put("op", "config", &config.to_string());
     }
 
-    fn config(&self, version: u64, prefixes: &[&str]) -> serde_json::Value {
+    /// Returns a configuration with a queue for each prefix.
+    pub fn config(&self, version: u64, prefixes: &[&str]) -> serde_json::Value {
         let routes: Vec<_> = prefixes
             .iter()
             .map(|prefix| {
--- a/node/tests/test_odd_entries.rs
+++ b/node/tests/test_odd_entries.rs
@@ -5,7 +5,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
-use crate::hosted::{Cluster, call, until};
+use crate::hosted::{Cluster, PREFIX, call, until};
 
 const ID: &str = "00000000000000a1";
 const OTHER: &str = "00000000000000a2";
@@ -23,7 +23,7 @@
 /// Returns odd entries: a sound one in which one field has another value.
 fn odd_entries(sound: &serde_json::Value) -> Vec<(String, String)> {
     let fields: &[(&str, &[&str])] = &[
-        ("service", &["7", "null", "NESTED"]),
+        ("service", &["7", "null", "NESTED", "\"elsewhere\""]),
         (
             "address",
             &[
@@ -201,6 +201,28 @@
     assert_eq!(starts_twice(&cluster), Vec::<String>::new());
 }
 
+/// A worker of a service that a later configuration adds is never used, or it is used before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_of_an_unknown_service_is_used_once_the_configuration_names_it() {
+    let cluster = Cluster::start(1, 1, 50).await;
+    let mut entry = cluster.entry(0);
+    entry["service"] = json!("added");
+    cluster.put("servers", "i-9", &entry.to_string());
+    until("the entry is named", async || {
+        cluster.log(0).contains("entry i-9 can't be used")
+    })
+    .await;
+    assert!(!cluster.log(0).contains("worker listed worker=i-9"));
+    let mut config = cluster.config(2, &[PREFIX]);
+    let services = config["services"].as_array_mut().expect("services");
+    services.push(json!({"name": "added"}));
+    cluster.put("op", "config", &config.to_string());
+    until("the worker is used", async || {
+        cluster.log(0).contains("worker listed worker=i-9")
+    })
+    .await;
+}
+
 /// A worker whose entry turns odd while it runs tasks is taken for gone, or gets tasks meanwhile, or none afterwards.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_worker_whose_entry_turns_odd_and_back_keeps_its_runs() {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -295,6 +295,15 @@
         self.outputs.push(Output::StartPolling(listing));
     }
 
+    /// Returns whether an entry names a worker to use: the configuration names its service, or the worker was used before.
+    pub fn may_use(&self, listing: &worker_state::Listing) -> bool {
+        let services = &self.config.services;
+        services.is_empty()
+            || services.contains_key(&listing.service)
+            || self.workers.contains_key(&listing.worker)
+            || self.unresolved.contains_key(&listing.worker)
+    }
+
     /// Records that a worker is no longer in the registry. Its tasks are kept, as this does not prove that they ended.
     pub fn worker_unlisted(&mut self, id: &id::Worker) {
         if let Some(worker) = self.workers.get_mut(id) {
