node: series of faults in the short soak, and a successor that waits for a lease

Change: two seeds with series of faults in the short soak; faults of draining or expired workers hit one that has runs; a seed draws one of four mixes, as dense faults of one worker end each other. A fourth scripted test kills the leader while a draining worker is cut off.

--- a/node/tests/test_soak.rs
+++ b/node/tests/test_soak.rs
@@ -2,10 +2,12 @@
 
 use std::path::Path;
 
-use wasabiloft_standins::soak::{self, Options};
+use wasabiloft_standins::soak::{self, Faults, Options};
 
 /// Time for which faults are injected in the short runs, in milliseconds.
 const SHORT_MS: u64 = 6_000;
+/// The same for series of faults, whose effects show several seconds later.
+const SERIES_MS: u64 = 15_000;
 
 async fn run_soak(options: Options) {
     let report = soak::run(&options).await.expect("a soak");
@@ -34,6 +36,20 @@
     }
 }
 
+/// Guards against tasks that run twice, and against work that isn't finished, after overlapping faults of the machine API
+/// and of workers that run on while they are unreachable.
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_under_series_of_faults() {
+    for seed in [3001, 3002] {
+        run_soak(Options {
+            run_ms: SERIES_MS,
+            faults: Faults::Series,
+            ..options(seed)
+        })
+        .await;
+    }
+}
+
 /// Guards against calls that run with unknown or revoked keys, and accounts that run more than their quotas.
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_and_quotas_hold_under_faults() {
--- a/node/tests/test_twice.rs
+++ b/node/tests/test_twice.rs
@@ -3,6 +3,7 @@
 
 use std::path::Path;
 
+use rustix::process::Signal;
 use wasabiloft_standins::hosted::machines;
 use wasabiloft_standins::proxy;
 use wasabiloft_standins::soak::Options;
@@ -87,6 +88,23 @@
     assert_never_twice(&scenario);
 }
 
+/// Guards against the same by a new leader, which knows the worker's tasks only as those of its predecessor's workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_leader_waits_for_the_lease_of_a_draining_worker_whose_entry_expires() {
+    let scenario = start().await;
+    let worker = start_tasks(&scenario).await;
+    scenario.world.register(worker, Registration::Draining);
+    scenario.pause(200).await;
+    refuse_connections(&scenario, worker);
+    scenario.world.cut_from_store(worker, 100);
+    let (leader, _) = scenario.world.leader().expect("a leader");
+    scenario.world.node(leader).signal(Signal::KILL);
+    scenario.pause(SETTLE_MS).await;
+    let (successor, _) = scenario.world.leader().expect("a leader");
+    assert_ne!(successor, leader);
+    assert_never_twice(&scenario);
+}
+
 /// Guards against taking the worker that a machine has after maintenance for ended because the machine API answers a
 /// repeated command only then.
 #[tokio::test(flavor = "multi_thread")]
--- a/standins/src/soak/faults/kind.rs
+++ b/standins/src/soak/faults/kind.rs
@@ -20,10 +20,6 @@
 const DRAIN_TO_CUT_MS: Range<u64> = 0..2_500;
 /// Time from the removal of an entry to the end of its worker's process, in milliseconds.
 const REMOVAL_TO_EXIT_MS: Range<u64> = 0..400;
-/// Shares of faults of nodes and the store, one of which a seed draws.
-const SINGLE_SHARES: [f64; 3] = [0.0, 0.1, 0.4];
-/// Number of faults that begin at the same time in a series.
-const TOGETHER: Range<usize> = 1..5;
 
 /// A fault, with the index of the affected node or worker where it has one.
 #[derive(Clone, Copy, Debug)]
@@ -148,22 +144,57 @@
     }
 }
 
-/// Draws the share of faults of nodes and the store in a soak. With a high share, few leaders live long enough to see a
-/// worker that they lost again.
-pub(super) fn draw_single_share(rng: &mut SmallRng) -> f64 {
-    SINGLE_SHARES[rng.random_range(0..SINGLE_SHARES.len())]
+/// How densely a soak with series of faults injects them, and of which kinds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mix {
+    /// Share of faults of nodes and the store. With a high share, few leaders live long enough to see a worker that they
+    /// lost again.
+    single_share: f64,
+    /// Largest number of faults that begin together.
+    together_max: usize,
+    /// Share of faults that follow in quick succession.
+    pub(super) quick_share: f64,
+}
+
+/// Mixes, one of which a seed draws. Dense faults of the same worker end each other.
+const MIXES: [Mix; 4] = [
+    Mix {
+        single_share: 0.0,
+        together_max: 1,
+        quick_share: 0.0,
+    },
+    Mix {
+        single_share: 0.1,
+        together_max: 2,
+        quick_share: 0.1,
+    },
+    Mix {
+        single_share: 0.1,
+        together_max: 4,
+        quick_share: 0.35,
+    },
+    Mix {
+        single_share: 0.4,
+        together_max: 4,
+        quick_share: 0.35,
+    },
+];
+
+/// Draws the mix of a soak.
+pub(super) fn draw_mix(rng: &mut SmallRng) -> Mix {
+    MIXES[rng.random_range(0..MIXES.len())]
 }
 
 /// Draws the faults that begin at the same time in a soak with series of faults.
 pub(super) fn draw_together(
     rng: &mut SmallRng,
-    single_share: f64,
+    mix: Mix,
     nodes: usize,
     workers: usize,
 ) -> Vec<Kind> {
-    let count = rng.random_range(TOGETHER);
+    let count = rng.random_range(1..=mix.together_max);
     let kinds = (0..count).map(|_| {
-        if rng.random_bool(single_share) {
+        if rng.random_bool(mix.single_share) {
             draw(rng, nodes, workers)
         } else {
             draw_unreachable(rng, workers)
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -29,17 +29,15 @@
 const STOP_TIMEOUT_MS: u64 = 6_000;
 /// Time between the exit of a terminated process and its restart, in milliseconds.
 const RESTART_DELAY_MS: u64 = 300;
-/// Probability that the next faults of a series follow in quick succession.
-const QUICK_SHARE: f64 = 0.35;
 /// Time between faults in quick succession, in milliseconds.
 const QUICK_INTERVAL_MS: Range<u64> = 10..200;
 
 /// Injects faults for the duration of the run. Returns a description of each.
 pub async fn inject_all(world: &Arc<World>, options: &Options) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(options.seed ^ 0xfa17);
-    let single_share = match options.faults {
-        soak::Faults::Single => 1.0,
-        soak::Faults::Series => kind::draw_single_share(&mut rng),
+    let mix = match options.faults {
+        soak::Faults::Single => None,
+        soak::Faults::Series => Some(kind::draw_mix(&mut rng)),
     };
     let started_at = time::Instant::now();
     let mut injected = Vec::new();
@@ -47,9 +45,9 @@
     time::sleep(Duration::from_millis(CALM_MS)).await;
     while started_at.elapsed() < Duration::from_millis(options.run_ms) {
         let (nodes, workers) = (world.nodes.len(), world.workers.len());
-        let kinds = match options.faults {
-            soak::Faults::Single => vec![kind::draw(&mut rng, nodes, workers)],
-            soak::Faults::Series => kind::draw_together(&mut rng, single_share, nodes, workers),
+        let kinds = match mix {
+            None => vec![kind::draw(&mut rng, nodes, workers)],
+            Some(mix) => kind::draw_together(&mut rng, mix, nodes, workers),
         };
         for kind in kinds {
             let duration_ms = rng.random_range(DURATION_MS);
@@ -57,10 +55,7 @@
             injected.push(format!("{at_ms} ms: {kind:?} for {duration_ms} ms"));
             active_faults.spawn(inject(Arc::clone(world), kind, duration_ms));
         }
-        let is_quick = match options.faults {
-            soak::Faults::Single => false,
-            soak::Faults::Series => rng.random_bool(QUICK_SHARE),
-        };
+        let is_quick = mix.is_some_and(|mix| rng.random_bool(mix.quick_share));
         let pause_ms = if is_quick {
             rng.random_range(QUICK_INTERVAL_MS)
         } else {
--- a/standins/src/soak/faults/workers.rs
+++ b/standins/src/soak/faults/workers.rs
@@ -11,6 +11,14 @@
 /// Interval between two checks whether a machine has another worker, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 20;
 
+/// Returns the first worker with runs, in order from the given one on; that one if there is none.
+fn first_busy(world: &World, from: usize) -> usize {
+    let count = world.workers.len();
+    let mut numbers = (from..from + count).map(|number| number % count);
+    let busy = numbers.find(|number| !world.workers[*number].worker.state.is_empty());
+    busy.unwrap_or(from)
+}
+
 /// Cuts a worker off from nodes and store until its entry has expired, and for the duration after that.
 pub(super) async fn expire(
     world: &World,
@@ -19,6 +27,7 @@
     silent_ms: u64,
     duration_ms: u64,
 ) {
+    let worker = first_busy(world, worker);
     world.cut_from_store(worker, silent_ms);
     let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
     inject_at_proxy(&world.workers[worker].proxy, cut.fault(), cut_ms).await;
@@ -41,7 +50,7 @@
 /// Lets a worker announce its stop, lose its entry and exit; its machine comes back with another worker. A worker that is
 /// cut off as well runs on until its entry has expired.
 pub(super) async fn leave(world: &World, leave: Leave, duration_ms: u64) {
-    let worker = leave.worker;
+    let worker = first_busy(world, leave.worker);
     let proxied = &world.workers[worker];
     let state = &proxied.worker.state;
     let (Some(id), _) = state.incarnation() else {
