--- a/standins/src/proxy_command.rs
+++ b/standins/src/proxy_command.rs
@@ -21,6 +21,7 @@
     one-way           Forward requests and block responses.
     black-hole        Forward nothing.
     cut               Close open connections and new ones.
+    refuse            Reset open connections and refuse new ones.
     cut-after BYTES   Close each connection after this many bytes of responses.
 ";
 
@@ -84,6 +85,7 @@
         "one-way" => fault.one_way = true,
         "black-hole" => fault.black_hole = true,
         "cut" => fault.cut = true,
+        "refuse" => fault.refuse = true,
         "cut-after" => fault.cut_after_bytes = Some(number()?),
         other => return Err(format!("standin: unknown fault '{other}'")),
     }
