scheduler: a list of machines ends no worker that got a start since it was requested

Cause: a list that was requested while a worker was down arrived after the worker's restart under the same id, when the new incarnation had carried out a start and answered no poll yet. Change: a start sent or confirmed since the request contradicts the list like an answer; the next list decides.

--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -66,6 +66,15 @@
 }
 
 impl Scheduler {
+    /// Returns whether a start is still to be sent: its run wasn't taken for ended, or stopped, while it waited.
+    pub fn is_start_due(&self, worker: &id::Worker, id: &TaskId, run: u32) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        let active = task.and_then(|task| task.active.as_ref());
+        active.is_some_and(|active| {
+            active.worker == *worker && active.run == run && active.stop_reason.is_none()
+        })
+    }
+
     /// Handles the outcome of a start command.
     pub fn start_answered(
         &mut self,
@@ -103,6 +112,9 @@
             StartOutcome::Started => {
                 active.confirmed_at.get_or_insert(now);
                 active.percent_at = now;
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.on_start_confirmed(now);
+                }
                 return;
             }
             StartOutcome::Refused {
--- a/src/batch/scheduler/machine_list.rs
+++ b/src/batch/scheduler/machine_list.rs
@@ -1,7 +1,7 @@
 //! The list of machines as evidence about workers: which have ended because no machine runs them any more.
 //!
 //! A list shows the state at some moment between its request and its response. It proves nothing about a worker that
-//! answered a poll after the request was sent; the next list does.
+//! answered or got a start after the request was sent; the next list does.
 
 use std::collections::BTreeSet;
 
@@ -37,7 +37,7 @@
             if !worker.on_machine {
                 continue;
             }
-            if worker.last_response_at < requested_at {
+            if worker.is_unheard_since(requested_at) {
                 ended.push(id.clone());
             } else if !std::mem::replace(&mut worker.contradicts_list, true) {
                 contradicted.push(id.clone());
@@ -74,7 +74,7 @@
             .filter(|(_, worker)| {
                 worker.adopted
                     && worker.unanswered
-                    && worker.last_response_at < requested_at
+                    && worker.is_unheard_since(requested_at)
                     && now.since_ms(worker.joined_at) >= LISTED_AFTER_MS
             })
             .map(|(id, _)| id);
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -125,6 +125,8 @@
     pub contradicts_list: bool,
     /// Whether the worker's newest registry entry could be read.
     pub readable: bool,
+    /// When a start was last sent to the worker, or confirmed by it.
+    start_at: clock::Instant,
     /// When this incarnation was first seen.
     pub joined_at: clock::Instant,
     /// Incarnation that responded last, by its start in milliseconds since 1970; 0 if not reported.
@@ -183,6 +185,7 @@
             listed: true,
             on_machine: false,
             contradicts_list: false,
+            start_at: clock::Instant::ZERO,
             readable: true,
             joined_at: now,
             started_unix_ms: 0,
@@ -282,6 +285,18 @@
     /// Records that the worker gets a task, which is a trial if the worker is suspect.
     pub fn on_start(&mut self, now: clock::Instant) {
         self.tried_at = now;
+        self.start_at = now;
+    }
+
+    /// Records that the worker has confirmed a start.
+    pub fn on_start_confirmed(&mut self, now: clock::Instant) {
+        self.start_at = now;
+    }
+
+    /// Returns whether evidence as of `at` can be about the worker as it is: it has neither answered since nor got a start,
+    /// which an incarnation with the same id may have carried out.
+    pub fn is_unheard_since(&self, at: clock::Instant) -> bool {
+        self.last_response_at < at && self.start_at < at
     }
 
     /// Returns whether nothing but the pause of a suspect worker keeps the worker from getting new tasks.
