watch: a start is sent no more once its run was taken for ended

Cause: attempts to send a start, and starts that wait for their turn, went on after the worker had ended and the task had started elsewhere; a worker that was back under its id carried one out. Change: each attempt first asks the scheduler whether the run is still the task's (Scheduler::is_start_due). The search asks the same, and follows the leader's authority and what refused connections prove. A start that is under way when its worker ends can still reach the next incarnation: open.

--- a/measure/src/search/commands.rs
+++ b/measure/src/search/commands.rs
@@ -22,6 +22,7 @@
 impl World {
     pub(super) fn execute(&mut self, node: usize, output: Output) {
         let turn = self.nodes[node].turns + 1;
+        let may_act = self.may_act(node);
         let Some(term) = &mut self.nodes[node].term else {
             return;
         };
@@ -58,6 +59,7 @@
                 }
                 None => self.start_over(node, &start, StartOutcome::NotSent),
             },
+            Output::Stop { .. } if !may_act => {}
             Output::Stop { worker, task, run } => {
                 let Some(vm) = term.polls.get(&worker).map(|poll| poll.vm) else {
                     return;
@@ -104,12 +106,25 @@
         send: u32,
         may_have_run: bool,
     ) {
+        let may_act = self.may_act(node);
         let Some(term) = &self.nodes[node].term else {
             return;
         };
         let Some(vm) = term.channels.get(&channel).map(|starts| starts.vm) else {
             return;
         };
+        let is_due = term
+            .scheduler
+            .is_start_due(&start.worker, &start.task, start.run);
+        if !may_act || !is_due {
+            let outcome = if may_have_run {
+                StartOutcome::NoAnswer
+            } else {
+                StartOutcome::NotSent
+            };
+            self.end_start(node, channel, &start, outcome);
+            return;
+        }
         let worker = start.worker.clone();
         let request = Request::Start(start.clone());
         let call = Call::Start {
@@ -132,6 +147,7 @@
     }
 
     pub(super) fn poll(&mut self, node: usize, worker: &id::Worker, turn: u64) {
+        let may_act = self.may_act(node);
         let now = self.now();
         let Some(term) = &mut self.nodes[node].term else {
             return;
@@ -141,9 +157,12 @@
         };
         task.waits_for_commit = false;
         let vm = task.vm;
-        let Some(poll) = term.scheduler.next_poll(worker, now) else {
+        let Some(mut poll) = term.scheduler.next_poll(worker, now) else {
             return;
         };
+        if !may_act {
+            poll.until_ms = None;
+        }
         let call = Call::Poll {
             worker: worker.clone(),
             turn,
@@ -243,6 +262,11 @@
             }
             _ => StartOutcome::NoAnswer,
         };
+        self.end_start(node, channel, &start, outcome);
+        self.send_waiting(node, channel);
+    }
+
+    fn end_start(&mut self, node: usize, channel: u64, start: &Start, outcome: StartOutcome) {
         let starts = self.nodes[node]
             .term
             .as_mut()
@@ -250,7 +274,6 @@
         if let Some(starts) = starts {
             starts.in_progress -= 1;
         }
-        self.start_over(node, &start, outcome);
-        self.send_waiting(node, channel);
+        self.start_over(node, start, outcome);
     }
 }
--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -1,6 +1,7 @@
 //! Commits of a leader, and the lists of machines and commands that they allow.
 
 use wasabiloft::batch::record;
+use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 use crate::search::node::{CLOUD_TIMEOUT_MS, Call, RENEW_INTERVAL_MS, Timer};
@@ -60,6 +61,7 @@
 
     pub(super) fn commit_answered(&mut self, node: usize, answer: &Answer) {
         let now_ms = self.now_ms;
+        self.may_act(node);
         let Some(term) = &mut self.nodes[node].term else {
             return;
         };
@@ -70,6 +72,7 @@
                 };
                 term.version = *version;
                 term.committed_ms = sent_at_ms;
+                term.authority.committed(Instant::from_ms(sent_at_ms));
                 term.next_commit_ms = now_ms + COMMIT_INTERVAL_MS;
                 self.batch_committed(node, &transaction.batch);
                 self.push_timer(node, sent_at_ms + RENEW_INTERVAL_MS, Timer::Commit);
@@ -82,14 +85,15 @@
 
     pub(super) fn batch_committed(&mut self, node: usize, batch: &record::WriteBatch) {
         let now = self.now();
+        let may_act = self.may_act(node);
         let Some(term) = &mut self.nodes[node].term else {
             return;
         };
         term.scheduler.batch_committed(batch);
         let since_commit_ms = now.as_ms().saturating_sub(term.committed_ms);
-        let commands = term
-            .fleet
-            .take_committed(&mut term.scheduler, since_commit_ms, now);
+        let commands =
+            term.fleet
+                .take_committed(&mut term.scheduler, may_act, since_commit_ms, now);
         let waiting = term.polls.iter().filter(|(_, task)| task.waits_for_commit);
         let waiting: Vec<id::Worker> = waiting.map(|(worker, _)| worker.clone()).collect();
         for worker in waiting {
--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -24,7 +24,7 @@
         let Some(holder) = holder.filter(|holder| *holder != node) else {
             let evidence = match holder {
                 None => shell::Evidence::None,
-                Some(_) => shell::Evidence::Dead,
+                Some(_) => shell::Evidence::NotLeading,
             };
             self.read_row(node, evidence, 0);
             return;
@@ -41,7 +41,7 @@
         if is_down {
             state.refusals += 1;
             let evidence = if state.refusals >= 2 {
-                shell::Evidence::Dead
+                shell::Evidence::Refused
             } else {
                 shell::Evidence::None
             };
@@ -57,7 +57,7 @@
             }
             self.read_row(node, shell::Evidence::None, wait_ms);
         } else if !leads {
-            self.read_row(node, shell::Evidence::Dead, LATENCY_MS);
+            self.read_row(node, shell::Evidence::NotLeading, LATENCY_MS);
         } else if is_stale {
             self.read_row(node, shell::Evidence::RequestsHandover, LATENCY_MS);
         } else {
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use wasabiloft::batch::TaskId;
 use wasabiloft::batch::scheduler::{Scheduler, Start};
+use wasabiloft::batch::{TaskId, authority};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -124,6 +124,7 @@
     pub(super) planned_ms: u64,
     pub(super) plan_scheduled: bool,
     pub(super) registry: shell::Registry,
+    pub(super) authority: authority::Authority,
 }
 
 /// A node.
@@ -303,9 +304,12 @@
             }
             Timer::Tick => {
                 let now = self.now();
+                let may_act = self.may_act(node);
                 if let Some(term) = &mut self.nodes[node].term {
                     term.scheduler.tick(now, now.as_ms());
-                    term.scheduler.evict_long_running(now);
+                    if may_act {
+                        term.scheduler.evict_long_running(now);
+                    }
                     term.scheduler.jobs_read(now);
                     self.push_timer(node, now.as_ms() + TICK_MS, Timer::Tick);
                     self.plan(node);
@@ -331,6 +335,19 @@
         }
     }
 
+    /// Returns whether a leader may send commands.
+    pub(super) fn may_act(&mut self, node: usize) -> bool {
+        let now = self.now();
+        let Some(term) = &mut self.nodes[node].term else {
+            return false;
+        };
+        if let Some(stalled_ms) = term.authority.observe(now) {
+            self.note(|| format!("  n{node}: authority lost stalled_ms={stalled_ms}"));
+        }
+        let term = self.nodes[node].term.as_ref();
+        term.is_some_and(|term| term.authority.may_act())
+    }
+
     pub(super) fn timed_out(&mut self, node: usize, call: u64) {
         let state = &mut self.nodes[node];
         let Some((target, what)) = state.calls.get(&call) else {
@@ -392,11 +409,13 @@
             }
             Call::Commit => self.commit_answered(node, &answer),
             Call::List { requested_at } => {
+                let may_act = self.may_act(node);
                 if let Some(term) = &mut self.nodes[node].term {
                     if let Answer::List(list) = answer {
                         term.fleet
                             .apply_list(&mut term.scheduler, list, requested_at, now);
-                        if shell::can_send(now.as_ms().saturating_sub(term.committed_ms)) {
+                        let since_commit_ms = now.as_ms().saturating_sub(term.committed_ms);
+                        if may_act && shell::can_send(since_commit_ms) {
                             let wanted = &self.wanted;
                             term.fleet.round(&mut term.scheduler, wanted, now);
                         }
--- a/measure/src/search/runner.rs
+++ b/measure/src/search/runner.rs
@@ -280,6 +280,8 @@
             started_unix_ms: Some(self.born_ms + 1),
             running: running.collect(),
             ended: self.ends.iter().map(|end| end.reported.clone()).collect(),
+            unreadable_runs: 0,
+            unreadable_ends: 0,
         }
     }
 }
--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -173,7 +173,7 @@
             .iter()
             .filter_map(|machine| machine.worker.as_ref())
             .collect();
-        scheduler.machines_listed(&current, requested_at, now);
+        scheduler.machines_listed(&current, true, requested_at, now);
         self.list = list;
         for vm in self.answered.machines_listed(&self.list, requested_at) {
             self.set_draining(scheduler, &vm, false);
@@ -288,6 +288,7 @@
     pub fn take_committed(
         &mut self,
         scheduler: &mut Scheduler,
+        may_act: bool,
         since_commit_ms: u64,
         now: Instant,
     ) -> Vec<(id::Vm, PendingCommand)> {
@@ -296,7 +297,7 @@
             let Some(pending) = self.pending.remove(&vm) else {
                 continue;
             };
-            if can_send(since_commit_ms) && machine_commands::may_send(pending.at, now) {
+            if may_act && can_send(since_commit_ms) && machine_commands::may_send(pending.at, now) {
                 sent.push((vm, pending));
             } else {
                 self.busy.remove(&vm);
@@ -380,8 +381,10 @@
 pub enum Evidence {
     /// Nothing.
     None,
-    /// The leader's process is dead, or it doesn't lead the duty.
-    Dead,
+    /// The leader's process doesn't lead the duty.
+    NotLeading,
+    /// The leader's address refuses connections.
+    Refused,
     /// The leader is alive but can't reach the store, and requests a handover.
     RequestsHandover,
 }
@@ -417,7 +420,7 @@
     ) -> Step {
         if evidence != Evidence::None && is_known {
             return Step::Claim {
-                previous_leader_may_act: evidence == Evidence::RequestsHandover,
+                previous_leader_may_act: evidence != Evidence::NotLeading,
             };
         }
         if version != self.version {
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
-use wasabiloft::batch::{queue, worker_state};
+use wasabiloft::batch::{authority, queue, worker_state};
 use wasabiloft::id;
 
 use crate::search::node::{RENEW_INTERVAL_MS, TAKEOVER_READ_MS, Term, Timer};
@@ -17,11 +17,14 @@
 impl World {
     pub(super) fn plan(&mut self, node: usize) {
         let now = self.now();
+        let may_act = self.may_act(node);
         let Some(term) = &mut self.nodes[node].term else {
             return;
         };
         term.planned_ms = now.as_ms();
-        term.scheduler.plan(now, now.as_ms());
+        if may_act {
+            term.scheduler.plan(now, now.as_ms());
+        }
         for output in term.scheduler.take_outputs() {
             self.execute(node, output);
         }
@@ -98,6 +101,7 @@
             planned_ms: 0,
             plan_scheduled: false,
             registry: shell::Registry::default(),
+            authority: authority::Authority::new(now),
         };
         self.nodes[node].claims = false;
         self.nodes[node].term = Some(term);
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -127,7 +127,7 @@
                 Some((recipient, commands)) => {
                     // The semaphore is never closed, so a permit is always granted.
                     let _permit = commands.acquire().await;
-                    start(&channels, &recipient, &command).await
+                    start(&leadership, &channels, &recipient, &command).await
                 }
                 None => StartOutcome::NotSent,
             };
@@ -292,10 +292,27 @@
     }
 }
 
-async fn start(channels: &Channels, recipient: &Recipient, command: &Start) -> StartOutcome {
+async fn start(
+    leadership: &leadership::Leadership,
+    channels: &Channels,
+    recipient: &Recipient,
+    command: &Start,
+) -> StartOutcome {
     let mut may_have_run = false;
     let text: Arc<str> = Arc::from(command.accepted.spec.text.as_str());
     for send in 1..=START_ATTEMPTS_MAX {
+        let (worker, task, run) = (&command.worker, &command.task, command.run);
+        if !leadership.scheduler().is_start_due(worker, task, run) {
+            log::info(
+                "order",
+                &format!("start given up task={task} run={run} worker={worker} send={send}"),
+            );
+            return if may_have_run {
+                StartOutcome::NoAnswer
+            } else {
+                StartOutcome::NotSent
+            };
+        }
         let start = Command::Start {
             task: command.task,
             run: command.run,
