--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Machines of the pools: moves them by demand and runs the maintenance waves.
 
 mod commands;
+mod list;
 mod recovery;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -171,112 +172,6 @@
         pause_ms
     }
 
-    fn log_unreadable(&mut self, warnings: &[String]) {
-        self.unreadable
-            .retain(|known| warnings.iter().any(|warning| warning == known));
-        for warning in warnings {
-            let line = format!("machine unreadable {warning}");
-            self.unreadable.found(warning, &line);
-        }
-    }
-
-    fn apply_list(
-        &mut self,
-        mut list: Vec<pools::Machine>,
-        unreadable: &pools::Unreadable,
-        requested_at: wasabiloft::clock::Instant,
-    ) {
-        unreadable.keep_from(&self.list, &mut list);
-        let settings = self.shared.settings();
-        let up: BTreeSet<id::Vm> = list
-            .iter()
-            .filter(|machine| machine.state == pools::State::Up)
-            .map(|machine| machine.vm.clone())
-            .collect();
-        let in_maintenance: BTreeSet<id::Vm> = list
-            .iter()
-            .filter(|machine| machine.state == pools::State::Upkeep)
-            .map(|machine| machine.vm.clone())
-            .collect();
-        let known: BTreeSet<id::Vm> = list.iter().map(|machine| machine.vm.clone()).collect();
-        for wave in self.waves.values_mut() {
-            wave.on_seen_in_maintenance(&in_maintenance, requested_at);
-            wave.on_seen_up(
-                &up,
-                requested_at,
-                settings.maintenance_ms + RETURN_MARGIN_MS,
-            );
-            let unanswered = wave.unanswered().map(|(vm, _)| vm);
-            let removed: Vec<id::Vm> = wave
-                .remaining()
-                .chain(unanswered)
-                .filter(|vm| !known.contains(*vm) && !unreadable.may_include(vm))
-                .cloned()
-                .collect();
-            for vm in removed {
-                log::info(
-                    "fleet",
-                    &format!("machine removed vm={vm} wave={}", wave.request.number),
-                );
-                wave.exclude(&vm);
-            }
-        }
-        for machine in &list {
-            if machine.state == pools::State::Up
-                && self.sent.get(&machine.vm) == Some(&machine.pool)
-            {
-                self.sent.remove(&machine.vm);
-            }
-        }
-        self.end_missing_incarnations(&list, requested_at, unreadable.is_empty());
-        self.positions = list
-            .iter()
-            .enumerate()
-            .map(|(position, machine)| (machine.vm.clone(), position))
-            .collect();
-        self.list = Arc::new(list);
-        for vm in self.answered.machines_listed(&self.list, requested_at) {
-            log::info("fleet", &format!("change was done before vm={vm}"));
-            self.set_draining_vm(&vm, false);
-        }
-    }
-
-    /// Passes the workers that the list shows to the scheduler, which ends those whose machine no longer runs them: crashed,
-    /// moved, in maintenance, or removed.
-    ///
-    /// A list with unreadable entries proves nothing about workers that no list has shown.
-    fn end_missing_incarnations(
-        &mut self,
-        list: &[pools::Machine],
-        requested_at: wasabiloft::clock::Instant,
-        is_whole: bool,
-    ) {
-        let now = clock::since_boot();
-        let current: BTreeSet<&id::Worker> = list
-            .iter()
-            .filter_map(|machine| machine.worker.as_ref())
-            .collect();
-        for before in self.list.iter() {
-            if let Some(worker) = before.worker.as_ref().filter(|id| !current.contains(id)) {
-                let shown = list.iter().find(|machine| machine.vm == before.vm);
-                log::info(
-                    "fleet",
-                    &format!(
-                        "worker missing worker={worker} vm={} state={:?} shown={:?} list_ms={}",
-                        before.vm,
-                        shown.map(|machine| machine.state),
-                        shown.and_then(|machine| machine.worker.as_ref()),
-                        now.since_ms(requested_at)
-                    ),
-                );
-            }
-        }
-        self.leadership
-            .scheduler()
-            .machines_listed(&current, is_whole, requested_at, now);
-        self.leadership.wake.notify_one();
-    }
-
     /// Repeats commands without a response; the platform treats a repeat as the same command.
     fn repeat_unanswered(&mut self) {
         let (mut again, mut unknown) = (Vec::new(), Vec::new());
--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -1,9 +1,9 @@
-//! Gauges of a node's state, updated when the metrics are requested.
+//! Metrics of a node: gauges of its state, updated when the metrics are requested, and counters of ended runs.
 
 use std::collections::BTreeMap;
 
 use metrics::{counter, gauge};
-use wasabiloft::batch::scheduler::Scheduler;
+use wasabiloft::batch::scheduler::{Counts, Scheduler};
 use wasabiloft::id;
 
 use crate::batch::{admission, leadership, shared};
@@ -147,3 +147,22 @@
             .set(f64::from(accelerators));
     }
 }
+
+/// Adds the runs that ended since the previous call to the counters.
+pub fn count_ends(before: &Counts, now: &Counts) {
+    let ends = [
+        ("done", before.done, now.done),
+        ("failed", before.failed, now.failed),
+        ("broken-off", before.broken_off, now.broken_off),
+        ("lost", before.lost, now.lost),
+    ];
+    for (how, before, now) in ends {
+        counter!("wasabiloft_runs_ended_total", "how" => how).increment(now - before);
+    }
+    counter!("wasabiloft_workers_crashed_total")
+        .increment(now.workers_crashed - before.workers_crashed);
+    counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
+    counter!("wasabiloft_runs_outlived_total").increment(now.outlived - before.outlived);
+    counter!("wasabiloft_entries_unreadable_total", "what" => "report")
+        .increment(now.unreadable_rows - before.unreadable_rows);
+}
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -15,7 +15,8 @@
 use wasabiloft_platform::{settings, store};
 
 use crate::batch::{
-    commit, fleet, job_feed, lateness, recovery, registry_feed, removal, shared, standby, watch,
+    commit, fleet, gauges, job_feed, lateness, recovery, registry_feed, removal, shared, standby,
+    watch,
 };
 use crate::clock;
 use crate::log;
@@ -458,7 +459,7 @@
                 }
                 let counts = scheduler.counts();
                 drop(scheduler);
-                count_ends(&previous_counts, &counts);
+                gauges::count_ends(&previous_counts, &counts);
                 previous_counts = counts;
             }
         }
@@ -491,25 +492,6 @@
     }
 }
 
-/// Adds the runs that ended since the previous call to the counters.
-fn count_ends(before: &Counts, now: &Counts) {
-    let ends = [
-        ("done", before.done, now.done),
-        ("failed", before.failed, now.failed),
-        ("broken-off", before.broken_off, now.broken_off),
-        ("lost", before.lost, now.lost),
-    ];
-    for (how, before, now) in ends {
-        metrics::counter!("wasabiloft_runs_ended_total", "how" => how).increment(now - before);
-    }
-    metrics::counter!("wasabiloft_workers_crashed_total")
-        .increment(now.workers_crashed - before.workers_crashed);
-    metrics::counter!("wasabiloft_jobs_given_up_total").increment(now.given_up - before.given_up);
-    metrics::counter!("wasabiloft_runs_outlived_total").increment(now.outlived - before.outlived);
-    metrics::counter!("wasabiloft_entries_unreadable_total", "what" => "report")
-        .increment(now.unreadable_rows - before.unreadable_rows);
-}
-
 /// Waits for some time, or until the leadership ends.
 pub async fn pause(leadership: &Leadership, pause_ms: u64) {
     tokio::select! {
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -1,7 +1,5 @@
 //! Polls of workers: the runs and ends they report, and runs that are missing from both.
 
-use std::collections::HashMap;
-
 use crate::batch::TaskId;
 use crate::batch::record;
 use crate::batch::scheduler::job;
@@ -481,45 +479,4 @@
             .collect();
         runs.len()
     }
-
-    /// Releases tasks whose run a worker certainly does not have: it is neither running nor ended in the answer to a
-    /// poll that was sent after the run was confirmed or its stop was acknowledged.
-    fn release_missing(
-        &mut self,
-        id: &id::Worker,
-        report: &worker_state::Report,
-        sent_at: clock::Instant,
-        now: clock::Instant,
-    ) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let running: HashMap<TaskId, u32> = report
-            .running
-            .iter()
-            .map(|run| (run.task, run.run))
-            .collect();
-        let mut missing = Vec::new();
-        for task in &worker.tasks {
-            let active = self
-                .jobs
-                .get(&task.job)
-                .and_then(|job| job.task(task))
-                .and_then(|task| task.active.as_ref());
-            let Some(active) = active else { continue };
-            if running.get(task) == Some(&active.run) {
-                continue;
-            }
-            let must_be_listed = active.confirmed_at.is_some_and(|at| at < sent_at)
-                || active.stop_acked_at.is_some_and(|at| at < sent_at);
-            if must_be_listed {
-                missing.push(*task);
-            }
-        }
-        for task in missing {
-            self.log(format!("run missing task={task} worker={id}"));
-            self.counts.lost += 1;
-            self.release_task(task, Release::Missing, now);
-        }
-    }
 }
