standins: ports are not probed while a daemon is being spawned

Cause, by reasoning: a child holds a copy of all descriptors until it executes the daemon, also of the listeners by which another thread probes ports at that moment; the probed port is then still in use when its own daemon binds it. Change: spawning takes the lock of the probes; spawn returns after the daemon is executed.

--- a/standins/src/hosted/process.rs
+++ b/standins/src/hosted/process.rs
@@ -83,6 +83,8 @@
 
 fn spawn(daemon: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
     let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    // Until it executes the daemon, a child holds the ports that another thread probes.
+    let _probing = super::lock(&NEXT_PORT);
     Command::new(daemon)
         .args(["--platform", "--config"])
         .arg(settings)
