--- a/node/tests/test_twice.rs
+++ b/node/tests/test_twice.rs
@@ -143,8 +143,9 @@
         })
         .await
         .expect("a machine that is back");
+    // More tasks than all other machines can run, the spare one included.
     scenario
-        .submit("00000000000000a2", 10, SPEC)
+        .submit("00000000000000a2", 25, SPEC)
         .await
         .expect("a job");
     scenario
--- a/tests/test_batch_evidence.rs
+++ b/tests/test_batch_evidence.rs
@@ -2,63 +2,25 @@
 
 use std::collections::BTreeSet;
 
-use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler, StartOutcome};
-use wasabiloft::batch::{JobId, TaskId};
+use wasabiloft::batch::scheduler::{Scheduler, StartOutcome};
 use wasabiloft::clock::Instant;
-use wasabiloft::id;
 
-use crate::fake_reports;
-use crate::fake_workers::{accepted, config, listing, settings, step};
-
-const JOB: JobId = JobId(1);
-
-fn starts(scheduler: &mut Scheduler) -> Vec<(id::Worker, TaskId, u32)> {
-    let outputs = scheduler.take_outputs().into_iter();
-    outputs
-        .filter_map(|output| match output {
-            Output::Start(start) => Some((start.worker, start.task, start.run)),
-            _ => None,
-        })
-        .collect()
-}
-
-/// Returns a scheduler with workers `a` and `b` and one start under way, and the worker that gets it.
-fn one_start(now: Instant) -> (Scheduler, id::Worker, TaskId, u32) {
-    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
-    for worker in ["a", "b"] {
-        scheduler.worker_listed(listing(worker), now);
-    }
-    let batch = scheduler.take_batch();
-    scheduler.batch_committed(&batch);
-    for worker in ["a", "b"] {
-        scheduler.poll_answered(
-            &id::Worker::new(worker),
-            &fake_reports::of_incarnation(1, &[]),
-            now,
-            now,
-            0,
-        );
-    }
-    scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
-    scheduler.plan(now, 0);
-    let (worker, task, run) = starts(&mut scheduler).remove(0);
-    (scheduler, worker, task, run)
-}
+use crate::fake_pair::{self, TASK, starts};
 
 /// Guards against a second run beside a start that is carried out late: the stop was acknowledged by the incarnation
 /// before a restart under the same id, so the new incarnation still accepts the start.
 #[test]
 fn a_stop_acknowledged_before_a_restart_does_not_release_the_task() {
     let now = Instant::from_ms(1_000);
-    let (mut scheduler, worker, task, run) = one_start(now);
+    let (mut scheduler, worker, _, run) = fake_pair::one_start(now);
     let unanswered = now.after_ms(750);
-    scheduler.start_answered(&worker, task, run, StartOutcome::NoAnswer, unanswered);
-    scheduler.stop_answered(&worker, task, run, now.after_ms(760));
+    scheduler.start_answered(&worker, TASK, run, StartOutcome::NoAnswer, unanswered);
+    scheduler.stop_answered(&worker, TASK, run, now.after_ms(760));
 
     let (sent, answered) = (now.after_ms(770), now.after_ms(780));
     scheduler.poll_answered(
         &worker,
-        &fake_reports::of_incarnation(2, &[]),
+        &fake_pair::of_incarnation(2, &[]),
         sent,
         answered,
         0,
@@ -71,10 +33,10 @@
     );
 
     let (stopped, sent) = (now.after_ms(1_200), now.after_ms(1_210));
-    scheduler.stop_answered(&worker, task, run, stopped);
+    scheduler.stop_answered(&worker, TASK, run, stopped);
     scheduler.poll_answered(
         &worker,
-        &fake_reports::of_incarnation(2, &[]),
+        &fake_pair::of_incarnation(2, &[]),
         sent,
         sent.after_ms(10),
         0,
@@ -88,19 +50,18 @@
 #[test]
 fn a_list_older_than_an_answer_does_not_end_a_worker_that_no_list_has_shown() {
     let now = Instant::from_ms(1_000);
-    let (mut scheduler, worker, task, run) = one_start(now);
-    scheduler.start_answered(&worker, task, run, StartOutcome::Started, now.after_ms(5));
-    let other = id::Worker::new(if worker.as_str() == "a" { "b" } else { "a" });
+    let (mut scheduler, worker, other, run) = fake_pair::one_start(now);
+    scheduler.start_answered(&worker, TASK, run, StartOutcome::Started, now.after_ms(5));
     let shown = BTreeSet::from([&other]);
     let answer = |scheduler: &mut Scheduler, at: Instant| {
         scheduler.poll_answered(
             &worker,
-            &fake_reports::of_incarnation(1, &[(task, run)]),
+            &fake_pair::of_incarnation(1, &[(TASK, run)]),
             at,
             at,
             0,
         );
-        scheduler.poll_answered(&other, &fake_reports::of_incarnation(1, &[]), at, at, 0);
+        scheduler.poll_answered(&other, &fake_pair::of_incarnation(1, &[]), at, at, 0);
     };
     answer(&mut scheduler, now.after_ms(1_100));
     scheduler.poll_failed(&worker);
--- a/tests/test_batch_live_workers.rs
+++ b/tests/test_batch_live_workers.rs
@@ -2,61 +2,24 @@
 
 use std::collections::BTreeSet;
 
-use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId, machine_commands, pools, waves};
+use wasabiloft::batch::{machine_commands, pools, waves};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::fake_reports;
-use crate::fake_workers::{accepted, config, listing, settings, step};
-
-const JOB: JobId = JobId(1);
-
-fn starts(scheduler: &mut Scheduler) -> Vec<(id::Worker, TaskId, u32)> {
-    let outputs = scheduler.take_outputs().into_iter();
-    outputs
-        .filter_map(|output| match output {
-            Output::Start(start) => Some((start.worker, start.task, start.run)),
-            _ => None,
-        })
-        .collect()
-}
-
-/// Returns a scheduler with workers `a` and `b` and one running task, and the worker that runs it.
-fn one_run(now: Instant) -> (Scheduler, id::Worker, TaskId, u32) {
-    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
-    for worker in ["a", "b"] {
-        scheduler.worker_listed(listing(worker), now);
-    }
-    let batch = scheduler.take_batch();
-    scheduler.batch_committed(&batch);
-    for worker in ["a", "b"] {
-        scheduler.poll_answered(
-            &id::Worker::new(worker),
-            &fake_reports::running(&[]),
-            now,
-            now,
-            0,
-        );
-    }
-    scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
-    scheduler.plan(now, 0);
-    let (worker, task, run) = starts(&mut scheduler).remove(0);
-    (scheduler, worker, task, run)
-}
+use crate::fake_pair::{self, TASK, starts};
 
 /// Guards against a second run beside the first: a list of machines from before the worker's last answer ended the
 /// worker.
 #[test]
 fn a_list_older_than_a_worker_s_answer_does_not_end_the_worker() {
     let now = Instant::from_ms(1_000);
-    let (mut scheduler, worker, task, run) = one_run(now);
+    let (mut scheduler, worker, _, run) = fake_pair::one_start(now);
     let (a, b) = (id::Worker::new("a"), id::Worker::new("b"));
     scheduler.machines_listed(&[&a, &b].into(), true, now, now);
     let (requested, answered, applied) = (now.after_ms(10), now.after_ms(20), now.after_ms(30));
     scheduler.poll_answered(
         &worker,
-        &fake_reports::running(&[(task, run)]),
+        &fake_pair::running(&[(TASK, run)]),
         now,
         answered,
         0,
@@ -78,8 +41,7 @@
 #[test]
 fn a_silent_worker_that_a_list_no_longer_shows_has_ended() {
     let now = Instant::from_ms(1_000);
-    let (mut scheduler, worker, ..) = one_run(now);
-    let other = id::Worker::new(if worker.as_str() == "a" { "b" } else { "a" });
+    let (mut scheduler, worker, other, _) = fake_pair::one_start(now);
     scheduler.machines_listed(&[&worker, &other].into(), true, now, now);
     let later = now.after_ms(150);
     scheduler.machines_listed(&[&other].into(), true, later, later);
--- a/tests/test_batch_release.rs
+++ b/tests/test_batch_release.rs
@@ -1,20 +1,11 @@
 //! Releases of tasks: what the log says about a second start, and about a run that goes on after it.
 
-use wasabiloft::batch::scheduler::{IncarnationEnd, Output, RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId};
+use wasabiloft::batch::scheduler::{IncarnationEnd, Output, Scheduler};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::fake_reports;
-use crate::fake_workers::{accepted, config, listing, settings, step};
-
-const JOB: JobId = JobId(1);
-const TASK: TaskId = TaskId {
-    job: JOB,
-    occurrence: 0,
-    step: 0,
-    index: 0,
-};
+use crate::fake_pair::{self, TASK};
+use crate::fake_workers::listing;
 
 fn outputs(scheduler: &mut Scheduler) -> (Vec<(id::Worker, u32)>, Vec<String>) {
     let (mut starts, mut lines) = (Vec::new(), Vec::new());
@@ -32,23 +23,7 @@
 #[test]
 fn a_run_that_outlives_its_release_is_logged_with_the_reason_and_counted() {
     let now = Instant::from_ms(1_000);
-    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
-    for worker in ["a", "b"] {
-        scheduler.worker_listed(listing(worker), now);
-    }
-    let batch = scheduler.take_batch();
-    scheduler.batch_committed(&batch);
-    for worker in ["a", "b"] {
-        scheduler.poll_answered(
-            &id::Worker::new(worker),
-            &fake_reports::running(&[]),
-            now,
-            now,
-            0,
-        );
-    }
-    scheduler.job_accepted(JOB, accepted(vec![step(1, &[])], 3), now);
-    scheduler.plan(now, 0);
+    let mut scheduler = fake_pair::scheduler(now);
     let (starts, lines) = outputs(&mut scheduler);
     let (worker, run) = starts.into_iter().next().expect("a start");
     assert!(lines.iter().any(|line| line.contains("released=none")));
@@ -75,7 +50,7 @@
     scheduler.worker_listed(listing(worker.as_str()), again);
     scheduler.poll_answered(
         &worker,
-        &fake_reports::running(&[(TASK, run)]),
+        &fake_pair::running(&[(TASK, run)]),
         again,
         again,
         0,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the decision library, one module per component.
 
-mod fake_reports;
+mod fake_pair;
 mod fake_slots;
 mod fake_submissions;
 mod fake_table;
