--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -118,6 +118,7 @@
     /// Records when the newest successful commit was sent.
     pub fn commit_sent(&self, at: wasabiloft::clock::Instant) {
         self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
+        // A commit that was sent before this process stood still doesn't confirm it.
         self.may_act();
         if self.authority().committed(at) {
             log::info("duty", &format!("authority regained epoch={}", self.epoch));
