leadership: a leader grants no lease that outlasts its successor's wait

What callers saw: a task could run twice. A leader that lost the store but ran on went on granting leases of 4 s from its own clock.

Cause: the length of a lease didn't depend on when the leader was last known to lead.

Change: a lease ends by the newest moment at which nobody can have taken over, plus the successor's wait. Proof of that moment is the newest successful commit, or the oldest of the responses to heartbeats that all followers of this term have confirmed since. So leases are still renewed while the store answers nobody. Without a second of lease to give, nothing is started or evicted. Not covered: a node that joins, or was silent for a minute, while cut off from the leader alone.

Ruled out: leases bound to commits only (all tasks lapse in an outage of the store of 4.3 s); a longer wait of the successor (each lost worker's tasks wait longer).

--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -74,6 +74,7 @@
                 term.committed_ms = sent_at_ms;
                 term.authority.committed(Instant::from_ms(sent_at_ms));
                 term.next_commit_ms = now_ms + COMMIT_INTERVAL_MS;
+                self.limit_leases(node);
                 self.batch_committed(node, &transaction.batch);
                 self.push_timer(node, sent_at_ms + RENEW_INTERVAL_MS, Timer::Commit);
                 self.push_timer(node, now_ms + COMMIT_INTERVAL_MS, Timer::Commit);
--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -59,14 +59,31 @@
         } else if !leads {
             self.read_row(node, shell::Evidence::NotLeading, LATENCY_MS);
         } else if is_stale {
+            self.heartbeat_arrives(node, holder);
             self.read_row(node, shell::Evidence::RequestsHandover, LATENCY_MS);
         } else {
             state.refusals = 0;
             state.unresponsive_ms = None;
+            self.heartbeat_arrives(node, holder);
+            let epoch = self.nodes[holder].epoch();
+            self.nodes[node].confirms = Some((epoch, self.now()));
             self.push_timer(node, now_ms + HEARTBEAT_MS, Timer::Follow);
         }
     }
 
+    /// Passes the leader a heartbeat, with the response that the follower confirms.
+    fn heartbeat_arrives(&mut self, node: usize, holder: usize) {
+        let now = self.now();
+        let (confirms, incarnation) = (self.nodes[node].confirms, self.nodes[node].incarnation);
+        if let Some(term) = &mut self.nodes[holder].term {
+            let confirms = confirms.filter(|(epoch, _)| *epoch == term.epoch);
+            let confirmed_at = confirms.map(|(_, sent_at)| sent_at);
+            let name = node.to_string();
+            term.authority.heard(&name, incarnation, confirmed_at, now);
+        }
+        self.limit_leases(holder);
+    }
+
     pub(super) fn read_row(&mut self, node: usize, evidence: shell::Evidence, wait_ms: u64) {
         let sent_at_ms = self.now_ms + wait_ms;
         let timer = Timer::RowRead {
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -10,6 +10,7 @@
 use crate::search::history::First;
 use crate::search::platform::Transaction;
 use crate::search::shell;
+use crate::search::term::LEASE_MS;
 use crate::search::world::{Answer, Event, World};
 
 /// Minimum pause between two planning rounds, in milliseconds.
@@ -152,6 +153,8 @@
     pub(super) unresponsive_ms: Option<u64>,
     /// Version, holder and epoch of the duty's row as it was read last.
     pub(super) known: (u64, Option<usize>, u64),
+    /// The newest response of a leader after which the node went on following it: the leader's epoch, and when it was sent.
+    pub(super) confirms: Option<(u64, Instant)>,
 }
 
 impl Node {
@@ -174,6 +177,7 @@
             refusals: 0,
             unresponsive_ms: None,
             known: (0, None, 0),
+            confirms: None,
         }
     }
 
@@ -348,6 +352,15 @@
         term.is_some_and(|term| term.authority.may_act())
     }
 
+    /// Passes a leader's scheduler the moment by which leases have to end.
+    pub(super) fn limit_leases(&mut self, node: usize) {
+        let now = self.now();
+        if let Some(term) = &mut self.nodes[node].term {
+            let end = term.authority.leases_end(LEASE_MS, now);
+            term.scheduler.limit_leases(end);
+        }
+    }
+
     pub(super) fn timed_out(&mut self, node: usize, call: u64) {
         let state = &mut self.nodes[node];
         let Some((target, what)) = state.calls.get(&call) else {
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -5,6 +5,7 @@
 
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
 use wasabiloft::batch::{authority, queue, worker_state};
+use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 use crate::search::node::{RENEW_INTERVAL_MS, TAKEOVER_READ_MS, Term, Timer};
@@ -12,7 +13,7 @@
 use crate::search::world::{POOL, World};
 
 /// Length of the workers' leases, in milliseconds.
-const LEASE_MS: u64 = 4_000;
+pub(super) const LEASE_MS: u64 = 4_000;
 
 impl World {
     pub(super) fn plan(&mut self, node: usize) {
@@ -88,6 +89,7 @@
         for listing in self.listings() {
             scheduler.worker_listed(listing, now);
         }
+        let claimed_at = Instant::from_ms(now.as_ms().saturating_sub(TAKEOVER_READ_MS));
         let term = Term {
             epoch,
             scheduler,
@@ -96,15 +98,16 @@
             fleet: shell::Fleet::recover(&self.store.commands, now),
             version: self.nodes[node].known.0,
             in_flight: None,
-            committed_ms: now.as_ms().saturating_sub(TAKEOVER_READ_MS),
+            committed_ms: claimed_at.as_ms(),
             next_commit_ms: 0,
             planned_ms: 0,
             plan_scheduled: false,
             registry: shell::Registry::default(),
-            authority: authority::Authority::new(now),
+            authority: authority::Authority::new(claimed_at, now),
         };
         self.nodes[node].claims = false;
         self.nodes[node].term = Some(term);
+        self.limit_leases(node);
         self.push_timer(node, now.as_ms(), Timer::Tick);
         self.push_timer(node, now.as_ms(), Timer::Round);
         self.push_timer(node, now.as_ms() + RENEW_INTERVAL_MS, Timer::Commit);
--- a/measure/tests/test_search.rs
+++ b/measure/tests/test_search.rs
@@ -101,6 +101,18 @@
     assert_eq!(result["violations"], serde_json::json!([]));
 }
 
+/// Guards against starts of a leader that doesn't reach the store and runs on, which its successor doesn't wait for.
+#[test]
+fn a_leader_without_the_store_starts_nothing_once_it_may_be_replaced() {
+    let faults = serde_json::json!([
+        {"at_ms": 700, "what": "store-away", "node": 0, "for_ms": 1_500},
+        {"at_ms": 2_450, "what": "isolate", "vm": 1, "how": "one-way", "for_ms": 4_500},
+        {"at_ms": 3_650, "what": "cut", "node": null, "vm": 0, "how": "refused", "for_ms": 9_000},
+        {"at_ms": 7_250, "what": "store-away", "node": 1, "for_ms": 5_500},
+    ]);
+    assert_sound(2, 1_100, &faults);
+}
+
 /// Guards against new ways of breaking a rule with one leader, beside the listed histories.
 #[test]
 fn faults_but_restarts_under_the_same_id_break_nothing() {
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -190,6 +190,8 @@
     refusals: u32,
     /// When the newest heartbeat failed without a refused connection.
     unresponsive_at: Option<wasabiloft::clock::Instant>,
+    /// The newest response of the leader after which this node went on following it.
+    confirms: Option<peers::Sent>,
     /// The rows that this node reads in advance, as the leader requested.
     standby: Option<standby::Standby>,
     /// The leader is expected to release the duty in favour of this node before this time.
@@ -236,7 +238,14 @@
             .standby
             .as_ref()
             .is_some_and(standby::Standby::is_prepared);
-        match peers::send_heartbeat(shared, address, is_prepared, HEARTBEAT_TIMEOUT_MS).await {
+        let heartbeat = peers::send_heartbeat(
+            shared,
+            address,
+            is_prepared,
+            self.confirms,
+            HEARTBEAT_TIMEOUT_MS,
+        );
+        match heartbeat.await {
             Ok(reply) if reply.epoch > 0 => {
                 self.refusals = 0;
                 self.unresponsive_at = None;
@@ -258,6 +267,10 @@
                     );
                     return self.check_row(shared, Evidence::RequestsHandover).await;
                 }
+                self.confirms = Some(peers::Sent {
+                    epoch: reply.epoch,
+                    sent_ms: reply.sent_ms,
+                });
                 Step::Follow
             }
             Ok(_) => self.check_row(shared, Evidence::NotLeading).await,
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -15,8 +15,8 @@
 use wasabiloft_platform::{settings, store};
 
 use crate::batch::{
-    commit, fleet, gauges, job_feed, lateness, recovery, registry_feed, removal, shared, standby,
-    watch,
+    commit, fleet, gauges, job_feed, lateness, peers, recovery, registry_feed, removal, shared,
+    standby, watch,
 };
 use crate::clock;
 use crate::log;
@@ -58,6 +58,8 @@
     /// Cancelled when the duty is lost or released.
     pub ended: CancellationToken,
     committed_ms: AtomicU64,
+    /// Length of the workers' leases, in milliseconds.
+    lease_ms: u64,
     authority: Mutex<authority::Authority>,
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
@@ -120,12 +122,36 @@
         self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
         // A commit that was sent before this process stood still doesn't confirm it.
         self.may_act();
-        if self.authority().committed(at) {
+        let regained = self.authority().committed(at);
+        self.limit_leases();
+        if regained {
             log::info("duty", &format!("authority regained epoch={}", self.epoch));
             self.wake.notify_one();
         }
     }
 
+    /// Records a heartbeat of a follower, which proves that it hadn't taken over at an earlier moment.
+    pub fn follower_heard(&self, heartbeat: &peers::Heartbeat, now: wasabiloft::clock::Instant) {
+        let mut authority = self.authority();
+        if heartbeat.relay.is_none() {
+            authority.stopped(&heartbeat.node);
+        } else {
+            let confirmed = heartbeat.confirms.filter(|sent| sent.epoch == self.epoch);
+            let confirmed_at =
+                confirmed.map(|sent| wasabiloft::clock::Instant::from_ms(sent.sent_ms));
+            authority.heard(&heartbeat.node, heartbeat.incarnation, confirmed_at, now);
+        }
+        drop(authority);
+        self.limit_leases();
+    }
+
+    /// Passes the scheduler the moment by which leases have to end.
+    fn limit_leases(&self) {
+        let now = clock::since_boot();
+        let end = self.authority().leases_end(self.lease_ms, now);
+        self.scheduler().limit_leases(end);
+    }
+
     fn authority(&self) -> MutexGuard<'_, authority::Authority> {
         self.authority
             .lock()
@@ -397,13 +423,10 @@
     let config = config.unwrap_or_else(|| Arc::new(queue::Config::default()));
     let settings = shared.settings();
     let now = clock::since_boot();
-    let scheduler = Scheduler::new(
-        scheduler_settings(&settings),
-        duty.epoch,
-        config,
-        recovered,
-        now,
-    );
+    let scheduler_settings = scheduler_settings(&settings);
+    let committed_ms = renewed_ms.load(Ordering::Relaxed);
+    let committed_at = wasabiloft::clock::Instant::from_ms(committed_ms);
+    let scheduler = Scheduler::new(scheduler_settings, duty.epoch, config, recovered, now);
     let strength = relays::Strength {
         data_centre: id::DataCentre::new(&settings.data_centre),
         cpu_milli: settings.cpu_milli,
@@ -428,8 +451,9 @@
         committed: Notify::new(),
         commands_committed: Notify::new(),
         ended: CancellationToken::new(),
-        authority: Mutex::new(authority::Authority::new(now)),
-        committed_ms: AtomicU64::new(renewed_ms.load(Ordering::Relaxed)),
+        lease_ms: scheduler_settings.lease_ms,
+        authority: Mutex::new(authority::Authority::new(committed_at, now)),
+        committed_ms: AtomicU64::new(committed_ms),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
         handover: Mutex::new(handover),
@@ -438,6 +462,7 @@
         removed: Mutex::default(),
         began_at: now,
     });
+    leadership.limit_leases();
     leadership.configured(shared);
     (leadership, reader, version)
 }
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -78,6 +78,9 @@
     /// Submissions that the follower was offered; absent if its configuration has no accounts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub offered: Option<admission::Report>,
+    /// The newest response after which the follower went on following the leader; absent if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirms: Option<Sent>,
     /// Name of the follower.
     #[serde(default)]
     pub node: String,
@@ -95,6 +98,15 @@
     pub prepared: bool,
 }
 
+/// A response to a heartbeat, as its sender identifies it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// Epoch of the leader that sent it.
+    pub epoch: u64,
+    /// When the leader sent it, in milliseconds on the leader's clock.
+    pub sent_ms: u64,
+}
+
 /// A follower's offer to relay commands to workers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RelayOffer {
@@ -111,6 +123,9 @@
 pub struct HeartbeatReply {
     /// Epoch of the duty if the responding node leads it or is claiming it, else 0.
     pub epoch: u64,
+    /// When the response was sent, in milliseconds on the responding node's clock; 0 from nodes of earlier versions.
+    #[serde(default)]
+    pub sent_ms: u64,
     /// Whether the leader requests that this follower takes over.
     pub hand_over: bool,
     /// Version of the leader's configuration; 0 for none.
@@ -159,11 +174,13 @@
     let mut reply = HeartbeatReply {
         config_age_ms: configured.confirmed_at.map(|at| now.since_ms(at)),
         config_version: version,
+        sent_ms: now.as_ms(),
         ..HeartbeatReply::default()
     };
     reply.epoch = shared.own_epoch();
     reply.releasing = heartbeat.incarnation != 0 && shared.successor() == heartbeat.incarnation;
     if let Some(leadership) = shared.leadership() {
+        leadership.follower_heard(&heartbeat, now);
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
         }
@@ -297,7 +314,7 @@
 }
 
 /// Sends a heartbeat and applies the configuration of the response; `is_prepared` says whether this node is a standby that
-/// has read its rows.
+/// has read its rows, and `confirms` after which response this node went on following the leader.
 ///
 /// # Errors
 ///
@@ -306,6 +323,7 @@
     shared: &shared::Shared,
     address: SocketAddr,
     is_prepared: bool,
+    confirms: Option<Sent>,
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
     let configured = shared.current_config();
@@ -324,6 +342,7 @@
         cpu_milli: settings.cpu_milli,
         peers: Some(settings.peers),
         relay: (!shared.stop.is_cancelled()).then_some(relay),
+        confirms,
         offered: admission::report(shared, configured.config.as_deref()),
         node: settings.node.clone(),
         incarnation: shared.incarnation,
--- a/src/batch/authority.rs
+++ b/src/batch/authority.rs
@@ -1,30 +1,64 @@
-//! Whether a leader may still send commands.
+//! What a leader may still do, from what proves that it wasn't replaced.
 //!
-//! A follower takes the duty over only after a heartbeat got no response within its timeout, so a process that stood still
-//! for that long may have been replaced. Such a leader sends nothing to workers and machines until a commit that it sent
-//! afterwards has succeeded. What it decided before it stood still ends in time: the lease of a start or a renewal counts from
-//! its decision, and a successor waits for the longest lease from its own beginning, which is later.
+//! A node takes the duty over in the store, and only after its newest heartbeat to the leader got no response within its
+//! timeout, or after the leader asked to be replaced. Two facts follow.
+//!
+//! * A process that stood still for that long may have been replaced. It sends nothing to workers and machines until a commit
+//!   that it sent afterwards has succeeded.
+//! * A leader that runs on, but doesn't reach the store, may have been replaced as well. It certainly led when it sent its
+//!   newest successful commit, and when it sent the oldest of the responses that its followers have confirmed since. A
+//!   successor waits from its own beginning, which is later, until the leases of its predecessor have lapsed. So a leader
+//!   grants no lease that ends later than that, and runs that nobody can vouch for end by themselves.
+//!
+//! While the store answers nobody, followers keep confirming, and leases are renewed.
+
+use std::collections::BTreeMap;
 
+use crate::batch::scheduler;
 use crate::clock;
 
 /// Timeout of a follower's heartbeat, in milliseconds; far above a round trip and the pauses of a busy leader.
 pub const HEARTBEAT_TIMEOUT_MS: u64 = 400;
+/// A leader that began this recently doesn't know all its followers, in milliseconds; above the longest interval between
+/// two heartbeats of a node.
+const FOLLOWERS_KNOWN_MS: u64 = 2_500;
+/// A follower that was silent for this long is gone, in milliseconds: its machine was removed.
+const FOLLOWER_GONE_MS: u64 = 60_000;
+/// Time for a worker to end runs whose lease has lapsed, in milliseconds.
+const STOP_TIME_MS: u64 = 300;
 
-/// A leader's authority over workers and machines.
+/// A follower's newest confirmation.
 #[derive(Clone, Copy, Debug)]
+struct Follower {
+    incarnation: u64,
+    heard_at: clock::Instant,
+    /// When the leader sent the newest response that the follower has confirmed.
+    confirmed_at: clock::Instant,
+}
+
+/// A leader's authority over workers and machines.
+#[derive(Clone, Debug)]
 pub struct Authority {
+    began_at: clock::Instant,
     /// When this process was last seen to run.
     ran_at: clock::Instant,
     /// When this process ran again after it had stood still; `None` once a later commit has succeeded.
     resumed_at: Option<clock::Instant>,
+    /// When the newest successful commit was sent.
+    committed_at: clock::Instant,
+    /// The followers that were heard in this term, by name.
+    followers: BTreeMap<String, Follower>,
 }
 
 impl Authority {
-    /// Creates the authority of a leader whose claim has been committed.
-    pub fn new(now: clock::Instant) -> Self {
+    /// Creates the authority of a leader whose claim, or a renewal of it, was sent at `committed_at` and succeeded.
+    pub fn new(committed_at: clock::Instant, now: clock::Instant) -> Self {
         Self {
+            began_at: now,
             ran_at: now,
             resumed_at: None,
+            committed_at,
+            followers: BTreeMap::new(),
         }
     }
 
@@ -42,6 +76,7 @@
 
     /// Records that a commit that was sent at `sent_at` has succeeded. Returns whether the authority is thereby regained.
     pub fn committed(&mut self, sent_at: clock::Instant) -> bool {
+        self.committed_at = self.committed_at.max(sent_at);
         let regained = self.resumed_at.is_some_and(|resumed| resumed <= sent_at);
         if regained {
             self.resumed_at = None;
@@ -49,6 +84,53 @@
         regained
     }
 
+    /// Records a heartbeat of a follower. `confirmed_at` is when this leader sent the newest response after which the
+    /// follower went on following it; `None` if it hasn't received any in this term.
+    pub fn heard(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        confirmed_at: Option<clock::Instant>,
+        now: clock::Instant,
+    ) {
+        self.followers
+            .retain(|_, follower| now.since_ms(follower.heard_at) < FOLLOWER_GONE_MS);
+        let began = Follower {
+            incarnation,
+            heard_at: now,
+            confirmed_at: self.began_at,
+        };
+        let follower = self.followers.entry(name.to_owned()).or_insert(began);
+        if follower.incarnation != incarnation {
+            *follower = began;
+        }
+        follower.heard_at = now;
+        if let Some(at) = confirmed_at {
+            follower.confirmed_at = follower.confirmed_at.max(at);
+        }
+    }
+
+    /// Records that a follower stops, so that it claims nothing any more.
+    pub fn stopped(&mut self, name: &str) {
+        self.followers.remove(name);
+    }
+
+    /// Returns the newest moment at which no other node can have taken the duty over.
+    fn led_at(&self, now: clock::Instant) -> clock::Instant {
+        let confirmed = self.followers.values().map(|seen| seen.confirmed_at).min();
+        let are_known = now.since_ms(self.began_at) >= FOLLOWERS_KNOWN_MS;
+        let confirmed = confirmed.filter(|_| are_known);
+        self.committed_at
+            .max(confirmed.unwrap_or(self.committed_at))
+    }
+
+    /// Returns the moment by which all leases of `lease_ms` and shorter have to end, so that a successor doesn't take a
+    /// worker for lapsed before.
+    pub fn leases_end(&self, lease_ms: u64, now: clock::Instant) -> clock::Instant {
+        let wait_ms = scheduler::lease_expiry_ms(lease_ms);
+        self.led_at(now).after_ms(wait_ms - STOP_TIME_MS)
+    }
+
     /// Returns whether the leader may send commands, as of the last observation.
     pub fn may_act(&self) -> bool {
         self.resumed_at.is_none()
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -58,7 +58,9 @@
 
     /// Evicts long-running tasks from workers that are draining or leaving.
     pub fn evict_long_running(&mut self, now: clock::Instant) {
-        if self.has_predecessor && now.since_ms(self.started_at) < PREDECESSOR_STOPS_MS {
+        let may_predecessor_stop =
+            self.has_predecessor && now.since_ms(self.started_at) < PREDECESSOR_STOPS_MS;
+        if may_predecessor_stop || !self.may_change_runs(now) {
             return;
         }
         let mut evictions = Vec::new();
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -65,6 +65,8 @@
     /// Whether a previous leader had recorded workers.
     has_predecessor: bool,
     started_at: clock::Instant,
+    /// All leases have to end by then; `None` as long as that wasn't said.
+    leases_end: Option<clock::Instant>,
     /// When the runs of all workers were last checked for progress and unanswered stops.
     runs_checked_at: clock::Instant,
     config: Arc<queue::Config>,
@@ -136,6 +138,7 @@
             predecessor_may_act: recovered.predecessor_may_act,
             has_predecessor: !recovered.workers.is_empty(),
             started_at: now,
+            leases_end: None,
             runs_checked_at: now,
             config,
             jobs: HashMap::new(),
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -69,6 +69,9 @@
 impl Scheduler {
     /// Plans all services in which something changed, and starts every task that can be placed.
     pub fn plan(&mut self, now: clock::Instant, unix_ms: u64) {
+        if !self.may_change_runs(now) {
+            return;
+        }
         self.give_up_crashing_jobs(now, unix_ms);
         self.prune_crashed_tasks();
         self.release_reservations(now);
@@ -278,7 +281,7 @@
         turn: &order::Turn,
         now: clock::Instant,
     ) {
-        let lease_ms = self.settings.lease_ms;
+        let lease_ms = self.lease_ms(now);
         let ticket = self.ticket(&id, worker, now);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -26,14 +26,15 @@
 impl Scheduler {
     /// Returns the contents of the next poll of a worker, or `None` if the worker is not known.
     pub fn next_poll(&mut self, id: &id::Worker, now: clock::Instant) -> Option<Poll> {
-        let lease_ms = self.settings.lease_ms;
+        let lease_ms = self.lease_ms(now);
         let uncertain = self.has_uncertain_runs(id);
         let has_orphans = self.orphans.has_runs_on(id);
         let has_trial = self.has_trial(id);
         let worker = self.workers.get_mut(id)?;
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
-        if (has_orphans || !worker.tasks.is_empty()) && !worker.unanswered {
+        let has_runs = has_orphans || !worker.tasks.is_empty();
+        if has_runs && !worker.unanswered && lease_ms > 0 {
             until_ms = worker.lease_end_ms(now, lease_ms);
         }
         if let Some(until_ms) = until_ms {
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -49,7 +49,29 @@
     }
 }
 
+/// A start with a shorter lease than this isn't worth sending, in milliseconds: two polls that renew it.
+const START_LEASE_MIN_MS: u64 = 1_000;
+
 impl Scheduler {
+    /// Sets the moment by which all leases have to end, on this process's clock. Without it they have their full length.
+    pub fn limit_leases(&mut self, end: clock::Instant) {
+        self.leases_end = Some(end);
+    }
+
+    /// Returns the length of a lease that begins now on a worker's clock, which may be slow, in milliseconds.
+    pub(super) fn lease_ms(&self, now: clock::Instant) -> u64 {
+        let left_ms = self.leases_end.map(|end| end.since_ms(now));
+        let left_ms = left_ms.map_or(u64::MAX, |left_ms| {
+            left_ms * (1_000 - worker_state::CLOCK_LAG_MILLI) / 1_000
+        });
+        self.settings.lease_ms.min(left_ms)
+    }
+
+    /// Returns whether the leader can vouch for what it starts or stops.
+    pub(super) fn may_change_runs(&self, now: clock::Instant) -> bool {
+        self.lease_ms(now) >= START_LEASE_MIN_MS.min(self.settings.lease_ms)
+    }
+
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
     pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd, now: clock::Instant) {
         self.unresolved.remove(id);
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -11,7 +11,7 @@
 use crate::platform::Resources;
 
 /// Maximum lag of a worker's monotonic clock, in thousandths of the elapsed time.
-const CLOCK_LAG_MILLI: u64 = 20;
+pub(super) const CLOCK_LAG_MILLI: u64 = 20;
 /// Time for a worker to end runs whose lease has lapsed, in milliseconds: the longest time that a stop takes.
 const STOP_TIME_MS: u64 = 300;
 /// A worker gets no new tasks once its last response is this old, in milliseconds; longer than one long poll.
--- a/tests/test_batch_authority.rs
+++ b/tests/test_batch_authority.rs
@@ -51,7 +51,7 @@
 #[test]
 fn a_leader_that_stood_still_sends_nothing_until_a_later_commit_succeeds() {
     let at = Instant::from_ms;
-    let mut authority = authority::Authority::new(at(1_000));
+    let mut authority = authority::Authority::new(at(990), at(1_000));
     assert_eq!(authority.observe(at(1_300)), None);
     assert!(authority.may_act());
     assert_eq!(authority.observe(at(4_800)), Some(3_500));
@@ -80,7 +80,8 @@
         worker_clock_milli in 980_u64..=1_000,
     ) {
         // The leader stands still right after its decision; its follower's heartbeat times out before the claim.
-        let mut leader = authority::Authority::new(Instant::from_ms(decided_ms));
+        let decided_at = Instant::from_ms(decided_ms);
+        let mut leader = authority::Authority::new(decided_at, decided_at);
         let resumed_ms = decided_ms + frozen_ms;
         leader.observe(Instant::from_ms(resumed_ms));
         prop_assert!(!leader.may_act(), "it decides nothing more");
@@ -91,3 +92,88 @@
         prop_assert!(arrival_ms >= LEASE_MS * 1_000 / worker_clock_milli || stopped_ms < successor_acts_ms);
     }
 }
+
+/// Length of the workers' leases, in milliseconds.
+const WORKER_LEASE_MS: u64 = 4_000;
+
+/// Returns when a lease that is granted at `now` has certainly ended on a slow worker.
+fn lease_ended_ms(leader: &authority::Authority, now: Instant) -> u64 {
+    let left_ms = leader.leases_end(WORKER_LEASE_MS, now).since_ms(now);
+    now.as_ms() + left_ms.min(WORKER_LEASE_MS * 1_020 / 1_000) + 300
+}
+
+/// Guards against two runs of a task: a leader that doesn't reach the store runs on and renews leases, while its successor
+/// waits for those that were granted before its own beginning.
+#[test]
+fn a_leader_without_the_store_grants_no_lease_beyond_its_successors_wait() {
+    let at = Instant::from_ms;
+    let leader = authority::Authority::new(at(990), at(1_000));
+    for now_ms in (1_000..9_000).step_by(50) {
+        let successor_acts_ms = 990 + scheduler::lease_expiry_ms(WORKER_LEASE_MS);
+        let ended_ms = lease_ended_ms(&leader, at(now_ms));
+        assert!(ended_ms <= successor_acts_ms.max(now_ms + 300), "{now_ms}");
+    }
+}
+
+/// Guards against leases that lapse everywhere while the store answers nobody, in which case nobody can take over.
+#[test]
+fn leases_are_renewed_while_all_followers_confirm() {
+    let at = Instant::from_ms;
+    let mut leader = authority::Authority::new(at(990), at(1_000));
+    for now_ms in (1_250..20_000).step_by(250) {
+        let confirmed_at = at(now_ms - 250);
+        leader.heard("n2", 7, Some(confirmed_at), at(now_ms));
+        leader.heard("n3", 8, Some(confirmed_at), at(now_ms));
+        let left_ms = leader
+            .leases_end(WORKER_LEASE_MS, at(now_ms))
+            .since_ms(at(now_ms));
+        let may_renew = now_ms < 4_000 || left_ms >= 3_900;
+        assert!(may_renew, "{now_ms} {left_ms}");
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::fixed_seed(500))]
+
+    /// Guards against leases that outlast a successor's wait: a follower takes over at any time after its newest
+    /// confirmation, while others go on confirming.
+    #[test]
+    fn a_lease_ends_before_the_successor_of_a_follower_that_fell_silent_acts(
+        silent_from_ms in 2_000_u64..30_000,
+        claimed_after_ms in 0_u64..10_000,
+        granted_after_ms in 0_u64..10_000,
+        restarts in proptest::bool::ANY,
+    ) {
+        let at = Instant::from_ms;
+        let mut leader = authority::Authority::new(at(990), at(1_000));
+        let granted_ms = silent_from_ms + granted_after_ms;
+        let mut confirmed_ms = 0;
+        for now_ms in (1_250..=granted_ms).step_by(250) {
+            let confirmed_at = at(now_ms - 250);
+            leader.heard("n2", 7, Some(confirmed_at), at(now_ms));
+            if now_ms <= silent_from_ms {
+                leader.heard("n3", 8, Some(confirmed_at), at(now_ms));
+                confirmed_ms = now_ms - 250;
+            } else if restarts && now_ms > silent_from_ms + 1_000 {
+                leader.heard("n3", 9, None, at(now_ms));
+            }
+        }
+        // The newest response that it confirmed was sent before it claimed.
+        let began_ms = confirmed_ms + claimed_after_ms;
+        let successor_acts_ms = began_ms + scheduler::lease_expiry_ms(WORKER_LEASE_MS);
+        let ended_ms = lease_ended_ms(&leader, at(granted_ms));
+        prop_assert!(ended_ms <= successor_acts_ms.max(granted_ms + 300));
+    }
+
+    /// Guards against silent changes of the bound: a follower that stops doesn't hold the others back.
+    #[test]
+    fn a_stopped_follower_is_not_waited_for(stopped_ms in 3_000_u64..10_000) {
+        let at = Instant::from_ms;
+        let mut leader = authority::Authority::new(at(990), at(1_000));
+        leader.heard("n3", 8, Some(at(1_100)), at(1_200));
+        leader.stopped("n3");
+        let now = at(stopped_ms + 9_000);
+        leader.heard("n2", 7, Some(at(now.as_ms() - 250)), now);
+        prop_assert!(leader.leases_end(WORKER_LEASE_MS, now).since_ms(now) > 3_900);
+    }
+}
