scheduler: a worker's restart is noticed by its clock, and its leases are waited for

What callers saw: a task could run twice. A worker started again under its id while no poll was answered; the new incarnation carried out a start whose lease was granted on the earlier one's clock, so it held for as long as workers accept (10 s). The leader counted 4 s and started the task elsewhere.

Cause: the leader took the clock of the earlier incarnation for that of the new one, although the response to the start told it. When a poll did show the restart, leases that had been granted before counted as never granted.

Change: a clock in a response that went back proves the restart; from then on, leases of the earlier incarnation count with their greatest length on the new clock, also when a poll shows the restart.

--- a/measure/src/search/commands.rs
+++ b/measure/src/search/commands.rs
@@ -244,7 +244,13 @@
         answer: &Answer,
     ) {
         let outcome = match answer {
-            Answer::Started => StartOutcome::Started,
+            Answer::Started(clock_ms) => {
+                let now = self.now();
+                if let Some(term) = &mut self.nodes[node].term {
+                    term.scheduler.clock_answered(&start.worker, *clock_ms, now);
+                }
+                StartOutcome::Started
+            }
             Answer::Refused(reason) => StartOutcome::Refused {
                 reason: *reason,
                 sends: if may_have_run { send } else { 1 },
--- a/measure/src/search/network.rs
+++ b/measure/src/search/network.rs
@@ -184,11 +184,12 @@
         match request {
             Request::Start(start) => {
                 let outcome = current.start(epoch, &start, task_ms, now_ms);
+                let clock_ms = current.clock_ms(now_ms);
                 if outcome == Ok(Carried::Began) {
                     self.began(vm, epoch, &start);
                 }
                 let answer = match outcome {
-                    Ok(_) => Answer::Started,
+                    Ok(_) => Answer::Started(clock_ms),
                     Err(reason) => Answer::Refused(reason),
                 };
                 self.reply(node, call, vm, answer);
--- a/measure/src/search/runner.rs
+++ b/measure/src/search/runner.rs
@@ -10,7 +10,7 @@
 use crate::search::history::Setup;
 
 /// Longest lease that a worker accepts, in milliseconds; a longer one is shortened.
-const LEASE_MAX_MS: u64 = 10_000;
+pub(super) const LEASE_MAX_MS: u64 = 10_000;
 /// Time that a stop takes, in milliseconds; at most 200 on the platform.
 const STOP_MS: u64 = 150;
 /// Rate of a slow clock, in thousandths.
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -9,6 +9,7 @@
 use wasabiloft::id;
 
 use crate::search::node::{RENEW_INTERVAL_MS, TAKEOVER_READ_MS, Term, Timer};
+use crate::search::runner;
 use crate::search::shell;
 use crate::search::world::{POOL, World};
 
@@ -73,6 +74,7 @@
         };
         let settings = Settings {
             lease_ms: LEASE_MS,
+            lease_max_ms: runner::LEASE_MAX_MS,
             status_ms: 120_000,
             quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
         };
--- a/measure/src/search/world.rs
+++ b/measure/src/search/world.rs
@@ -55,8 +55,8 @@
     Fenced,
     /// Another incarnation answers.
     OtherLife,
-    /// The run exists.
-    Started,
+    /// The run exists on the worker, whose clock shows this time, in milliseconds.
+    Started(u64),
     /// The worker refused a start.
     Refused(Refusal),
     /// The worker carried out a stop.
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -52,7 +52,7 @@
 /// A worker's response to a command.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
-    /// The run exists on the worker.
+    /// The run exists on the worker, which didn't tell its clock.
     Started,
     /// The worker refused the start.
     StartRefused(Refusal),
@@ -66,6 +66,8 @@
     OtherIncarnation,
     /// The worker did not process the poll and responded with this status code.
     PollFailed(u16),
+    /// The run exists on the worker, whose clock shows this time, in milliseconds.
+    StartedAt(u64),
 }
 
 /// A command without a usable response.
@@ -172,7 +174,9 @@
                 ticket: ticket.as_deref(),
             };
             match client.start(&start, epoch, timeout_ms).await? {
-                worker::StartReply::Accepted => Response::Started,
+                worker::StartReply::Accepted { clock_ms } => {
+                    clock_ms.map_or(Response::Started, Response::StartedAt)
+                }
                 worker::StartReply::Refused(reason) => Response::StartRefused(reason),
             }
         }
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -323,6 +323,11 @@
         };
         let error = match channels.call(recipient, start, COMMAND_TIMEOUT_MS).await {
             Ok(Response::Started) => return StartOutcome::Started,
+            Ok(Response::StartedAt(clock_ms)) => {
+                let now = clock::since_boot();
+                leadership.scheduler().clock_answered(worker, clock_ms, now);
+                return StartOutcome::Started;
+            }
             Ok(Response::StartRefused(reason)) => {
                 let sends = if may_have_run { send } else { 1 };
                 return StartOutcome::Refused { reason, sends };
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -75,6 +75,20 @@
         })
     }
 
+    /// Handles the clock in a worker's response to a command, in milliseconds.
+    pub fn clock_answered(&mut self, id: &id::Worker, clock_ms: u64, now: clock::Instant) {
+        let lease_max_ms = self.settings.lease_max_ms;
+        let has_restarted = self
+            .workers
+            .get_mut(id)
+            .is_some_and(|worker| worker.on_clock(clock_ms, lease_max_ms, now));
+        if has_restarted {
+            self.log(format!(
+                "worker's clock went back worker={id} clock_ms={clock_ms}"
+            ));
+        }
+    }
+
     /// Handles the outcome of a start command.
     pub fn start_answered(
         &mut self,
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -16,6 +16,8 @@
 pub struct Settings {
     /// Length of the leases granted to workers, in milliseconds.
     pub lease_ms: u64,
+    /// Longest lease that a worker accepts, in milliseconds; it shortens longer ones.
+    pub lease_max_ms: u64,
     /// Time for which the state of an ended job can be queried, in milliseconds.
     pub status_ms: u64,
     /// Window of the accounts' rates, in milliseconds: an account that was idle can submit the jobs of one window at once.
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -85,6 +85,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let lease_max_ms = self.settings.lease_max_ms;
         let born_unix_ms = report.started_unix_ms.unwrap_or(worker.started_unix_ms);
         if worker.adopted && born_unix_ms != worker.started_unix_ms {
             self.restarted(id, report);
@@ -97,7 +98,10 @@
             worker.handled = 0;
             worker.handled_ahead.clear();
             worker.acknowledged = 0;
-            worker.lease_until_ms = 0;
+            if worker.lease_until_ms > 0 {
+                // On this incarnation's clock, leases that were granted to the earlier one have their greatest length.
+                worker.lease_until_ms = report.clock_ms + lease_max_ms;
+            }
             // The new incarnation knows nothing of a stop that the earlier one acknowledged.
             let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
             for task in tasks {
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -293,6 +293,19 @@
         self.start_at = now;
     }
 
+    /// Records the worker's clock in its response to a command, in milliseconds. Returns whether it went back, which proves
+    /// that the worker has started again under its id.
+    ///
+    /// Leases that were granted to the earlier incarnation then have their greatest length, `lease_max_ms`.
+    pub fn on_clock(&mut self, clock_ms: u64, lease_max_ms: u64, now: clock::Instant) -> bool {
+        let has_restarted = self.clock.is_some_and(|(known_ms, _)| clock_ms < known_ms);
+        if has_restarted {
+            self.clock = Some((clock_ms, now));
+            self.lease_until_ms = clock_ms + lease_max_ms;
+        }
+        has_restarted
+    }
+
     /// Returns whether evidence as of `at` can be about the worker as it is: it has neither answered since nor got a start,
     /// which an incarnation with the same id may have carried out.
     pub fn is_unheard_since(&self, at: clock::Instant) -> bool {
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -16,6 +16,8 @@
 
 /// Length of the leases in these tests, in milliseconds.
 pub const LEASE_MS: u64 = 4_000;
+/// Longest lease that the workers accept, in milliseconds.
+const LEASE_MAX_MS: u64 = 10_000;
 /// Interval between two polls of a worker, in milliseconds.
 const POLL_MS: u64 = 100;
 /// Time until a commit is answered, in milliseconds.
@@ -41,6 +43,7 @@
 pub fn settings() -> Settings {
     Settings {
         lease_ms: LEASE_MS,
+        lease_max_ms: LEASE_MAX_MS,
         status_ms: 120_000,
         quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     }
