fleet: a replaced leader doesn't overwrite what its successor reported of a wave

What callers saw: operators read a wave as running, for good, that had been reported as completed.

Cause: the leader wrote a wave's state to the operators' row unconditionally. A leader that stood still between its list of machines and the report, and was replaced, wrote `running` when it woke, before its next commit told it so. The row lies in another partition than the duty's row, so the commit's check doesn't cover it.

Change: each report expects the version of the row that was read or written last; a failed check tells the state that is there, and `completed` is final. A leader without authority reports nothing. A write that the store applies late fails by its condition.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -396,29 +396,40 @@
         }
     }
 
+    /// Reports the states of waves to operators, each conditional on the state that was read or written last.
     async fn report_waves(&mut self) {
         for (number, wave) in &mut self.waves {
-            let completed = wave.is_completed();
-            if wave.reported_completed || (wave.reported_running && !completed) {
+            let Some((status, version)) = wave.due_report() else {
                 continue;
-            }
-            let (name, value) = upkeep::status_row(*number, completed);
+            };
+            let name = upkeep::status_name(*number);
+            let value = match upkeep::encode_status(status) {
+                Ok(value) if self.leadership.may_act() => value,
+                _ => continue,
+            };
             let transaction = store::Transaction {
+                checks: vec![(name.clone(), version)],
                 writes: vec![(name, value)],
                 ..store::Transaction::default()
             };
-            match self
-                .shared
-                .store
-                .transact(&transaction, STORE_TIMEOUT_MS)
-                .await
-            {
-                Ok(_) => {
-                    wave.reported_running = true;
-                    wave.reported_completed = completed;
+            let written = self.shared.store.transact(&transaction, STORE_TIMEOUT_MS);
+            match written.await {
+                Ok(store::CommitOutcome::Applied(version)) => {
+                    wave.on_status(status, version);
+                    log::info(
+                        "fleet",
+                        &format!("wave reported wave={number} status={status:?}"),
+                    );
+                }
+                Ok(store::CommitOutcome::CheckFailed(rows)) => {
+                    let row = rows.first().filter(|row| !row.removed);
+                    let found = row.map(upkeep::decode_status).unwrap_or_default();
+                    wave.on_status(found, row.map_or(0, |row| row.version));
                     log::info(
                         "fleet",
-                        &format!("wave reported wave={number} completed={completed}"),
+                        &format!(
+                            "wave not reported wave={number} status={status:?} found={found:?}"
+                        ),
                     );
                 }
                 Err(error) => log::info(
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -21,6 +21,7 @@
 mod test_odd_entries;
 mod test_odd_machines;
 mod test_recovery;
+mod test_replaced_leader;
 mod test_slots;
 mod test_soak;
 mod test_stop;
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -56,6 +56,18 @@
     responded_at: Option<clock::Instant>,
 }
 
+/// The state of a wave that operators see.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Status {
+    /// None was reported, or it can't be read.
+    #[default]
+    None,
+    /// The wave is running.
+    Running,
+    /// The maintenance of all its machines has begun. This is final.
+    Completed,
+}
+
 /// A wave in progress.
 #[derive(Clone, Debug)]
 pub struct Wave {
@@ -67,10 +79,9 @@
     tracked_since: clock::Instant,
     age_ms: u64,
     in_maintenance: BTreeMap<id::Vm, Maintenance>,
-    /// Whether the completion was reported to operators.
-    pub reported_completed: bool,
-    /// Whether the start was reported to operators.
-    pub reported_running: bool,
+    /// State that operators see, and the version of the row that holds it, as of its newest read or write.
+    status: Status,
+    status_version: u64,
 }
 
 impl Wave {
@@ -84,8 +95,8 @@
             tracked_since: now,
             age_ms,
             in_maintenance: BTreeMap::new(),
-            reported_completed: false,
-            reported_running: false,
+            status: Status::None,
+            status_version: 0,
         }
     }
 
@@ -105,6 +116,30 @@
             .all(|vm| self.record.begun.contains(vm))
     }
 
+    /// Returns the state to report to operators, and the version that the row must still have; `None` if they see it.
+    ///
+    /// The row doesn't lie in the partition of the duty's row, so its own version is what keeps a leader that was replaced
+    /// from overwriting what its successor reported.
+    pub fn due_report(&self) -> Option<(Status, u64)> {
+        let status = if self.is_completed() {
+            Status::Completed
+        } else {
+            Status::Running
+        };
+        let is_due = match self.status {
+            Status::None => true,
+            Status::Running => status == Status::Completed,
+            Status::Completed => false,
+        };
+        is_due.then_some((status, self.status_version))
+    }
+
+    /// Records the state that the row of a version shows to operators.
+    pub fn on_status(&mut self, status: Status, version: u64) {
+        self.status = status;
+        self.status_version = version;
+    }
+
     /// Returns how many more machines can start maintenance now.
     pub fn free_slots(&self) -> usize {
         (self.request.at_once_max as usize).saturating_sub(self.in_maintenance.len())
