--- a/node/tests/test_replaced_leader.rs
+++ b/node/tests/test_replaced_leader.rs
@@ -8,12 +8,14 @@
 use wasabiloft_standins::hosted::machines;
 use wasabiloft_standins::soak::scenario::Scenario;
 use wasabiloft_standins::soak::world::FIRST_WAVE;
-use wasabiloft_standins::soak::Options;
+use wasabiloft_standins::soak::{self, Faults, Options};
 
 /// Time after which a woken leader has noticed that it was replaced, in milliseconds.
 const SETTLE_MS: u64 = 2_000;
 /// Delay of lists of machines, in milliseconds; longer than the leader's pause between two lists.
 const LATE_LIST_MS: u64 = 1_000;
+/// Time for which leaders are frozen in a run, in milliseconds: two freezes.
+const FREEZES_MS: u64 = 10_000;
 
 fn options(seed: u64) -> Options {
     Options {
@@ -71,3 +73,19 @@
     }
 }
 
+/// Guards against starts and leases of a leader that woke, to workers that its successor takes for lapsed: the bytes arrive
+/// when the network is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_woken_leader_runs_no_task_twice_on_workers_that_were_cut_off() {
+    for seed in [41, 42] {
+        let options = Options {
+            run_ms: FREEZES_MS,
+            machines: 6,
+            faults: Faults::FrozenLeaders,
+            ..options(seed)
+        };
+        let report = soak::run(&options).await.expect("a soak");
+        assert!(report.faults.len() >= 2 && report.starts > 0, "{report:?}");
+        assert!(report.violations.is_empty(), "{report:#?}");
+    }
+}
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
+use rand::seq::index;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
 use tokio::task::JoinSet;
@@ -29,20 +30,31 @@
 const STOP_TIMEOUT_MS: u64 = 6_000;
 /// Time between the exit of a terminated process and its restart, in milliseconds.
 const RESTART_DELAY_MS: u64 = 300;
+/// How long a leader is frozen, in milliseconds; longer than its followers wait.
+const FROZEN_MS: u64 = 3_500;
+/// Time from the freeze until workers are cut off, in milliseconds.
+const FROZEN_TO_CUT_MS: u64 = 1_050;
+/// Time from the end of the freeze until the cut ends, in milliseconds.
+const WAKE_TO_HEAL_MS: u64 = 3_000;
+/// One in so many workers is cut off.
+const FROZEN_CUT_SHARE: usize = 3;
 /// Time between faults in quick succession, in milliseconds.
 const QUICK_INTERVAL_MS: Range<u64> = 10..200;
 
 /// Injects faults for the duration of the run. Returns a description of each.
 pub async fn inject_all(world: &Arc<World>, options: &Options) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(options.seed ^ 0xfa17);
+    let started_at = time::Instant::now();
+    time::sleep(Duration::from_millis(CALM_MS)).await;
     let mix = match options.faults {
         soak::Faults::Single => None,
         soak::Faults::Series => Some(kind::draw_mix(&mut rng)),
+        soak::Faults::FrozenLeaders => {
+            return freeze_leaders(world, &mut rng, started_at, options.run_ms).await;
+        }
     };
-    let started_at = time::Instant::now();
     let mut injected = Vec::new();
     let mut active_faults = JoinSet::new();
-    time::sleep(Duration::from_millis(CALM_MS)).await;
     while started_at.elapsed() < Duration::from_millis(options.run_ms) {
         let (nodes, workers) = (world.nodes.len(), world.workers.len());
         let kinds = match mix {
@@ -191,6 +203,46 @@
     }
 }
 
+/// Freezes one leader after the other, each while some workers are cut off. Returns a description of each freeze.
+async fn freeze_leaders(
+    world: &World,
+    rng: &mut SmallRng,
+    started_at: time::Instant,
+    run_ms: u64,
+) -> Vec<String> {
+    let mut injected = Vec::new();
+    while started_at.elapsed() < Duration::from_millis(run_ms) {
+        let Some((leader, epoch)) = world.leader() else {
+            sleep(100).await;
+            continue;
+        };
+        let count = world.workers.len();
+        let cut = index::sample(rng, count, (count / FROZEN_CUT_SHARE).max(1)).into_vec();
+        let at_ms = started_at.elapsed().as_millis();
+        injected.push(format!(
+            "{at_ms} ms: node {leader} frozen, epoch {epoch}, workers {cut:?} cut off"
+        ));
+        freeze_leader(world, leader, &cut).await;
+    }
+    injected
+}
+
+/// Freezes a node; then cuts workers off, wakes the node and ends the cut. Bytes that were held up arrive then.
+async fn freeze_leader(world: &World, leader: usize, cut: &[usize]) {
+    world.node(leader).signal(Signal::STOP);
+    sleep(FROZEN_TO_CUT_MS).await;
+    let black_hole = kind::Cut::BlackHole.fault();
+    for worker in cut {
+        world.workers[*worker].proxy.set(black_hole);
+    }
+    sleep(FROZEN_MS - FROZEN_TO_CUT_MS).await;
+    world.node(leader).signal(Signal::CONT);
+    sleep(WAKE_TO_HEAL_MS).await;
+    for worker in cut {
+        world.workers[*worker].proxy.set(Fault::default());
+    }
+}
+
 /// Pauses the leader for the duration, and cuts off workers for half of it or for longer.
 async fn pause_leader(world: &World, paused: kind::PausedLeader, duration_ms: u64) {
     let Some((leader, _)) = world.leader() else {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -44,6 +44,8 @@
     /// Several at a time and in quick succession, also of the machine API and of workers that run on while they are
     /// unreachable.
     Series,
+    /// The leader's process is frozen again and again while workers are cut off, and wakes before the cut ends.
+    FrozenLeaders,
 }
 
 /// Options of a soak.
