--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -217,6 +217,7 @@
     let settings = Settings {
         lease_ms: 4_000,
         lease_max_ms: 10_000,
+        row_bytes: 48_000,
         status_ms: 120_000,
         quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     };
--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -1,6 +1,6 @@
 //! Commits of a leader, and the lists of machines and commands that they allow.
 
-use wasabiloft::batch::record;
+use wasabiloft::batch::{record, waves};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -118,7 +118,11 @@
             return;
         };
         for request in &self.waves {
-            let record = self.store.waves.get(&request.number);
+            let key = waves::Key {
+                wave: request.number,
+                part: 0,
+            };
+            let record = self.store.waves.get(&key);
             term.fleet.add_wave(request, record, now);
         }
         let call = Call::List { requested_at: now };
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wasabiloft::batch::{JobId, pools, queue, record, spec, waves};
+use wasabiloft::batch::{JobId, pools, progress_rows, queue, record, spec, waves};
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
 
@@ -45,13 +45,13 @@
     /// Accepted jobs.
     pub accepted: Vec<(JobId, record::Accepted)>,
     /// Progress of jobs.
-    pub progress: BTreeMap<JobId, record::Progress>,
+    pub progress: BTreeMap<progress_rows::Key, record::Progress>,
     /// Workers that can run tasks.
     pub workers: BTreeMap<id::Worker, record::WorkerRow>,
     /// Newest command of each machine.
     pub commands: BTreeMap<id::Vm, record::MachineRow>,
     /// Progress of waves.
-    pub waves: BTreeMap<u64, waves::Record>,
+    pub waves: BTreeMap<waves::Key, waves::Record>,
 }
 
 impl Store {
--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -326,7 +326,7 @@
             (Command::Upkeep { wave: number }, Some(CommandOutcome::Yes)) => {
                 if let Some(wave) = self.waves.get_mut(number) {
                     wave.on_begun(vm, now);
-                    scheduler.record_wave(*number, wave.record.clone());
+                    scheduler.record_wave(wave.row(vm));
                 }
             }
             (Command::Upkeep { wave }, Some(CommandOutcome::NotOfWave)) => {
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -16,6 +16,9 @@
 /// Length of the workers' leases, in milliseconds.
 pub(super) const LEASE_MS: u64 = 4_000;
 
+/// Maximum size of a row, in bytes; far above what the small jobs need.
+const ROW_BYTES: u64 = 48_000;
+
 impl World {
     pub(super) fn plan(&mut self, node: usize) {
         let now = self.now();
@@ -75,6 +78,7 @@
         let settings = Settings {
             lease_ms: LEASE_MS,
             lease_max_ms: runner::LEASE_MAX_MS,
+            row_bytes: ROW_BYTES,
             status_ms: 120_000,
             quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
         };
--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -1,9 +1,11 @@
 //! Commits the scheduler's batches, one transaction at a time, each conditional on the version of the duty's row.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use http::StatusCode;
 use serde::Serialize;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
@@ -23,9 +25,62 @@
 const CALL_TIMEOUT_MS: u64 = 1_200;
 /// Pause before a transaction that got no response is resent, in milliseconds.
 const RETRY_MS: u64 = 80;
+/// Maximum size of the rows in a transaction, in bytes; leaves a tenth of the store's limit for the duty's row.
+const TRANSACTION_BYTES_MAX: usize = 900_000;
+/// Size of a row in a call without its key and value, in bytes.
+const ROW_OVERHEAD_BYTES: usize = 128;
 /// Timeout of the transaction that releases the duty, in milliseconds.
 const RELEASE_TIMEOUT_MS: u64 = 1_000;
 
+/// A row to write or remove.
+#[derive(Debug)]
+struct Row {
+    name: store::Name,
+    /// The content to write; `None` removes the row.
+    value: Option<Vec<u8>>,
+}
+
+impl Row {
+    fn write<T>(table: &str, key: &str, row: &T) -> Result<Self, serde_json::Error>
+    where
+        T: Serialize,
+    {
+        Ok(Self {
+            value: Some(serde_json::to_vec(row)?),
+            ..Self::remove(table, key)
+        })
+    }
+
+    fn remove(table: &str, key: &str) -> Self {
+        Self {
+            name: store::Name::new(table, record::SCHEDULER_PARTITION, key),
+            value: None,
+        }
+    }
+
+    /// Returns the largest size of the row in a call, in bytes.
+    fn bytes(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, Vec::len);
+        value.div_ceil(3) * 4 + self.name.key.len() + ROW_OVERHEAD_BYTES
+    }
+}
+
+/// Outcome of a transaction that is known.
+enum Sent {
+    /// It was committed; the time is that before it was first sent.
+    Applied(wasabiloft::clock::Instant),
+    /// The store refuses it for good, with this status.
+    Refused(StatusCode),
+}
+
+/// A batch that was committed.
+struct Committed {
+    /// When its last transaction was sent.
+    sent_at: wasabiloft::clock::Instant,
+    /// Rows that the store refuses.
+    refused: BTreeSet<store::Name>,
+}
+
 /// Writes the scheduler's rows and the duty's row.
 pub struct Committer {
     duty: record::Duty,
@@ -38,22 +93,74 @@
         Self { duty, version }
     }
 
-    /// Commits a batch and returns when it was sent; `None` if the duty is lost, the batch cannot be encoded, or `ended`
-    /// is cancelled.
+    /// Commits a batch in as many transactions as its rows need. Returns when the last of them was sent, with the rows that
+    /// the store refuses; `None` if the duty is lost, a row cannot be encoded, or `ended` is cancelled.
+    ///
+    /// Rows don't depend on each other, so that some can be committed without the others.
     async fn commit(
         &mut self,
         shared: &shared::Shared,
         ended: &CancellationToken,
         batch: &record::WriteBatch,
-    ) -> Option<wasabiloft::clock::Instant> {
+    ) -> Option<Committed> {
+        let rows = match encode(batch) {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::warn("commit", &format!("cannot encode the batch reason={error}"));
+                return None;
+            }
+        };
+        let mut refused = BTreeSet::new();
+        let mut waiting = group(rows);
+        let mut sent_at = None;
+        while let Some(rows) = waiting.pop_front() {
+            let sent = self.transact(shared, ended, &rows).await?;
+            match (sent, &rows[..]) {
+                (Sent::Applied(at), _) => sent_at = Some(at),
+                (Sent::Refused(status), [row]) => {
+                    metrics::counter!("wasabiloft_rows_refused_total").increment(1);
+                    log::warn(
+                        "commit",
+                        &format!(
+                            "row refused table={} key={} bytes={} status={status}",
+                            row.name.table,
+                            row.name.key,
+                            row.value.as_ref().map_or(0, Vec::len)
+                        ),
+                    );
+                    refused.insert(row.name.clone());
+                }
+                (Sent::Refused(_), _) => {
+                    let mut first = rows;
+                    let second = first.split_off(first.len() / 2);
+                    waiting.push_front(second);
+                    waiting.push_front(first);
+                }
+            }
+            if waiting.is_empty() && sent_at.is_none() {
+                waiting.push_back(Vec::new());
+            }
+        }
+        let sent_at = sent_at?;
+        Some(Committed { sent_at, refused })
+    }
+
+    /// Commits rows in one transaction, with the duty's row; repeats it until its outcome is known. Returns `None` if the
+    /// duty is lost, or `ended` is cancelled.
+    async fn transact(
+        &mut self,
+        shared: &shared::Shared,
+        ended: &CancellationToken,
+        rows: &[Row],
+    ) -> Option<Sent> {
         let duty = record::Duty {
             commits: self.duty.commits + 1,
             ..self.duty.clone()
         };
-        let transaction = match transaction(&duty, self.version, batch) {
+        let transaction = match transaction(&duty, self.version, rows) {
             Ok(transaction) => transaction,
             Err(error) => {
-                log::warn("commit", &format!("cannot encode the batch reason={error}"));
+                log::warn("commit", &format!("cannot encode the duty reason={error}"));
                 return None;
             }
         };
@@ -76,11 +183,15 @@
                     self.version = version;
                     break;
                 }
+                Err(store::Error::Refused { status }) if !rows.is_empty() && is_final(status) => {
+                    shared.record_store_response();
+                    return Some(Sent::Refused(status));
+                }
                 Err(error) => {
                     metrics::counter!("wasabiloft_store_retries_total").increment(1);
                     log::info(
                         "commit",
-                        &format!("no response rows={} reason={error}", batch.rows()),
+                        &format!("no response rows={} reason={error}", rows.len()),
                     );
                 }
             }
@@ -93,7 +204,7 @@
         metrics::histogram!("wasabiloft_commit_ms")
             .record(clock::since_boot().since_ms(sent_at) as f64);
         self.duty = duty;
-        Some(sent_at)
+        Some(Sent::Applied(sent_at))
     }
 
     /// Rewrites the duty's row, so that followers see that the leader is alive; returns when it was sent, or `None` if the
@@ -102,7 +213,8 @@
     /// A renewal must not be dropped before it returns, since the version of the row is unknown then.
     async fn renew(&mut self, shared: &shared::Shared) -> Option<wasabiloft::clock::Instant> {
         let batch = record::WriteBatch::default();
-        self.commit(shared, &shared.stop, &batch).await
+        let committed = self.commit(shared, &shared.stop, &batch).await?;
+        Some(committed.sent_at)
     }
 
     /// Releases the duty so that another node can claim it at once.
@@ -118,7 +230,7 @@
                 .map(|successor| successor.incarnation),
             ..self.duty
         };
-        let transaction = match transaction(&duty, self.version, &record::WriteBatch::default()) {
+        let transaction = match transaction(&duty, self.version, &[]) {
             Ok(transaction) => transaction,
             Err(error) => {
                 log::warn("commit", &format!("duty not released reason={error}"));
@@ -136,68 +248,80 @@
     }
 }
 
-fn transaction(
-    duty: &record::Duty,
-    version: u64,
-    batch: &record::WriteBatch,
-) -> Result<store::Transaction, serde_json::Error> {
-    let name = |table: &str, key: &str| store::Name::new(table, record::SCHEDULER_PARTITION, key);
-    let mut transaction = store::Transaction {
-        checks: vec![(duty::row_name(), version)],
-        writes: vec![(duty::row_name(), serde_json::to_vec(duty)?)],
-        ..store::Transaction::default()
-    };
-    for (job, progress) in &batch.progress {
-        add_write(
-            &mut transaction,
-            name(record::PROGRESS_TABLE, &job.to_string()),
+/// Returns whether the store refuses a transaction for good: it would refuse a repetition as well.
+fn is_final(status: StatusCode) -> bool {
+    status.is_client_error()
+        && !matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
+        )
+}
+
+/// Returns the rows that a batch writes and removes.
+fn encode(batch: &record::WriteBatch) -> Result<Vec<Row>, serde_json::Error> {
+    let mut rows = Vec::new();
+    for (row, progress) in &batch.progress {
+        rows.push(Row::write(
+            record::PROGRESS_TABLE,
+            &row.to_string(),
             progress,
-        )?;
+        )?);
     }
     for (worker, row) in &batch.workers_added {
-        add_write(
-            &mut transaction,
-            name(record::WORKER_TABLE, worker.as_str()),
-            row,
-        )?;
-    }
-    for (number, wave) in &batch.waves {
-        add_write(
-            &mut transaction,
-            name(record::WAVE_TABLE, &number.to_string()),
-            wave,
-        )?;
+        rows.push(Row::write(record::WORKER_TABLE, worker.as_str(), row)?);
+    }
+    for (key, wave) in &batch.waves {
+        rows.push(Row::write(record::WAVE_TABLE, &key.to_string(), wave)?);
     }
     for (vm, command) in &batch.machine_commands {
-        add_write(
-            &mut transaction,
-            name(record::MACHINE_TABLE, vm.as_str()),
-            command,
-        )?;
+        rows.push(Row::write(record::MACHINE_TABLE, vm.as_str(), command)?);
     }
     for worker in &batch.workers_removed {
-        transaction
-            .removals
-            .push(name(record::WORKER_TABLE, worker.as_str()));
+        rows.push(Row::remove(record::WORKER_TABLE, worker.as_str()));
     }
-    for job in &batch.jobs_deleted {
-        transaction
-            .removals
-            .push(name(record::PROGRESS_TABLE, &job.to_string()));
+    for row in &batch.progress_deleted {
+        rows.push(Row::remove(record::PROGRESS_TABLE, &row.to_string()));
     }
-    Ok(transaction)
+    Ok(rows)
 }
 
-fn add_write<T>(
-    transaction: &mut store::Transaction,
-    name: store::Name,
-    row: &T,
-) -> Result<(), serde_json::Error>
-where
-    T: Serialize,
-{
-    transaction.writes.push((name, serde_json::to_vec(row)?));
-    Ok(())
+/// Divides rows into transactions that the store accepts; without rows, there is one that renews the duty.
+fn group(rows: Vec<Row>) -> VecDeque<Vec<Row>> {
+    let mut groups = VecDeque::from([Vec::new()]);
+    let mut bytes = 0;
+    for row in rows {
+        bytes += row.bytes();
+        let is_full = groups
+            .back()
+            .is_some_and(|group| !group.is_empty() && bytes > TRANSACTION_BYTES_MAX);
+        if is_full {
+            bytes = row.bytes();
+            groups.push_back(Vec::new());
+        }
+        if let Some(group) = groups.back_mut() {
+            group.push(row);
+        }
+    }
+    groups
+}
+
+fn transaction(
+    duty: &record::Duty,
+    version: u64,
+    rows: &[Row],
+) -> Result<store::Transaction, serde_json::Error> {
+    let mut transaction = store::Transaction {
+        checks: vec![(duty::row_name(), version)],
+        writes: vec![(duty::row_name(), serde_json::to_vec(duty)?)],
+        ..store::Transaction::default()
+    };
+    for row in rows {
+        match &row.value {
+            Some(value) => transaction.writes.push((row.name.clone(), value.clone())),
+            None => transaction.removals.push(row.name.clone()),
+        }
+    }
+    Ok(transaction)
 }
 
 /// Renews the duty while the rows are read, until `read` is cancelled. Returns `None` if the duty is lost or the node
@@ -230,14 +354,22 @@
             () = leadership.write.notified() => {}
             () = time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
         }
-        let batch = leadership.scheduler().take_batch();
+        let mut batch = leadership.scheduler().take_batch();
         if batch.rows() > 0 || leadership.since_commit_ms() >= RENEW_INTERVAL_MS {
             let committed = committer.commit(&shared, &leadership.ended, &batch).await;
-            let Some(sent_at) = committed else {
+            let Some(Committed { sent_at, refused }) = committed else {
                 leadership.ended.cancel();
                 return;
             };
             leadership.commit_sent(sent_at);
+            if !refused.is_empty() {
+                leadership
+                    .scheduler()
+                    .rows_refused(&mut batch, |table, key| {
+                        let name = store::Name::new(table, record::SCHEDULER_PARTITION, key);
+                        refused.contains(&name)
+                    });
+            }
         }
         if !batch.is_empty() {
             leadership.scheduler().batch_committed(&batch);
--- a/node/src/batch/fleet/commands.rs
+++ b/node/src/batch/fleet/commands.rs
@@ -194,8 +194,8 @@
             return;
         };
         wave.on_begun(vm, now);
-        let record = wave.record.clone();
-        self.leadership.scheduler().record_wave(number, record);
+        let row = wave.row(vm);
+        self.leadership.scheduler().record_wave(row);
         self.leadership.write.notify_one();
     }
 }
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -125,14 +125,16 @@
                 };
                 let mut record = self.records.remove(&number).unwrap_or_default();
                 let now = clock::since_boot();
-                if record.asked_ms.is_none() {
+                let is_new = record.asked_ms.is_none();
+                if is_new {
                     record.asked_ms = Some(store_ms.saturating_sub(now.since_ms(asked.at)));
-                    self.leadership
-                        .scheduler()
-                        .record_wave(number, record.clone());
                 }
-                let wave =
-                    waves::Wave::new(asked.request, record.clone(), record.age_ms(store_ms), now);
+                let age_ms = record.age_ms(store_ms);
+                let wave = waves::Wave::new(asked.request, record, age_ms, now);
+                if is_new {
+                    let row = wave.first_row();
+                    self.leadership.scheduler().record_wave(row);
+                }
                 self.waves.insert(number, wave);
             }
         }
--- a/node/src/batch/fleet/recovery.rs
+++ b/node/src/batch/fleet/recovery.rs
@@ -35,7 +35,13 @@
     loop {
         if waves.is_none() {
             let page = rows(shared, record::WAVE_TABLE).await;
-            waves = page.map(|page| page.rows.iter().filter_map(read_wave).collect());
+            waves = page.map(|page| {
+                let mut waves: BTreeMap<u64, waves::Record> = BTreeMap::new();
+                for (key, record) in page.rows.iter().filter_map(read_wave) {
+                    waves.entry(key.wave).or_default().merge(record);
+                }
+                waves
+            });
         }
         if held_off.is_none() {
             let page = rows(shared, record::MACHINE_TABLE).await;
@@ -54,11 +60,11 @@
     }
 }
 
-fn read_wave(row: &store::Row) -> Option<(u64, waves::Record)> {
-    let number = row.name.key.parse().ok();
+fn read_wave(row: &store::Row) -> Option<(waves::Key, waves::Record)> {
+    let key = row.name.key.parse().ok();
     let record = row.value.as_deref().map(serde_json::from_slice);
-    match (number, record) {
-        (Some(number), Some(Ok(record))) => Some((number, record)),
+    match (key, record) {
+        (Some(key), Some(Ok(record))) => Some((key, record)),
         _ => {
             // The wave's maintenance commands are sent again; the platform treats repeats as the same command.
             log::warn(
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -236,6 +236,7 @@
     Settings {
         lease_ms: LEASE_MS.min(settings.worker_lease_max_ms),
         lease_max_ms: settings.worker_lease_max_ms,
+        row_bytes: settings.row_bytes,
         status_ms: settings.job_status_ms,
         quota_window_ms: settings
             .accounts
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -324,8 +324,8 @@
             }
             Part::Progress => {
                 for row in &read.rows {
-                    if let (Ok(job), Some(progress)) = (row.name.key.parse(), decode(row)) {
-                        self.state.progress.push((job, progress));
+                    if let (Ok(key), Some(progress)) = (row.name.key.parse(), decode(row)) {
+                        self.state.progress.push((key, progress));
                     }
                 }
             }
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -16,6 +16,7 @@
 mod test_hosted;
 mod test_jobs;
 mod test_keys;
+mod test_large_jobs;
 mod test_links;
 mod test_nodes;
 mod test_odd_entries;
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|---|
 //! | `job` | by the job's id | `ID` | any entry node, once |
 //! | `job` | by the job's id | `ID.cancel` | any entry node |
-//! | `progress` | `holder` | `ID` | the scheduler |
+//! | `progress` | `holder` | `ID`, `ID.N` | the scheduler; see [`progress_rows`] |
 //! | `worker` | `holder` | the worker's id | the scheduler, before its first command to the worker |
 //! | `wave` | `holder` | the wave's number | the scheduler |
 //! | `machine` | `holder` | the VM | the scheduler, before each command for the VM |
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::JobId;
+use crate::batch::progress_rows;
 use crate::batch::queue;
 use crate::batch::spec;
 use crate::batch::waves;
@@ -138,6 +139,13 @@
     pub done: Vec<Done>,
     /// Records of tasks that are not completed.
     pub tasks: Vec<TaskRecord>,
+    /// When the job was submitted, in milliseconds since 1970; names the job in rows after the first, else 0.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub submitted_unix_ms: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The completed tasks of one step in one occurrence.
@@ -249,17 +257,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct WriteBatch {
     /// Progress rows to write.
-    pub progress: Vec<(JobId, Progress)>,
+    pub progress: Vec<(progress_rows::Key, Progress)>,
     /// Workers to add before the first command is sent to them.
     pub workers_added: Vec<(id::Worker, WorkerRow)>,
     /// Workers to delete because they run nothing any more.
     pub workers_removed: Vec<id::Worker>,
     /// Records of maintenance waves to write.
-    pub waves: Vec<(u64, waves::Record)>,
+    pub waves: Vec<(waves::Key, waves::Record)>,
     /// Machine commands that are sent after the commit.
     pub machine_commands: Vec<(id::Vm, MachineRow)>,
-    /// Jobs whose rows are deleted because they are no longer needed.
-    pub jobs_deleted: Vec<JobId>,
+    /// Progress rows that are deleted because they are no longer needed.
+    pub progress_deleted: Vec<progress_rows::Key>,
+    /// Number of the newest change of progress that the batch writes.
+    pub change: u64,
     /// Ended runs that can be acknowledged once the batch is committed.
     pub acknowledge: BTreeMap<id::Worker, HandledRuns>,
 }
@@ -277,6 +287,6 @@
             + self.workers_removed.len()
             + self.waves.len()
             + self.machine_commands.len()
-            + self.jobs_deleted.len()
+            + self.progress_deleted.len()
     }
 }
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::batch::JobId;
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, ends};
 use crate::batch::waves;
+use crate::batch::{JobId, TaskId};
 use crate::id;
 
 /// Maximum number of rows in a batch; the table accepts 100 including the duty's row and its check.
@@ -17,9 +18,9 @@
     recorded: BTreeSet<id::Worker>,
     added: BTreeMap<id::Worker, record::WorkerRow>,
     removed: BTreeSet<id::Worker>,
-    forgotten_jobs: Vec<JobId>,
+    obsolete_progress: Vec<progress_rows::Key>,
     handled_ends: ends::HandledEnds,
-    waves: BTreeMap<u64, waves::Record>,
+    waves: BTreeMap<waves::Key, waves::Record>,
     machine_commands: BTreeMap<id::Vm, record::MachineRow>,
     /// Machines whose command was committed.
     committed_commands: Vec<id::Vm>,
@@ -63,17 +64,21 @@
         std::mem::take(&mut self.committed_commands)
     }
 
-    pub(super) fn forget_job(&mut self, job: JobId) {
-        self.forgotten_jobs.push(job);
+    pub(super) fn delete_progress(&mut self, rows: impl Iterator<Item = progress_rows::Key>) {
+        self.obsolete_progress.extend(rows);
     }
 
-    /// Keeps the progress row of an id that was submitted again after its job had been removed.
+    /// Keeps the first progress row of an id that was submitted again after its job had been removed.
     pub(super) fn keep_job(&mut self, job: JobId) {
-        self.forgotten_jobs.retain(|forgotten| *forgotten != job);
+        self.keep_progress(job.into());
     }
 
-    pub(super) fn record_wave(&mut self, number: u64, record: waves::Record) {
-        self.waves.insert(number, record);
+    fn keep_progress(&mut self, row: progress_rows::Key) {
+        self.obsolete_progress.retain(|obsolete| *obsolete != row);
+    }
+
+    pub(super) fn record_wave(&mut self, key: waves::Key, record: waves::Record) {
+        self.waves.insert(key, record);
     }
 
     pub(super) fn record_handled_end(
@@ -97,6 +102,7 @@
     /// An end is acknowledged in the batch after which no earlier change of a job is left to write.
     pub fn take_batch(&mut self) -> record::WriteBatch {
         let mut batch = record::WriteBatch::default();
+        let row_bytes = self.settings.row_bytes;
         // Machine commands come first, because they are sent soon after they are persisted or not at all.
         while batch.rows() < ROWS_MAX {
             let Some(command) = self.pending_rows.machine_commands.pop_first() else {
@@ -105,13 +111,22 @@
             batch.machine_commands.push(command);
         }
         while batch.rows() < ROWS_MAX {
-            let Some(id) = self.changed_jobs.pop_first() else {
+            let Some(row) = self.changed_rows.pop_first() else {
                 break;
             };
-            if let Some(job) = self.jobs.get(&id) {
-                batch.progress.push((id, job.progress()));
+            let Some(job) = self.jobs.get_mut(&row.job) else {
+                continue;
+            };
+            // An ended job needs no more than its state.
+            if row.part == 0 || !job.state.is_final() {
+                let mut progress = job.progress(row.part);
+                progress_rows::shrink(&mut progress, row_bytes);
+                job.rows.insert(row.part);
+                self.pending_rows.keep_progress(row);
+                batch.progress.push((row, progress));
             }
         }
+        batch.change = self.changed_rows.newest();
         let pending = &mut self.pending_rows;
         while batch.rows() < ROWS_MAX {
             let Some((worker, row)) = pending.added.pop_first() else {
@@ -126,10 +141,10 @@
             batch.workers_removed.push(worker);
         }
         while batch.rows() < ROWS_MAX {
-            let Some(job) = pending.forgotten_jobs.pop() else {
+            let Some(row) = pending.obsolete_progress.pop() else {
                 break;
             };
-            batch.jobs_deleted.push(job);
+            batch.progress_deleted.push(row);
         }
         while batch.rows() < ROWS_MAX {
             let Some(wave) = pending.waves.pop_first() else {
@@ -137,15 +152,69 @@
             };
             batch.waves.push(wave);
         }
-        batch.acknowledge = pending.handled_ends.take(&self.changed_jobs);
+        batch.acknowledge = pending.handled_ends.take(&self.changed_rows);
+        batch
+    }
+
+    /// Takes rows of a batch that the store refuses for good, by table and key, out of it.
+    ///
+    /// Progress is written again later; until then, ends that were handled since are not acknowledged. A worker or machine
+    /// whose row is refused isn't used.
+    pub fn rows_refused<F>(&mut self, batch: &mut record::WriteBatch, is_refused: F)
+    where
+        F: Fn(&str, &str) -> bool,
+    {
+        let is_refused_progress =
+            |row: &progress_rows::Key| is_refused(record::PROGRESS_TABLE, &row.to_string());
+        for (row, _) in &batch.progress {
+            if is_refused_progress(row) {
+                self.changed_rows.refuse(*row, batch.change);
+                batch.acknowledge.clear();
+            }
+        }
+        batch.progress.retain(|(row, _)| !is_refused_progress(row));
         batch
+            .workers_added
+            .retain(|(worker, _)| !is_refused(record::WORKER_TABLE, worker.as_str()));
+        batch
+            .machine_commands
+            .retain(|(vm, _)| !is_refused(record::MACHINE_TABLE, vm.as_str()));
+    }
+
+    /// Deletes the rows of an ended job but for the one that holds its state.
+    pub(super) fn delete_further_progress(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            let further = job.rows.split_off(&1);
+            let keys = further
+                .into_iter()
+                .map(|part| progress_rows::Key { job: id, part });
+            self.pending_rows.delete_progress(keys);
+        }
+    }
+
+    /// Records that the progress of a task has changed.
+    pub(super) fn task_changed(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let part = job.layout.part(id);
+        // A job with progress has a first row, by which callers learn its state without the leader.
+        if !job.rows.contains(&0) {
+            self.changed_rows.insert(id.job.into());
+        }
+        self.changed_rows
+            .insert(progress_rows::Key { job: id.job, part });
     }
 
     /// Records that a batch was committed.
     pub fn batch_committed(&mut self, batch: &record::WriteBatch) {
-        for (id, progress) in &batch.progress {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.committed_state = progress.state;
+        for (row, progress) in &batch.progress {
+            let Some(job) = self.jobs.get_mut(&row.job).filter(|_| row.part == 0) else {
+                continue;
+            };
+            job.committed_state = progress.state;
+            if progress.state.is_final() {
+                self.delete_further_progress(row.job);
             }
         }
         for (id, _) in &batch.workers_added {
--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -134,7 +134,7 @@
                 self.accused_tasks.insert(*task, Some(at));
             }
             if is_suspect(state) {
-                self.changed_jobs.insert(task.job);
+                self.task_changed(task);
             }
             if crashes > 1 {
                 self.log(format!(
@@ -228,6 +228,7 @@
     /// the number of tasks that are no longer suspect.
     fn explain(&mut self, culprit: JobId, caused: &BTreeSet<(id::Worker, u64)>) -> usize {
         let mut cleared = 0;
+        let mut changed_tasks = Vec::new();
         for id in &self.crashed_tasks {
             let job = self.jobs.get_mut(&id.job).filter(|_| id.job != culprit);
             let Some(task) = job.and_then(|job| job.task_mut(id)) else {
@@ -250,10 +251,14 @@
                 crash.explained = true;
                 changed += 1;
             }
-            if changed > 0 || task.crashes.len() < crashes {
-                self.changed_jobs.insert(id.job);
-            }
+            let is_changed = changed > 0 || task.crashes.len() < crashes;
             cleared += usize::from(was_suspect && !is_suspect(task));
+            if is_changed {
+                changed_tasks.push(*id);
+            }
+        }
+        for task in &changed_tasks {
+            self.task_changed(task);
         }
         cleared
     }
@@ -280,7 +285,7 @@
         if has_survived {
             task.crashes.clear();
             self.crashed_tasks.remove(id);
-            self.changed_jobs.insert(id.job);
+            self.task_changed(id);
             self.log(format!("task outlived its crashes task={id}"));
         }
     }
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -194,7 +194,7 @@
     }
 
     /// Queues a row that lets a next leader continue a wave of maintenance.
-    pub fn record_wave(&mut self, number: u64, record: waves::Record) {
-        self.pending_rows.record_wave(number, record);
+    pub fn record_wave(&mut self, (key, record): (waves::Key, waves::Record)) {
+        self.pending_rows.record_wave(key, record);
     }
 }
--- a/src/batch/scheduler/ends.rs
+++ b/src/batch/scheduler/ends.rs
@@ -1,38 +1,40 @@
-//! Ends: which jobs wait to be written, and which ended runs can be acknowledged.
+//! Ends: which progress rows wait to be written, and which ended runs can be acknowledged.
 //!
-//! Answers the load in which more ends arrive than one transaction can hold, for seconds. Jobs are written in the order
+//! Answers the load in which more ends arrive than one transaction can hold, for seconds. Rows are written in the order
 //! of their changes, and an end is acknowledged with the transaction that writes the last change up to it. An end thus
 //! waits for the changes before it, and never for those that arrive after it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use crate::batch::JobId;
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::id;
 
-/// Jobs whose progress row has to be written, by their first change since the row was last written.
+/// Progress rows that have to be written, by their first change since they were last written.
 #[derive(Debug, Default)]
-pub(super) struct ChangedJobs {
-    by_change: BTreeMap<u64, JobId>,
-    changes: HashMap<JobId, u64>,
+pub(super) struct ChangedRows {
+    by_change: BTreeSet<(u64, progress_rows::Key)>,
+    changes: HashMap<progress_rows::Key, u64>,
+    /// Rows that the store refused, with the newest change when they were taken to be written.
+    refused: BTreeSet<(u64, progress_rows::Key)>,
     /// Number of the newest change.
     newest: u64,
 }
 
-impl ChangedJobs {
-    pub(super) fn insert(&mut self, job: JobId) {
+impl ChangedRows {
+    pub(super) fn insert(&mut self, row: progress_rows::Key) {
         self.newest += 1;
         let newest = self.newest;
-        self.changes.entry(job).or_insert_with(|| {
-            self.by_change.insert(newest, job);
+        self.changes.entry(row).or_insert_with(|| {
+            self.by_change.insert((newest, row));
             newest
         });
     }
 
-    pub(super) fn pop_first(&mut self) -> Option<JobId> {
-        let (_, job) = self.by_change.pop_first()?;
-        self.changes.remove(&job);
-        Some(job)
+    pub(super) fn pop_first(&mut self) -> Option<progress_rows::Key> {
+        let (_, row) = self.by_change.pop_first()?;
+        self.changes.remove(&row);
+        Some(row)
     }
 
     /// Returns the number of the newest change.
@@ -40,11 +42,27 @@
         self.newest
     }
 
+    /// Records that the store refused a row that was taken when `change` was the newest change.
+    pub(super) fn refuse(&mut self, row: progress_rows::Key, change: u64) {
+        self.refused.insert((change, row));
+    }
+
+    /// Queues refused rows to be written again.
+    pub(super) fn retry_refused(&mut self) {
+        for (change, row) in std::mem::take(&mut self.refused) {
+            self.changes.entry(row).or_insert_with(|| {
+                self.by_change.insert((change, row));
+                change
+            });
+        }
+    }
+
     /// Returns whether all changes up to a number were taken to be written.
     fn is_taken(&self, change: u64) -> bool {
-        self.by_change
-            .first_key_value()
-            .is_none_or(|(first, _)| change < *first)
+        let is_before = |rows: &BTreeSet<(u64, progress_rows::Key)>| {
+            rows.first().is_none_or(|(first, _)| change < *first)
+        };
+        is_before(&self.by_change) && is_before(&self.refused)
     }
 }
 
@@ -78,7 +96,7 @@
     /// Removes and returns the newest end of each worker of which all changes were taken to be written.
     pub(super) fn take(
         &mut self,
-        changed: &ChangedJobs,
+        changed: &ChangedRows,
     ) -> BTreeMap<id::Worker, record::HandledRuns> {
         let mut taken = BTreeMap::new();
         self.workers.retain(|worker, ends| {
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -1,8 +1,9 @@
 //! Scheduling state of a job, its occurrences, steps and tasks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::scheduler::release;
 use crate::batch::{JobId, TaskId};
@@ -127,14 +128,27 @@
     pub committed_state: record::State,
     /// When the job ended, in milliseconds since 1970; 0 before.
     pub ended_unix_ms: u64,
+    /// Which progress row holds which task.
+    pub layout: progress_rows::Layout,
+    /// Numbers of the progress rows that may exist.
+    pub rows: BTreeSet<u32>,
     /// Longest path of estimated work from each step to the end, in milliseconds.
     pub critical_paths_ms: Vec<u64>,
 }
 
 impl Job {
     /// Creates a job without any known run.
-    pub fn new(id: JobId, accepted: Arc<record::Accepted>, recovered: bool) -> Self {
+    ///
+    /// Its progress rows have at most `row_bytes` bytes each.
+    pub fn new(
+        id: JobId,
+        accepted: Arc<record::Accepted>,
+        recovered: bool,
+        row_bytes: u64,
+    ) -> Self {
         let critical_paths_ms = accepted.spec.critical_paths_ms();
+        let steps = accepted.spec.steps.iter().map(|step| step.tasks);
+        let layout = progress_rows::Layout::new(steps, accepted.queue.attempts_max, row_bytes);
         Self {
             id,
             accepted,
@@ -144,6 +158,8 @@
             state: record::State::Queued,
             committed_state: record::State::Queued,
             ended_unix_ms: 0,
+            layout,
+            rows: BTreeSet::new(),
             critical_paths_ms,
         }
     }
@@ -363,34 +379,42 @@
             .any(|(_, task)| task.done || task.last_run > 0 || task.active.is_some())
     }
 
-    /// Returns the progress row that persists the job's state.
-    pub fn progress(&self) -> record::Progress {
-        let mut progress = record::Progress {
-            state: self.state,
-            ended_unix_ms: self.ended_unix_ms,
-            ..record::Progress::default()
-        };
+    /// Returns a progress row that persists a part of the job's state.
+    pub fn progress(&self, part: u32) -> record::Progress {
+        let mut progress = record::Progress::default();
+        if part == 0 {
+            progress.state = self.state;
+            progress.ended_unix_ms = self.ended_unix_ms;
+        } else {
+            progress.submitted_unix_ms = self.accepted.submitted_unix_ms;
+        }
         if self.state.is_final() {
             return progress;
         }
-        for (&occurrence, occurrence_state) in &self.occurrences {
-            for (step, tasks) in (0_u32..).zip(&occurrence_state.steps) {
-                let done = (0_u32..).zip(&tasks.tasks).filter(|(_, task)| task.done);
-                let indexes: Vec<u32> = done.map(|(index, _)| index).collect();
-                if !indexes.is_empty() {
-                    progress.done.push(record::Done {
-                        occurrence,
-                        step,
-                        indexes,
-                    });
-                }
+        let key = progress_rows::Key { job: self.id, part };
+        for id in self.layout.tasks(key) {
+            // Occurrences that are not due have no progress, and none is due after them.
+            if !self.occurrences.contains_key(&id.occurrence) {
+                break;
             }
-        }
-        for (id, task) in self.tasks() {
+            let Some(task) = self.task(&id) else {
+                continue;
+            };
             let has_record = !task.failed_runs.is_empty()
                 || task.checkpoint.is_some()
                 || !task.crashes.is_empty();
-            if !task.done && has_record {
+            if task.done {
+                match progress.done.last_mut() {
+                    Some(last) if (last.occurrence, last.step) == (id.occurrence, id.step) => {
+                        last.indexes.push(id.index);
+                    }
+                    _ => progress.done.push(record::Done {
+                        occurrence: id.occurrence,
+                        step: id.step,
+                        indexes: vec![id.index],
+                    }),
+                }
+            } else if has_record {
                 progress.tasks.push(record::TaskRecord {
                     occurrence: id.occurrence,
                     step: id.step,
@@ -404,34 +428,56 @@
         progress
     }
 
-    /// Restores the state from a progress row.
-    pub fn restore(&mut self, progress: &record::Progress) {
-        self.state = progress.state;
-        self.committed_state = progress.state;
-        self.ended_unix_ms = progress.ended_unix_ms;
-        let id = self.id;
+    /// Restores the state from the progress rows. Returns the numbers of rows that have to be written, as the progress of
+    /// their tasks was read from another row.
+    pub fn restore(&mut self, stored: &progress_rows::Stored) -> BTreeSet<u32> {
+        let first = &stored.first;
+        self.state = first.state;
+        self.committed_state = first.state;
+        self.ended_unix_ms = first.ended_unix_ms;
+        let mut moved = self.restore_row(0, first);
+        self.rows.insert(0);
+        let submitted_unix_ms = self.accepted.submitted_unix_ms;
+        for (&part, progress) in &stored.further {
+            self.rows.insert(part);
+            // A row of an earlier job with the same id tells nothing.
+            if progress.submitted_unix_ms == submitted_unix_ms {
+                moved.extend(self.restore_row(part, progress));
+            }
+        }
+        moved
+    }
+
+    fn restore_row(&mut self, part: u32, progress: &record::Progress) -> BTreeSet<u32> {
+        let job = self.id;
+        let mut moved = BTreeSet::new();
         for done in &progress.done {
             for &index in &done.indexes {
-                self.mark_done(&TaskId {
-                    job: id,
+                let task = TaskId {
+                    job,
                     occurrence: done.occurrence,
                     step: done.step,
                     index,
-                });
+                };
+                self.mark_done(&task);
+                moved.insert(self.layout.part(&task));
             }
         }
         for saved in &progress.tasks {
-            let task = TaskId {
-                job: id,
+            let id = TaskId {
+                job,
                 occurrence: saved.occurrence,
                 step: saved.step,
                 index: saved.index,
             };
-            if let Some(task) = self.task_mut(&task) {
+            if let Some(task) = self.task_mut(&id).filter(|task| !task.done) {
                 task.failed_runs.clone_from(&saved.failed_runs);
                 task.checkpoint.clone_from(&saved.checkpoint);
                 task.crashes.clone_from(&saved.crashes);
+                moved.insert(self.layout.part(&id));
             }
         }
+        moved.remove(&part);
+        moved
     }
 }
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
@@ -18,6 +19,8 @@
     pub lease_ms: u64,
     /// Longest lease that a worker accepts, in milliseconds; it shortens longer ones.
     pub lease_max_ms: u64,
+    /// Maximum size of a row that the store accepts, in bytes.
+    pub row_bytes: u64,
     /// Time for which the state of an ended job can be queried, in milliseconds.
     pub status_ms: u64,
     /// Window of the accounts' rates, in milliseconds: an account that was idle can submit the jobs of one window at once.
@@ -108,8 +111,8 @@
     pub accepted: Vec<(JobId, record::Accepted)>,
     /// Jobs with a cancellation.
     pub cancelled: Vec<JobId>,
-    /// Committed progress of jobs.
-    pub progress: Vec<(JobId, record::Progress)>,
+    /// Committed progress rows of jobs.
+    pub progress: Vec<(progress_rows::Key, record::Progress)>,
     /// Workers that can have runs of a previous leader.
     pub workers: Vec<(id::Worker, record::WorkerRow)>,
     /// Whether the previous leader can still send commands, to workers that have not received the new fence.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::batch::account_rates;
 use crate::batch::accounts;
+use crate::batch::progress_rows;
 use crate::batch::queue;
 use crate::batch::record;
 use crate::batch::worker_state;
@@ -52,6 +53,9 @@
 /// call.
 const STOP_RESEND_MS: u64 = 400;
 
+/// Interval at which rows that the store refused are written again, in milliseconds.
+const REFUSED_RETRY_MS: u64 = 5_000;
+
 /// Interval at which all runs are checked for progress and unanswered stops, in milliseconds; half a resend.
 const RUNS_CHECK_MS: u64 = 200;
 
@@ -65,6 +69,8 @@
     /// Whether a previous leader had recorded workers.
     has_predecessor: bool,
     started_at: clock::Instant,
+    /// When rows that the store refused were last queued again.
+    refused_at: clock::Instant,
     /// All leases have to end by then; `None` as long as that wasn't said.
     leases_end: Option<clock::Instant>,
     /// When the runs of all workers were last checked for progress and unanswered stops.
@@ -76,7 +82,7 @@
     /// Cancellations received before their job.
     early_cancels: BTreeSet<JobId>,
     /// Recovered progress of jobs that are not known yet.
-    unclaimed_progress: HashMap<JobId, record::Progress>,
+    unclaimed_progress: HashMap<JobId, progress_rows::Stored>,
     /// Whether partitions were read since obsolete progress was last searched for.
     obsolete_progress_unchecked: bool,
     /// Jobs whose row exists but cannot be decoded; their progress is kept.
@@ -106,7 +112,7 @@
     rates: account_rates::Rates,
     /// Jobs of accounts that are to be marked as within or beyond their account's rate.
     unmarked_jobs: Vec<JobId>,
-    changed_jobs: ends::ChangedJobs,
+    changed_rows: ends::ChangedRows,
     /// Total work submitted since this scheduler started, by service.
     submitted_work: BTreeMap<id::Service, demand::SubmittedWork>,
     pending_rows: commit::PendingRows,
@@ -138,13 +144,14 @@
             predecessor_may_act: recovered.predecessor_may_act,
             has_predecessor: !recovered.workers.is_empty(),
             started_at: now,
+            refused_at: now,
             leases_end: None,
             runs_checked_at: now,
             config,
             jobs: HashMap::new(),
             open_jobs: open_jobs::OpenJobs::default(),
             early_cancels: BTreeSet::new(),
-            unclaimed_progress: recovered.progress.into_iter().collect(),
+            unclaimed_progress: HashMap::new(),
             obsolete_progress_unchecked: true,
             undecodable: recovered.undecodable.into_iter().collect(),
             jobs_in_removal: BTreeSet::new(),
@@ -160,7 +167,7 @@
             ledger: accounts::Ledger::default(),
             rates: account_rates::Rates::new(settings.quota_window_ms),
             unmarked_jobs: Vec::new(),
-            changed_jobs: ends::ChangedJobs::default(),
+            changed_rows: ends::ChangedRows::default(),
             submitted_work: BTreeMap::new(),
             pending_rows: commit::PendingRows::new(
                 recovered.workers.into_iter().map(|(worker, _)| worker),
@@ -173,6 +180,10 @@
             counts: Counts::default(),
         };
         scheduler.configure_accounts();
+        for (row, progress) in recovered.progress {
+            let stored = scheduler.unclaimed_progress.entry(row.job).or_default();
+            stored.insert(row.part, progress);
+        }
         for (id, accepted) in recovered.accepted {
             scheduler.add_job(id, accepted, true);
         }
@@ -206,19 +217,30 @@
         } else if !recovered {
             self.count_submitted(&accepted);
         }
-        let mut job = job::Job::new(id, Arc::new(accepted), recovered);
+        let row_bytes = self.settings.row_bytes;
+        let mut job = job::Job::new(id, Arc::new(accepted), recovered, row_bytes);
         if job.accepted.spec.schedule.is_none() {
             job.open_occurrence(0);
         }
+        let mut moved = BTreeSet::new();
         if let Some(progress) = progress {
-            job.restore(&progress);
+            moved = job.restore(&progress);
             let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
             self.crashed_tasks.extend(crashed.map(|(id, _)| id));
         }
         if !job.state.is_final() {
             self.open_jobs.insert(id, &service);
         }
+        let is_final = job.state.is_final();
         self.jobs.insert(id, job);
+        if is_final {
+            self.delete_further_progress(id);
+        }
+        // The first row comes last, as the progress that it may hold for others is lost with it.
+        for part in moved.into_iter().rev() {
+            self.changed_rows
+                .insert(progress_rows::Key { job: id, part });
+        }
         self.dirty_services.insert(service);
         true
     }
@@ -245,7 +267,7 @@
         job.state = state;
         job.ended_unix_ms = unix_ms;
         self.open_jobs.remove(id, &job.accepted.queue.service);
-        self.changed_jobs.insert(id);
+        self.changed_rows.insert(id.into());
         self.step_tickets.retain(|(job, ..), _| *job != id);
         let active_tasks: Vec<TaskId> = job
             .tasks()
@@ -357,6 +379,10 @@
             self.stop_stuck_runs(now);
             self.check_waiting(now);
         }
+        if now.since_ms(self.refused_at) >= REFUSED_RETRY_MS {
+            self.refused_at = now;
+            self.changed_rows.retry_refused();
+        }
         self.find_expired_jobs(unix_ms);
         self.delete_obsolete_progress(unix_ms);
     }
--- a/src/batch/scheduler/removal.rs
+++ b/src/batch/scheduler/removal.rs
@@ -4,6 +4,7 @@
 //! leader, which would start it again. A job is known until its row is removed, so that a read doesn't add it again.
 
 use crate::batch::JobId;
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, commit};
 
@@ -63,8 +64,10 @@
     pub fn job_rows_removed(&mut self, jobs: &[JobId]) {
         for id in jobs {
             if self.jobs_in_removal.remove(id) {
-                self.jobs.remove(id);
-                self.pending_rows.forget_job(*id);
+                let rows = self.jobs.remove(id).map(|job| job.rows);
+                let keys = rows.into_iter().flatten();
+                let keys = keys.map(|part| progress_rows::Key { job: *id, part });
+                self.pending_rows.delete_progress(keys);
             }
         }
     }
@@ -78,7 +81,8 @@
         let obsolete: Vec<JobId> = self
             .unclaimed_progress
             .iter()
-            .filter(|(id, progress)| {
+            .filter(|(id, stored)| {
+                let progress = &stored.first;
                 progress.state.is_final()
                     && progress.ended_unix_ms > 0
                     && progress.ended_unix_ms + keep_ms < unix_ms
@@ -88,8 +92,10 @@
             .map(|(id, _)| *id)
             .collect();
         for id in obsolete {
-            self.unclaimed_progress.remove(&id);
-            self.pending_rows.forget_job(id);
+            if let Some(stored) = self.unclaimed_progress.remove(&id) {
+                let keys = stored.further_keys(id).chain([id.into()]);
+                self.pending_rows.delete_progress(keys);
+            }
         }
     }
 }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -228,7 +228,7 @@
                 self.apply_end(id, end, now, unix_ms);
             }
             if moves {
-                let change = self.changed_jobs.newest();
+                let change = self.changed_rows.newest();
                 self.pending_rows
                     .record_handled_end(id, born_unix_ms, end.number, change);
             }
@@ -379,16 +379,16 @@
             return false;
         };
         task.last_run = task.last_run.max(end.run);
+        let was_active = task
+            .active
+            .as_ref()
+            .is_some_and(|active| active.worker == *id && active.run == end.run);
         if let Some(checkpoint) = end.checkpoint.as_ref().filter(|text| !text.is_empty())
             && !task.done
         {
             task.checkpoint = Some(checkpoint.clone());
-            self.changed_jobs.insert(end.task.job);
+            self.task_changed(&end.task);
         }
-        let was_active = task
-            .active
-            .as_ref()
-            .is_some_and(|active| active.worker == *id && active.run == end.run);
         if was_active {
             self.release_task(end.task, Release::Reported, now);
         }
@@ -399,14 +399,21 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        self.changed_jobs.insert(id.job);
         job.mark_done(&id);
+        let mut changed = vec![id];
         if gang {
             let members = job.accepted.spec.steps[id.step as usize].tasks;
-            for index in 0..members {
-                job.mark_done(&TaskId { index, ..id });
+            changed = (0..members).map(|index| TaskId { index, ..id }).collect();
+            for member in &changed {
+                job.mark_done(member);
             }
         }
+        for task in &changed {
+            self.task_changed(task);
+        }
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
         let service = job.accepted.queue.service.clone();
         self.dirty_services.insert(service);
         if !job.state.is_final() && job.is_done() {
@@ -453,7 +460,7 @@
         if !task.failed_runs.contains(&end.run) {
             task.failed_runs.push(end.run);
         }
-        self.changed_jobs.insert(end.task.job);
+        self.task_changed(&end.task);
         let failures = self.failed_run_count(&end.task);
         let is_over = self
             .jobs
--- a/src/batch/scheduler/unread.rs
+++ b/src/batch/scheduler/unread.rs
@@ -4,6 +4,7 @@
 //! unread jobs is kept from the start, because a job's tasks must not start before its progress is known.
 
 use crate::batch::JobId;
+use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::scheduler::{PartitionRows, Scheduler};
 use crate::clock;
@@ -44,11 +45,15 @@
         &mut self,
         id: JobId,
         accepted: &record::Accepted,
-    ) -> Option<record::Progress> {
-        let progress = self.unclaimed_progress.remove(&id)?;
+    ) -> Option<progress_rows::Stored> {
+        let stored = self.unclaimed_progress.remove(&id)?;
+        let progress = &stored.first;
         let is_obsolete =
             progress.state.is_final() && self.is_resubmitted(progress.ended_unix_ms, accepted);
-        (!is_obsolete).then_some(progress)
+        if is_obsolete {
+            self.pending_rows.delete_progress(stored.further_keys(id));
+        }
+        (!is_obsolete).then_some(stored)
     }
 
     /// Returns the final state of a job whose row has not been read. Its other states are uncertain, as a cancellation
@@ -57,7 +62,7 @@
         if self.orphans.is_read(record::job_partition_number(id)) {
             return None;
         }
-        let progress = self.unclaimed_progress.get(&id)?;
+        let progress = &self.unclaimed_progress.get(&id)?.first;
         progress.state.is_final().then_some(progress.state)
     }
 }
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -1,6 +1,9 @@
 //! Maintenance waves: which machine is next, within the limits of operators and services.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +29,41 @@
     pub at_once_max: u32,
 }
 
+/// Machines of a wave whose state one row holds; with names of the greatest length, a row stays well below the limit of the
+/// store.
+const VMS_PER_ROW: usize = 200;
+
+/// Names a row with the stored state of a wave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Number of the row, from 0.
+    pub part: u32,
+}
+
+impl fmt::Display for Key {
+    /// Writes the wave's number, and the row's if it isn't the first.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.part {
+            0 => write!(f, "{}", self.wave),
+            part => write!(f, "{}.{part}", self.wave),
+        }
+    }
+}
+
+impl FromStr for Key {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let (wave, part) = text.split_once('.').unwrap_or((text, "0"));
+        Ok(Self {
+            wave: wave.parse()?,
+            part: part.parse()?,
+        })
+    }
+}
+
 /// The stored state of a wave, from which the next leader continues.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -37,6 +75,12 @@
 }
 
 impl Record {
+    /// Adds the state that another row of the wave holds.
+    pub fn merge(&mut self, other: Self) {
+        self.begun.extend(other.begun);
+        self.asked_ms = self.asked_ms.or(other.asked_ms);
+    }
+
     /// Returns the age of the request at `store_now_ms` on the store's clock, in milliseconds.
     ///
     /// The platform reports an old wave to a node that started later as if it were new, so the age can't be derived
@@ -100,6 +144,30 @@
         }
     }
 
+    /// Returns the row that holds the state of a machine of the wave.
+    pub fn row(&self, vm: &id::Vm) -> (Key, Record) {
+        let position = self.request.vms.iter().position(|member| member == vm);
+        let part = position.unwrap_or(0) / VMS_PER_ROW;
+        let members = self.request.vms.chunks(VMS_PER_ROW).nth(part);
+        let begun = members.unwrap_or_default().iter();
+        let begun = begun.filter(|vm| self.record.begun.contains(*vm));
+        let key = Key {
+            wave: self.request.number,
+            part: u32::try_from(part).unwrap_or(u32::MAX),
+        };
+        let record = Record {
+            begun: begun.cloned().collect(),
+            asked_ms: self.record.asked_ms,
+        };
+        (key, record)
+    }
+
+    /// Returns the first row of the wave's state.
+    pub fn first_row(&self) -> (Key, Record) {
+        let first = self.request.vms.first().cloned();
+        self.row(&first.unwrap_or_else(|| id::Vm::new("")))
+    }
+
     /// Returns the machines whose maintenance hasn't begun and that have no command in progress.
     pub fn remaining(&self) -> impl Iterator<Item = &id::Vm> {
         self.request
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -25,6 +25,13 @@
 /// A partition refuses transactions if more than this is waiting.
 const WAITING_MAX: Duration = Duration::from_secs(1);
 
+/// Maximum size of a row's value, in bytes.
+const ROW_BYTES_MAX: usize = 65_536;
+/// Maximum number of entries in a transaction.
+const ENTRIES_MAX: usize = 100;
+/// Maximum size of a transaction, in bytes.
+const TRANSACTION_BYTES_MAX: usize = 1_000_000;
+
 type Key = (String, String, String);
 
 /// A row as sent on the wire.
@@ -130,6 +137,20 @@
     remove: Vec<Row>,
 }
 
+impl Transaction {
+    /// Returns whether the number of entries and the sizes are within the limits that the platform states.
+    fn is_within_limits(&self) -> bool {
+        let entries = self.expect_rev.len() + self.writes.len() + self.remove.len();
+        let text_bytes = |row: &Row| row.value.as_ref().map_or(0, String::len);
+        let bytes: usize = self.writes.iter().map(text_bytes).sum();
+        let rows = self.writes.iter();
+        let has_large_row = rows
+            .map(text_bytes)
+            .any(|text| text / 4 * 3 > ROW_BYTES_MAX);
+        entries <= ENTRIES_MAX && bytes <= TRANSACTION_BYTES_MAX && !has_large_row
+    }
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Page {
@@ -371,6 +392,9 @@
     State(store): State<Arc<Store>>,
     Json(transaction): Json<Transaction>,
 ) -> Response {
+    if !transaction.is_within_limits() {
+        return StatusCode::BAD_REQUEST.into_response();
+    }
     let mut rows = transaction
         .expect_rev
         .iter()
--- a/standins/src/hosted/worker/mod.rs
+++ b/standins/src/hosted/worker/mod.rs
@@ -446,10 +446,21 @@
             };
             (elapsed * 100 / total_ms.max(1)).min(100)
         };
+        let checkpoint = |running: &Running| {
+            let saves = running.task_spec.saves;
+            if saves {
+                format!("saved-{:03}", percent(running))
+            } else {
+                String::new()
+            }
+        };
         let mut running: Vec<_> = incarnation
             .running
             .iter()
-            .map(|(task, running)| json!([task, running.run, "", percent(running), 0]))
+            .map(|(task, running)| {
+                let checkpoint = checkpoint(running);
+                json!([task, running.run, checkpoint, percent(running), 0])
+            })
             .collect();
         running.extend(lock(&self.odd_run).clone());
         let ends: Vec<_> = incarnation
--- a/standins/src/hosted/worker/spec.rs
+++ b/standins/src/hosted/worker/spec.rs
@@ -31,13 +31,14 @@
     }
 }
 
-/// Content of a task's spec, a list of the words `work_ms=N`, `cpu=N`, `lasts` and `fails`.
+/// Content of a task's spec, a list of the words `work_ms=N`, `cpu=N`, `lasts`, `fails` and `saves`.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TaskSpec {
     pub(super) duration_ms: u64,
     pub(super) cpu_milli: u64,
     pub(super) long_running: bool,
     pub(super) fails: bool,
+    pub(super) saves: bool,
 }
 
 impl TaskSpec {
@@ -47,6 +48,7 @@
             cpu_milli: CPU_DEFAULT_MILLI,
             long_running: false,
             fails: false,
+            saves: false,
         };
         for word in spec.split(' ') {
             match word.split_once('=') {
@@ -57,6 +59,7 @@
                 _ => {
                     task_spec.long_running |= word == "lasts";
                     task_spec.fails |= word == "fails";
+                    task_spec.saves |= word == "saves";
                 }
             }
         }
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -345,11 +345,15 @@
 }
 
 pub(super) fn body(spec: &str, steps: &[u32], long_running: bool) -> Vec<u8> {
+    let words = spec.split(' ');
+    let cpu = words.filter_map(|word| word.strip_prefix("cpu=")).next();
+    let cpu_milli: u64 = cpu.and_then(|text| text.parse().ok()).unwrap_or(700);
     let steps: Vec<_> = (0_u32..)
         .zip(steps)
         .map(|(number, count)| {
             let mut step = json!({
-                "count": count, "cpu": 700, "memMb": 100, "estimateMs": 400,
+                "count": count, "cpu": cpu_milli, "memMb": (cpu_milli / 7).max(1), "estimateMs": 400,
+                "savesProgress": spec.contains("saves"),
             });
             if number > 0 {
                 step["after"] = json!([number - 1]);
--- a/standins/src/soak/scenario.rs
+++ b/standins/src/soak/scenario.rs
@@ -59,7 +59,10 @@
         let path = format!("{}{id}", QUEUES[0].0);
         let is_accepted = async || {
             let body = callers::body(spec, &[tasks], false);
-            for node in &world.addresses {
+            // The leader may be frozen, and any other node accepts the job as well.
+            let leader = world.leader().map(|(leader, _)| world.addresses[leader]);
+            let nodes = world.addresses.iter();
+            for node in nodes.filter(|address| Some(**address) != leader) {
                 let response = callers::send_request(
                     world,
                     &self.client,
@@ -81,6 +84,28 @@
         Ok(())
     }
 
+    /// Returns a job's state in the first queue, from the first node that tells it.
+    pub async fn state(&self, id: &str) -> Option<String> {
+        let world = &self.world;
+        let path = format!("{}{id}", QUEUES[0].0);
+        for node in &world.addresses {
+            let response = callers::send_request(
+                world,
+                &self.client,
+                *node,
+                Method::GET,
+                &path,
+                Vec::new(),
+                None,
+            );
+            if let Some((200, body)) = response.await {
+                let body: serde_json::Value = serde_json::from_str(&body).ok()?;
+                return body["state"].as_str().map(str::to_owned);
+            }
+        }
+        None
+    }
+
     /// Waits until a condition holds.
     ///
     /// # Errors
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -9,13 +9,15 @@
     IncarnationEnd, Output, PartitionRows, Poll, RecoveredState, Refusal, Scheduler, Settings,
     Start, StartOutcome,
 };
-use wasabiloft::batch::{JobId, TaskId, queue, record, spec, worker_state};
+use wasabiloft::batch::{JobId, TaskId, progress_rows, queue, record, spec, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
 
 /// Length of the leases in these tests, in milliseconds.
 pub const LEASE_MS: u64 = 4_000;
+/// Maximum size of a row of the table, in bytes.
+pub const ROW_BYTES: u64 = 48_000;
 /// Longest lease that the workers accept, in milliseconds.
 const LEASE_MAX_MS: u64 = 10_000;
 /// Interval between two polls of a worker, in milliseconds.
@@ -44,6 +46,7 @@
     Settings {
         lease_ms: LEASE_MS,
         lease_max_ms: LEASE_MAX_MS,
+        row_bytes: ROW_BYTES,
         status_ms: 120_000,
         quota_window_ms: Settings::QUOTA_WINDOW_DEFAULT_MS,
     }
@@ -210,7 +213,7 @@
     pub leaders: Vec<Leader>,
     delayed: Vec<DelayedStart>,
     stored: RecoveredState,
-    progress: BTreeMap<JobId, record::Progress>,
+    progress: BTreeMap<progress_rows::Key, record::Progress>,
     /// Newest configuration.
     config: Arc<queue::Config>,
     recorded_workers: BTreeMap<id::Worker, record::WorkerRow>,
@@ -854,7 +857,14 @@
             // The table refuses the commit of a superseded scheduler, which learns from it that it is superseded.
             Some(_) if !newest => self.leaders[index].superseded = true,
             Some((_, batch)) => {
-                self.progress.extend(batch.progress.iter().cloned());
+                for (row, progress) in &batch.progress {
+                    let bytes = serde_json::to_vec(progress).expect("a row").len() as u64;
+                    assert!(bytes <= ROW_BYTES, "{row} has {bytes} bytes");
+                    self.progress.insert(*row, progress.clone());
+                }
+                for row in &batch.progress_deleted {
+                    self.progress.remove(row);
+                }
                 self.recorded_workers
                     .extend(batch.workers_added.iter().cloned());
                 for worker in &batch.workers_removed {
--- a/tests/test_batch_recovery.rs
+++ b/tests/test_batch_recovery.rs
@@ -407,13 +407,13 @@
     };
     let recovered = || RecoveredState {
         accepted: vec![(job, accepted(vec![step(1, &[])], 3))],
-        progress: vec![(job, progress.clone())],
+        progress: vec![(job.into(), progress.clone())],
         ..RecoveredState::default()
     };
     let mut scheduler = successor(recovered(), &["a"], now);
     let long_after_ms = 1_000_000;
     scheduler.tick(now, long_after_ms);
-    assert!(commit(&mut scheduler).jobs_deleted.is_empty());
+    assert!(commit(&mut scheduler).progress_deleted.is_empty());
     assert_eq!(scheduler.take_expired_jobs(), [job]);
     scheduler.tick(now, long_after_ms);
     assert!(scheduler.take_expired_jobs().is_empty(), "once only");
@@ -421,7 +421,7 @@
     scheduler.job_accepted(job, accepted(vec![step(1, &[])], 3), now);
     assert_eq!(scheduler.job_state(job), Some(record::State::Completed));
     scheduler.job_rows_removed(&[job]);
-    assert_eq!(commit(&mut scheduler).jobs_deleted, [job]);
+    assert_eq!(commit(&mut scheduler).progress_deleted, [job.into()]);
     assert_eq!(scheduler.job_state(job), None);
     // The leader is lost before it deletes the progress.
     let mut without_row = recovered();
@@ -433,7 +433,7 @@
     scheduler.job_accepted(job, again.clone(), now);
     assert_eq!(scheduler.job_state(job), Some(record::State::Queued));
     assert!(
-        commit(&mut scheduler).jobs_deleted.is_empty(),
+        commit(&mut scheduler).progress_deleted.is_empty(),
         "the id is in use"
     );
     let mut with_new_row = recovered();
@@ -463,7 +463,7 @@
         ..record::Progress::default()
     };
     let recovered = RecoveredState {
-        progress: vec![(unread, progress), (ended, final_progress)],
+        progress: vec![(unread.into(), progress), (ended.into(), final_progress)],
         unread: (0..record::JOB_PARTITIONS).collect(),
         ..RecoveredState::default()
     };
