--- a/node/tests/test_replaced_leader.rs
+++ b/node/tests/test_replaced_leader.rs
@@ -6,6 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use rustix::process::Signal;
 use wasabiloft_standins::hosted::machines;
+use wasabiloft_standins::proxy;
 use wasabiloft_standins::soak::scenario::Scenario;
 use wasabiloft_standins::soak::world::FIRST_WAVE;
 use wasabiloft_standins::soak::{self, Faults, Options};
@@ -17,6 +18,12 @@
 /// Time for which leaders are frozen in a run, in milliseconds: two freezes.
 const FREEZES_MS: u64 = 10_000;
 
+/// Delay of what a woken leader sends and receives, in milliseconds.
+const WAKE_DELAY_MS: u64 = 150;
+
+const FIRST: &str = "00000000000000c1";
+const SECOND: &str = "00000000000000c2";
+
 fn options(seed: u64) -> Options {
     Options {
         nodes: 3,
@@ -73,10 +80,58 @@
     }
 }
 
-/// Guards against starts and leases of a leader that woke, to workers that its successor takes for lapsed: the bytes arrive
-/// when the network is back.
+/// Guards against starts of a leader that woke, which arrive at a worker that was cut off when its successor has taken the
+/// worker for lapsed and started the tasks elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_woken_leader_starts_nothing_on_a_worker_that_was_cut_off() {
+    let options = Options {
+        machines: 6,
+        ..options(1)
+    };
+    let scenario = Scenario::start(&options).await.expect("a scenario");
+    let world = &scenario.world;
+    // Tasks go where the least capacity is left, which is beside this one.
+    let spec = "work_ms=20000 cpu=700";
+    scenario.submit(FIRST, 1, spec).await.expect("a job");
+    scenario
+        .until("the task runs", async || world.checker.running(FIRST) == 1)
+        .await
+        .expect("a running task");
+    let (worker, _) = scenario.busiest_worker();
+    scenario
+        .until("a node leads", async || world.leader().is_some())
+        .await
+        .expect("a leader");
+    let (leader, epoch) = world.leader().expect("a leader");
+    // No answer of the worker waits for the leader when it wakes, which would tell it how old its knowledge is.
+    let one_way = proxy::Fault {
+        one_way: true,
+        ..proxy::Fault::default()
+    };
+    world.workers[worker].proxy.set(one_way);
+    scenario.pause(100).await;
+    let second = async {
+        // The leader gets the job by its feed while it is frozen.
+        scenario.pause(1_300).await;
+        let spec = "work_ms=3000 cpu=700";
+        scenario.submit(SECOND, 2, spec).await.expect("a job");
+    };
+    let cut = [worker];
+    tokio::join!(scenario.freeze_leader(leader, &cut, WAKE_DELAY_MS), second);
+    assert!(world.leader().is_some_and(|(_, newest)| newest > epoch));
+    scenario.pause(SETTLE_MS * 2).await;
+
+    let violations = world.violations();
+    assert!(
+        violations.is_empty(),
+        "logs in {}: {violations:#?}",
+        world.keep_logs().display()
+    );
+}
+
+/// Guards against the same in other orders, by the soak's random work and workers.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_woken_leader_runs_no_task_twice_on_workers_that_were_cut_off() {
+async fn no_task_runs_twice_after_a_leader_was_frozen_while_workers_were_cut_off() {
     for seed in [41, 42] {
         let options = Options {
             run_ms: FREEZES_MS,
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -12,6 +12,8 @@
 
 /// Largest number of bytes forwarded in one write.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Time from the last bytes of a connection to its end, in milliseconds.
+const END_DELAY_MS: u64 = 20;
 /// Number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -26,6 +28,9 @@
     pub one_way: bool,
     /// Forwards nothing in either direction; new connections are accepted but get no data.
     pub black_hole: bool,
+    /// Holds up the bytes of open connections until it ends, and drops those of a sender that resets its connection. New
+    /// connections get nothing.
+    pub partition: bool,
     /// Closes open connections, and new ones directly after accepting them.
     pub cut: bool,
     /// Resets open connections and refuses new ones, as a host on which nothing listens.
@@ -136,6 +141,10 @@
     if initial_fault.cut || initial_fault.refuse {
         return;
     }
+    if initial_fault.partition {
+        wait_until(&mut fault, |fault| !fault.partition).await;
+        return;
+    }
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
@@ -187,6 +196,8 @@
 impl Direction<'_> {
     async fn pump(mut self) {
         self.forward().await;
+        // A server that receives the end of the stream together with a request may not execute it.
+        time::sleep(Duration::from_millis(END_DELAY_MS)).await;
         // The peer can have closed the connection already.
         let _ = self.to.shutdown().await;
     }
@@ -202,6 +213,9 @@
                 return;
             }
             self.wait_until_passable().await;
+            if matches!(self.from.as_ref().take_error(), Ok(Some(_)) | Err(_)) {
+                return;
+            }
             let allowed = self.allowed(passed_bytes, count);
             if self.to.write_all(&buffer[..allowed]).await.is_err() || allowed < count {
                 return;
@@ -214,7 +228,7 @@
         let initial_fault = self.initial_fault;
         let answers = self.is_response;
         let passes = |fault: &Fault| {
-            let blocked = fault.black_hole || (fault.one_way && answers);
+            let blocked = fault.black_hole || fault.partition || (fault.one_way && answers);
             !blocked && fault.silence_generation == initial_fault.silence_generation
         };
         // The sender is dropped only with the proxy, which drops the connection as well.
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -36,6 +36,10 @@
 const FROZEN_TO_CUT_MS: u64 = 1_050;
 /// Time from the end of the freeze until the cut ends, in milliseconds.
 const WAKE_TO_HEAL_MS: u64 = 3_000;
+/// Delay of messages to and from a node that wakes, in milliseconds.
+const WAKE_DELAY_MS: Range<u64> = 0..200;
+/// For how long these are delayed, in milliseconds.
+const SLOW_AFTER_WAKE_MS: u64 = 500;
 /// One in so many workers is cut off.
 const FROZEN_CUT_SHARE: usize = 3;
 /// Time between faults in quick succession, in milliseconds.
@@ -222,22 +226,49 @@
         injected.push(format!(
             "{at_ms} ms: node {leader} frozen, epoch {epoch}, workers {cut:?} cut off"
         ));
-        freeze_leader(world, leader, &cut).await;
+        let delay_ms = rng.random_range(WAKE_DELAY_MS);
+        freeze_leader(world, leader, &cut, delay_ms).await;
     }
     injected
 }
 
 /// Freezes a node; then cuts workers off, wakes the node and ends the cut. Bytes that were held up arrive then.
-async fn freeze_leader(world: &World, leader: usize, cut: &[usize]) {
+///
+/// When the node wakes, its ways to the store and to the other workers are slow for a while, so that it doesn't learn at
+/// once that it was replaced.
+pub(in crate::soak) async fn freeze_leader(
+    world: &World,
+    leader: usize,
+    cut: &[usize],
+    delay_ms: u64,
+) {
+    let delayed = Fault {
+        delay_ms,
+        ..Fault::default()
+    };
+    let reached = world.workers.iter().enumerate();
+    let reached = reached.filter(|(number, _)| !cut.contains(number));
+    let mut slow: Vec<&proxy::Proxy> = reached.map(|(_, worker)| &worker.proxy).collect();
+    slow.push(&world.store_proxies[leader]);
     world.node(leader).signal(Signal::STOP);
     sleep(FROZEN_TO_CUT_MS).await;
-    let black_hole = kind::Cut::BlackHole.fault();
+    let partition = Fault {
+        partition: true,
+        ..Fault::default()
+    };
     for worker in cut {
-        world.workers[*worker].proxy.set(black_hole);
+        world.workers[*worker].proxy.set(partition);
     }
     sleep(FROZEN_MS - FROZEN_TO_CUT_MS).await;
+    for proxy in &slow {
+        proxy.set(delayed);
+    }
     world.node(leader).signal(Signal::CONT);
-    sleep(WAKE_TO_HEAL_MS).await;
+    sleep(SLOW_AFTER_WAKE_MS).await;
+    for proxy in &slow {
+        proxy.set(Fault::default());
+    }
+    sleep(WAKE_TO_HEAL_MS - SLOW_AFTER_WAKE_MS).await;
     for worker in cut {
         world.workers[*worker].proxy.set(Fault::default());
     }
--- a/standins/src/soak/scenario.rs
+++ b/standins/src/soak/scenario.rs
@@ -11,7 +11,7 @@
 use crate::client::Client;
 use crate::hosted::checker::Submission;
 use crate::soak::world::{QUEUES, World};
-use crate::soak::{Options, callers};
+use crate::soak::{Options, callers, faults};
 
 /// Timeout of a condition, in milliseconds.
 const TIMEOUT_MS: u64 = 20_000;
@@ -84,6 +84,11 @@
         Ok(())
     }
 
+    /// Freezes the leader, cuts workers off, wakes the leader with slow ways to all others, and ends the cut.
+    pub async fn freeze_leader(&self, leader: usize, cut: &[usize], delay_ms: u64) {
+        faults::freeze_leader(&self.world, leader, cut, delay_ms).await;
+    }
+
     /// Returns a job's state in the first queue, from the first node that tells it.
     pub async fn state(&self, id: &str) -> Option<String> {
         let world = &self.world;
