front: a job that no row can hold is refused at once, with 400

A job whose row would exceed the store's limit was answered 503 until its deadline, as if it could be stored later. It is refused as invalid now, with its size and the limit. A transaction of submissions leaves a twentieth of the store's limit for the rows' names, which weren't counted; above the limit it was refused and its jobs were sent one by one.

--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -48,6 +48,13 @@
         Ok(value) => value,
         Err(error) => return Outcome::Invalid(error.to_string()),
     };
+    let row_bytes = shared.settings().row_bytes;
+    if value.len() as u64 > row_bytes {
+        return Outcome::Invalid(format!(
+            "the job takes {} bytes to store, of at most {row_bytes}",
+            value.len()
+        ));
+    }
     let item = submissions::Item {
         key: record::JobKey::Accepted(job),
         value,
--- a/src/batch/submissions/partition.rs
+++ b/src/batch/submissions/partition.rs
@@ -8,8 +8,9 @@
 
 /// Maximum number of checks and writes in a transaction, as the store allows.
 const STORE_ENTRIES_MAX: usize = 100;
-/// Maximum size of the values in a transaction, in bytes of base64; below the store's limit of 1 MB.
-const VALUE_BYTES_MAX: usize = 1_000_000;
+/// Maximum size of the values in a transaction, in bytes of base64; leaves a twentieth of the store's limit of 1 MB for the
+/// names of the rows.
+const VALUE_BYTES_MAX: usize = 950_000;
 /// An entry that waited for this long precedes entries with earlier deadlines, in milliseconds, so that none starves.
 const AGE_MAX_MS: u64 = 2_000;
 /// Measured durations are used for this long, in milliseconds.
