removal: the row of a job that was submitted again is kept

What callers would see: an accepted job is lost. Twice the status time after its end, a job's rows are removed. An id that is submitted again meanwhile has a new row, which the leader removed as well if it didn't know it: after it had stood still and was replaced, when the store applied the removal late, or simply between its removal and the feed.

Cause: removals were sent without a condition.

--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -194,6 +194,7 @@
             schedule: None,
         },
         submitted_unix_ms: now_ms,
+        row_version: 0,
     }
 }
 
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -84,6 +84,7 @@
                 schedule: None,
             },
             submitted_unix_ms: 0,
+            row_version: 0,
         };
         self.accepted.push((JobId(job), accepted));
     }
--- a/node/src/batch/front.rs
+++ b/node/src/batch/front.rs
@@ -240,6 +240,7 @@
                     account: account.cloned(),
                     spec,
                     submitted_unix_ms: clock::unix_ms(),
+                    row_version: 0,
                 };
                 match (&config.accounts, account) {
                     (Some(accounts), Some(account)) => {
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -53,8 +53,17 @@
                 continue;
             }
             match key {
-                record::JobKey::Accepted(job) => match decode(row) {
-                    Some(accepted) => jobs.accepted.push((job, accepted)),
+                record::JobKey::Accepted(job) => match decode::<record::Accepted>(row) {
+                    Some(accepted) => {
+                        let row_version = row.version;
+                        jobs.accepted.push((
+                            job,
+                            record::Accepted {
+                                row_version,
+                                ..accepted
+                            },
+                        ));
+                    }
                     None => jobs.undecodable.push(job),
                 },
                 record::JobKey::Cancelled(job) => jobs.cancelled.push(job),
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -419,7 +419,11 @@
                 &format!("accept job={job} queue={queue}{account} version={version}"),
             );
             if let Some(leadership) = leadership {
-                leadership.accepted(job, accepted.clone());
+                let accepted = record::Accepted {
+                    row_version: version,
+                    ..accepted.clone()
+                };
+                leadership.accepted(job, accepted);
             }
         }
         (record::JobKey::Accepted(_), None) => {}
--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -196,6 +196,7 @@
             store: self.store.address,
             machines: self.machines.as_ref().map(|machines| machines.address),
             link_kbit_per_s: self.link_kbit_per_s,
+            job_status_ms: 120_000,
         };
         Node::start(daemon, self.folder.path(), number, platform).expect("the daemon starts")
     }
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -22,6 +22,7 @@
 mod test_odd_entries;
 mod test_odd_machines;
 mod test_recovery;
+mod test_removal;
 mod test_replaced_leader;
 mod test_slots;
 mod test_soak;
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -98,6 +98,9 @@
     pub spec: spec::Spec,
     /// Time of the submission on the entry node's clock, in milliseconds since 1970.
     pub submitted_unix_ms: u64,
+    /// Version of the row that was read or written; 0 if it isn't known.
+    #[serde(skip)]
+    pub row_version: u64,
 }
 
 /// The state of a job as reported to callers.
--- a/src/batch/scheduler/removal.rs
+++ b/src/batch/scheduler/removal.rs
@@ -3,6 +3,8 @@
 //! In the other order, a job whose row stays because its partition is unavailable would have no progress for the next
 //! leader, which would start it again. A job is known until its row is removed, so that a read doesn't add it again.
 
+use std::sync::Arc;
+
 use crate::batch::JobId;
 use crate::batch::progress_rows;
 use crate::batch::record;
@@ -40,6 +42,24 @@
         expired
     }
 
+    /// Returns the version of the row of a job whose rows are being removed, and when it was submitted, in milliseconds
+    /// since 1970.
+    pub fn expired_row(&self, id: JobId) -> Option<(u64, u64)> {
+        let job = self.jobs.get(&id)?;
+        let accepted = &job.accepted;
+        (self.jobs_in_removal.contains(&id))
+            .then_some((accepted.row_version, accepted.submitted_unix_ms))
+    }
+
+    /// Records the version of a job's row, as read from the store.
+    pub fn row_read(&mut self, id: JobId, accepted: &record::Accepted) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.accepted.submitted_unix_ms == accepted.submitted_unix_ms
+        {
+            Arc::make_mut(&mut job.accepted).row_version = accepted.row_version;
+        }
+    }
+
     /// Returns whether a job was submitted after the rows of an earlier one with its id had been removed.
     pub(super) fn is_resubmitted(&self, ended_unix_ms: u64, accepted: &record::Accepted) -> bool {
         ended_unix_ms > 0 && accepted.submitted_unix_ms > ended_unix_ms + self.settings.status_ms
--- a/standins/src/hosted/process.rs
+++ b/standins/src/hosted/process.rs
@@ -21,6 +21,8 @@
     pub machines: Option<SocketAddr>,
     /// Bandwidth that the nodes' settings state for their links, in kbit/s.
     pub link_kbit_per_s: u64,
+    /// Time for which the state of an ended job can be queried, in milliseconds.
+    pub job_status_ms: u64,
 }
 
 /// A running daemon. Dropping it kills the process.
@@ -113,9 +115,10 @@
         let text = format!(
             "nodeName = \"node-{number}\"\nip = \"127.0.0.1\"\nzone = \"andes\"\n\
              internalPorts = [{first},{}]\n[listen]\nfront = \"127.0.0.1:{front}\"\n\
-             ready = \"127.0.0.1:{ready}\"\n[bounds]\nupkeepS = 0.8\n[limits]\nlinkMbps = {}\n\
+             ready = \"127.0.0.1:{ready}\"\n[bounds]\nupkeepS = 0.8\nstatus_s = {}\n[limits]\nlinkMbps = {}\n\
              [platform]\naddress = \"{}\"\n{machines}",
             first + PEER_PORTS - 1,
+            platform.job_status_ms as f64 / 1_000.0,
             platform.link_kbit_per_s as f64 / 1_000.0,
             platform.store
         );
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store.rs
@@ -201,8 +201,14 @@
 
     /// Writes a row without conditions, as an operator or a worker does; `value` is in base64.
     pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.put_in(table, "", key, value);
+    }
+
+    /// Does the same in a partition.
+    pub fn put_in(&self, table: &str, part: &str, key: &str, value: &str) {
         self.put_row(Row {
             table: table.into(),
+            part: part.into(),
             key: key.into(),
             value: Some(value.into()),
             ..Row::default()
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -67,6 +67,8 @@
     pub accounts: usize,
     /// Whether operators request a maintenance wave at the start.
     pub wave: bool,
+    /// Time for which the state of an ended job can be queried, in milliseconds.
+    pub job_status_ms: u64,
     /// How faults are drawn.
     pub faults: Faults,
 }
@@ -83,6 +85,7 @@
             callers: 6,
             accounts: 0,
             wave: true,
+            job_status_ms: 120_000,
             faults: Faults::Single,
         }
     }
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -199,6 +199,7 @@
                 } else {
                     LINK_WIDE_KBIT_PER_S
                 },
+                job_status_ms: options.job_status_ms,
             };
             let folder = world.folder().to_owned();
             nodes.push(Node::start(&options.daemon, &folder, number, platform)?);
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -104,6 +104,7 @@
             schedule: None,
         },
         submitted_unix_ms: 0,
+        row_version: 0,
     }
 }
 
--- a/tests/test_batch_order.rs
+++ b/tests/test_batch_order.rs
@@ -52,6 +52,7 @@
     record::Accepted {
         account,
         submitted_unix_ms: now_ms,
+        row_version: 0,
         ..fake_workers::accepted(steps.collect(), ATTEMPTS)
     }
 }
