measure search: a command that was given up is lost with its connection

The simulation delivered commands to machines that a fault held up, also after their sender had given them up. The product resets such connections now (platform: a call that is given up resets its connection), and the platform's pages say that held-up bytes are lost if their sender resets. A sender that stands still hasn't reset yet, and its commands are still delivered.

--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -215,6 +215,11 @@
             .collect()
     }
 
+    /// Returns whether a call is in progress.
+    pub fn is_open(&self, call: u64) -> bool {
+        self.calls.contains_key(&call)
+    }
+
     /// Returns the fencing epoch of the node's commands; 0 if it doesn't lead.
     pub fn epoch(&self) -> u64 {
         self.term.as_ref().map_or(0, |term| term.epoch)
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -175,6 +175,11 @@
         epoch: u64,
         command: Option<(usize, Command)>,
     ) {
+        // A call that was given up reset its connection, so that what the network had held up is lost.
+        if command.is_some() && !self.nodes[node].is_open(call) {
+            self.note(|| format!("call {call} of n{node} is lost with its connection"));
+            return;
+        }
         let now_ms = self.now_ms;
         let away = self.cloud.away.filter(|(_, until_ms)| now_ms < *until_ms);
         if away.is_some_and(|(executes, _)| !executes || command.is_none()) {
