--- a/src/batch/progress_rows.rs
+++ b/src/batch/progress_rows.rs
@@ -1,8 +1,8 @@
 //! How the progress of a job is divided among rows, whose size the store limits.
 //!
 //! The first row of a job holds its state and the progress of its first tasks. Tasks beyond those are in further rows, a
-//! fixed number in each, so that the end of a task rewrites one row of bounded size however large the job is. All rows of
-//! a job name its submission: what is left of an earlier job with the same id is ignored.
+//! fixed number in each, so that the end of a task rewrites one row of bounded size however large the job is. Rows after
+//! the first name the job's submission: what is left of an earlier job with the same id is ignored.
 
 use std::collections::BTreeMap;
 use std::fmt;
