--- a/measure/src/search/commands.rs
+++ b/measure/src/search/commands.rs
@@ -132,6 +132,7 @@
             channel,
             send,
             may_have_run,
+            sent_at: self.now(),
         };
         let call = self.call(node, Some(vm), call, COMMAND_TIMEOUT_MS);
         self.send(node, call, &worker, vm, request);
@@ -244,13 +245,7 @@
         answer: &Answer,
     ) {
         let outcome = match answer {
-            Answer::Started(clock_ms) => {
-                let now = self.now();
-                if let Some(term) = &mut self.nodes[node].term {
-                    term.scheduler.clock_answered(&start.worker, *clock_ms, now);
-                }
-                StartOutcome::Started
-            }
+            Answer::Started(_) => StartOutcome::Started,
             Answer::Refused(reason) => StartOutcome::Refused {
                 reason: *reason,
                 sends: if may_have_run { send } else { 1 },
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -71,6 +71,7 @@
         channel: u64,
         send: u32,
         may_have_run: bool,
+        sent_at: Instant,
     },
     Stop {
         worker: id::Worker,
@@ -419,7 +420,17 @@
                 channel,
                 send,
                 may_have_run,
-            } => self.start_answered(node, channel, start, send, may_have_run, &answer),
+                sent_at,
+            } => {
+                if let (Answer::Started(clock_ms), Some(term)) =
+                    (&answer, &mut self.nodes[node].term)
+                {
+                    let worker = &start.worker;
+                    term.scheduler
+                        .clock_answered(worker, *clock_ms, sent_at, now);
+                }
+                self.start_answered(node, channel, start, send, may_have_run, &answer);
+            }
             Call::Stop { worker, task, run } => {
                 if let (Answer::Stopped, Some(term)) = (&answer, &mut self.nodes[node].term) {
                     term.scheduler.stop_answered(&worker, task, run, now);
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -321,11 +321,14 @@
             checkpoint: command.checkpoint.clone(),
             ticket: command.ticket.clone(),
         };
+        let sent_at = clock::since_boot();
         let error = match channels.call(recipient, start, COMMAND_TIMEOUT_MS).await {
             Ok(Response::Started) => return StartOutcome::Started,
             Ok(Response::StartedAt(clock_ms)) => {
                 let now = clock::since_boot();
-                leadership.scheduler().clock_answered(worker, clock_ms, now);
+                leadership
+                    .scheduler()
+                    .clock_answered(worker, clock_ms, sent_at, now);
                 return StartOutcome::Started;
             }
             Ok(Response::StartRefused(reason)) => {
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -75,13 +75,19 @@
         })
     }
 
-    /// Handles the clock in a worker's response to a command, in milliseconds.
-    pub fn clock_answered(&mut self, id: &id::Worker, clock_ms: u64, now: clock::Instant) {
+    /// Handles the clock in a worker's response to a command that was sent at `sent_at`, in milliseconds.
+    pub fn clock_answered(
+        &mut self,
+        id: &id::Worker,
+        clock_ms: u64,
+        sent_at: clock::Instant,
+        now: clock::Instant,
+    ) {
         let lease_max_ms = self.settings.lease_max_ms;
         let has_restarted = self
             .workers
             .get_mut(id)
-            .is_some_and(|worker| worker.on_clock(clock_ms, lease_max_ms, now));
+            .is_some_and(|worker| worker.on_clock(clock_ms, lease_max_ms, sent_at, now));
         if has_restarted {
             self.log(format!(
                 "worker's clock went back worker={id} clock_ms={clock_ms}"
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -293,12 +293,21 @@
         self.start_at = now;
     }
 
-    /// Records the worker's clock in its response to a command, in milliseconds. Returns whether it went back, which proves
-    /// that the worker has started again under its id.
+    /// Records the worker's clock in its response to a command that was sent at `sent_at`, in milliseconds. Returns whether
+    /// it went back, which proves that the worker has started again under its id.
     ///
-    /// Leases that were granted to the earlier incarnation then have their greatest length, `lease_max_ms`.
-    pub fn on_clock(&mut self, clock_ms: u64, lease_max_ms: u64, now: clock::Instant) -> bool {
-        let has_restarted = self.clock.is_some_and(|(known_ms, _)| clock_ms < known_ms);
+    /// Leases that were granted to the earlier incarnation then have their greatest length, `lease_max_ms`. A clock that was
+    /// known only after the command was sent tells nothing, as responses overtake each other.
+    pub fn on_clock(
+        &mut self,
+        clock_ms: u64,
+        lease_max_ms: u64,
+        sent_at: clock::Instant,
+        now: clock::Instant,
+    ) -> bool {
+        let has_restarted = self
+            .clock
+            .is_some_and(|(known_ms, at)| at <= sent_at && clock_ms < known_ms);
         if has_restarted {
             self.clock = Some((clock_ms, now));
             self.lease_until_ms = clock_ms + lease_max_ms;
--- a/tests/test_batch_evidence.rs
+++ b/tests/test_batch_evidence.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use wasabiloft::batch::scheduler::{Scheduler, StartOutcome};
+use wasabiloft::batch::worker_state;
 use wasabiloft::clock::Instant;
 
 use crate::fake_pair::{self, TASK, starts};
@@ -74,3 +75,23 @@
     assert_eq!(starts(&mut scheduler), []);
     assert!(scheduler.workers().contains_key(&worker));
 }
+
+/// Guards against a response that was overtaken by a newer one and is taken for a restart, after which the tasks of a worker
+/// that falls silent wait for the longest lease.
+#[test]
+fn a_clock_in_a_response_that_was_overtaken_proves_no_restart() {
+    let now = Instant::from_ms(1_000);
+    let (mut scheduler, worker, _, run) = fake_pair::one_start(now);
+    let sent = now.after_ms(10);
+    let answer = worker_state::Report {
+        clock_ms: 500,
+        ..fake_pair::of_incarnation(1, &[(TASK, run)])
+    };
+    scheduler.poll_answered(&worker, &answer, sent, now.after_ms(20), 0);
+    let lease_until_ms = |scheduler: &Scheduler| scheduler.workers()[&worker].lease_until_ms;
+    let before = lease_until_ms(&scheduler);
+    scheduler.clock_answered(&worker, 490, sent, now.after_ms(25));
+    assert_eq!(lease_until_ms(&scheduler), before);
+    scheduler.clock_answered(&worker, 490, now.after_ms(30), now.after_ms(35));
+    assert!(lease_until_ms(&scheduler) > before, "sent afterwards");
+}
