logs: why the duty is claimed, what leases are granted by, ends beside another run

The log didn't say on what evidence a node takes over, nor whether the earlier leader counts on it; not what bounds a leader's leases; and not that an end arrives for a task that was done or runs elsewhere. Ends as done beside another run are counted with runs that outlived their release.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -169,7 +169,7 @@
 }
 
 /// Evidence about the leader besides its row.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
     /// No evidence.
     None,
@@ -321,11 +321,13 @@
                 let pause_ms = rand::random_range(0..CLAIM_JITTER_MS);
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
+            self.log_claim(shared, "vacant", now);
             return Step::Claim {
                 previous_leader_may_act: false,
             };
         }
         if evidence != Evidence::None && known {
+            self.log_claim(shared, &format!("{evidence:?}"), now);
             return Step::Claim {
                 previous_leader_may_act: evidence != Evidence::NotLeading,
             };
@@ -341,12 +343,34 @@
             UNCHANGED_LIMIT_MS
         };
         if sent_at.since_ms(self.since) >= unchanged_ms {
+            self.log_claim(shared, "unchanged", now);
             return Step::Claim {
                 previous_leader_may_act: true,
             };
         }
         Step::Recheck
     }
+
+    /// Logs why the duty is claimed, and whether the leader of the row counts on this node: it does if this node has
+    /// confirmed a response of the row's epoch.
+    fn log_claim(&self, shared: &shared::Shared, reason: &str, now: wasabiloft::clock::Instant) {
+        let row = shared.duty();
+        let epoch = row.duty.as_ref().map_or(0, |duty| duty.epoch);
+        let unchanged_ms = if row.version == self.version {
+            now.since_ms(self.since)
+        } else {
+            0
+        };
+        let holder = row.duty.map(|duty| duty.holder).unwrap_or_default();
+        log::info(
+            "duty",
+            &format!(
+                "claims epoch={} reason={reason} holder={holder} followed_epoch={} unchanged_ms={unchanged_ms}",
+                epoch + 1,
+                self.confirms.map_or(0, |sent| sent.epoch)
+            ),
+        );
+    }
 }
 
 /// Decodes the duty's row; logs an undecodable row and treats it as a row without a leader.
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -61,6 +61,8 @@
     /// Length of the workers' leases, in milliseconds.
     lease_ms: u64,
     authority: Mutex<authority::Authority>,
+    /// What leases were last granted by.
+    proof: Mutex<authority::Proof>,
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
@@ -148,8 +150,27 @@
     /// Passes the scheduler the moment by which leases have to end.
     fn limit_leases(&self) {
         let now = clock::since_boot();
-        let end = self.authority().leases_end(self.lease_ms, now);
+        let authority = self.authority();
+        let (end, proof) = (
+            authority.leases_end(self.lease_ms, now),
+            authority.proof(now),
+        );
+        drop(authority);
         self.scheduler().limit_leases(end);
+        let previous = std::mem::replace(
+            &mut *self.proof.lock().unwrap_or_else(PoisonError::into_inner),
+            proof,
+        );
+        if previous != proof {
+            log::info(
+                "duty",
+                &format!(
+                    "leases granted by={proof:?} epoch={} commit_ms={}",
+                    self.epoch,
+                    self.since_commit_ms()
+                ),
+            );
+        }
     }
 
     fn authority(&self) -> MutexGuard<'_, authority::Authority> {
@@ -455,6 +476,7 @@
         ended: CancellationToken::new(),
         lease_ms: scheduler_settings.lease_ms,
         authority: Mutex::new(authority::Authority::new(committed_at, now)),
+        proof: Mutex::new(authority::Proof::Commit),
         committed_ms: AtomicU64::new(committed_ms),
         step_down_requested: CancellationToken::new(),
         successor_cpu_milli: OnceLock::new(),
--- a/src/batch/authority.rs
+++ b/src/batch/authority.rs
@@ -27,6 +27,15 @@
 /// Time for a worker to end runs whose lease has lapsed, in milliseconds.
 const STOP_TIME_MS: u64 = 300;
 
+/// What proves that a leader hasn't been replaced, and so bounds the leases that it grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// Its newest successful commit.
+    Commit,
+    /// The confirmations of its followers, which are newer.
+    Followers,
+}
+
 /// A follower's newest confirmation.
 #[derive(Clone, Copy, Debug)]
 struct Follower {
@@ -124,6 +133,15 @@
             .max(confirmed.unwrap_or(self.committed_at))
     }
 
+    /// Returns what proves that the leader hasn't been replaced; commits that are about as new as the confirmations count.
+    pub fn proof(&self, now: clock::Instant) -> Proof {
+        if self.led_at(now).since_ms(self.committed_at) > HEARTBEAT_TIMEOUT_MS {
+            Proof::Followers
+        } else {
+            Proof::Commit
+        }
+    }
+
     /// Returns the moment by which all leases of `lease_ms` and shorter have to end, so that a successor doesn't take a
     /// worker for lapsed before.
     pub fn leases_end(&self, lease_ms: u64, now: clock::Instant) -> clock::Instant {
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -153,7 +153,8 @@
     pub workers_crashed: u64,
     /// Jobs that were given up because their tasks crash workers.
     pub given_up: u64,
-    /// Reports of runs that were at work although they had been taken for ended.
+    /// Reports of runs that were at work although they had been taken for ended, or that completed their task while another
+    /// run of it was under way.
     pub outlived: u64,
     /// Rows of workers' reports that cannot be read.
     pub unreadable_rows: u64,
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -1,11 +1,13 @@
 //! Polls of workers: the runs and ends they report, and runs that are missing from both.
 
-use crate::batch::TaskId;
+use std::collections::HashMap;
+
 use crate::batch::record;
 use crate::batch::scheduler::job;
 use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Poll, Scheduler, plan};
 use crate::batch::worker_state;
+use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
 use crate::platform::Resources;
@@ -23,6 +25,12 @@
 /// Pause before a task whose run failed is started again, in milliseconds; a crash of its worker is detected first.
 const FAILED_PAUSE_MS: u64 = 20;
 
+/// Returns the number of a task's run that is under way; `None` if there is none.
+fn task_run(jobs: &HashMap<JobId, job::Job>, id: &TaskId) -> Option<u32> {
+    let task = jobs.get(&id.job)?.task(id)?;
+    Some(task.active.as_ref()?.run)
+}
+
 impl Scheduler {
     /// Returns the contents of the next poll of a worker, or `None` if the worker is not known.
     pub fn next_poll(&mut self, id: &id::Worker, now: clock::Instant) -> Option<Poll> {
@@ -327,11 +335,23 @@
         now: clock::Instant,
         unix_ms: u64,
     ) {
+        let task = self.jobs.get(&end.task.job);
+        let task = task.and_then(|job| job.task(&end.task));
+        let was_done = task.is_some_and(|task| task.done);
         let was_active = self.close_run(id, end, now);
-        self.log(format!(
-            "end task={} run={} worker={id} how={:?} number={}",
-            end.task, end.run, end.outcome, end.number
-        ));
+        let other = task_run(&self.jobs, &end.task);
+        let line = format!(
+            "end task={} run={} worker={id} how={:?} number={} active={was_active} was_done={was_done} other_run={}",
+            end.task,
+            end.run,
+            end.outcome,
+            end.number,
+            other.unwrap_or(0)
+        );
+        self.log(line);
+        if other.is_some() && end.outcome == worker_state::Outcome::Done {
+            self.counts.outlived += 1;
+        }
         let Some(job) = self.jobs.get(&end.task.job) else {
             return;
         };
