--- a/measure/src/search.rs
+++ b/measure/src/search.rs
@@ -3,6 +3,7 @@
 mod check;
 mod commands;
 mod commits;
+mod draw;
 mod exhaustive;
 mod faults;
 mod follower;
@@ -10,6 +11,7 @@
 mod network;
 mod node;
 mod platform;
+mod release;
 mod runner;
 mod shell;
 mod shrink;
--- a/measure/src/search/commands.rs
+++ b/measure/src/search/commands.rs
@@ -72,7 +72,7 @@
                 let call = self.call(node, Some(vm), call, COMMAND_TIMEOUT_MS);
                 self.send(node, call, &worker, vm, Request::Stop { task, run });
             }
-            Output::Superseded => self.end_term(node, "superseded"),
+            Output::Superseded => self.release_duty(node, "superseded"),
             Output::Log(line) => self.note(|| format!("  n{node}: {line}")),
             Output::Pace { .. } | Output::RequestTickets { .. } => {}
         }
@@ -221,7 +221,7 @@
                 self.wake(node);
                 self.poll_later(node, worker, pause_ms);
             }
-            Answer::Fenced => self.end_term(node, "fenced"),
+            Answer::Fenced => self.release_duty(node, "fenced"),
             Answer::OtherLife => {
                 term.scheduler
                     .incarnation_ended(worker, IncarnationEnd::OtherLife, now);
--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -18,6 +18,7 @@
 impl World {
     pub(super) fn commit(&mut self, node: usize) {
         let now_ms = self.now_ms;
+        let cpu_milli = self.cpu_milli(node);
         let Some(term) = &mut self.nodes[node].term else {
             return;
         };
@@ -44,6 +45,8 @@
             epoch: term.epoch,
             token: (term.epoch << 32) + now_ms + 1,
             batch,
+            cpu_milli,
+            releases: false,
         };
         term.in_flight = Some((transaction, now_ms));
         self.send_commit(node);
--- a/measure/src/search/exhaustive.rs
+++ b/measure/src/search/exhaustive.rs
@@ -8,7 +8,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 
-use crate::search::history::{Cut, Fault, First, History, Kind, Message, Setup};
+use crate::search::history::{Cut, Fault, First, History, Kind, Message, RUN_MS, Setup};
 use crate::search::world::World;
 
 /// When the job is submitted, in milliseconds: a moment before a time of faults.
@@ -17,8 +17,8 @@
 const FAULTS_MS: (u64, u64) = (1_000, 6_000);
 /// Interval between two times of faults, in milliseconds.
 const INTERVAL_MS: u64 = 500;
-/// Length of a run, in milliseconds.
-const RUN_MS: u64 = 17_000;
+/// When the last of three or more nodes starts, in milliseconds.
+const JOINS_MS: u64 = 3_000;
 
 /// What was searched and found.
 #[derive(Debug, Default)]
@@ -113,6 +113,34 @@
             });
         }
     }
+    if nodes > 2 {
+        kinds.extend(kinds_of_several(nodes));
+    }
+    kinds
+}
+
+/// Returns the faults by which nodes replace each other that matter with three nodes or more.
+fn kinds_of_several(nodes: usize) -> Vec<Kind> {
+    let mut kinds = Vec::new();
+    for node in 1..nodes {
+        kinds.push(Kind::StepDown { node });
+        kinds.push(Kind::Stop {
+            node,
+            for_ms: 9_000,
+        });
+    }
+    for cut_off in [vec![0], vec![0, 1]] {
+        for vm in 0..2 {
+            for writes_only in [false, true] {
+                kinds.push(Kind::Partition {
+                    nodes: cut_off.clone(),
+                    vms: vec![vm],
+                    writes_only,
+                    for_ms: 9_000,
+                });
+            }
+        }
+    }
     kinds
 }
 
@@ -129,13 +157,16 @@
         vms: 2,
         latency_ms: 1,
         cores: 8,
-        jobs: 1,
-        every_ms: 0,
+        jobs: if nodes > 2 { 8 } else { 1 },
+        every_ms: if nodes > 2 { 400 } else { 0 },
         tasks: 1,
         task_ms: 9_000,
         submit_ms: SUBMIT_MS,
         slow_clocks: false,
         unfenced: false,
+        joins_ms: if nodes > 2 { JOINS_MS } else { 0 },
+        weak_nodes: 0,
+        run_ms: RUN_MS,
     };
     let search = Search {
         kinds: kinds(nodes),
--- a/measure/src/search/faults.rs
+++ b/measure/src/search/faults.rs
@@ -4,11 +4,11 @@
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
 
-use crate::search::history::{Fault, Kind};
+use crate::search::history::{Cut, Fault, Kind};
 use crate::search::node::Timer;
 use crate::search::runner::Life;
 use crate::search::shell;
-use crate::search::world::{Entry, Event, Fate, POOL, World};
+use crate::search::world::{Entry, Event, Fate, POOL, Split, World};
 
 /// Interval at which a worker writes its registry entry, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_500;
@@ -44,6 +44,33 @@
                 self.push_timer(node, now_ms, Timer::Wake);
             }
             Kind::Restart { node, for_ms } => self.restart_node(node, for_ms),
+            Kind::Stop { node, for_ms } => self.stop_node(node, now_ms + for_ms),
+            Kind::StepDown { node } => self.release_duty(node, "steps down"),
+            Kind::Split {
+                node,
+                other,
+                how,
+                for_ms,
+            } => self.splits.push(Split {
+                node,
+                other,
+                how,
+                until_ms: now_ms + for_ms,
+            }),
+            Kind::Partition {
+                nodes,
+                vms,
+                writes_only,
+                for_ms,
+            } => self.partition(&nodes, &vms, writes_only, now_ms + for_ms),
+            Kind::WritesRefused { node, for_ms } => {
+                self.nodes[node].writes_refused_until_ms = now_ms + for_ms;
+            }
+            Kind::StoreSlow {
+                node,
+                delay_ms,
+                for_ms,
+            } => self.nodes[node].store_slow = (delay_ms, now_ms + for_ms),
             Kind::Cut {
                 node,
                 vm,
@@ -125,6 +152,31 @@
         }
     }
 
+    fn partition(&mut self, nodes: &[usize], vms: &[usize], writes_only: bool, until_ms: u64) {
+        let for_ms = until_ms - self.now_ms;
+        for node in 0..self.nodes.len() {
+            let is_inside = nodes.contains(&node);
+            if is_inside && writes_only {
+                self.nodes[node].writes_refused_until_ms = until_ms;
+            } else if is_inside {
+                self.cut_store(node, until_ms);
+            }
+            for vm in 0..self.vms.len() {
+                if vms.contains(&vm) != is_inside {
+                    self.cut(Some(node), vm, Cut::Silent, for_ms, !is_inside && !writes_only);
+                }
+            }
+            for other in (0..node).filter(|other| nodes.contains(other) != is_inside) {
+                self.splits.push(Split {
+                    node,
+                    other,
+                    how: Cut::Silent,
+                    until_ms,
+                });
+            }
+        }
+    }
+
     pub(super) fn submit(&mut self, job: u64) {
         let setup = &self.history.setup;
         self.store.submit(job, setup.tasks, setup.task_ms);
--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -1,23 +1,101 @@
 //! Followers: when they claim the duty.
 
-use wasabiloft::batch::record;
+use wasabiloft::batch::{authority, record, succession};
 use wasabiloft::clock::Instant;
 
-use crate::search::node::{CLOUD_TIMEOUT_MS, Call, HEARTBEAT_MS, Timer};
+use crate::search::history::Cut;
+use crate::search::node::{Call, TAKEOVER_READ_MS, Timer};
 use crate::search::platform::Transaction;
 use crate::search::shell;
-use crate::search::world::{LATENCY_MS, World};
+use crate::search::world::{Answer, LATENCY_MS, World};
 
-/// Timeout of a heartbeat, in milliseconds.
-const HEARTBEAT_TIMEOUT_MS: u64 = 400;
 /// Pause before the row is checked again while the leader's state is uncertain, in milliseconds.
 const RECHECK_MS: u64 = 100;
 /// Time that a read of rows takes, in milliseconds.
 const READ_MS: u64 = 5;
-/// A leader whose newest commit is this old asks its followers to take over, in milliseconds.
+/// Timeout of a call to the store, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_500;
+/// Pause after a failed claim, in milliseconds.
+const CLAIM_RETRY_MS: u64 = 400;
+/// Delay between the claims of two nodes that find the duty vacant, in milliseconds.
+const CLAIM_JITTER_MS: u64 = 10;
+/// A leader without a commit or any other response of the store for this long asks its followers to take over, in
+/// milliseconds.
 const LEADER_STALE_MS: u64 = 900;
+/// Maximum time since a follower's last response from the store for it to be asked, in milliseconds.
+const FOLLOWER_FRESH_MS: u64 = 500;
+/// CPU of a node, in thousandths of a core.
+const CPU_MILLI: u64 = 2_000;
+/// CPU of a weak node, in thousandths of a core.
+const CPU_WEAK_MILLI: u64 = 1_000;
+
+/// What becomes of a heartbeat.
+enum Heartbeat {
+    /// It is answered.
+    Answered,
+    /// No connection is opened.
+    Refused,
+    /// No response arrives in time; it may have arrived.
+    Unanswered { arrives: bool },
+}
 
 impl World {
+    /// Returns a node's CPU, in thousandths of a core.
+    pub(super) fn cpu_milli(&self, node: usize) -> u64 {
+        let setup = &self.history.setup;
+        if (node as u64) + setup.weak_nodes >= setup.nodes as u64 {
+            CPU_WEAK_MILLI
+        } else {
+            CPU_MILLI
+        }
+    }
+
+    fn reaches_store(&self, node: usize) -> bool {
+        self.now_ms >= self.nodes[node].store_away_until_ms
+    }
+
+    /// Returns the time since the store last answered a node, in milliseconds.
+    fn store_silent_ms(&self, node: usize) -> u64 {
+        if self.reaches_store(node) {
+            0
+        } else {
+            self.now_ms - self.nodes[node].store_away_from_ms
+        }
+    }
+
+    fn follow_later(&mut self, node: usize) {
+        let interval_ms = succession::heartbeat_ms(
+            self.cpu_milli(node),
+            self.nodes[node].expected_cpu_milli,
+            self.reaches_store(node),
+        );
+        self.push_timer(node, self.now_ms + interval_ms, Timer::Follow);
+    }
+
+    fn send_heartbeat(&self, node: usize, holder: usize) -> Heartbeat {
+        let now_ms = self.now_ms;
+        let leader = &self.nodes[holder];
+        if now_ms < leader.down_until_ms {
+            return Heartbeat::Refused;
+        }
+        for split in &self.splits {
+            let is_sender = split.node == node && split.other == holder;
+            let is_receiver = split.node == holder && split.other == node;
+            if now_ms >= split.until_ms || !(is_sender || is_receiver) {
+                continue;
+            }
+            return match split.how {
+                Cut::Refused => Heartbeat::Refused,
+                Cut::Silent => Heartbeat::Unanswered { arrives: false },
+                Cut::OneWay => Heartbeat::Unanswered { arrives: is_sender },
+            };
+        }
+        if now_ms < leader.frozen_until_ms {
+            return Heartbeat::Unanswered { arrives: false };
+        }
+        Heartbeat::Answered
+    }
+
     pub(super) fn follow(&mut self, node: usize) {
         let now_ms = self.now_ms;
         let (_, holder, _) = self.nodes[node].known;
@@ -29,45 +107,61 @@
             self.read_row(node, evidence, 0);
             return;
         };
+        let is_unresponsive = self.nodes[node]
+            .unresponsive_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < authority::HEARTBEAT_TIMEOUT_MS);
+        if is_unresponsive {
+            self.read_row(node, shell::Evidence::None, 0);
+            return;
+        }
+        match self.send_heartbeat(node, holder) {
+            Heartbeat::Answered => self.heartbeat_answered(node, holder),
+            Heartbeat::Refused => {
+                let state = &mut self.nodes[node];
+                state.refusals += 1;
+                let evidence = if state.refusals >= 2 {
+                    shell::Evidence::Refused
+                } else {
+                    shell::Evidence::None
+                };
+                self.read_row(node, evidence, LATENCY_MS);
+            }
+            Heartbeat::Unanswered { arrives } => {
+                if arrives {
+                    self.heartbeat_arrives(node, holder);
+                }
+                let state = &mut self.nodes[node];
+                state.refusals = 0;
+                state.unresponsive_ms = Some(now_ms + authority::HEARTBEAT_TIMEOUT_MS);
+                self.read_row(node, shell::Evidence::None, authority::HEARTBEAT_TIMEOUT_MS);
+            }
+        }
+    }
+
+    fn heartbeat_answered(&mut self, node: usize, holder: usize) {
+        let now = self.now();
+        self.heartbeat_arrives(node, holder);
         let leader = &self.nodes[holder];
-        let is_down = now_ms < leader.down_until_ms;
-        let is_frozen = now_ms < leader.frozen_until_ms;
-        let leads = leader.term.is_some() || leader.claims;
-        let is_stale = leader
+        let epoch = leader.term.as_ref().map(|term| term.epoch);
+        let Some(epoch) = epoch.or(leader.claims) else {
+            self.read_row(node, shell::Evidence::NotLeading, LATENCY_MS);
+            return;
+        };
+        let commit_is_old = leader
             .term
             .as_ref()
-            .is_some_and(|term| now_ms.saturating_sub(term.committed_ms) >= LEADER_STALE_MS);
+            .is_none_or(|term| now.as_ms() - term.committed_ms > LEADER_STALE_MS);
+        let hands_over = commit_is_old
+            && self.store_silent_ms(holder) > LEADER_STALE_MS
+            && self.store_silent_ms(node) < FOLLOWER_FRESH_MS;
         let state = &mut self.nodes[node];
-        if is_down {
-            state.refusals += 1;
-            let evidence = if state.refusals >= 2 {
-                shell::Evidence::Refused
-            } else {
-                shell::Evidence::None
-            };
-            self.read_row(node, evidence, LATENCY_MS);
-        } else if is_frozen {
-            state.refusals = 0;
-            let is_known = state
-                .unresponsive_ms
-                .is_some_and(|at_ms| now_ms - at_ms < HEARTBEAT_TIMEOUT_MS);
-            let wait_ms = if is_known { 0 } else { HEARTBEAT_TIMEOUT_MS };
-            if !is_known {
-                state.unresponsive_ms = Some(now_ms + HEARTBEAT_TIMEOUT_MS);
-            }
-            self.read_row(node, shell::Evidence::None, wait_ms);
-        } else if !leads {
-            self.read_row(node, shell::Evidence::NotLeading, LATENCY_MS);
-        } else if is_stale {
-            self.heartbeat_arrives(node, holder);
+        state.refusals = 0;
+        state.unresponsive_ms = None;
+        if hands_over {
             self.read_row(node, shell::Evidence::RequestsHandover, LATENCY_MS);
         } else {
-            state.refusals = 0;
-            state.unresponsive_ms = None;
-            self.heartbeat_arrives(node, holder);
-            let epoch = self.nodes[holder].epoch();
-            self.nodes[node].confirms = Some((epoch, self.now()));
-            self.push_timer(node, now_ms + HEARTBEAT_MS, Timer::Follow);
+            state.confirms = Some((epoch, now));
+            self.follow_later(node);
         }
     }
 
@@ -86,26 +180,38 @@
 
     pub(super) fn read_row(&mut self, node: usize, evidence: shell::Evidence, wait_ms: u64) {
         let sent_at_ms = self.now_ms + wait_ms;
+        let reaches_store = sent_at_ms >= self.nodes[node].store_away_until_ms;
+        let took_ms = if reaches_store {
+            READ_MS + self.store_delay_ms(node)
+        } else {
+            CALL_TIMEOUT_MS
+        };
         let timer = Timer::RowRead {
             evidence,
             sent_at_ms,
+            reaches_store,
         };
-        self.push_timer(node, sent_at_ms + READ_MS, timer);
+        self.push_timer(node, sent_at_ms + took_ms, timer);
     }
 
-    pub(super) fn row_read(&mut self, node: usize, evidence: shell::Evidence, sent_at_ms: u64) {
+    pub(super) fn row_read(
+        &mut self,
+        node: usize,
+        evidence: shell::Evidence,
+        sent_at_ms: u64,
+        reaches_store: bool,
+    ) {
         let now = self.now();
-        let state = &mut self.nodes[node];
-        if now.as_ms() < state.store_away_until_ms {
-            state.follower = shell::Follower::default();
-            self.push_timer(node, now.as_ms() + HEARTBEAT_MS, Timer::Follow);
+        if !reaches_store || !self.reaches_store(node) {
+            self.nodes[node].follower = shell::Follower::default();
+            self.follow_later(node);
             return;
         }
-        let store = &self.store;
-        let is_known = state.known.0 == store.version;
-        state.known = (store.version, store.holder, store.epoch);
-        let step = state.follower.check_row(
-            store.version,
+        let is_known = self.nodes[node].known.0 == self.store.version;
+        self.record_row(node);
+        let step = self.nodes[node].follower.check_row(
+            self.store.version,
+            self.store.holder.is_none(),
             evidence,
             is_known,
             Instant::from_ms(sent_at_ms),
@@ -116,24 +222,106 @@
                 self.push_timer(node, now.as_ms() + RECHECK_MS, Timer::Follow);
             }
             shell::Step::Claim {
-                previous_leader_may_act,
-            } => self.claim(node, previous_leader_may_act),
+                previous_leader_may_act: may_act,
+            } => {
+                let jitter_ms = if self.store.holder.is_none() {
+                    node as u64 * CLAIM_JITTER_MS
+                } else {
+                    0
+                };
+                let expected_milli = self.nodes[node].expected_cpu_milli;
+                let delay_ms = succession::claim_delay_ms(self.cpu_milli(node), expected_milli);
+                let at_ms = now.as_ms() + jitter_ms + delay_ms;
+                self.push_timer(node, at_ms, Timer::Claim { may_act });
+            }
         }
     }
 
-    pub(super) fn claim(&mut self, node: usize, may_act: bool) {
+    /// Takes note of the duty's row as it is now.
+    fn record_row(&mut self, node: usize) {
+        let store = &self.store;
         let state = &mut self.nodes[node];
-        state.claims = true;
-        let (version, _, epoch) = state.known;
+        state.known = (store.version, store.holder, store.epoch);
+        state.expected_cpu_milli = (store.version > 0).then_some(store.cpu_milli);
+    }
+
+    pub(super) fn claim(&mut self, node: usize, may_act: bool) {
+        let (version, _, epoch) = self.nodes[node].known;
         let epoch = epoch + 1;
+        self.nodes[node].claims = Some(epoch);
+        self.note(|| format!("n{node} claims epoch={epoch} predecessor_may_act={may_act}"));
         let transaction = Transaction {
             node,
             version,
             epoch,
             token: (epoch << 32) + (node as u64) + self.now_ms,
             batch: record::WriteBatch::default(),
+            cpu_milli: self.cpu_milli(node),
+            releases: false,
         };
-        let call = self.call(node, None, Call::Claim { may_act, epoch }, CLOUD_TIMEOUT_MS);
+        let call = self.call(node, None, Call::Claim { may_act, epoch }, CALL_TIMEOUT_MS);
         self.transact(node, call, transaction);
     }
+
+    pub(super) fn claim_answered(
+        &mut self,
+        node: usize,
+        may_act: bool,
+        epoch: u64,
+        answer: &Answer,
+    ) {
+        let now_ms = self.now_ms;
+        match answer {
+            Answer::Committed(version) => {
+                self.nodes[node].known = (*version, Some(node), epoch);
+                self.nodes[node].expected_cpu_milli = Some(self.cpu_milli(node));
+                self.read_takeover(node, may_act, epoch);
+            }
+            Answer::Failed { refused: false } => {
+                let took_ms = if self.reaches_store(node) {
+                    READ_MS + self.store_delay_ms(node)
+                } else {
+                    CALL_TIMEOUT_MS
+                };
+                let timer = Timer::ResolveClaim { may_act, epoch };
+                self.push_timer(node, now_ms + took_ms, timer);
+            }
+            Answer::CheckFailed => {
+                self.record_row(node);
+                self.claim_failed(node);
+            }
+            _ => self.claim_failed(node),
+        }
+    }
+
+    /// Reads the row to find out whether a claim without a response was committed.
+    pub(super) fn resolve_claim(&mut self, node: usize, may_act: bool, epoch: u64) {
+        if !self.reaches_store(node) {
+            self.claim_failed(node);
+            return;
+        }
+        self.record_row(node);
+        if self.store.holder == Some(node) && self.store.epoch == epoch {
+            self.read_takeover(node, may_act, epoch);
+        } else {
+            self.claim_failed(node);
+        }
+    }
+
+    fn claim_failed(&mut self, node: usize) {
+        self.nodes[node].claims = None;
+        self.push_timer(node, self.now_ms + CLAIM_RETRY_MS, Timer::Follow);
+    }
+
+    /// Reads the rows of a takeover; the answer to the claim is the newest proof of the duty.
+    fn read_takeover(&mut self, node: usize, may_act: bool, epoch: u64) {
+        let now = self.now();
+        let timer = Timer::Lead {
+            may_act,
+            epoch,
+            proven_at: now,
+        };
+        let at_ms = now.as_ms() + TAKEOVER_READ_MS + self.store_delay_ms(node);
+        self.push_timer(node, at_ms, timer);
+    }
 }
--- a/measure/src/search/history.rs
+++ b/measure/src/search/history.rs
@@ -2,15 +2,10 @@
 
 use std::fmt;
 
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-/// Latest time of a drawn fault, in milliseconds.
-const FAULT_LAST_MS: u64 = 9_000;
-/// Times of drawn faults are multiples of this, in milliseconds.
-const GRID_MS: u64 = 50;
 /// Durations from which those of drawn faults are chosen, in milliseconds: around the leases, timeouts and heartbeats.
-const DURATIONS_MS: [u64; 10] = [
+pub(super) const DURATIONS_MS: [u64; 10] = [
     150, 400, 800, 1_500, 2_500, 3_500, 4_500, 5_500, 7_000, 9_000,
 ];
 
@@ -40,6 +35,32 @@
     /// Whether the workers carry out commands of replaced leaders, which the platform forbids; shows that the checks work.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub unfenced: bool,
+    /// When the last node starts, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub joins_ms: u64,
+    /// The last so many nodes have less CPU than the others, so that they send fewer heartbeats and claim later.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub weak_nodes: u64,
+    /// Length of the history, in milliseconds.
+    #[serde(default = "run_default_ms", skip_serializing_if = "is_run_default")]
+    pub run_ms: u64,
+}
+
+/// Length of most histories, in milliseconds.
+pub const RUN_MS: u64 = 17_000;
+
+fn run_default_ms() -> u64 {
+    RUN_MS
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_run_default(run_ms: &u64) -> bool {
+    *run_ms == RUN_MS
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// How a path is cut.
@@ -103,6 +124,33 @@
     },
     /// A node's process ends and starts again.
     Restart { node: usize, for_ms: u64 },
+    /// A node's process is asked to stop, so that a leader releases the duty, and starts again.
+    Stop { node: usize, for_ms: u64 },
+    /// A leader releases the duty in favour of another node and goes on as a follower.
+    StepDown { node: usize },
+    /// Heartbeats between two nodes get no response; with a one-way cut, those of `node` still arrive.
+    Split {
+        node: usize,
+        other: usize,
+        how: Cut,
+        for_ms: u64,
+    },
+    /// These nodes and workers are cut off from all others and from the platform, or the platform refuses their nodes'
+    /// transactions only.
+    Partition {
+        nodes: Vec<usize>,
+        vms: Vec<usize>,
+        writes_only: bool,
+        for_ms: u64,
+    },
+    /// The store refuses a node's transactions and answers its reads.
+    WritesRefused { node: usize, for_ms: u64 },
+    /// The store's answers to a node are late.
+    StoreSlow {
+        node: usize,
+        delay_ms: u64,
+        for_ms: u64,
+    },
     /// A worker is cut off from a node, or from all.
     Cut {
         node: Option<usize>,
@@ -168,119 +216,18 @@
     pub faults: Vec<Fault>,
 }
 
-fn duration_ms<R>(rng: &mut R) -> u64
-where
-    R: Rng,
-{
-    DURATIONS_MS[rng.random_range(0..DURATIONS_MS.len())]
-}
-
-fn cut<R>(rng: &mut R) -> Cut
-where
-    R: Rng,
-{
-    [Cut::Silent, Cut::OneWay, Cut::Refused][rng.random_range(0..3)]
-}
-
-fn message<R>(rng: &mut R) -> Message
-where
-    R: Rng,
-{
-    const ALL: [Message; 9] = [
-        Message::Start,
-        Message::Stop,
-        Message::Poll,
-        Message::Answer,
-        Message::List,
-        Message::Command,
-        Message::CommandAnswer,
-        Message::Commit,
-        Message::CommitAnswer,
-    ];
-    ALL[rng.random_range(0..ALL.len())]
-}
-
 impl Kind {
-    /// Draws a fault that affects a VM, if it affects any.
-    fn draw<R>(rng: &mut R, nodes: usize, vm: usize) -> Self
-    where
-        R: Rng,
-    {
-        let node = rng.random_range(0..nodes);
-        let for_ms = duration_ms(rng);
-        match rng.random_range(0..15) {
-            0 => Self::Freeze {
-                node,
-                for_ms,
-                first: [First::Answers, First::Timers, First::Feeds][rng.random_range(0..3)],
-            },
-            1 if nodes > 1 => Self::Restart { node, for_ms },
-            2 => Self::Cut {
-                node: rng.random::<bool>().then_some(node),
-                vm,
-                how: cut(rng),
-                for_ms,
-            },
-            3 | 4 => Self::Isolate {
-                vm,
-                how: cut(rng),
-                for_ms,
-            },
-            5 => Self::StoreAway { node, for_ms },
-            6 | 7 => Self::Crash {
-                vm,
-                silent: rng.random(),
-                for_ms,
-                same_id: rng.random(),
-            },
-            8 => Self::Drain {
-                vm,
-                extra_ms: for_ms,
-            },
-            9 => Self::Unlist { vm },
-            10 => Self::CloudAway {
-                executes: rng.random(),
-                for_ms,
-            },
-            11 => Self::CloudSlow {
-                delay_ms: rng.random_range(1..15) * 100,
-                for_ms,
-            },
-            12 => Self::Wave { vm },
-            13 => Self::Move { vm },
-            _ if rng.random() => Self::HoldUp {
-                message: message(rng),
-                vm,
-                for_ms,
-            },
-            _ => Self::Lose {
-                message: message(rng),
-                vm,
-            },
-        }
-    }
-
-    /// Draws a fault of the first leader that lasts long enough for a successor.
-    fn draw_of_leader<R>(rng: &mut R) -> Self
-    where
-        R: Rng,
-    {
-        let for_ms = [2_500, 3_500, 4_500, 5_500][rng.random_range(0..4)];
-        if rng.random_bool(0.3) {
-            return Self::StoreAway { node: 0, for_ms };
-        }
-        Self::Freeze {
-            node: 0,
-            for_ms,
-            first: [First::Answers, First::Timers, First::Feeds][rng.random_range(0..3)],
-        }
-    }
-
     /// Returns the fault's name, as in its JSON form; a restart under the same id is `same-id`.
     pub fn name(&self) -> &'static str {
         match self {
             Self::Freeze { .. } => "freeze",
             Self::Restart { .. } => "restart",
+            Self::Stop { .. } => "stop",
+            Self::StepDown { .. } => "step-down",
+            Self::Split { .. } => "split",
+            Self::Partition { .. } => "partition",
+            Self::WritesRefused { .. } => "writes-refused",
+            Self::StoreSlow { .. } => "store-slow",
             Self::Cut { .. } => "cut",
             Self::Isolate { .. } => "isolate",
             Self::StoreAway { .. } => "store-away",
@@ -297,6 +244,25 @@
         }
     }
 
+    /// Returns the highest number of a node that the fault affects.
+    fn last_node(&self) -> usize {
+        match self {
+            Self::Freeze { node, .. }
+            | Self::Restart { node, .. }
+            | Self::Stop { node, .. }
+            | Self::StepDown { node }
+            | Self::StoreAway { node, .. }
+            | Self::WritesRefused { node, .. }
+            | Self::StoreSlow { node, .. }
+            | Self::Cut {
+                node: Some(node), ..
+            } => *node,
+            Self::Split { node, other, .. } => *node.max(other),
+            Self::Partition { nodes, .. } => nodes.iter().copied().max().unwrap_or(0),
+            _ => 0,
+        }
+    }
+
     /// Returns shorter or simpler forms.
     fn simpler(&self) -> Vec<Self> {
         let mut simpler = Vec::new();
@@ -304,6 +270,11 @@
             let mut kind = self.clone();
             let (Self::Freeze { for_ms, .. }
             | Self::Restart { for_ms, .. }
+            | Self::Stop { for_ms, .. }
+            | Self::Split { for_ms, .. }
+            | Self::Partition { for_ms, .. }
+            | Self::WritesRefused { for_ms, .. }
+            | Self::StoreSlow { for_ms, .. }
             | Self::Cut { for_ms, .. }
             | Self::Isolate { for_ms, .. }
             | Self::StoreAway { for_ms, .. }
@@ -328,63 +299,6 @@
 }
 
 impl History {
-    /// Draws a history with one to six faults, none of them named in `without`.
-    pub fn draw<R>(rng: &mut R, nodes: usize, without: &[String]) -> Self
-    where
-        R: Rng,
-    {
-        let mut at_ms = rng.random_range(2..60) * GRID_MS;
-        // Many short tasks are started all the time; few long ones run long enough to be seen twice.
-        let (jobs, every_ms, tasks, task_ms) = [
-            (1, 0, 1, 9_000),
-            (1, 0, 8, 9_000),
-            (1, 0, 30, 700),
-            (30, 300, 1, 700),
-            (20, 400, 2, 1_500),
-            (12, 500, 2, 5_000),
-        ][rng.random_range(0..6)];
-        let setup = Setup {
-            nodes,
-            vms: rng.random_range(2..=3),
-            latency_ms: [1, 20][rng.random_range(0..2)],
-            cores: [2, 8][rng.random_range(0..2)],
-            jobs,
-            every_ms,
-            tasks,
-            task_ms,
-            submit_ms: (at_ms + rng.random_range(0..60) * GRID_MS).saturating_sub(1_000),
-            slow_clocks: rng.random(),
-            unfenced: without.iter().any(|name| name == "fences"),
-        };
-        let mut vm = rng.random_range(0..setup.vms);
-        let mut faults = Vec::new();
-        if nodes > 1 && rng.random_bool(0.7) {
-            // Only a leader in trouble has a successor; others matter while both act.
-            let kind = Kind::draw_of_leader(rng);
-            if !without.iter().any(|name| name == kind.name()) {
-                faults.push(Fault { at_ms, kind });
-            }
-            at_ms += rng.random_range(0..40) * GRID_MS;
-        }
-        for _ in 0..rng.random_range(1..=6) {
-            // Faults of the same worker, shortly after each other, interact most.
-            if rng.random_bool(0.3) {
-                vm = rng.random_range(0..setup.vms);
-            }
-            let kind = Kind::draw(rng, nodes, vm);
-            if !without.iter().any(|name| name == kind.name()) {
-                faults.push(Fault { at_ms, kind });
-            }
-            let pause_ms = match rng.random_range(0..3) {
-                0 => rng.random_range(0..10) * GRID_MS,
-                1 => rng.random_range(0..40) * GRID_MS,
-                _ => rng.random_range(0..100) * GRID_MS,
-            };
-            at_ms = (at_ms + pause_ms).min(FAULT_LAST_MS);
-        }
-        Self { setup, faults }
-    }
-
     /// Returns histories that are a step shorter or simpler, the largest steps first.
     pub fn simpler(&self) -> Vec<Self> {
         let mut simpler = Vec::new();
@@ -398,6 +312,22 @@
                 nodes: 1,
                 ..self.setup.clone()
             },
+            Setup {
+                nodes: (self.setup.nodes - 1).max(1),
+                ..self.setup.clone()
+            },
+            Setup {
+                joins_ms: 0,
+                ..self.setup.clone()
+            },
+            Setup {
+                weak_nodes: 0,
+                ..self.setup.clone()
+            },
+            Setup {
+                run_ms: RUN_MS,
+                ..self.setup.clone()
+            },
             Setup {
                 latency_ms: 1,
                 ..self.setup.clone()
@@ -420,15 +350,8 @@
             },
         ];
         for setup in setups {
-            let uses_others = self.faults.iter().any(|fault| match fault.kind {
-                Kind::Freeze { node, .. }
-                | Kind::Restart { node, .. }
-                | Kind::StoreAway { node, .. }
-                | Kind::Cut {
-                    node: Some(node), ..
-                } => node >= setup.nodes,
-                _ => false,
-            });
+            let last = self.faults.iter().map(|fault| fault.kind.last_node()).max();
+            let uses_others = last.is_some_and(|last| last >= setup.nodes);
             if setup != self.setup && !uses_others {
                 simpler.push(Self {
                     setup,
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -53,9 +53,18 @@
     RowRead {
         evidence: shell::Evidence,
         sent_at_ms: u64,
+        reaches_store: bool,
     },
+    /// The duty is claimed, after the delay of a weak node.
+    Claim { may_act: bool },
+    /// The row is read after a claim without a response.
+    ResolveClaim { may_act: bool, epoch: u64 },
     /// The rows of a takeover are read.
-    Lead { may_act: bool, epoch: u64 },
+    Lead {
+        may_act: bool,
+        epoch: u64,
+        proven_at: Instant,
+    },
 }
 
 /// A call in progress.
@@ -90,6 +99,11 @@
         may_act: bool,
         epoch: u64,
     },
+    /// The last commit of a leader that stops leading, which then releases the duty.
+    LastCommit {
+        epoch: u64,
+    },
+    Release,
 }
 
 #[derive(Debug)]
@@ -142,18 +156,29 @@
     pub first: First,
     /// The node doesn't reach the platform until this time, in milliseconds.
     pub store_away_until_ms: u64,
+    /// Since when it doesn't reach the platform, in milliseconds.
+    pub store_away_from_ms: u64,
+    /// The store refuses the node's transactions until this time, in milliseconds.
+    pub writes_refused_until_ms: u64,
+    /// Delay of the store's answers, and until when, in milliseconds.
+    pub store_slow: (u64, u64),
+    /// When the process starts again, in milliseconds, if it stops once the duty is released.
+    pub(super) stops_until_ms: Option<u64>,
     pub(super) down_until_ms: u64,
     pub(super) connected: BTreeSet<(usize, bool)>,
     pub(super) calls: BTreeMap<u64, (Option<usize>, Call)>,
     pub(super) next_call: u64,
     pub(super) turns: u64,
     pub(super) term: Option<Term>,
-    pub(super) claims: bool,
+    /// Epoch that the node claims, or leads without a term: it reads its rows, or releases the duty.
+    pub(super) claims: Option<u64>,
     pub(super) follower: shell::Follower,
     pub(super) refusals: u32,
     pub(super) unresponsive_ms: Option<u64>,
     /// Version, holder and epoch of the duty's row as it was read last.
     pub(super) known: (u64, Option<usize>, u64),
+    /// CPU that the row names, in thousandths of a core.
+    pub(super) expected_cpu_milli: Option<u64>,
     /// The newest response of a leader after which the node went on following it: the leader's epoch, and when it was sent.
     pub(super) confirms: Option<(u64, Instant)>,
 }
@@ -167,17 +192,22 @@
             frozen_for_ms: 0,
             first: First::default(),
             store_away_until_ms: 0,
+            store_away_from_ms: 0,
+            writes_refused_until_ms: 0,
+            store_slow: (0, 0),
+            stops_until_ms: None,
             down_until_ms: 0,
             connected: BTreeSet::new(),
             calls: BTreeMap::new(),
             next_call: 0,
             turns: 0,
             term: None,
-            claims: false,
+            claims: None,
             follower: shell::Follower::default(),
             refusals: 0,
             unresponsive_ms: None,
             known: (0, None, 0),
+            expected_cpu_milli: None,
             confirms: None,
         }
     }
@@ -261,8 +291,12 @@
 
     /// Begins a node's process; the first node claims the duty at once.
     pub fn begin_node(&mut self, node: usize) {
-        if node == 0 && self.now_ms == 0 {
+        let setup = &self.history.setup;
+        let joins_ms = setup.joins_ms;
+        if node == 0 {
             self.claim(node, false);
+        } else if node + 1 == setup.nodes && joins_ms > 0 {
+            self.restart_node(node, joins_ms);
         } else {
             self.push_timer(node, self.now_ms + HEARTBEAT_MS, Timer::Follow);
         }
@@ -276,6 +310,9 @@
             incarnation: before.incarnation + 1,
             next_call: before.next_call,
             store_away_until_ms: before.store_away_until_ms,
+            store_away_from_ms: before.store_away_from_ms,
+            writes_refused_until_ms: before.writes_refused_until_ms,
+            store_slow: before.store_slow,
             down_until_ms: until_ms,
             ..Node::new()
         };
@@ -285,24 +322,15 @@
 
     /// Cuts a node off from the platform.
     pub fn cut_store(&mut self, node: usize, until_ms: u64) {
+        if self.nodes[node].store_away_until_ms <= self.now_ms {
+            self.nodes[node].store_away_from_ms = self.now_ms;
+        }
         self.nodes[node].store_away_until_ms = until_ms;
         if let Some(term) = &mut self.nodes[node].term {
             term.registry.on_outage_end(Instant::from_ms(until_ms));
         }
     }
 
-    pub(super) fn end_term(&mut self, node: usize, reason: &str) {
-        let epoch = self.nodes[node].epoch();
-        self.note(|| format!("n{node} stops leading epoch={epoch}: {reason}"));
-        let state = &mut self.nodes[node];
-        state.term = None;
-        state.calls.clear();
-        state.connected.clear();
-        state.incarnation += 1;
-        state.follower = shell::Follower::default();
-        self.push_timer(node, self.now_ms + HEARTBEAT_MS, Timer::Follow);
-    }
-
     /// Handles a node's timer.
     pub fn timer(&mut self, node: usize, timer: Timer) {
         match timer {
@@ -340,8 +368,15 @@
             Timer::RowRead {
                 evidence,
                 sent_at_ms,
-            } => self.row_read(node, evidence, sent_at_ms),
-            Timer::Lead { may_act, epoch } => self.lead(node, may_act, epoch),
+                reaches_store,
+            } => self.row_read(node, evidence, sent_at_ms, reaches_store),
+            Timer::Claim { may_act } => self.claim(node, may_act),
+            Timer::ResolveClaim { may_act, epoch } => self.resolve_claim(node, may_act, epoch),
+            Timer::Lead {
+                may_act,
+                epoch,
+                proven_at,
+            } => self.lead(node, may_act, epoch, proven_at),
         }
     }
 
@@ -466,16 +501,9 @@
                     self.commit(node);
                 }
             }
-            Call::Claim { may_act, epoch } => {
-                if let Answer::Committed(version) = answer {
-                    self.nodes[node].known = (version, Some(node), epoch);
-                    let timer = Timer::Lead { may_act, epoch };
-                    self.push_timer(node, now.as_ms() + TAKEOVER_READ_MS, timer);
-                } else {
-                    self.nodes[node].claims = false;
-                    self.push_timer(node, now.as_ms() + HEARTBEAT_MS, Timer::Follow);
-                }
-            }
+            Call::Claim { may_act, epoch } => self.claim_answered(node, may_act, epoch, &answer),
+            Call::LastCommit { epoch } => self.last_commit_answered(node, epoch, &answer),
+            Call::Release => self.released(node),
         }
     }
 }
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -30,6 +30,10 @@
     pub token: u64,
     /// The rows.
     pub batch: record::WriteBatch,
+    /// CPU of the node, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Whether the duty is released.
+    pub releases: bool,
 }
 
 /// The rows of the store.
@@ -41,6 +45,8 @@
     pub holder: Option<usize>,
     /// Epoch of the duty.
     pub epoch: u64,
+    /// CPU of the node that leads, or led last, in thousandths of a core.
+    pub cpu_milli: u64,
     token: u64,
     /// Accepted jobs.
     pub accepted: Vec<(JobId, record::Accepted)>,
@@ -99,8 +105,9 @@
         }
         self.version += 1;
         self.token = transaction.token;
-        self.holder = Some(transaction.node);
+        self.holder = Some(transaction.node).filter(|_| !transaction.releases);
         self.epoch = transaction.epoch;
+        self.cpu_milli = transaction.cpu_milli;
         let batch = &transaction.batch;
         self.progress.extend(batch.progress.iter().cloned());
         self.workers.extend(batch.workers_added.iter().cloned());
@@ -130,8 +137,20 @@
         (self.now_ms + latency_ms).max(away_until_ms + LATENCY_MS)
     }
 
+    /// Returns by how much the store's answers to a node are late, in milliseconds.
+    pub fn store_delay_ms(&self, node: usize) -> u64 {
+        let (delay_ms, until_ms) = self.nodes[node].store_slow;
+        if self.now_ms < until_ms { delay_ms } else { 0 }
+    }
+
     /// Sends a transaction.
     pub fn transact(&mut self, node: usize, call: u64, transaction: Transaction) {
+        if self.now_ms < self.nodes[node].writes_refused_until_ms {
+            let answer = Answer::Failed { refused: true };
+            let event = Event::ToNode { node, call, answer };
+            self.push(self.now_ms + 2 * LATENCY_MS, event);
+            return;
+        }
         let at_ms = self.platform_ms(node, LATENCY_MS);
         let event = Event::ToStore {
             node,
@@ -144,7 +163,8 @@
     /// Carries out a transaction.
     pub fn at_store(&mut self, node: usize, call: u64, transaction: Transaction) {
         let answer = self.store.apply(&transaction);
-        let at_ms = self.platform_ms(node, TRANSACTION_MS);
+        let latency_ms = TRANSACTION_MS + self.store_delay_ms(node);
+        let at_ms = self.platform_ms(node, latency_ms);
         let event = Event::ToNode { node, call, answer };
         self.deliver(Message::CommitAnswer, ANY_VM, at_ms - self.now_ms, event);
     }
--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -25,6 +25,10 @@
 const ENTRIES_BACK_MS: u64 = 2_500;
 /// If the duty's row is unchanged for this long, the leader counts as dead, in milliseconds.
 const UNCHANGED_LIMIT_MS: u64 = 800;
+/// The same limit while the store is slow, in milliseconds.
+const UNCHANGED_LIMIT_SLOW_MS: u64 = 4_000;
+/// Response time above which the store counts as slow, in milliseconds.
+const SLOW_RESPONSE_MS: u64 = 120;
 
 /// Polls of one worker.
 #[derive(Clone, Debug)]
@@ -413,11 +417,17 @@
     pub fn check_row(
         &mut self,
         version: u64,
+        is_vacant: bool,
         evidence: Evidence,
         is_known: bool,
         sent_at: Instant,
         now: Instant,
     ) -> Step {
+        if is_vacant {
+            return Step::Claim {
+                previous_leader_may_act: false,
+            };
+        }
         if evidence != Evidence::None && is_known {
             return Step::Claim {
                 previous_leader_may_act: evidence != Evidence::NotLeading,
@@ -428,7 +438,12 @@
             self.since = now;
             return Step::Recheck;
         }
-        if sent_at.since_ms(self.since) >= UNCHANGED_LIMIT_MS {
+        let unchanged_ms = if now.since_ms(sent_at) > SLOW_RESPONSE_MS {
+            UNCHANGED_LIMIT_SLOW_MS
+        } else {
+            UNCHANGED_LIMIT_MS
+        };
+        if sent_at.since_ms(self.since) >= unchanged_ms {
             return Step::Claim {
                 previous_leader_may_act: true,
             };
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -8,7 +8,7 @@
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::search::node::{RENEW_INTERVAL_MS, TAKEOVER_READ_MS, Term, Timer};
+use crate::search::node::{RENEW_INTERVAL_MS, Term, Timer};
 use crate::search::runner;
 use crate::search::shell;
 use crate::search::world::{POOL, World};
@@ -64,7 +64,7 @@
         }
     }
 
-    pub(super) fn lead(&mut self, node: usize, may_act: bool, epoch: u64) {
+    pub(super) fn lead(&mut self, node: usize, may_act: bool, epoch: u64, proven_at: Instant) {
         let now = self.now();
         self.note(|| format!("n{node} leads epoch={epoch}"));
         let store = &self.store;
@@ -95,7 +95,6 @@
         for listing in self.listings() {
             scheduler.worker_listed(listing, now);
         }
-        let claimed_at = Instant::from_ms(now.as_ms().saturating_sub(TAKEOVER_READ_MS));
         let term = Term {
             epoch,
             scheduler,
@@ -104,14 +103,14 @@
             fleet: shell::Fleet::recover(&self.store.commands, now),
             version: self.nodes[node].known.0,
             in_flight: None,
-            committed_ms: claimed_at.as_ms(),
+            committed_ms: proven_at.as_ms(),
             next_commit_ms: 0,
             planned_ms: 0,
             plan_scheduled: false,
             registry: shell::Registry::default(),
-            authority: authority::Authority::new(claimed_at, now),
+            authority: authority::Authority::new(proven_at, now),
         };
-        self.nodes[node].claims = false;
+        self.nodes[node].claims = None;
         self.nodes[node].term = Some(term);
         self.limit_leases(node);
         self.push_timer(node, now.as_ms(), Timer::Tick);
--- a/measure/src/search/world.rs
+++ b/measure/src/search/world.rs
@@ -19,8 +19,6 @@
 pub const LATENCY_MS: u64 = 1;
 /// Time on the clocks of the first workers when a history begins, in milliseconds.
 const FIRST_CLOCK_MS: u64 = 50_000;
-/// Length of a run, in milliseconds.
-const RUN_MS: u64 = 17_000;
 
 /// The pool whose workers run the job.
 pub const POOL: &str = "counter";
@@ -184,6 +182,15 @@
     pub(super) hold_up_ms: Option<u64>,
 }
 
+/// A cut between two nodes.
+#[derive(Clone, Debug)]
+pub(super) struct Split {
+    pub(super) node: usize,
+    pub(super) other: usize,
+    pub(super) how: Cut,
+    pub(super) until_ms: u64,
+}
+
 /// What the network does with a message.
 pub(super) enum Delivery {
     At(u64),
@@ -214,6 +221,7 @@
     pub(super) entries: BTreeMap<id::Worker, Entry>,
     pub(super) cuts: Vec<ActiveCut>,
     pub(super) fates: Vec<Fate>,
+    pub(super) splits: Vec<Split>,
     pub(super) lives: u64,
     /// The checks.
     pub checks: check::Checks,
@@ -238,6 +246,7 @@
             entries: BTreeMap::new(),
             cuts: Vec::new(),
             fates: Vec::new(),
+            splits: Vec::new(),
             lives: 0,
             checks: check::Checks::default(),
             trace: traced.then(Vec::new),
@@ -307,6 +316,10 @@
         for cut in cuts {
             write!(writer, "{cut:?}")?;
         }
+        let splits = self.splits.iter().filter(|cut| now_ms < cut.until_ms);
+        for cut in splits {
+            write!(writer, "{cut:?}")?;
+        }
         write!(writer, "{:?}{:?}{:?}", self.vms, self.nodes, self.store)?;
         write!(writer, "{:?}{:?}{:?}", self.cloud, self.waves, self.wanted)?;
         write!(
@@ -318,7 +331,7 @@
 
     /// Runs to the end, or to the first violation.
     pub fn run(&mut self) {
-        while self.checks.violations.is_empty() && self.step_until(RUN_MS) {}
+        while self.checks.violations.is_empty() && self.step_until(self.history.setup.run_ms) {}
     }
 
     /// Handles the next event before `until_ms`; returns whether there was one.
