--- a/measure/src/search/faults.rs
+++ b/measure/src/search/faults.rs
@@ -163,7 +163,13 @@
             }
             for vm in 0..self.vms.len() {
                 if vms.contains(&vm) != is_inside {
-                    self.cut(Some(node), vm, Cut::Silent, for_ms, !is_inside && !writes_only);
+                    self.cut(
+                        Some(node),
+                        vm,
+                        Cut::Silent,
+                        for_ms,
+                        !is_inside && !writes_only,
+                    );
                 }
             }
             for other in (0..node).filter(|other| nodes.contains(other) != is_inside) {
--- a/measure/tests/test_search.rs
+++ b/measure/tests/test_search.rs
@@ -113,6 +113,145 @@
     assert_sound(2, 1_100, &faults);
 }
 
+/// Returns the violations of a history with these changes to a deployment of three nodes and one job.
+fn violations_of_several(
+    setup: &serde_json::Value,
+    faults: &serde_json::Value,
+) -> serde_json::Value {
+    let mut whole = serde_json::json!({
+        "nodes": 3, "vms": 2, "latency_ms": 1, "cores": 8, "jobs": 1, "every_ms": 0, "tasks": 1,
+        "task_ms": 9_000, "submit_ms": 1_990, "slow_clocks": false,
+    });
+    for (name, value) in setup.as_object().into_iter().flatten() {
+        whole[name] = value.clone();
+    }
+    let history = serde_json::json!({"setup": whole, "faults": faults});
+    let mut result = measure(&["search", "--replay", &history.to_string()]);
+    result["violations"].take()
+}
+
+/// Guards against a leader without the store that renews leases by the confirmations of its followers, while a node that it
+/// never heard takes over.
+#[test]
+fn a_node_that_its_predecessor_never_heard_starts_nothing_beside_it() {
+    let setup = serde_json::json!({"joins_ms": 3_000});
+    let faults = serde_json::json!([
+        {
+            "at_ms": 1_000, "what": "partition", "nodes": [0, 1], "vms": [0], "writes_only": false,
+            "for_ms": 9_000,
+        },
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against the same while a node takes over that the leader has forgotten, as it was silent for over a minute.
+#[test]
+fn a_node_that_its_predecessor_forgot_starts_nothing_beside_it() {
+    let setup = serde_json::json!({
+        "vms": 3, "cores": 2, "tasks": 30, "task_ms": 700, "submit_ms": 65_900, "run_ms": 82_000,
+    });
+    let faults = serde_json::json!([
+        {
+            "at_ms": 1_650, "what": "split", "node": 2, "other": 0, "how": "silent",
+            "for_ms": 82_000,
+        },
+        {
+            "at_ms": 66_650, "what": "partition", "nodes": [0, 1], "vms": [1],
+            "writes_only": false, "for_ms": 5_500,
+        },
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against a leader that takes new jobs up at once, since the duty was released, while the leader before the last one
+/// takes them up as well.
+#[test]
+fn a_released_duty_does_not_mean_that_no_earlier_leader_acts() {
+    let setup = serde_json::json!({
+        "joins_ms": 2_800, "jobs": 7, "every_ms": 500, "task_ms": 5_000, "submit_ms": 3_000,
+    });
+    let faults = serde_json::json!([
+        {
+            "at_ms": 2_800, "what": "partition", "nodes": [0], "vms": [1], "writes_only": true,
+            "for_ms": 3_500,
+        },
+        {"at_ms": 4_950, "what": "step-down", "node": 2},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against the same where the duty's row names an earlier process of the node that takes over.
+#[test]
+fn a_restarted_leader_does_not_forget_its_predecessor() {
+    let setup = serde_json::json!({
+        "jobs": 4, "every_ms": 500, "task_ms": 5_000, "submit_ms": 2_900,
+    });
+    let faults = serde_json::json!([
+        {
+            "at_ms": 2_000, "what": "partition", "nodes": [0, 1], "vms": [0], "writes_only": true,
+            "for_ms": 2_500,
+        },
+        {"at_ms": 3_800, "what": "restart", "node": 2, "for_ms": 150},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against a replaced leader that starts a task again whose end its successor has taken note of, as it learns only that
+/// the worker ended.
+#[test]
+fn a_replaced_leader_starts_no_task_again_that_its_successor_saw_done() {
+    let setup = serde_json::json!({
+        "nodes": 2, "cores": 2, "task_ms": 1_500, "submit_ms": 1_400,
+    });
+    let faults = serde_json::json!([
+        {
+            "at_ms": 2_200, "what": "partition", "nodes": [0], "vms": [1], "writes_only": true,
+            "for_ms": 2_500,
+        },
+        {"at_ms": 3_800, "what": "crash", "vm": 0, "silent": true, "for_ms": 150, "same_id": true},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against the same where the successor has started the task elsewhere, as the worker ended.
+#[test]
+fn a_replaced_leader_starts_no_task_again_that_its_successor_started() {
+    let setup = serde_json::json!({"nodes": 2, "submit_ms": 750});
+    let faults = serde_json::json!([
+        {
+            "at_ms": 900, "what": "partition", "nodes": [0], "vms": [0], "writes_only": false,
+            "for_ms": 3_500,
+        },
+        {"at_ms": 2_550, "what": "crash", "vm": 0, "silent": true, "for_ms": 150, "same_id": true},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against leases that count from the answer to a claim, which another node can have replaced before it arrived.
+#[test]
+fn leases_count_from_when_the_claim_was_sent() {
+    let setup = serde_json::json!({
+        "tasks": 4, "task_ms": 14_000, "submit_ms": 500, "slow_clocks": true,
+    });
+    let faults = serde_json::json!([
+        {"at_ms": 300, "what": "split", "node": 2, "other": 0, "how": "silent", "for_ms": 15_000},
+        {"at_ms": 300, "what": "split", "node": 2, "other": 1, "how": "silent", "for_ms": 15_000},
+        {"at_ms": 300, "what": "cut", "node": 2, "vm": 0, "how": "silent", "for_ms": 15_000},
+        {"at_ms": 300, "what": "cut", "node": 1, "vm": 1, "how": "silent", "for_ms": 15_000},
+        {"at_ms": 1_100, "what": "restart", "node": 0, "for_ms": 15_000},
+        {"at_ms": 1_120, "what": "hold-up", "message": "commit-answer", "vm": 0, "for_ms": 1_480},
+        {"at_ms": 2_728, "what": "store-away", "node": 1, "for_ms": 15_000},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
 /// Guards against new ways of breaking a rule with one leader, beside the listed histories.
 #[test]
 fn faults_but_restarts_under_the_same_id_break_nothing() {
