tests: a leader without the store and a node that it never heard

The stand-ins couldn't play what the record shows: a worker that one node reaches and another doesn't, and nodes that don't reach each other.

The stand-in store now has a server for each node, which replaces the addresses of workers and other nodes by proxies of that node's own, and turns them back when the node writes. A scenario cuts and joins single paths; a node that is down refuses connections at its proxies as well. Connections that were silenced stay silent when another fault begins.

The four scripted tests play a leader that the store and all other workers are cut off from.

--- /dev/null
+++ b/node/tests/test_lost_store.rs
@@ -0,0 +1,183 @@
+//! Scripted faults in which a leader loses the store and runs on, while another node leads: no task may run twice at a time.
+
+use std::path::Path as FilePath;
+
+use rustix::process::Signal;
+use wasabiloft_standins::proxy::Cut;
+use wasabiloft_standins::soak::Options;
+use wasabiloft_standins::soak::scenario::Scenario;
+use wasabiloft_standins::soak::world::Path;
+
+const JOB: &str = "00000000000000d1";
+/// Spec of tasks that outlast the faults.
+const SPEC: &str = "work_ms=30000 cpu=700";
+const TASKS: u32 = 4;
+/// Time after which a leader relies on its followers' confirmations, in milliseconds.
+const FOLLOWERS_KNOWN_MS: u64 = 3_000;
+/// For how long a leader stands still, in milliseconds; shorter than the leases last.
+const STANDS_STILL_MS: u64 = 1_000;
+/// Time within which a node that starts follows the duty, in milliseconds.
+const START_MS: u64 = 2_000;
+/// Time after a takeover within which the effects of the faults show, in milliseconds.
+const SETTLE_MS: u64 = 15_000;
+
+/// Starts nodes and four machines, two of them in the first queue's pool.
+async fn start(nodes: usize) -> Scenario {
+    let daemon = FilePath::new(env!("CARGO_BIN_EXE_wasabiloftd")).to_owned();
+    let options = Options {
+        nodes,
+        machines: 4,
+        wave: false,
+        ..Options::new(daemon, 1)
+    };
+    Scenario::start(&options).await.expect("a scenario")
+}
+
+/// Starts a job, and returns the worker that runs its tasks.
+async fn start_tasks(scenario: &Scenario) -> usize {
+    scenario.submit(JOB, TASKS, SPEC).await.expect("a job");
+    let checker = &scenario.world.checker;
+    scenario
+        .until("the tasks run", async || {
+            checker.running(JOB) == TASKS as usize
+        })
+        .await
+        .expect("running tasks");
+    let (worker, running) = scenario.busiest_worker();
+    assert_eq!(running, TASKS as usize, "all tasks fit on one worker");
+    worker
+}
+
+/// Returns the paths of a node to all workers but one.
+fn paths_to_other_workers(scenario: &Scenario, node: usize, worker: usize) -> Vec<Path> {
+    let workers = 0..scenario.world.workers.len();
+    let others = workers.filter(|other| *other != worker);
+    others.map(|other| Path::Worker(node, other)).collect()
+}
+
+/// Asserts that no task ran twice; keeps the daemons' logs otherwise.
+fn assert_never_twice(scenario: &Scenario) {
+    let violations = scenario.world.violations();
+    assert!(
+        violations.is_empty(),
+        "logs in {}: {violations:#?}",
+        scenario.world.keep_logs().display()
+    );
+}
+
+/// A leader, its follower, a node that the leader has never heard, and a worker that only the leader reaches.
+struct Unheard {
+    scenario: Scenario,
+    leader: usize,
+    epoch: u64,
+    follower: usize,
+    unheard: usize,
+    worker: usize,
+}
+
+impl Unheard {
+    /// Starts a job's tasks under a leader whose term began without the last node, which then starts and reaches neither
+    /// the other nodes nor the tasks' worker.
+    async fn start() -> Self {
+        let scenario = start(3).await;
+        let unheard = 2;
+        let stopped = scenario.stop(unheard, Signal::KILL).await;
+        stopped.expect("a node that exits");
+        let (leader, epoch) = scenario.leader_after(0).await.expect("a leader");
+        assert_ne!(leader, unheard);
+        let worker = start_tasks(&scenario).await;
+        scenario.pause(FOLLOWERS_KNOWN_MS).await;
+        let follower = 1 - leader;
+        let started = Self {
+            scenario,
+            leader,
+            epoch,
+            follower,
+            unheard,
+            worker,
+        };
+        started.start_cut_off(unheard).await;
+        started
+    }
+
+    /// Starts a node again that reaches neither the other nodes nor the tasks' worker.
+    async fn start_cut_off(&self, node: usize) {
+        let others = (0..3).filter(|other| *other != node);
+        let mut paths: Vec<Path> = others.map(|other| Path::Node(node, other)).collect();
+        paths.push(Path::Worker(node, self.worker));
+        self.scenario.cut(&paths, Cut::BlackHole);
+        let restarted = self.scenario.world.node(node).restart();
+        restarted.expect("a node that starts");
+        self.scenario.pause(START_MS).await;
+        assert!(self.scenario.world.leader() == Some((self.leader, self.epoch)));
+    }
+
+    /// Cuts the leader off from the store and from all workers but the tasks'.
+    fn cut_leader(&self) {
+        let mut paths = paths_to_other_workers(&self.scenario, self.leader, self.worker);
+        paths.push(Path::Store(self.leader));
+        self.scenario.cut(&paths, Cut::BlackHole);
+    }
+
+    /// Cuts the follower off from the store, so that it goes on following the leader.
+    fn cut_follower(&self) {
+        let path = Path::Store(self.follower);
+        self.scenario.cut(&[path], Cut::BlackHole);
+    }
+
+    /// Waits until another node leads, and until the effects show; returns that node.
+    async fn settle(&self) -> usize {
+        let successor = self.scenario.leader_after(self.epoch).await;
+        let (successor, _) = successor.expect("a successor");
+        self.scenario.pause(SETTLE_MS).await;
+        assert_never_twice(&self.scenario);
+        successor
+    }
+}
+
+/// Guards against a leader without the store that renews leases as long as the followers that it knows confirm it, while a
+/// node that it has never heard leads and takes its worker for lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_without_the_store_renews_no_lease_once_a_node_that_it_never_heard_may_lead() {
+    let started = Unheard::start().await;
+    started.cut_leader();
+    started.cut_follower();
+    assert_eq!(started.settle().await, started.unheard);
+}
+
+/// Guards against the same while the leader's follower reaches the store, so that either node may lead next.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_without_the_store_is_followed_no_longer_than_its_successor_waits() {
+    let started = Unheard::start().await;
+    started.cut_leader();
+    started.settle().await;
+}
+
+/// Guards against the same by a leader that stood still in between, and wakes before its successor's wait is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_stood_still_without_the_store_renews_no_lease_after_an_unheard_node_leads() {
+    let started = Unheard::start().await;
+    started.cut_leader();
+    started.cut_follower();
+    let world = &started.scenario.world;
+    world.node(started.leader).signal(Signal::STOP);
+    started.scenario.pause(STANDS_STILL_MS).await;
+    world.node(started.leader).signal(Signal::CONT);
+    assert_eq!(started.settle().await, started.unheard);
+}
+
+/// Guards against the same by a node that the leader has heard, which stops, starts again at once, and reaches the leader
+/// no more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_without_the_store_counts_on_a_node_that_stopped_and_started_again() {
+    let started = Unheard::start().await;
+    let reached: Vec<Path> = (0..3).map(|other| Path::Node(2, other)).collect();
+    started.scenario.join(&reached);
+    started.scenario.pause(FOLLOWERS_KNOWN_MS).await;
+    let stopped = started.scenario.stop(started.unheard, Signal::TERM).await;
+    stopped.expect("a node that exits");
+    started.start_cut_off(started.unheard).await;
+    started.cut_leader();
+    started.cut_follower();
+    assert_eq!(started.settle().await, started.unheard);
+}
--- a/standins/src/hosted/process.rs
+++ b/standins/src/hosted/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -34,11 +34,15 @@
     pub address: SocketAddr,
     /// Address of the readiness probe.
     pub ready: SocketAddr,
+    /// Address at which other nodes reach it.
+    pub peers: SocketAddr,
     /// Address that serves the metrics.
     pub metrics: SocketAddr,
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Whether other nodes couldn't reach it at the last check.
+    was_down: bool,
 }
 
 impl Drop for Node {
@@ -129,7 +133,9 @@
             process: spawn(daemon, &settings, &log)?,
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, front)),
             ready: SocketAddr::from((Ipv4Addr::LOCALHOST, ready)),
+            peers: SocketAddr::from((Ipv4Addr::LOCALHOST, first)),
             metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, first + 1)),
+            was_down: true,
             daemon: daemon.to_owned(),
             settings,
             log,
@@ -165,6 +171,14 @@
         matches!(self.process.try_wait(), Ok(Some(_)))
     }
 
+    /// Returns whether other nodes get their connections refused: the process has exited, or doesn't listen yet.
+    pub fn is_down(&mut self) -> bool {
+        // A process that listens does so until it exits.
+        self.was_down =
+            self.has_exited() || self.was_down && TcpStream::connect(self.peers).is_err();
+        self.was_down
+    }
+
     /// Returns the contents of the daemon's log file.
     ///
     /// # Errors
--- a/standins/src/hosted/store.rs
+++ b/standins/src/hosted/store/mod.rs
@@ -1,15 +1,14 @@
 //! The row store: conditional transactions, range reads and a change feed. Injected faults make it unavailable or slow,
 //! lose responses, apply writes late, or discard its change history.
 
+mod server;
+pub mod view;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use axum::extract::{Query, State};
-use axum::http::StatusCode;
-use axum::response::{IntoResponse, Response};
-use axum::{Json, Router, routing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -17,10 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
-use super::{Listening, listen, lock};
-
-/// Delay of a late write, in milliseconds; longer than any caller waits for the response.
-const LATE_WRITE_DELAY_MS: u64 = 1_600;
+use crate::hosted::{Listening, listen, lock};
 
 /// A partition refuses transactions if more than this is waiting.
 const WAITING_MAX: Duration = Duration::from_secs(1);
@@ -151,38 +147,6 @@
     }
 }
 
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct Page {
-    rows: Vec<Box<RawValue>>,
-    more_pages: bool,
-    record_version: u64,
-    now_ms: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Range {
-    table: String,
-    part: String,
-    #[serde(default)]
-    from: String,
-    #[serde(default = "rows_max")]
-    limit: usize,
-}
-
-fn rows_max() -> usize {
-    500
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Feed {
-    table: String,
-    after: u64,
-    wait_ms: u64,
-}
-
 impl Store {
     /// Starts an empty store.
     ///
@@ -190,13 +154,20 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start() -> std::io::Result<Listening<Self>> {
-        let state = Arc::new(Self::default());
-        let router = Router::new()
-            .route("/rows-tx", routing::post(transact))
-            .route("/rows-get", routing::get(range))
-            .route("/rows-feed", routing::get(feed))
-            .with_state(Arc::clone(&state));
-        listen(state, router).await
+        Self::listen(&Arc::default(), Arc::default()).await
+    }
+
+    /// Serves a store at another address, to a caller that sees other addresses in the rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn listen(
+        store: &Arc<Self>,
+        view: Arc<view::View>,
+    ) -> std::io::Result<Listening<Self>> {
+        let router = server::router(Arc::clone(store), view);
+        listen(Arc::clone(store), router).await
     }
 
     /// Writes a row without conditions, as an operator or a worker does; `value` is in base64.
@@ -368,7 +339,8 @@
         Ok(record_version)
     }
 
-    fn changes(&self, table: &str, after: u64) -> Page {
+    /// Returns the rows of a table that changed after a version, in order, and the newest version.
+    fn changes(&self, table: &str, after: u64) -> (Vec<Row>, u64) {
         let rows = lock(&self.rows);
         let mut changed: Vec<Row> = rows
             .rows
@@ -377,122 +349,6 @@
             .cloned()
             .collect();
         changed.sort_by_key(|row| row.record_version);
-        Page {
-            rows: changed.into_iter().map(Row::wire).collect(),
-            more_pages: false,
-            record_version: rows.version,
-            now_ms: self.now_ms(),
-        }
-    }
-}
-
-/// Decrements a fault counter; returns whether the fault applies.
-fn consume_fault(remaining: &AtomicU32) -> bool {
-    let decrement = |remaining: u32| remaining.checked_sub(1);
-    remaining
-        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement)
-        .is_ok()
-}
-
-async fn transact(
-    State(store): State<Arc<Store>>,
-    Json(transaction): Json<Transaction>,
-) -> Response {
-    if !transaction.is_within_limits() {
-        return StatusCode::BAD_REQUEST.into_response();
-    }
-    let mut rows = transaction
-        .expect_rev
-        .iter()
-        .chain(&transaction.writes)
-        .chain(&transaction.remove);
-    if store.refuses(rows.next().map(|row| row.part.as_str())) {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
-    if let Some(row) = transaction.writes.first() {
-        *lock(&store.transactions)
-            .entry(row.table.clone())
-            .or_default() += 1;
-        if !store.wait_for_partition(&row.part).await {
-            return StatusCode::TOO_MANY_REQUESTS.into_response();
-        }
-    }
-    store.delay_response().await;
-    if consume_fault(&store.late_writes) {
-        // Applied in a separate task, as the caller gives up first and its disconnect must not cancel the write.
-        tokio::spawn(async move {
-            time::sleep(Duration::from_millis(LATE_WRITE_DELAY_MS)).await;
-            // No caller waits for the result.
-            let _ = store.apply(transaction);
-        });
-        time::sleep(Duration::from_secs(60)).await;
-        return StatusCode::GATEWAY_TIMEOUT.into_response();
-    }
-    let outcome = store.apply(transaction);
-    if consume_fault(&store.lost_responses) {
-        // Longer than any caller waits for a response.
-        time::sleep(Duration::from_secs(60)).await;
-    }
-    let (status, rows, record_version) = match outcome {
-        Ok(version) => (StatusCode::OK, Vec::new(), version),
-        Err(rows) => (StatusCode::PRECONDITION_FAILED, rows, 0),
-    };
-    let page = Page {
-        rows: rows.into_iter().map(Row::wire).collect(),
-        more_pages: false,
-        record_version,
-        now_ms: store.now_ms(),
-    };
-    (status, Json(page)).into_response()
-}
-
-async fn range(State(store): State<Arc<Store>>, Query(range): Query<Range>) -> Response {
-    if store.refuses(Some(&range.part)) {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
-    store.delay_response().await;
-    let rows = lock(&store.rows);
-    let found: Vec<Row> = rows
-        .rows
-        .values()
-        .filter(|row| {
-            row.table == range.table
-                && row.part == range.part
-                && row.key >= range.from
-                && !row.deleted
-        })
-        .cloned()
-        .collect();
-    let more_pages = found.len() > range.limit;
-    Json(Page {
-        rows: found.into_iter().take(range.limit).map(Row::wire).collect(),
-        more_pages,
-        record_version: rows.version,
-        now_ms: store.now_ms(),
-    })
-    .into_response()
-}
-
-async fn feed(State(store): State<Arc<Store>>, Query(feed): Query<Feed>) -> Response {
-    let wait = Duration::from_millis(feed.wait_ms);
-    let until = time::Instant::now() + wait;
-    if store.refuses(None) {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
-    }
-    loop {
-        let changed = store.changed.notified();
-        if store.unavailable.load(Ordering::Relaxed) {
-            return StatusCode::SERVICE_UNAVAILABLE.into_response();
-        }
-        if feed.after < store.compacted_version.load(Ordering::Relaxed) {
-            return StatusCode::GONE.into_response();
-        }
-        let page = store.changes(&feed.table, feed.after);
-        let expired = time::Instant::now() >= until;
-        if !page.rows.is_empty() || expired {
-            return Json(page).into_response();
-        }
-        // The next iteration checks for both a change and the end of the wait.
-        let _ = time::timeout_at(until, changed).await;
+        (changed, rows.version)
     }
 }
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -35,10 +35,51 @@
     pub cut: bool,
     /// Resets open connections and refuses new ones, as a host on which nothing listens.
     pub refuse: bool,
+    /// The target isn't there: its connections are reset and new ones refused. [`Proxy::set`] leaves this as it is.
+    pub target_down: bool,
     /// Number of response bytes after which a connection is closed; absent for no limit.
     pub cut_after_bytes: Option<u64>,
 }
 
+impl Fault {
+    /// Returns whether connections are reset and refused.
+    fn refuses(&self) -> bool {
+        self.refuse || self.target_down
+    }
+}
+
+/// How the network between two processes fails.
+#[derive(Clone, Copy, Debug)]
+pub enum Cut {
+    /// New connections are refused and open ones reset.
+    Refuses,
+    /// No bytes pass.
+    BlackHole,
+    /// Requests pass, and responses don't.
+    OneWay,
+}
+
+impl Cut {
+    /// Returns the fault of a proxy between the two.
+    pub fn fault(self) -> Fault {
+        let none = Fault::default();
+        match self {
+            Self::Refuses => Fault {
+                refuse: true,
+                ..none
+            },
+            Self::BlackHole => Fault {
+                black_hole: true,
+                ..none
+            },
+            Self::OneWay => Fault {
+                one_way: true,
+                ..none
+            },
+        }
+    }
+}
+
 /// A running TCP proxy.
 #[derive(Debug)]
 pub struct Proxy {
@@ -70,9 +111,23 @@
         self.address
     }
 
-    /// Replaces the injected fault.
+    /// Replaces the injected fault. Connections that were silenced stay so.
     pub fn set(&self, fault: Fault) {
-        self.fault.send_replace(fault);
+        self.fault.send_modify(|current| {
+            let silenced = current.silence_generation;
+            *current = Fault {
+                target_down: current.target_down,
+                silence_generation: silenced.max(fault.silence_generation),
+                ..fault
+            };
+        });
+    }
+
+    /// Sets whether the target is down, so that callers find its port as it is without the proxy.
+    pub fn set_target_down(&self, target_down: bool) {
+        self.fault.send_if_modified(|fault| {
+            std::mem::replace(&mut fault.target_down, target_down) != target_down
+        });
     }
 
     /// Blocks all open connections permanently.
@@ -89,6 +144,51 @@
     }
 }
 
+/// Proxies of several callers to one target.
+#[derive(Debug)]
+pub struct Group {
+    proxies: Vec<Proxy>,
+}
+
+impl Group {
+    /// Starts a proxy to `target` for each of `count` callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start(target: SocketAddr, count: usize) -> io::Result<Self> {
+        let mut proxies = Vec::new();
+        for _ in 0..count {
+            proxies.push(Proxy::start(target).await?);
+        }
+        Ok(Self { proxies })
+    }
+
+    /// Returns the proxy of a caller.
+    pub fn of(&self, caller: usize) -> &Proxy {
+        &self.proxies[caller]
+    }
+
+    /// Returns the proxies of all callers.
+    pub fn all(&self) -> &[Proxy] {
+        &self.proxies
+    }
+
+    /// Sets whether the target is down.
+    pub fn set_target_down(&self, target_down: bool) {
+        for proxy in &self.proxies {
+            proxy.set_target_down(target_down);
+        }
+    }
+
+    /// Replaces the faults injected for all callers.
+    pub fn set(&self, fault: Fault) {
+        for proxy in &self.proxies {
+            proxy.set(fault);
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
     let mut connections = JoinSet::new();
     let Ok(address) = listener.local_addr() else {
@@ -104,7 +204,7 @@
                 }
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
-            () = wait_until(&mut fault, |fault| fault.refuse) => {
+            () = wait_until(&mut fault, Fault::refuses) => {
                 drop(listener);
                 match listen_after_refusals(address, &mut fault).await {
                     Ok(again) => listener = again,
@@ -132,13 +232,13 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    wait_until(fault, |fault| !fault.refuse).await;
+    wait_until(fault, |fault| !fault.refuses()).await;
     socket.listen(BACKLOG)
 }
 
 async fn forward(caller: TcpStream, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
     let initial_fault = *fault.borrow_and_update();
-    if initial_fault.cut || initial_fault.refuse {
+    if initial_fault.cut || initial_fault.refuses() {
         return;
     }
     if initial_fault.partition {
@@ -169,7 +269,7 @@
     };
     let is_reset = tokio::select! {
         () = async { tokio::join!(requests.pump(), responses.pump()); } => false,
-        () = wait_until(&mut fault, |fault| fault.cut || fault.refuse) => fault.borrow().refuse,
+        () = wait_until(&mut fault, |fault| fault.cut || fault.refuses()) => fault.borrow().refuses(),
     };
     if is_reset {
         // Without lingering, the close sends a reset. If that can't be set, the close still ends the connection.
--- a/standins/src/soak/faults/kind.rs
+++ b/standins/src/soak/faults/kind.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::hosted::machines;
-use crate::proxy;
+use crate::proxy::Cut;
 use crate::soak::world::HEARTBEAT_MS;
 
 /// Delay added to the responses of a slow store, in milliseconds.
@@ -64,38 +64,6 @@
     LeaderPaused(PausedLeader),
 }
 
-/// How a worker's network fails.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Cut {
-    /// New connections are refused and open ones reset.
-    Refuses,
-    /// No bytes pass.
-    BlackHole,
-    /// Requests pass, and responses don't.
-    OneWay,
-}
-
-impl Cut {
-    /// Returns the proxy's fault.
-    pub(super) fn fault(self) -> proxy::Fault {
-        let none = proxy::Fault::default();
-        match self {
-            Self::Refuses => proxy::Fault {
-                refuse: true,
-                ..none
-            },
-            Self::BlackHole => proxy::Fault {
-                black_hole: true,
-                ..none
-            },
-            Self::OneWay => proxy::Fault {
-                one_way: true,
-                ..none
-            },
-        }
-    }
-}
-
 /// The planned stop of a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Leave {
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -4,6 +4,7 @@
 mod workers;
 
 use std::ops::Range;
+use std::slice;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use tokio::time;
 
 use self::kind::Kind;
-use crate::proxy::{self, Fault};
+use crate::proxy::{self, Cut, Fault};
 use crate::soak::world::World;
 use crate::soak::{self, Options};
 
@@ -130,14 +131,24 @@
                 cut: true,
                 ..Fault::default()
             };
-            inject_at_proxy(&world.store_proxies[node], cut, duration_ms).await;
+            inject_at(
+                slice::from_ref(&world.store_proxies[node]),
+                cut,
+                duration_ms,
+            )
+            .await;
         }
         Kind::WayOneWay(node) => {
             let one_way = Fault {
                 one_way: true,
                 ..Fault::default()
             };
-            inject_at_proxy(&world.store_proxies[node], one_way, duration_ms).await;
+            inject_at(
+                slice::from_ref(&world.store_proxies[node]),
+                one_way,
+                duration_ms,
+            )
+            .await;
         }
         Kind::WaySilent(node) => world.store_proxies[node].silence_open(),
         Kind::WorkerCut(worker) => {
@@ -145,21 +156,21 @@
                 black_hole: true,
                 ..Fault::default()
             };
-            inject_at_proxy(&world.workers[worker].proxy, black_hole, duration_ms).await;
+            inject_at(world.workers[worker].proxy.all(), black_hole, duration_ms).await;
         }
         Kind::WorkerOneWay(worker) => {
             let one_way = Fault {
                 one_way: true,
                 ..Fault::default()
             };
-            inject_at_proxy(&world.workers[worker].proxy, one_way, duration_ms).await;
+            inject_at(world.workers[worker].proxy.all(), one_way, duration_ms).await;
         }
         Kind::WorkerDelayed(worker, delay_ms) => {
             let delayed = Fault {
                 delay_ms,
                 ..Fault::default()
             };
-            inject_at_proxy(&world.workers[worker].proxy, delayed, duration_ms).await;
+            inject_at(world.workers[worker].proxy.all(), delayed, duration_ms).await;
         }
         Kind::WorkerCrash(worker) => {
             let worker = &world.workers[worker].worker.state;
@@ -180,7 +191,7 @@
             world.configure(&[]);
         }
         Kind::WorkerSevered(worker, cut) => {
-            inject_at_proxy(&world.workers[worker].proxy, cut.fault(), duration_ms).await;
+            inject_at(world.workers[worker].proxy.all(), cut.fault(), duration_ms).await;
         }
         Kind::WorkerExpires(worker, cut, silent_ms) => {
             workers::expire(&world, worker, cut, silent_ms, duration_ms).await;
@@ -199,8 +210,8 @@
             world.machines.state.set_fault(None);
         }
         Kind::MachinesRefused => {
-            let refuse = kind::Cut::Refuses.fault();
-            inject_at_proxy(&world.machines_proxy, refuse, duration_ms).await;
+            let refuse = Cut::Refuses.fault();
+            inject_at(slice::from_ref(&world.machines_proxy), refuse, duration_ms).await;
         }
         Kind::Wave(first) => world.request_next_wave(first),
         Kind::LeaderPaused(paused) => pause_leader(&world, paused, duration_ms).await,
@@ -248,7 +259,7 @@
     };
     let reached = world.workers.iter().enumerate();
     let reached = reached.filter(|(number, _)| !cut.contains(number));
-    let mut slow: Vec<&proxy::Proxy> = reached.map(|(_, worker)| &worker.proxy).collect();
+    let mut slow: Vec<&proxy::Proxy> = reached.map(|(_, worker)| worker.proxy.of(leader)).collect();
     slow.push(&world.store_proxies[leader]);
     world.node(leader).signal(Signal::STOP);
     sleep(FROZEN_TO_CUT_MS).await;
@@ -285,11 +296,13 @@
     } else {
         duration_ms * 3 / 2
     };
-    let [first, second] = paused.workers.map(|worker| &world.workers[worker].proxy);
+    let [first, second] = paused
+        .workers
+        .map(|worker| world.workers[worker].proxy.all());
     let fault = paused.cut.fault();
     tokio::join!(
-        inject_at_proxy(first, fault, cut_ms),
-        inject_at_proxy(second, fault, cut_ms),
+        inject_at(first, fault, cut_ms),
+        inject_at(second, fault, cut_ms),
         async {
             sleep(duration_ms).await;
             world.node(leader).signal(Signal::CONT);
@@ -297,12 +310,16 @@
     );
 }
 
-async fn inject_at_proxy(proxy: &proxy::Proxy, fault: Fault, duration_ms: u64) {
-    proxy.set(fault);
+async fn inject_at(proxies: &[proxy::Proxy], fault: Fault, duration_ms: u64) {
+    for proxy in proxies {
+        proxy.set(fault);
+    }
     sleep(duration_ms).await;
-    proxy.set(Fault::default());
-    // Bytes lost during the fault leave the open connections unusable.
-    proxy.silence_open();
+    for proxy in proxies {
+        proxy.set(Fault::default());
+        // Bytes lost during the fault leave the open connections unusable.
+        proxy.silence_open();
+    }
 }
 
 fn restart(world: &World, number: usize) {
--- a/standins/src/soak/faults/workers.rs
+++ b/standins/src/soak/faults/workers.rs
@@ -1,7 +1,8 @@
 //! Faults of workers that take several steps: expired entries, planned stops and restarts.
 
-use crate::soak::faults::kind::{Cut, Leave};
-use crate::soak::faults::{inject_at_proxy, sleep};
+use crate::proxy::Cut;
+use crate::soak::faults::kind::Leave;
+use crate::soak::faults::{inject_at, sleep};
 use crate::soak::world::{HEARTBEAT_MS, Registration, World};
 
 /// Time for which a worker serves after it announced its stop, in milliseconds; the platform's value.
@@ -30,7 +31,7 @@
     let worker = first_busy(world, worker);
     world.cut_from_store(worker, silent_ms);
     let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
-    inject_at_proxy(&world.workers[worker].proxy, cut.fault(), cut_ms).await;
+    inject_at(world.workers[worker].proxy.all(), cut.fault(), cut_ms).await;
     world.join_to_store(worker);
 }
 
@@ -64,7 +65,7 @@
             world.cut_from_store(worker, leave.silent_ms);
             if is_same() {
                 let cut_ms = 3 * HEARTBEAT_MS + duration_ms;
-                inject_at_proxy(&proxied.proxy, cut.fault(), cut_ms).await;
+                inject_at(proxied.proxy.all(), cut.fault(), cut_ms).await;
             }
         }
         None => sleep(DRAIN_MS + duration_ms / 2).await,
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod faults;
 pub mod scenario;
+pub mod worker;
 pub mod world;
 
 use std::path::PathBuf;
--- a/standins/src/soak/scenario.rs
+++ b/standins/src/soak/scenario.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use http::Method;
+use rustix::process::Signal;
 use tokio::task::JoinHandle;
 use tokio::time;
 
 use crate::client::Client;
 use crate::hosted::checker::Submission;
-use crate::soak::world::{QUEUES, World};
+use crate::proxy::{Cut, Fault};
+use crate::soak::world::{Path, QUEUES, World};
 use crate::soak::{Options, callers, faults};
 
 /// Timeout of a condition, in milliseconds.
@@ -84,6 +86,66 @@
         Ok(())
     }
 
+    /// Submits a job of one step to the first queue at a node, and returns whether the node accepts it.
+    pub async fn submit_to(&self, node: usize, id: &str, tasks: u32, spec: &str) -> bool {
+        let world = &self.world;
+        world.checker.submission_started(id, spec, &[tasks]);
+        let path = format!("{}{id}", QUEUES[0].0);
+        let response = callers::send_request(
+            world,
+            &self.client,
+            world.addresses[node],
+            Method::POST,
+            &path,
+            callers::body(spec, &[tasks], false),
+            None,
+        );
+        let is_accepted = matches!(response.await, Some((200, _)));
+        if is_accepted {
+            world.checker.submission_ended(id, Submission::Accepted);
+        }
+        is_accepted
+    }
+
+    /// Cuts paths until [`Scenario::join`].
+    pub fn cut(&self, paths: &[Path], cut: Cut) {
+        for path in paths {
+            self.world.path(*path).set(cut.fault());
+        }
+    }
+
+    /// Ends the cuts of paths; what was open during them stays silent.
+    pub fn join(&self, paths: &[Path]) {
+        for path in paths {
+            let proxy = self.world.path(*path);
+            proxy.set(Fault::default());
+            proxy.silence_open();
+        }
+    }
+
+    /// Stops a node with a signal, and waits until its process has exited.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it doesn't exit in time.
+    pub async fn stop(&self, node: usize, signal: Signal) -> io::Result<()> {
+        self.world.node(node).signal(signal);
+        let has_exited = async || self.world.node(node).has_exited();
+        self.until("the node exits", has_exited).await
+    }
+
+    /// Waits until a node leads the duty with a higher epoch than the given one, and returns its number and epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if none does in time.
+    pub async fn leader_after(&self, epoch: u64) -> io::Result<(usize, u64)> {
+        let newest = || self.world.leader().filter(|(_, newest)| *newest > epoch);
+        self.until("a node leads", async || newest().is_some())
+            .await?;
+        newest().ok_or_else(|| io::Error::other("no node leads"))
+    }
+
     /// Freezes the leader, cuts workers off, wakes the leader with slow ways to all others, and ends the cut.
     pub async fn freeze_leader(&self, leader: usize, cut: &[usize], delay_ms: u64) {
         faults::freeze_leader(&self.world, leader, cut, delay_ms).await;
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -1,6 +1,6 @@
 //! The environment of a soak: the stand-in platform, its workers behind proxies, and the daemons.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,10 +22,12 @@
 use crate::hosted::machines::Machines;
 use crate::hosted::process::{Node, Platform};
 use crate::hosted::store::Store;
+use crate::hosted::store::view::View;
 use crate::hosted::worker::{Settings, Worker};
-use crate::proxy::{Fault, Proxy};
+use crate::proxy::{Fault, Group, Proxy};
 use crate::soak::Options;
 use crate::soak::accounts::{self, Accounts};
+pub use crate::soak::worker::{HEARTBEAT_MS, ProxiedWorker, Registration};
 
 /// Host name of the queues.
 pub const HOST: &str = "counter.example";
@@ -35,8 +37,8 @@
 const SPARE: &str = "rest";
 /// Interval at which the workers' entries in the store are updated, in milliseconds.
 const ENTRY_INTERVAL_MS: u64 = 300;
-/// Interval at which a worker writes its entry, in milliseconds. The entry is removed after three intervals without.
-pub const HEARTBEAT_MS: u64 = 1_000;
+/// Interval at which the proxies of nodes are told which of them are down, in milliseconds.
+const NODE_CHECK_INTERVAL_MS: u64 = 10;
 /// CPU of a machine, in thousandths of a core.
 const CPU_MILLI: u64 = 4_000;
 /// Bandwidth that the nodes' settings state, in kbit/s, in a soak with an odd seed: no relays are needed.
@@ -48,48 +50,15 @@
 /// Limit of machines of the wave in maintenance at the same time.
 const WAVE_MAX_CONCURRENT: usize = 2;
 
-/// A worker and the proxy through which daemons reach it.
-pub struct ProxiedWorker {
-    /// The worker, listening on its own address.
-    pub worker: Listening<Worker>,
-    /// The proxy in front of it, whose address the worker's entry names.
-    pub proxy: Proxy,
-    /// Name of its machine.
-    pub machine: String,
-    /// What the registry shows of it.
-    entry: Mutex<Entry>,
-}
-
-/// What a worker writes to the registry.
-#[derive(Debug, Default)]
-struct Entry {
-    /// The last change, with the id of the worker to which it applies; later workers of the machine are ready.
-    registration: Option<(String, Registration)>,
-    /// Since when the worker doesn't reach the store.
-    unreachable_since: Option<time::Instant>,
-}
-
-/// What the registry shows of a worker whose machine is up.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Registration {
-    /// It takes work.
-    #[default]
-    Ready,
-    /// It announced its stop.
-    Draining,
-    /// Its entry was removed.
-    Removed,
-}
-
-impl Registration {
-    /// Returns the state in the worker's entry; `None` without an entry.
-    fn state(self) -> Option<&'static str> {
-        match self {
-            Self::Ready => Some("ready"),
-            Self::Draining => Some("draining"),
-            Self::Removed => None,
-        }
-    }
+/// A path of a node through the network.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// From a node to the store.
+    Store(usize),
+    /// From a node to a worker.
+    Worker(usize, usize),
+    /// From a node to another one that leads the duty.
+    Node(usize, usize),
 }
 
 /// The processes and stand-ins of a soak.
@@ -100,6 +69,8 @@
     pub store: Listening<Store>,
     /// The proxy between each node and the store, by node number.
     pub store_proxies: Vec<Proxy>,
+    /// The proxies between the other nodes and each node, by the number of the latter.
+    pub node_proxies: Vec<Group>,
     /// The machine API.
     pub machines: Listening<Machines>,
     /// The proxy in front of the machine API.
@@ -121,6 +92,10 @@
     /// Numbers of the requested waves.
     waves: Mutex<Vec<u64>>,
     folder: Mutex<TempDir>,
+    /// What each node sees of the store, where proxies of its own stand for the workers and the other nodes.
+    pub views: Vec<Arc<View>>,
+    /// The store's server for each node.
+    servers: Vec<Listening<Store>>,
 }
 
 impl World {
@@ -150,22 +125,19 @@
             let worker = Worker::start_as(settings, id, Arc::clone(&checker)).await?;
             worker.state.off.store(off, Ordering::Relaxed);
             machines.state.add(&name, pool, Arc::clone(&worker.state));
-            let proxy = Proxy::start(worker.address).await?;
+            let proxy = Group::start(worker.address, options.nodes).await?;
             if number % 2 == 0 {
                 wave.push(name.clone());
             }
-            workers.push(ProxiedWorker {
-                worker,
-                proxy,
-                machine: name,
-                entry: Mutex::default(),
-            });
+            workers.push(ProxiedWorker::new(worker, proxy, name));
         }
-        let mut store_proxies = Vec::new();
-        let mut nodes = Vec::new();
+        let mut nodes: Vec<Node> = Vec::new();
         let mut world = Self {
             checker,
             store_proxies: Vec::new(),
+            node_proxies: Vec::new(),
+            views: Vec::new(),
+            servers: Vec::new(),
             machines,
             machines_proxy,
             workers,
@@ -189,10 +161,22 @@
         }
         world.configure(&[]);
         world.write_entries();
+        for caller in 0..options.nodes {
+            let view = Arc::new(View::default());
+            for proxied in &world.workers {
+                let proxy = proxied.proxy.of(caller);
+                view.substitute(proxied.worker.address, proxy.address());
+            }
+            let server = Store::listen(&world.store.state, Arc::clone(&view)).await?;
+            world
+                .store_proxies
+                .push(Proxy::start(server.address).await?);
+            world.servers.push(server);
+            world.views.push(view);
+        }
         for number in 0..options.nodes {
-            let store_proxy = Proxy::start(world.store.address).await?;
             let platform = Platform {
-                store: store_proxy.address(),
+                store: world.store_proxies[number].address(),
                 machines: Some(world.machines_proxy.address()),
                 link_kbit_per_s: if options.seed.is_multiple_of(2) {
                     LINK_THIN_KBIT_PER_S
@@ -202,12 +186,18 @@
                 job_status_ms: options.job_status_ms,
             };
             let folder = world.folder().to_owned();
-            nodes.push(Node::start(&options.daemon, &folder, number, platform)?);
-            store_proxies.push(store_proxy);
+            let node = Node::start(&options.daemon, &folder, number, platform)?;
+            // A node claims the duty later than its address is known to the others.
+            let proxies = Group::start(node.peers, options.nodes).await?;
+            let callers = world.views.iter().enumerate();
+            for (caller, view) in callers.filter(|(caller, _)| *caller != number) {
+                view.substitute(node.peers, proxies.of(caller).address());
+            }
+            world.node_proxies.push(proxies);
+            nodes.push(node);
         }
         world.addresses = nodes.iter().map(|node| node.address).collect();
         world.nodes = nodes.into_iter().map(Mutex::new).collect();
-        world.store_proxies = store_proxies;
         if options.wave {
             world.request_wave(FIRST_WAVE, &wave);
         }
@@ -232,6 +222,15 @@
         node.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the proxy on a path.
+    pub fn path(&self, path: Path) -> &Proxy {
+        match path {
+            Path::Store(node) => &self.store_proxies[node],
+            Path::Worker(node, worker) => self.workers[worker].proxy.of(node),
+            Path::Node(from, to) => self.node_proxies[to].of(from),
+        }
+    }
+
     /// Writes a new version of the configuration, with extra queues of the first service.
     pub fn configure(&self, extra: &[&str]) {
         let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
@@ -319,39 +318,44 @@
         self.store.state.put(table, key, &STANDARD.encode(value));
     }
 
-    /// Updates the machines and the workers' entries periodically, until the task is aborted.
+    /// Updates the machines, the workers' entries and the proxies of nodes that are down, until the task is aborted.
     pub async fn run_updates(self: Arc<Self>) {
+        let mut entries = time::interval(Duration::from_millis(ENTRY_INTERVAL_MS));
+        let mut nodes = time::interval(Duration::from_millis(NODE_CHECK_INTERVAL_MS));
         loop {
-            self.write_entries();
-            time::sleep(Duration::from_millis(ENTRY_INTERVAL_MS)).await;
+            tokio::select! {
+                _ = entries.tick() => self.write_entries(),
+                _ = nodes.tick() => {
+                    for (number, proxies) in self.node_proxies.iter().enumerate() {
+                        proxies.set_target_down(self.node(number).is_down());
+                    }
+                }
+            }
         }
     }
 
     /// Changes what the registry shows of the worker that now runs on a machine, at once.
     pub fn register(&self, worker: usize, registration: Registration) {
-        let proxied = &self.workers[worker];
-        let (id, _) = proxied.worker.state.incarnation();
-        let mut entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
-        entry.registration = id.map(|id| (id, registration));
-        drop(entry);
+        self.workers[worker].register(registration);
         self.write_entries();
     }
 
     /// Cuts a worker off from the store, so that its entry expires; it last wrote its entry `silent_ms` ago.
     pub fn cut_from_store(&self, worker: usize, silent_ms: u64) {
         let since = time::Instant::now() - Duration::from_millis(silent_ms);
-        self.set_unreachable_since(worker, Some(since));
+        self.workers[worker].set_unreachable_since(Some(since));
     }
 
     /// Ends the cut of [`World::cut_from_store`].
     pub fn join_to_store(&self, worker: usize) {
-        self.set_unreachable_since(worker, None);
+        self.workers[worker].set_unreachable_since(None);
     }
 
-    fn set_unreachable_since(&self, worker: usize, since: Option<time::Instant>) {
-        let entry = &self.workers[worker].entry;
-        let mut entry = entry.lock().unwrap_or_else(PoisonError::into_inner);
-        entry.unreachable_since = since;
+    /// Returns how many heartbeats a worker has written; workers write at different times.
+    fn heartbeats(&self, worker: usize) -> u64 {
+        let elapsed_ms = self.started_at.elapsed().as_millis() as u64;
+        let phase_ms = worker as u64 * 137 % HEARTBEAT_MS;
+        (elapsed_ms + phase_ms) / HEARTBEAT_MS
     }
 
     /// Writes the entries that have changed, and removes those of workers that are gone.
@@ -362,7 +366,12 @@
             let mut workers = self.workers.iter();
             let position = workers.position(|proxied| Arc::ptr_eq(&proxied.worker.state, &worker));
             if let Some(position) = position
-                && let Some(entry) = self.entry(position, &pool, &id, entries.get(&id))
+                && let Some(entry) = self.workers[position].entry(
+                    &pool,
+                    &id,
+                    self.heartbeats(position),
+                    entries.get(&id),
+                )
             {
                 present.insert(id, entry);
             }
@@ -378,40 +387,6 @@
         *entries = present;
     }
 
-    /// Returns a worker's entry; `None` if it has none.
-    fn entry(
-        &self,
-        number: usize,
-        pool: &str,
-        id: &str,
-        written: Option<&String>,
-    ) -> Option<String> {
-        let proxied = &self.workers[number];
-        let worker = &proxied.worker.state;
-        let entry = proxied.entry.lock().unwrap_or_else(PoisonError::into_inner);
-        let registration = match &entry.registration {
-            Some((changed, registration)) if changed == id => *registration,
-            _ => Registration::Ready,
-        };
-        let state = registration.state()?;
-        if let Some(since) = entry.unreachable_since {
-            let is_expired = since.elapsed() >= Duration::from_millis(3 * HEARTBEAT_MS);
-            return written.filter(|_| !is_expired).cloned();
-        }
-        let (_, born) = worker.incarnation();
-        let elapsed_ms = self.started_at.elapsed().as_millis();
-        // Workers write at different times.
-        let phase_ms = number as u128 * 137 % u128::from(HEARTBEAT_MS);
-        let seq = (elapsed_ms + phase_ms) / u128::from(HEARTBEAT_MS);
-        let entry = json!({
-            "service": pool, "address": proxied.proxy.address(), "zone": "andes", "version": "v1",
-            "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq as u64, "born": born, "clockMs": 1,
-            "capacity": {"cpu": worker.cpu_milli(), "memMb": 16_000, "gpu": 0},
-            "labels": ["a", "r1"],
-        });
-        Some(entry.to_string())
-    }
-
     /// Returns the node that took the duty over last and its epoch, by the daemons' logs.
     pub fn leader(&self) -> Option<(usize, u64)> {
         self.terms()
@@ -452,10 +427,14 @@
         store.lost_responses.store(0, Ordering::Relaxed);
         store.late_writes.store(0, Ordering::Relaxed);
         store.delay_ms.store(0, Ordering::Relaxed);
+        for view in &self.views {
+            view.refuse_parts(BTreeSet::new());
+        }
         for proxy in self
             .store_proxies
             .iter()
-            .chain(self.workers.iter().map(|proxied| &proxied.proxy))
+            .chain(self.workers.iter().flat_map(|proxied| proxied.proxy.all()))
+            .chain(self.node_proxies.iter().flat_map(Group::all))
             .chain([&self.machines_proxy])
         {
             proxy.set(Fault::default());
