standins: a proxy binds its port again after a child process has released it

A proxy that refuses connections closes its listener and binds the port again. A process started at that moment holds a copy of the listener until it executes its program, the bind fails, and the proxy refused for good; nodes then took the duty over from each other 57 times in 18 s (seen once, two worlds starting at the same time). The bind is repeated for half a second.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -17,6 +17,11 @@
 /// Number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Attempts to bind a port again whose listener was closed: a child process holds the listener until it executes its program.
+const BIND_ATTEMPTS: u32 = 100;
+/// Pause between two such attempts, in milliseconds.
+const BIND_PAUSE_MS: u64 = 5;
+
 /// Fault that the proxy injects into connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Fault {
@@ -225,6 +230,20 @@
     fault: &mut watch::Receiver<Fault>,
 ) -> io::Result<TcpListener> {
     // A bound socket that doesn't listen keeps the port, and the system refuses connections to it.
+    let mut attempts = 0;
+    let socket = loop {
+        match bind(address) {
+            Ok(socket) => break socket,
+            Err(error) if attempts >= BIND_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+        time::sleep(Duration::from_millis(BIND_PAUSE_MS)).await;
+    };
+    wait_until(fault, |fault| !fault.refuses()).await;
+    socket.listen(BACKLOG)
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -232,8 +251,7 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    wait_until(fault, |fault| !fault.refuses()).await;
-    socket.listen(BACKLOG)
+    Ok(socket)
 }
 
 async fn forward(caller: TcpStream, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
