tests: a third leader starts a new job beside the leader before the last one

A leader that finds the duty released, or its last holder's process running without the duty, starts jobs at once that were stored after its beginning: no earlier leader can act, by the row's last holder. The leader before that one can, if the store refuses only its commits and it reaches a worker that the others don't.

The stand-in store refuses partitions to single nodes for this.

--- a/node/tests/test_lost_store.rs
+++ b/node/tests/test_lost_store.rs
@@ -1,8 +1,10 @@
 //! Scripted faults in which a leader loses the store and runs on, while another node leads: no task may run twice at a time.
 
+use std::collections::BTreeSet;
 use std::path::Path as FilePath;
 
 use rustix::process::Signal;
+use wasabiloft::batch::record;
 use wasabiloft_standins::proxy::Cut;
 use wasabiloft_standins::soak::Options;
 use wasabiloft_standins::soak::scenario::Scenario;
@@ -11,6 +13,7 @@
 const JOB: &str = "00000000000000d1";
 /// Spec of tasks that outlast the faults.
 const SPEC: &str = "work_ms=30000 cpu=700";
+const SECOND_JOB: &str = "00000000000000d2";
 const TASKS: u32 = 4;
 /// Time after which a leader relies on its followers' confirmations, in milliseconds.
 const FOLLOWERS_KNOWN_MS: u64 = 3_000;
@@ -181,3 +184,56 @@
     started.cut_follower();
     assert_eq!(started.settle().await, started.unheard);
 }
+
+/// Starts a leader with a job's tasks on a worker, and two followers; then the store refuses the leader's commits, the
+/// followers don't reach it, and it alone reaches the worker. Returns the leader with its epoch.
+async fn start_refused(scenario: &Scenario) -> (usize, u64) {
+    let (leader, epoch) = scenario.leader_after(0).await.expect("a leader");
+    let worker = start_tasks(scenario).await;
+    scenario.pause(FOLLOWERS_KNOWN_MS).await;
+    let mut paths = paths_to_other_workers(scenario, leader, worker);
+    for follower in (0..3).filter(|node| *node != leader) {
+        paths.push(Path::Node(follower, leader));
+        paths.push(Path::Worker(follower, worker));
+    }
+    scenario.cut(&paths, Cut::BlackHole);
+    let parts = BTreeSet::from([record::SCHEDULER_PARTITION.to_owned()]);
+    scenario.world.views[leader].refuse_parts(parts);
+    (leader, epoch)
+}
+
+/// Submits a job to a node that the store answers, and checks what the three leaders do with it.
+async fn submit_second_job(scenario: &Scenario, node: usize) {
+    let is_accepted = scenario.submit_to(node, SECOND_JOB, 1, SPEC).await;
+    assert!(is_accepted);
+    scenario.pause(SETTLE_MS).await;
+    assert_never_twice(scenario);
+    let runs = scenario.world.checker.running(SECOND_JOB);
+    assert_eq!(runs, 1, "logs in {}", scenario.world.keep_logs().display());
+}
+
+/// Guards against a leader that finds the duty released, and starts a new job at once, while the leader before the last one
+/// still starts jobs that it reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_after_a_released_duty_waits_for_the_leader_before_the_last() {
+    let scenario = start(3).await;
+    let (_, first) = start_refused(&scenario).await;
+    let (second, epoch) = scenario.leader_after(first).await.expect("a successor");
+    scenario.world.node(second).signal(Signal::TERM);
+    let (third, _) = scenario.leader_after(epoch).await.expect("a third leader");
+    submit_second_job(&scenario, third).await;
+}
+
+/// Guards against the same by a leader whose predecessor's process was killed and runs again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_after_a_restarted_process_waits_for_the_leader_before_the_last() {
+    let scenario = start(3).await;
+    let (_, first) = start_refused(&scenario).await;
+    let (second, epoch) = scenario.leader_after(first).await.expect("a successor");
+    let stopped = scenario.stop(second, Signal::KILL).await;
+    stopped.expect("a node that exits");
+    let restarted = scenario.world.node(second).restart();
+    restarted.expect("a node that starts");
+    let (third, _) = scenario.leader_after(epoch).await.expect("a third leader");
+    submit_second_job(&scenario, third).await;
+}
