--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -75,7 +75,8 @@
                 };
                 term.version = *version;
                 term.committed_ms = sent_at_ms;
-                term.authority.committed(Instant::from_ms(sent_at_ms));
+                term.authority
+                    .committed(Instant::from_ms(sent_at_ms), false);
                 term.next_commit_ms = now_ms + COMMIT_INTERVAL_MS;
                 self.limit_leases(node);
                 self.batch_committed(node, &transaction.batch);
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -395,9 +395,8 @@
 
     /// Passes a leader's scheduler the moment by which leases have to end.
     pub(super) fn limit_leases(&mut self, node: usize) {
-        let now = self.now();
         if let Some(term) = &mut self.nodes[node].term {
-            let end = term.authority.leases_end(LEASE_MS, now);
+            let end = term.authority.leases_end(LEASE_MS);
             term.scheduler.limit_leases(end);
         }
     }
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
-use wasabiloft::batch::{authority, queue, worker_state};
+use wasabiloft::batch::{authority, predecessors, queue, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -72,7 +72,11 @@
             accepted: store.accepted.clone(),
             progress: store.progress.clone().into_iter().collect(),
             workers: store.workers.clone().into_iter().collect(),
-            predecessor_may_act: may_act,
+            earlier: if may_act {
+                predecessors::Earlier::Lapsing
+            } else {
+                predecessors::Earlier::Ended
+            },
             ..RecoveredState::default()
         };
         let settings = Settings {
--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
-use wasabiloft::batch::record;
+use wasabiloft::batch::{predecessors, record};
 use wasabiloft_platform::store;
 
 use crate::batch::{duty, leadership, shared};
@@ -73,6 +73,15 @@
     Refused(StatusCode),
 }
 
+/// What the duty's row says of its leader, apart from who it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Whether only commits prove to the leader that it leads.
+    pub commits_only: bool,
+    /// What leaders before it may still do.
+    pub earlier: predecessors::Earlier,
+}
+
 /// A batch that was committed.
 struct Committed {
     /// When its last transaction was sent.
@@ -93,6 +102,12 @@
         Self { duty, version }
     }
 
+    /// Sets what the next transactions say of the leader.
+    fn set_standing(&mut self, standing: Standing) {
+        self.duty.commits_only = standing.commits_only;
+        self.duty.earlier = standing.earlier;
+    }
+
     /// Commits a batch in as many transactions as its rows need. Returns when the last of them was sent, with the rows that
     /// the store refuses; `None` if the duty is lost, a row cannot be encoded, or `ended` is cancelled.
     ///
@@ -354,6 +369,8 @@
             () = leadership.write.notified() => {}
             () = time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
         }
+        let standing = leadership.standing();
+        committer.set_standing(standing);
         let mut batch = leadership.scheduler().take_batch();
         if batch.rows() > 0 || leadership.since_commit_ms() >= RENEW_INTERVAL_MS {
             let committed = committer.commit(&shared, &leadership.ended, &batch).await;
@@ -361,7 +378,7 @@
                 leadership.ended.cancel();
                 return;
             };
-            leadership.commit_sent(sent_at);
+            leadership.commit_sent(sent_at, standing);
             if !refused.is_empty() {
                 leadership
                     .scheduler()
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -6,7 +6,7 @@
 
 use tokio::time;
 use wasabiloft::batch::authority::HEARTBEAT_TIMEOUT_MS;
-use wasabiloft::batch::{record, succession};
+use wasabiloft::batch::{predecessors, record, succession};
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::store;
 
@@ -83,9 +83,7 @@
                 time::sleep(Duration::from_millis(succession::STANDBY_CHECK_MS)).await;
             }
             Step::Recheck => time::sleep(Duration::from_millis(RECHECK_MS)).await,
-            Step::Claim {
-                previous_leader_may_act,
-            } => {
+            Step::Claim { has_ended } => {
                 let pause_ms = succession::claim_delay_ms(
                     shared.settings().cpu_milli,
                     expected_cpu_milli(&shared),
@@ -99,11 +97,15 @@
                 }
                 time::sleep(Duration::from_millis(pause_ms)).await;
                 shared.set_successor(0);
-                if let Some((duty, version)) = claim(&shared).await {
+                if shared.stop.is_cancelled() {
+                    // The leader was told so, and doesn't count on this node any more.
+                    break;
+                }
+                if let Some(claimed) = claim(&shared, has_ended, follower.counted_on).await {
                     let start = leadership::Start {
-                        duty,
-                        version,
-                        previous_leader_may_act,
+                        duty: claimed.duty,
+                        version: claimed.version,
+                        led_at: claimed.led_at,
                         handed_over: successor == succession::Successor::This,
                         standby: follower.standby.take(),
                     };
@@ -163,8 +165,8 @@
     AwaitRelease,
     /// There is no leader, or it is dead or cannot reach the store: claim the duty.
     Claim {
-        /// Whether the previous leader's process can still be running.
-        previous_leader_may_act: bool,
+        /// Whether the holder that the row names certainly leads no more.
+        has_ended: bool,
     },
 }
 
@@ -192,6 +194,8 @@
     unresponsive_at: Option<wasabiloft::clock::Instant>,
     /// The newest response of the leader after which this node went on following it.
     confirms: Option<peers::Sent>,
+    /// The leader that counts on this node.
+    counted_on: Option<predecessors::CountedOn>,
     /// The rows that this node reads in advance, as the leader requested.
     standby: Option<standby::Standby>,
     /// The leader is expected to release the duty in favour of this node before this time.
@@ -267,6 +271,12 @@
                     );
                     return self.check_row(shared, Evidence::RequestsHandover).await;
                 }
+                if reply.counts_on {
+                    self.counted_on = Some(predecessors::CountedOn {
+                        epoch: reply.epoch,
+                        at: clock::since_boot(),
+                    });
+                }
                 self.confirms = Some(peers::Sent {
                     epoch: reply.epoch,
                     sent_ms: reply.sent_ms,
@@ -322,14 +332,12 @@
                 time::sleep(Duration::from_millis(pause_ms)).await;
             }
             self.log_claim(shared, "vacant", now);
-            return Step::Claim {
-                previous_leader_may_act: false,
-            };
+            return Step::Claim { has_ended: true };
         }
         if evidence != Evidence::None && known {
             self.log_claim(shared, &format!("{evidence:?}"), now);
             return Step::Claim {
-                previous_leader_may_act: evidence != Evidence::NotLeading,
+                has_ended: evidence == Evidence::NotLeading,
             };
         }
         if version != self.version {
@@ -344,15 +352,12 @@
         };
         if sent_at.since_ms(self.since) >= unchanged_ms {
             self.log_claim(shared, "unchanged", now);
-            return Step::Claim {
-                previous_leader_may_act: true,
-            };
+            return Step::Claim { has_ended: false };
         }
         Step::Recheck
     }
 
-    /// Logs why the duty is claimed, and whether the leader of the row counts on this node: it does if this node has
-    /// confirmed a response of the row's epoch.
+    /// Logs why the duty is claimed, and which leader counted on this node last.
     fn log_claim(&self, shared: &shared::Shared, reason: &str, now: wasabiloft::clock::Instant) {
         let row = shared.duty();
         let epoch = row.duty.as_ref().map_or(0, |duty| duty.epoch);
@@ -365,9 +370,9 @@
         log::info(
             "duty",
             &format!(
-                "claims epoch={} reason={reason} holder={holder} followed_epoch={} unchanged_ms={unchanged_ms}",
+                "claims epoch={} reason={reason} holder={holder} counted_on_by={} unchanged_ms={unchanged_ms}",
                 epoch + 1,
-                self.confirms.map_or(0, |sent| sent.epoch)
+                self.counted_on.map_or(0, |leader| leader.epoch)
             ),
         );
     }
@@ -393,12 +398,26 @@
     }
 }
 
-/// Claims the duty, conditional on the version of the row that was last read.
-///
-/// Returns the row and its version if this node now leads the duty.
-async fn claim(shared: &shared::Shared) -> Option<(record::Duty, u64)> {
+/// A claim of the duty that was committed.
+struct Claimed {
+    duty: record::Duty,
+    /// Version of the duty's row.
+    version: u64,
+    /// When the call was sent whose response shows that this node leads.
+    led_at: wasabiloft::clock::Instant,
+}
+
+/// Claims the duty, conditional on the version of the row that was last read. Returns the claim if this node now leads the
+/// duty.
+async fn claim(
+    shared: &shared::Shared,
+    has_ended: bool,
+    counted_on: Option<predecessors::CountedOn>,
+) -> Option<Claimed> {
     let seen = shared.duty();
     let settings = shared.settings();
+    let now = clock::since_boot();
+    let earlier = predecessors::assume(seen.duty.as_ref(), has_ended, counted_on.as_ref(), now);
     let duty = record::Duty {
         holder: settings.node.clone(),
         address: settings.peers.to_string(),
@@ -407,6 +426,8 @@
         commits: 0,
         cpu_milli: settings.cpu_milli,
         successor: None,
+        commits_only: true,
+        earlier,
     };
     let value = match serde_json::to_vec(&duty) {
         Ok(value) => value,
@@ -434,22 +455,30 @@
     shared: &shared::Shared,
     duty: record::Duty,
     transaction: &store::Transaction,
-) -> Option<(record::Duty, u64)> {
+) -> Option<Claimed> {
+    let sent_at = clock::since_boot();
     match shared.store.transact(transaction, CALL_TIMEOUT_MS).await {
         Ok(store::CommitOutcome::Applied(version)) => {
             log::info(
                 "duty",
-                &format!("taken over epoch={} version={version}", duty.epoch),
+                &format!(
+                    "taken over epoch={} version={version} earlier={:?}",
+                    duty.epoch, duty.earlier
+                ),
             );
             shared.record_duty(shared::DutyRow {
                 duty: Some(duty.clone()),
                 version,
             });
-            Some((duty, version))
+            Some(Claimed {
+                duty,
+                version,
+                led_at: sent_at,
+            })
         }
         Ok(store::CommitOutcome::CheckFailed(rows)) => {
             let now = read(rows.into_iter().next());
-            if_committed(shared, duty, now)
+            if_committed(shared, duty, now, sent_at)
         }
         Err(error) if error.verdict() == Verdict::NotRun => {
             log::info("duty", &format!("claim refused reason={error}"));
@@ -465,11 +494,12 @@
 /// Reads the row to find out whether a claim without a response was committed.
 ///
 /// Refused reads are repeated, because another claim would raise the epoch once more.
-async fn resolve_claim(shared: &shared::Shared, duty: record::Duty) -> Option<(record::Duty, u64)> {
+async fn resolve_claim(shared: &shared::Shared, duty: record::Duty) -> Option<Claimed> {
     let mut reads = 1;
     loop {
+        let sent_at = clock::since_boot();
         match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
-            Ok(row) => return if_committed(shared, duty, read(row)),
+            Ok(row) => return if_committed(shared, duty, read(row), sent_at),
             Err(error) if error.verdict() != Verdict::NotRun || reads >= CLAIM_READS_MAX => {
                 log::info("duty", &format!("claim outcome unknown reason={error}"));
                 return None;
@@ -482,17 +512,26 @@
     }
 }
 
-/// Returns the claim and its version if the row that was read is the claim.
+/// Returns the claim if the row that was read by a call sent at `sent_at` is the claim.
 fn if_committed(
     shared: &shared::Shared,
-    duty: record::Duty,
+    mut duty: record::Duty,
     now: shared::DutyRow,
-) -> Option<(record::Duty, u64)> {
+    sent_at: wasabiloft::clock::Instant,
+) -> Option<Claimed> {
     let committed = now
         .duty
         .as_ref()
         .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
     let version = now.version;
+    if let Some(now) = now.duty.as_ref().filter(|_| committed) {
+        // The row can be an earlier claim of this node that got no response.
+        duty.earlier = duty.earlier.max(now.earlier);
+    }
     shared.record_duty(now);
-    committed.then_some((duty, version))
+    committed.then_some(Claimed {
+        duty,
+        version,
+        led_at: sent_at,
+    })
 }
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
-use wasabiloft::batch::{JobId, authority, handover, queue, record, relays};
+use wasabiloft::batch::{JobId, authority, handover, predecessors, queue, record, relays};
 use wasabiloft::id;
 use wasabiloft_platform::{settings, store};
 
@@ -61,6 +61,8 @@
     /// Length of the workers' leases, in milliseconds.
     lease_ms: u64,
     authority: Mutex<authority::Authority>,
+    /// What leaders before this one may still do, as of its beginning.
+    earlier: predecessors::Earlier,
     /// What leases were last granted by.
     proof: Mutex<authority::Proof>,
     /// Cancelled when a node with more CPU should take over the duty.
@@ -119,15 +121,32 @@
         clock::since_boot().as_ms().saturating_sub(at)
     }
 
-    /// Records when the newest successful commit was sent.
-    pub fn commit_sent(&self, at: wasabiloft::clock::Instant) {
+    /// Returns what the next commit says of this leader and of those before it.
+    pub fn standing(&self) -> commit::Standing {
+        let now = clock::since_boot();
+        let wait_ms = self.earlier.wait_ms(self.lease_ms);
+        let earlier = if now.since_ms(self.began_at) >= wait_ms {
+            predecessors::Earlier::Ended
+        } else {
+            self.earlier
+        };
+        commit::Standing {
+            commits_only: self.authority().commits_only(now),
+            earlier,
+        }
+    }
+
+    /// Records when the newest successful commit was sent, and what it said of this leader.
+    pub fn commit_sent(&self, at: wasabiloft::clock::Instant, standing: commit::Standing) {
         self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
         // A commit that was sent before this process stood still doesn't confirm it.
         self.may_act();
-        let regained = self.authority().committed(at);
-        self.limit_leases();
+        let regained = self.authority().committed(at, standing.commits_only);
+        let have_waited = self.limit_leases();
         if regained {
             log::info("duty", &format!("authority regained epoch={}", self.epoch));
+        }
+        if regained || have_waited {
             self.wake.notify_one();
         }
     }
@@ -136,7 +155,7 @@
     pub fn follower_heard(&self, heartbeat: &peers::Heartbeat, now: wasabiloft::clock::Instant) {
         let mut authority = self.authority();
         if heartbeat.relay.is_none() {
-            authority.stopped(&heartbeat.node);
+            authority.stopped(&heartbeat.node, heartbeat.incarnation);
         } else {
             let confirmed = heartbeat.confirms.filter(|sent| sent.epoch == self.epoch);
             let confirmed_at =
@@ -147,16 +166,20 @@
         self.limit_leases();
     }
 
-    /// Passes the scheduler the moment by which leases have to end.
-    fn limit_leases(&self) {
-        let now = clock::since_boot();
+    /// Passes the scheduler the moments by which leases have to end, and after which new jobs wait. Returns whether jobs that
+    /// have waited can be taken up.
+    fn limit_leases(&self) -> bool {
         let authority = self.authority();
-        let (end, proof) = (
-            authority.leases_end(self.lease_ms, now),
-            authority.proof(now),
+        let (leases_end, new_jobs_end) = (
+            authority.leases_end(self.lease_ms),
+            authority.new_jobs_end(),
         );
+        let proof = authority.proof();
         drop(authority);
-        self.scheduler().limit_leases(end);
+        let mut scheduler = self.scheduler();
+        scheduler.limit_leases(leases_end);
+        let have_waited = scheduler.limit_new_jobs(new_jobs_end, clock::since_boot());
+        drop(scheduler);
         let previous = std::mem::replace(
             &mut *self.proof.lock().unwrap_or_else(PoisonError::into_inner),
             proof,
@@ -171,6 +194,7 @@
                 ),
             );
         }
+        have_waited
     }
 
     fn authority(&self) -> MutexGuard<'_, authority::Authority> {
@@ -272,8 +296,8 @@
     pub duty: record::Duty,
     /// Version of the row.
     pub version: u64,
-    /// Whether the previous leader can still send commands.
-    pub previous_leader_may_act: bool,
+    /// A moment at which this node certainly led.
+    pub led_at: wasabiloft::clock::Instant,
     /// Whether the previous leader named this node as its successor.
     pub handed_over: bool,
     /// The standby's rows, if this node has prepared.
@@ -286,13 +310,13 @@
     let Start {
         duty,
         version,
-        previous_leader_may_act,
+        led_at,
         handed_over,
         standby,
     } = start;
     // The duty is renewed meanwhile: rows that take seconds to read, or are refused, would else lose it.
     let rows_read = CancellationToken::new();
-    let renewed_ms = Arc::new(AtomicU64::new(began_at.as_ms()));
+    let renewed_ms = Arc::new(AtomicU64::new(led_at.as_ms()));
     let mut renewing = tokio::spawn(commit::renew_until(
         Arc::clone(shared),
         commit::Committer::new(duty.clone(), version),
@@ -300,7 +324,7 @@
         Arc::clone(&renewed_ms),
     ));
     let begun = tokio::select! {
-        begun = begin(shared, &duty, previous_leader_may_act, handed_over, standby, &renewed_ms) => begun,
+        begun = begin(shared, &duty, handed_over, standby, &renewed_ms) => begun,
         // Returns before the rows are read only if the duty is lost or the node stops.
         _ = &mut renewing => {
             log::info(
@@ -394,7 +418,6 @@
 async fn begin(
     shared: &Arc<shared::Shared>,
     duty: &record::Duty,
-    previous_leader_may_act: bool,
     handed_over: bool,
     standby: Option<standby::Standby>,
     renewed_ms: &AtomicU64,
@@ -429,17 +452,18 @@
     let version = recovered.version.unwrap_or(0);
     let mut recovered = recovered.state;
     recovered.unread = reader.reads().unread_partitions().collect();
-    recovered.predecessor_may_act = previous_leader_may_act;
+    recovered.earlier = duty.earlier;
     log::info(
         "holder",
         &format!(
-            "inherits jobs={} progress={} workers={} partitions={} unread={:?} repeated={}",
+            "inherits jobs={} progress={} workers={} partitions={} unread={:?} repeated={} earlier={:?}",
             recovered.accepted.len(),
             recovered.progress.len(),
             recovered.workers.len(),
             record::JOB_PARTITIONS - recovered.unread.len() as u64,
             recovered.unread,
-            reader.reads().repeated()
+            reader.reads().repeated(),
+            duty.earlier
         ),
     );
     let config = shared.current_config().config;
@@ -476,6 +500,7 @@
         ended: CancellationToken::new(),
         lease_ms: scheduler_settings.lease_ms,
         authority: Mutex::new(authority::Authority::new(committed_at, now)),
+        earlier: duty.earlier,
         proof: Mutex::new(authority::Proof::Commit),
         committed_ms: AtomicU64::new(committed_ms),
         step_down_requested: CancellationToken::new(),
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -128,6 +128,9 @@
     pub sent_ms: u64,
     /// Whether the leader requests that this follower takes over.
     pub hand_over: bool,
+    /// Whether the leader knows this follower, and renews leases without the store only while it confirms.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub counts_on: bool,
     /// Version of the leader's configuration; 0 for none.
     #[serde(default)]
     pub config_version: u64,
@@ -181,6 +184,7 @@
     reply.releasing = heartbeat.incarnation != 0 && shared.successor() == heartbeat.incarnation;
     if let Some(leadership) = shared.leadership() {
         leadership.follower_heard(&heartbeat, now);
+        reply.counts_on = heartbeat.relay.is_some();
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
         }
--- a/src/batch/authority.rs
+++ b/src/batch/authority.rs
@@ -10,10 +10,13 @@
 //!   successor waits from its own beginning, which is later, until the leases of its predecessor have lapsed. So a leader
 //!   grants no lease that ends later than that, and runs that nobody can vouch for end by themselves.
 //!
-//! While the store answers nobody, followers keep confirming, and leases are renewed.
+//! While the store answers nobody, followers keep confirming, and leases are renewed. A node that isn't a follower may reach
+//! the store, though. It waits longer if the duty's row says that the leader counts on its followers (see
+//! [`crate::batch::predecessors`]), and the leader counts on them only once a commit has said so.
 
 use std::collections::BTreeMap;
 
+use crate::batch::predecessors;
 use crate::batch::scheduler;
 use crate::clock;
 
@@ -22,8 +25,6 @@
 /// A leader that began this recently doesn't know all its followers, in milliseconds; above the longest interval between
 /// two heartbeats of a node.
 const FOLLOWERS_KNOWN_MS: u64 = 2_500;
-/// A follower that was silent for this long is gone, in milliseconds: its machine was removed.
-const FOLLOWER_GONE_MS: u64 = 60_000;
 /// Time for a worker to end runs whose lease has lapsed, in milliseconds.
 const STOP_TIME_MS: u64 = 300;
 
@@ -55,6 +56,8 @@
     resumed_at: Option<clock::Instant>,
     /// When the newest successful commit was sent.
     committed_at: clock::Instant,
+    /// Whether a commit has said that the leader counts on its followers.
+    counts_on_followers: bool,
     /// The followers that were heard in this term, by name.
     followers: BTreeMap<String, Follower>,
 }
@@ -67,10 +70,16 @@
             ran_at: now,
             resumed_at: None,
             committed_at,
+            counts_on_followers: false,
             followers: BTreeMap::new(),
         }
     }
 
+    /// Returns whether the next commit says that only commits prove that the leader leads.
+    pub fn commits_only(&self, now: clock::Instant) -> bool {
+        now.since_ms(self.began_at) < FOLLOWERS_KNOWN_MS
+    }
+
     /// Records that the process runs, and returns for how long it stood still if it lost its authority by that, in
     /// milliseconds.
     pub fn observe(&mut self, now: clock::Instant) -> Option<u64> {
@@ -83,9 +92,17 @@
         Some(stalled_ms)
     }
 
-    /// Records that a commit that was sent at `sent_at` has succeeded. Returns whether the authority is thereby regained.
-    pub fn committed(&mut self, sent_at: clock::Instant) -> bool {
+    /// Records that a commit that was sent at `sent_at` has succeeded; `commits_only` is what it said. Returns whether the
+    /// authority is thereby regained.
+    pub fn committed(&mut self, sent_at: clock::Instant, commits_only: bool) -> bool {
         self.committed_at = self.committed_at.max(sent_at);
+        self.counts_on_followers = !commits_only;
+        // A commit that is newer than its silence proves that a follower hasn't taken over, and when it comes back it knows
+        // that the leader counts on it no more.
+        let committed_at = self.committed_at;
+        self.followers.retain(|_, follower| {
+            committed_at.since_ms(follower.heard_at) < predecessors::FOLLOWER_GONE_MS
+        });
         let regained = self.resumed_at.is_some_and(|resumed| resumed <= sent_at);
         if regained {
             self.resumed_at = None;
@@ -102,8 +119,6 @@
         confirmed_at: Option<clock::Instant>,
         now: clock::Instant,
     ) {
-        self.followers
-            .retain(|_, follower| now.since_ms(follower.heard_at) < FOLLOWER_GONE_MS);
         let began = Follower {
             incarnation,
             heard_at: now,
@@ -119,23 +134,27 @@
         }
     }
 
-    /// Records that a follower stops, so that it claims nothing any more.
-    pub fn stopped(&mut self, name: &str) {
-        self.followers.remove(name);
+    /// Records that a follower stops, so that this incarnation of it claims nothing any more.
+    pub fn stopped(&mut self, name: &str, incarnation: u64) {
+        let follower = self.followers.get(name);
+        if follower.is_some_and(|follower| follower.incarnation == incarnation) {
+            self.followers.remove(name);
+        }
     }
 
-    /// Returns the newest moment at which no other node can have taken the duty over.
-    fn led_at(&self, now: clock::Instant) -> clock::Instant {
+    /// Returns the newest moment at which no other node can have taken the duty over, except one that waits longer.
+    fn led_at(&self) -> clock::Instant {
         let confirmed = self.followers.values().map(|seen| seen.confirmed_at).min();
-        let are_known = now.since_ms(self.began_at) >= FOLLOWERS_KNOWN_MS;
-        let confirmed = confirmed.filter(|_| are_known);
-        self.committed_at
-            .max(confirmed.unwrap_or(self.committed_at))
+        let latest = self.committed_at.after_ms(predecessors::UNCONFIRMED_MAX_MS);
+        match confirmed.filter(|_| self.counts_on_followers) {
+            Some(confirmed) => self.committed_at.max(confirmed.min(latest)),
+            None => self.committed_at,
+        }
     }
 
     /// Returns what proves that the leader hasn't been replaced; commits that are about as new as the confirmations count.
-    pub fn proof(&self, now: clock::Instant) -> Proof {
-        if self.led_at(now).since_ms(self.committed_at) > HEARTBEAT_TIMEOUT_MS {
+    pub fn proof(&self) -> Proof {
+        if self.led_at().since_ms(self.committed_at) > HEARTBEAT_TIMEOUT_MS {
             Proof::Followers
         } else {
             Proof::Commit
@@ -144,9 +163,15 @@
 
     /// Returns the moment by which all leases of `lease_ms` and shorter have to end, so that a successor doesn't take a
     /// worker for lapsed before.
-    pub fn leases_end(&self, lease_ms: u64, now: clock::Instant) -> clock::Instant {
+    pub fn leases_end(&self, lease_ms: u64) -> clock::Instant {
         let wait_ms = scheduler::lease_expiry_ms(lease_ms);
-        self.led_at(now).after_ms(wait_ms - STOP_TIME_MS)
+        self.led_at().after_ms(wait_ms - STOP_TIME_MS)
+    }
+
+    /// Returns the moment after which the leader takes up no job that it learns of, until the next commit: a successor
+    /// wouldn't know that a previous leader may have started it.
+    pub fn new_jobs_end(&self) -> clock::Instant {
+        self.committed_at.after_ms(predecessors::NEW_JOBS_MS)
     }
 
     /// Returns whether the leader may send commands, as of the last observation.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -14,6 +14,7 @@
 pub mod order;
 pub mod pacing;
 pub mod pools;
+pub mod predecessors;
 pub mod progress_rows;
 pub mod queue;
 pub mod rate_limit;
--- /dev/null
+++ b/src/batch/predecessors.rs
@@ -0,0 +1,101 @@
+//! What a new leader has to assume of the leaders before it, and how long it waits for them.
+//!
+//! A leader that has lost the store may run on for a while. What bounds it depends on what it knows of its successor.
+//!
+//! * A leader whose row says that only commits prove its term grants no lease that outlasts the usual wait of any
+//!   successor.
+//! * A leader that also counts on its followers goes on renewing leases while all of them confirm it, for at most
+//!   [`UNCONFIRMED_MAX_MS`]. A successor that is one of them has stopped confirming before its claim, so that the usual wait
+//!   is enough. Any other successor has to wait longer.
+//!
+//! What is assumed of all earlier leaders is written with the claim, as the next leader may come before the wait is over.
+//!
+//! A leader takes up no job that it learned of later than [`NEW_JOBS_MS`] after its newest commit. A job that a successor
+//! learns of after all jobs stored until then are known to it is thus known to no earlier leader.
+
+use serde::{Deserialize, Serialize};
+
+use crate::batch::record;
+use crate::batch::scheduler;
+use crate::clock;
+
+/// A leader counts on its followers for this long without a commit, in milliseconds; longer than most outages of a store.
+pub const UNCONFIRMED_MAX_MS: u64 = 300_000;
+/// A leader takes up jobs that it learned of within this time after its newest commit, in milliseconds; twice as long as a
+/// commit takes while the store is slow.
+pub const NEW_JOBS_MS: u64 = 2_000;
+/// A follower that the leader has heard is counted on for this long, in milliseconds; below [`FOLLOWER_GONE_MS`], as clocks
+/// differ.
+const COUNTED_ON_MS: u64 = 30_000;
+/// A follower that was silent for this long before a commit is gone, in milliseconds: its machine was removed.
+pub const FOLLOWER_GONE_MS: u64 = 60_000;
+
+/// What leaders before the holder of the duty may still do.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Earlier {
+    /// Nothing: their processes have ended, or all that they granted has lapsed.
+    #[default]
+    Ended,
+    /// They may act until their leases lapse, within the usual wait.
+    Lapsing,
+    /// One of them may count on other followers, and go on for longer.
+    Unconfirmed,
+}
+
+impl Earlier {
+    /// Returns whether no earlier leader can act.
+    pub fn is_ended(&self) -> bool {
+        *self == Self::Ended
+    }
+
+    /// Returns how long a new leader waits, in milliseconds from its beginning, before it takes the workers of earlier leaders
+    /// that answer nobody for lapsed.
+    pub fn wait_ms(self, lease_ms: u64) -> u64 {
+        let lapse_ms = scheduler::lease_expiry_ms(lease_ms);
+        match self {
+            Self::Ended | Self::Lapsing => lapse_ms,
+            Self::Unconfirmed => lapse_ms + UNCONFIRMED_MAX_MS,
+        }
+    }
+}
+
+/// The leader that counts on this node, as the node last heard from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CountedOn {
+    /// Epoch of the leader.
+    pub epoch: u64,
+    /// When its response arrived.
+    pub at: clock::Instant,
+}
+
+impl CountedOn {
+    /// Returns whether the leader of an epoch still counts on this node.
+    fn is_by(&self, epoch: u64, now: clock::Instant) -> bool {
+        self.epoch == epoch && now.since_ms(self.at) < COUNTED_ON_MS
+    }
+}
+
+/// Returns what a node that claims the duty has to assume of all earlier leaders. `row` is the duty's row that the claim
+/// replaces, and `has_ended` says whether its holder certainly leads no more.
+pub fn assume(
+    row: Option<&record::Duty>,
+    has_ended: bool,
+    counted_on: Option<&CountedOn>,
+    now: clock::Instant,
+) -> Earlier {
+    let Some(row) = row else {
+        return Earlier::Ended;
+    };
+    let is_counted_on = counted_on.is_some_and(|leader| leader.is_by(row.epoch, now));
+    let last = if has_ended {
+        Earlier::Ended
+    } else if row.commits_only || is_counted_on {
+        Earlier::Lapsing
+    } else {
+        Earlier::Unconfirmed
+    };
+    last.max(row.earlier)
+}
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::JobId;
+use crate::batch::predecessors;
 use crate::batch::progress_rows;
 use crate::batch::queue;
 use crate::batch::spec;
@@ -217,6 +218,12 @@
     /// Incarnation of the node that claims the released duty before others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub successor: Option<u64>,
+    /// Whether only commits prove to the leader that it leads; else confirmations of its followers do as well.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub commits_only: bool,
+    /// What leaders before this one may still do.
+    #[serde(default, skip_serializing_if = "predecessors::Earlier::is_ended")]
+    pub earlier: predecessors::Earlier,
 }
 
 /// The row of a worker that can run tasks.
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -116,8 +116,12 @@
     pub id: JobId,
     /// The submitted spec and the job's queue at that time.
     pub accepted: Arc<record::Accepted>,
-    /// Whether the job was read at startup, so that a previous leader may have started tasks of it.
+    /// Whether the job was read at startup.
     pub recovered: bool,
+    /// Whether a previous leader may have started tasks of the job, as it was read at startup or stored soon after.
+    pub known_to_earlier: bool,
+    /// When this leader learned of the job.
+    pub known_at: clock::Instant,
     /// Whether the job exceeds the rate of its account.
     pub beyond_rate: bool,
     /// Occurrences that are due or of which a run is known, by number.
@@ -153,6 +157,8 @@
             id,
             accepted,
             recovered,
+            known_to_earlier: recovered,
+            known_at: clock::Instant::ZERO,
             beyond_rate: false,
             occurrences: BTreeMap::new(),
             state: record::State::Queued,
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::predecessors;
 use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::worker_state;
@@ -115,8 +116,8 @@
     pub progress: Vec<(progress_rows::Key, record::Progress)>,
     /// Workers that can have runs of a previous leader.
     pub workers: Vec<(id::Worker, record::WorkerRow)>,
-    /// Whether the previous leader can still send commands, to workers that have not received the new fence.
-    pub predecessor_may_act: bool,
+    /// What earlier leaders may still do at workers that have not received the new fence.
+    pub earlier: predecessors::Earlier,
     /// Jobs whose row exists but cannot be decoded.
     pub undecodable: Vec<JobId>,
     /// Numbers of the partitions of the job table that were not read.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::batch::account_rates;
 use crate::batch::accounts;
+use crate::batch::predecessors;
 use crate::batch::progress_rows;
 use crate::batch::queue;
 use crate::batch::record;
@@ -65,7 +66,10 @@
     settings: Settings,
     /// Number after which this epoch numbers its starts; higher than any start of a previous leader.
     run_base: u32,
-    predecessor_may_act: bool,
+    /// What earlier leaders may still do, as of the beginning.
+    earlier: predecessors::Earlier,
+    /// Whether all jobs that an earlier leader may have taken up are known.
+    knows_earlier_jobs: bool,
     /// Whether a previous leader had recorded workers.
     has_predecessor: bool,
     started_at: clock::Instant,
@@ -73,6 +77,8 @@
     refused_at: clock::Instant,
     /// All leases have to end by then; `None` as long as that wasn't said.
     leases_end: Option<clock::Instant>,
+    /// Jobs that became known later than that wait; `None` as long as that wasn't said.
+    new_jobs_end: Option<clock::Instant>,
     /// When the runs of all workers were last checked for progress and unanswered stops.
     runs_checked_at: clock::Instant,
     config: Arc<queue::Config>,
@@ -141,11 +147,13 @@
         let mut scheduler = Self {
             settings,
             run_base: commands::run_base(epoch),
-            predecessor_may_act: recovered.predecessor_may_act,
+            earlier: recovered.earlier,
+            knows_earlier_jobs: recovered.earlier.is_ended(),
             has_predecessor: !recovered.workers.is_empty(),
             started_at: now,
             refused_at: now,
             leases_end: None,
+            new_jobs_end: None,
             runs_checked_at: now,
             config,
             jobs: HashMap::new(),
@@ -185,7 +193,7 @@
             stored.insert(row.part, progress);
         }
         for (id, accepted) in recovered.accepted {
-            scheduler.add_job(id, accepted, true);
+            scheduler.add_job(id, accepted, true, now);
         }
         for id in recovered.cancelled {
             scheduler.job_cancelled(id, now, 0);
@@ -195,7 +203,7 @@
 
     /// Adds a job that was accepted after this scheduler started.
     pub fn job_accepted(&mut self, id: JobId, accepted: record::Accepted, now: clock::Instant) {
-        self.add_job(id, accepted, false);
+        self.add_job(id, accepted, false, now);
         self.apply_orphans(id, now);
         if self.early_cancels.remove(&id) {
             self.job_cancelled(id, now, 0);
@@ -203,7 +211,13 @@
     }
 
     /// Adds a job unless it is known, and returns whether it did.
-    fn add_job(&mut self, id: JobId, accepted: record::Accepted, recovered: bool) -> bool {
+    fn add_job(
+        &mut self,
+        id: JobId,
+        accepted: record::Accepted,
+        recovered: bool,
+        now: clock::Instant,
+    ) -> bool {
         if self.jobs.contains_key(&id) && !self.remove_earlier_job(id, &accepted) {
             return false;
         }
@@ -219,6 +233,8 @@
         }
         let row_bytes = self.settings.row_bytes;
         let mut job = job::Job::new(id, Arc::new(accepted), recovered, row_bytes);
+        job.known_at = now;
+        job.known_to_earlier = recovered || !self.knows_earlier_jobs;
         if job.accepted.spec.schedule.is_none() {
             job.open_occurrence(0);
         }
--- a/src/batch/scheduler/orphans.rs
+++ b/src/batch/scheduler/orphans.rs
@@ -4,6 +4,7 @@
 //! A job is stored before any of its tasks starts. A read of the job's partition that begins after a worker reported the
 //! run therefore returns the job. Until such a read is complete, the run is not stopped and its end is not counted.
 
+use crate::batch::predecessors;
 use crate::batch::record;
 use crate::batch::scheduler::Scheduler;
 use crate::batch::worker_state;
@@ -98,6 +99,11 @@
         self.unread.len()
     }
 
+    /// Returns whether changes of a partition that was read before may have been missed since.
+    pub(super) fn misses_changes(&self) -> bool {
+        !self.unread.is_subset(&self.never_read)
+    }
+
     /// Returns whether all jobs of a partition are known that were stored before some time.
     pub(super) fn is_read(&self, partition: u64) -> bool {
         !self.unread.contains(&partition)
@@ -138,6 +144,10 @@
                 self.orphans.known(partition, until);
             }
         }
+        let earlier_end = self.started_at.after_ms(predecessors::NEW_JOBS_MS);
+        if until >= earlier_end && !self.orphans.misses_changes() {
+            self.knows_earlier_jobs = true;
+        }
     }
 
     /// Records that changes of the job table may have been missed, so that all its partitions have to be read again.
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -187,7 +187,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if has_unresolved && (job.recovered || self.predecessor_may_act) {
+            if has_unresolved && job.known_to_earlier || !self.may_take_up(job) {
                 continue;
             }
             for &occurrence in job.occurrences.keys() {
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -148,7 +148,7 @@
             .iter()
             .filter(|_| !self.unresolved.is_empty());
         for id in open_jobs {
-            let Some(job) = self.jobs.get(id).filter(|job| job.recovered) else {
+            let Some(job) = self.jobs.get(id).filter(|job| job.known_to_earlier) else {
                 continue;
             };
             let Some(account) = &job.accepted.account else {
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -143,6 +143,9 @@
         };
         if !worker.adopted {
             worker.adopted = true;
+            // An earlier leader may have renewed its lease just before.
+            let lease_ms = self.settings.lease_ms;
+            worker.lease_until_ms = worker.lease_until_ms.max(report.clock_ms + lease_ms);
             self.unresolved.remove(id);
             self.log(format!(
                 "worker adopted worker={id} runs={} ends={}",
--- a/src/batch/scheduler/unread.rs
+++ b/src/batch/scheduler/unread.rs
@@ -24,7 +24,7 @@
         self.undecodable.extend(rows.undecodable);
         let mut added = 0;
         for (id, accepted) in rows.accepted {
-            if !self.add_job(id, accepted, recovered) {
+            if !self.add_job(id, accepted, recovered, now) {
                 continue;
             }
             added += 1;
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -4,7 +4,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::scheduler::release::Release;
-use crate::batch::scheduler::{Output, Scheduler, crashes};
+use crate::batch::scheduler::{Output, Scheduler, crashes, job};
 use crate::batch::worker_state;
 use crate::clock;
 use crate::id;
@@ -14,7 +14,7 @@
 const LEASE_EXPIRY_SLACK_MS: u64 = 500;
 
 /// Returns how long a new leader waits, in milliseconds from its beginning, before it takes the workers of previous leaders
-/// that answer nobody for lapsed.
+/// that answer nobody for lapsed, unless one of them may count on other followers.
 pub fn lease_expiry_ms(lease_ms: u64) -> u64 {
     lease_ms * 102 / 100 + LEASE_EXPIRY_SLACK_MS
 }
@@ -58,6 +58,23 @@
         self.leases_end = Some(end);
     }
 
+    /// Sets the moment after which jobs that become known wait, on this process's clock. Returns whether jobs that have waited
+    /// can be taken up.
+    pub fn limit_new_jobs(&mut self, end: clock::Instant, now: clock::Instant) -> bool {
+        let previous = self.new_jobs_end.replace(end);
+        let have_waited = previous.is_some_and(|previous| previous < now && previous < end);
+        if have_waited {
+            self.dirty_services
+                .extend(self.config.services.keys().cloned());
+        }
+        have_waited
+    }
+
+    /// Returns whether a successor would know that this leader may have started tasks of a job.
+    pub(super) fn may_take_up(&self, job: &job::Job) -> bool {
+        self.new_jobs_end.is_none_or(|end| job.known_at <= end)
+    }
+
     /// Returns the length of a lease that begins now on a worker's clock, which may be slow, in milliseconds.
     pub(super) fn lease_ms(&self, now: clock::Instant) -> u64 {
         let left_ms = self.leases_end.map(|end| end.since_ms(now));
@@ -151,7 +168,7 @@
         if self.unresolved.is_empty() {
             return;
         }
-        if now.since_ms(self.started_at) < lease_expiry_ms(self.settings.lease_ms) {
+        if now.since_ms(self.started_at) < self.earlier.wait_ms(self.settings.lease_ms) {
             return;
         }
         for (worker, row) in std::mem::take(&mut self.unresolved) {
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -9,7 +9,9 @@
     IncarnationEnd, Output, PartitionRows, Poll, RecoveredState, Refusal, Scheduler, Settings,
     Start, StartOutcome,
 };
-use wasabiloft::batch::{JobId, TaskId, progress_rows, queue, record, spec, worker_state};
+use wasabiloft::batch::{
+    JobId, TaskId, predecessors, progress_rows, queue, record, spec, worker_state,
+};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
@@ -301,7 +303,11 @@
         let mut rows = RecoveredState {
             progress: self.progress.clone().into_iter().collect(),
             workers: self.recorded_workers.clone().into_iter().collect(),
-            predecessor_may_act: predecessor_lives,
+            earlier: if predecessor_lives {
+                predecessors::Earlier::Lapsing
+            } else {
+                predecessors::Earlier::Ended
+            },
             unread: unread.clone(),
             ..self.stored.clone()
         };
--- a/tests/test_batch_authority.rs
+++ b/tests/test_batch_authority.rs
@@ -57,12 +57,12 @@
     assert_eq!(authority.observe(at(4_800)), Some(3_500));
     assert!(!authority.may_act());
     assert!(
-        !authority.committed(at(1_200)),
+        !authority.committed(at(1_200), true),
         "sent before it stood still"
     );
     assert_eq!(authority.observe(at(4_850)), None);
     assert!(!authority.may_act());
-    assert!(authority.committed(at(4_810)));
+    assert!(authority.committed(at(4_810), false));
     assert!(authority.may_act());
 }
 
@@ -98,7 +98,7 @@
 
 /// Returns when a lease that is granted at `now` has certainly ended on a slow worker.
 fn lease_ended_ms(leader: &authority::Authority, now: Instant) -> u64 {
-    let left_ms = leader.leases_end(WORKER_LEASE_MS, now).since_ms(now);
+    let left_ms = leader.leases_end(WORKER_LEASE_MS).since_ms(now);
     now.as_ms() + left_ms.min(WORKER_LEASE_MS * 1_020 / 1_000) + 300
 }
 
@@ -120,13 +120,16 @@
 fn leases_are_renewed_while_all_followers_confirm() {
     let at = Instant::from_ms;
     let mut leader = authority::Authority::new(at(990), at(1_000));
+    // The store answers until then.
+    let outage_ms = 3_750;
     for now_ms in (1_250..20_000).step_by(250) {
         let confirmed_at = at(now_ms - 250);
+        if now_ms <= outage_ms {
+            leader.committed(at(now_ms), leader.commits_only(at(now_ms)));
+        }
         leader.heard("n2", 7, Some(confirmed_at), at(now_ms));
         leader.heard("n3", 8, Some(confirmed_at), at(now_ms));
-        let left_ms = leader
-            .leases_end(WORKER_LEASE_MS, at(now_ms))
-            .since_ms(at(now_ms));
+        let left_ms = leader.leases_end(WORKER_LEASE_MS).since_ms(at(now_ms));
         let may_renew = now_ms < 4_000 || left_ms >= 3_900;
         assert!(may_renew, "{now_ms} {left_ms}");
     }
@@ -147,6 +150,8 @@
         let at = Instant::from_ms;
         let mut leader = authority::Authority::new(at(990), at(1_000));
         let granted_ms = silent_from_ms + granted_after_ms;
+        // The store is away from the beginning; a commit before has said that the leader counts on its followers.
+        leader.committed(at(1_000), false);
         let mut confirmed_ms = 0;
         for now_ms in (1_250..=granted_ms).step_by(250) {
             let confirmed_at = at(now_ms - 250);
@@ -170,10 +175,11 @@
     fn a_stopped_follower_is_not_waited_for(stopped_ms in 3_000_u64..10_000) {
         let at = Instant::from_ms;
         let mut leader = authority::Authority::new(at(990), at(1_000));
+        leader.committed(at(1_000), false);
         leader.heard("n3", 8, Some(at(1_100)), at(1_200));
-        leader.stopped("n3");
+        leader.stopped("n3", 8);
         let now = at(stopped_ms + 9_000);
         leader.heard("n2", 7, Some(at(now.as_ms() - 250)), now);
-        prop_assert!(leader.leases_end(WORKER_LEASE_MS, now).since_ms(now) > 3_900);
+        prop_assert!(leader.leases_end(WORKER_LEASE_MS).since_ms(now) > 3_900);
     }
 }
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -1,7 +1,7 @@
 //! Single decisions of the scheduler.
 
 use wasabiloft::batch::scheduler::{DrainState, Output, RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId, record, worker_state};
+use wasabiloft::batch::{JobId, TaskId, predecessors, record, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -221,7 +221,7 @@
                 service: id::Service::new(SERVICE),
             },
         )],
-        predecessor_may_act: true,
+        earlier: predecessors::Earlier::Lapsing,
         ..RecoveredState::default()
     };
     let now = Instant::from_ms(1_000);
--- /dev/null
+++ b/tests/test_batch_predecessors.rs
@@ -0,0 +1,231 @@
+//! What a new leader assumes of the leaders before it, and what follows from it.
+
+use proptest::{prop_assert, proptest};
+use wasabiloft::batch::predecessors::{CountedOn, Earlier};
+use wasabiloft::batch::scheduler::{self, Output, RecoveredState, Scheduler};
+use wasabiloft::batch::{JobId, authority, predecessors, record, worker_state};
+use wasabiloft::clock::Instant;
+use wasabiloft::id;
+
+use crate::fake_workers::{LEASE_MS, SERVICE, accepted, config, listing, settings, step};
+
+fn row(commits_only: bool, earlier: Earlier) -> record::Duty {
+    record::Duty {
+        holder: String::from("n1"),
+        epoch: 4,
+        commits_only,
+        earlier,
+        ..record::Duty::default()
+    }
+}
+
+fn assume(row: &record::Duty, has_ended: bool, counted_on: Option<(u64, u64)>) -> Earlier {
+    let counted_on = counted_on.map(|(epoch, at_ms)| CountedOn {
+        epoch,
+        at: Instant::from_ms(at_ms),
+    });
+    let now = Instant::from_ms(100_000);
+    predecessors::assume(Some(row), has_ended, counted_on.as_ref(), now)
+}
+
+/// Guards against a usual wait of a node that the leader doesn't count on: the leader runs on while others confirm it.
+#[test]
+fn a_node_that_the_leader_does_not_count_on_waits_longer() {
+    let relies = row(false, Earlier::Ended);
+    assert_eq!(assume(&relies, false, None), Earlier::Unconfirmed);
+    assert_eq!(
+        assume(&relies, false, Some((3, 99_900))),
+        Earlier::Unconfirmed
+    );
+    assert_eq!(
+        assume(&relies, false, Some((4, 20_000))),
+        Earlier::Unconfirmed
+    );
+    assert_eq!(assume(&relies, false, Some((4, 99_900))), Earlier::Lapsing);
+    assert_eq!(assume(&relies, true, None), Earlier::Ended);
+    assert_eq!(
+        assume(&row(true, Earlier::Ended), false, None),
+        Earlier::Lapsing
+    );
+    assert_eq!(
+        predecessors::assume(None, false, None, Instant::ZERO),
+        Earlier::Ended
+    );
+}
+
+/// Guards against a third leader that takes the end of the second for the end of the first.
+#[test]
+fn what_a_leader_waits_for_is_waited_for_by_the_next() {
+    for earlier in [Earlier::Lapsing, Earlier::Unconfirmed] {
+        let row = row(true, earlier);
+        assert_eq!(assume(&row, true, None), earlier);
+        assert!(assume(&row, false, Some((4, 99_900))) >= earlier);
+    }
+}
+
+/// Guards against a row whose wait is lost on its way through the store.
+#[test]
+fn a_row_without_the_fields_says_that_its_leader_counts_on_followers() {
+    let text = r#"{"holder":"n1","address":"a","incarnation":1,"epoch":4,"commits":2}"#;
+    let row: record::Duty = serde_json::from_str(text).expect("a row");
+    assert!(!row.commits_only);
+    let text = serde_json::to_string(&self::row(true, Earlier::Unconfirmed)).expect("a row");
+    let read: record::Duty = serde_json::from_str(&text).expect("a row");
+    assert_eq!(read, self::row(true, Earlier::Unconfirmed));
+}
+
+proptest! {
+    #![proptest_config(crate::fixed_seed(500))]
+
+    /// Guards against two runs of a task: a node that the leader never heard, or forgot, takes over while the leader has no
+    /// store and its followers confirm it.
+    #[test]
+    fn no_lease_outlasts_the_wait_of_a_node_that_the_leader_does_not_know(
+        outage_ms in 1_000_u64..20_000,
+        claimed_after_ms in 0_u64..20_000,
+        granted_after_ms in 0_u64..700_000,
+    ) {
+        let at = Instant::from_ms;
+        let mut leader = authority::Authority::new(at(990), at(1_000));
+        let mut row = row(true, Earlier::Ended);
+        let mut committed_ms = 990;
+        let granted_ms = committed_ms + granted_after_ms;
+        for now_ms in (1_250..=granted_ms).step_by(250) {
+            leader.heard("n2", 7, Some(at(now_ms - 250)), at(now_ms));
+            if now_ms < outage_ms {
+                row.commits_only = leader.commits_only(at(now_ms));
+                leader.committed(at(now_ms), row.commits_only);
+                committed_ms = now_ms;
+            }
+        }
+        let began_ms = committed_ms + claimed_after_ms;
+        let assumed = predecessors::assume(Some(&row), false, None, at(began_ms));
+        let acts_ms = began_ms + assumed.wait_ms(LEASE_MS);
+        let left_ms = leader.leases_end(LEASE_MS).since_ms(at(granted_ms));
+        let ended_ms = granted_ms + left_ms.min(LEASE_MS * 1_020 / 1_000) + 300;
+        prop_assert!(ended_ms <= acts_ms.max(granted_ms + 300), "{ended_ms} {acts_ms} {assumed:?}");
+    }
+
+    /// Guards against a follower that comes back after it was forgotten, and takes the leader for one that counts on it.
+    #[test]
+    fn a_leader_forgets_no_follower_that_may_believe_to_be_counted_on(
+        silent_from_ms in 2_000_u64..10_000,
+        outage_ms in 10_000_u64..100_000,
+        claimed_after_ms in 0_u64..60_000,
+        granted_after_ms in 0_u64..100_000,
+    ) {
+        let at = Instant::from_ms;
+        let mut leader = authority::Authority::new(at(990), at(1_000));
+        let granted_ms = outage_ms + granted_after_ms;
+        let (mut heard_ms, mut committed_ms) = (0, 0);
+        for now_ms in (1_250..=granted_ms).step_by(250) {
+            leader.heard("n2", 7, Some(at(now_ms - 250)), at(now_ms));
+            if now_ms <= silent_from_ms {
+                leader.heard("n3", 8, Some(at(now_ms - 250)), at(now_ms));
+                heard_ms = now_ms;
+            }
+            if now_ms < outage_ms {
+                leader.committed(at(now_ms), leader.commits_only(at(now_ms)));
+                committed_ms = now_ms;
+            }
+        }
+        let began_ms = committed_ms + claimed_after_ms;
+        let counted_on = CountedOn { epoch: 4, at: at(heard_ms) };
+        let assumed = predecessors::assume(
+            Some(&row(false, Earlier::Ended)), false, Some(&counted_on), at(began_ms),
+        );
+        let acts_ms = began_ms + assumed.wait_ms(LEASE_MS);
+        let left_ms = leader.leases_end(LEASE_MS).since_ms(at(granted_ms));
+        let ended_ms = granted_ms + left_ms.min(LEASE_MS * 1_020 / 1_000) + 300;
+        prop_assert!(ended_ms <= acts_ms.max(granted_ms + 300), "{ended_ms} {acts_ms} {assumed:?}");
+    }
+}
+
+/// A scheduler with one worker that answers, and one of earlier leaders that doesn't.
+fn successor(earlier: Earlier) -> (Scheduler, Instant) {
+    let rows = RecoveredState {
+        workers: vec![(
+            id::Worker::new("unheard"),
+            record::WorkerRow {
+                service: id::Service::new(SERVICE),
+            },
+        )],
+        earlier,
+        ..RecoveredState::default()
+    };
+    let now = Instant::from_ms(1_000);
+    let mut scheduler = Scheduler::new(settings(), 2, config(), rows, now);
+    scheduler.worker_listed(listing("heard"), now);
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    (scheduler, now)
+}
+
+/// Returns the jobs of which a planning round starts tasks.
+fn started(scheduler: &mut Scheduler, at: Instant) -> Vec<JobId> {
+    let report = worker_state::Report {
+        unreadable_runs: 0,
+        unreadable_ends: 0,
+        clock_ms: at.as_ms(),
+        started_unix_ms: Some(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    scheduler.poll_answered(&id::Worker::new("heard"), &report, at, at, 0);
+    scheduler.tick(at, 0);
+    scheduler.plan(at, 0);
+    let outputs = scheduler.take_outputs();
+    let starts = outputs.into_iter().filter_map(|output| match output {
+        Output::Start(start) => Some(start.task.job),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Guards against a double start: an earlier leader, without the store, has heard of a job from a front and starts it on a
+/// worker that doesn't answer its successor. Jobs that no earlier leader takes up don't wait.
+#[test]
+fn jobs_that_an_earlier_leader_may_have_taken_up_wait_for_silent_workers() {
+    for earlier in [Earlier::Lapsing, Earlier::Unconfirmed] {
+        let (mut scheduler, now) = successor(earlier);
+        scheduler.job_accepted(JobId(7), accepted(vec![step(1, &[])], 3), now.after_ms(6));
+        assert_eq!(started(&mut scheduler, now.after_ms(7)), []);
+        let known_at = now.after_ms(predecessors::NEW_JOBS_MS);
+        scheduler.jobs_read(known_at);
+        scheduler.job_accepted(
+            JobId(8),
+            accepted(vec![step(1, &[])], 3),
+            known_at.after_ms(1),
+        );
+        assert_eq!(started(&mut scheduler, known_at.after_ms(2)), [JobId(8)]);
+        let usual = now.after_ms(scheduler::lease_expiry_ms(LEASE_MS));
+        let after_usual = started(&mut scheduler, usual);
+        assert_eq!(after_usual.is_empty(), earlier == Earlier::Unconfirmed);
+        let later = now.after_ms(earlier.wait_ms(LEASE_MS));
+        let after_wait = started(&mut scheduler, later);
+        assert!(after_usual.contains(&JobId(7)) || after_wait.contains(&JobId(7)));
+    }
+}
+
+/// Guards against tasks of a job that a leader without the store learned of after it may have been replaced.
+#[test]
+fn a_leader_takes_up_no_job_that_it_learns_of_long_after_its_newest_commit() {
+    let (mut scheduler, now) = successor(Earlier::Ended);
+    scheduler.limit_new_jobs(now.after_ms(predecessors::NEW_JOBS_MS), now);
+    let late = now.after_ms(predecessors::NEW_JOBS_MS + 1);
+    scheduler.job_accepted(JobId(7), accepted(vec![step(1, &[])], 3), late);
+    assert_eq!(started(&mut scheduler, late), []);
+    assert_eq!(started(&mut scheduler, late.after_ms(10_000)), []);
+    let committed = late.after_ms(10_001);
+    assert!(scheduler.limit_new_jobs(committed.after_ms(predecessors::NEW_JOBS_MS), committed));
+    assert_eq!(started(&mut scheduler, committed), [JobId(7)]);
+}
+
+/// Guards against a worker taken for lapsed under a lease that an earlier leader renewed just before it was adopted.
+#[test]
+fn a_worker_that_falls_silent_after_its_adoption_has_the_leases_of_earlier_leaders() {
+    let (mut scheduler, now) = successor(Earlier::Lapsing);
+    assert_eq!(started(&mut scheduler, now.after_ms(5)), []);
+    let worker = &scheduler.workers()[&id::Worker::new("heard")];
+    assert!(!worker.is_lapsed(now.after_ms(LEASE_MS)));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,6 +22,7 @@
 mod test_batch_odd_entries;
 mod test_batch_order;
 mod test_batch_pools;
+mod test_batch_predecessors;
 mod test_batch_progress_rows;
 mod test_batch_recovery;
 mod test_batch_rejection;
