scheduler: a replaced leader starts no task again whose worker said nothing

Cause: a leader that has been replaced and doesn't know it takes a worker for lapsed, or gone, that its successor has reached: the successor renews its leases, and takes note of its ends. With up to 3.3 s of its own leases left, the replaced leader starts the worker's tasks again on workers that its successor hasn't reached. Evidence of one leader, the silence of a worker, is taken for the end of runs that another leader knows.

Change: a run that is taken for ended without its worker's word, and workers of earlier leaders that answered nobody, let tasks start only after a commit that was sent later has succeeded (src/batch/scheduler/tenure.rs). Such a commit is sent at once.

Why it works: a successor claims the duty after that commit. It finds the worker's state as it was when the run was taken for ended, and waits for the worker of the new start, like for all others.

--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -371,8 +371,12 @@
         }
         let standing = leadership.standing();
         committer.set_standing(standing);
-        let mut batch = leadership.scheduler().take_batch();
-        if batch.rows() > 0 || leadership.since_commit_ms() >= RENEW_INTERVAL_MS {
+        let (mut batch, is_awaited) = {
+            let mut scheduler = leadership.scheduler();
+            (scheduler.take_batch(), scheduler.awaits_commit())
+        };
+        let is_due = is_awaited || leadership.since_commit_ms() >= RENEW_INTERVAL_MS;
+        if batch.rows() > 0 || is_due {
             let committed = committer.commit(&shared, &leadership.ended, &batch).await;
             let Some(Committed { sent_at, refused }) = committed else {
                 leadership.ended.cancel();
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -142,11 +142,11 @@
         // A commit that was sent before this process stood still doesn't confirm it.
         self.may_act();
         let regained = self.authority().committed(at, standing.commits_only);
-        let have_waited = self.limit_leases();
+        let has_waited = self.limit_leases();
         if regained {
             log::info("duty", &format!("authority regained epoch={}", self.epoch));
         }
-        if regained || have_waited {
+        if regained || has_waited {
             self.wake.notify_one();
         }
     }
@@ -166,19 +166,18 @@
         self.limit_leases();
     }
 
-    /// Passes the scheduler the moments by which leases have to end, and after which new jobs wait. Returns whether jobs that
-    /// have waited can be taken up.
+    /// Passes the scheduler what proves that this node leads. Returns whether starts may have waited for that.
     fn limit_leases(&self) -> bool {
         let authority = self.authority();
-        let (leases_end, new_jobs_end) = (
+        let (leases_end, committed_at) = (
             authority.leases_end(self.lease_ms),
-            authority.new_jobs_end(),
+            authority.committed_at(),
         );
         let proof = authority.proof();
         drop(authority);
         let mut scheduler = self.scheduler();
         scheduler.limit_leases(leases_end);
-        let have_waited = scheduler.limit_new_jobs(new_jobs_end, clock::since_boot());
+        let has_waited = scheduler.certainly_led(committed_at, clock::since_boot());
         drop(scheduler);
         let previous = std::mem::replace(
             &mut *self.proof.lock().unwrap_or_else(PoisonError::into_inner),
@@ -194,7 +193,7 @@
                 ),
             );
         }
-        have_waited
+        has_waited
     }
 
     fn authority(&self) -> MutexGuard<'_, authority::Authority> {
--- a/src/batch/authority.rs
+++ b/src/batch/authority.rs
@@ -168,10 +168,9 @@
         self.led_at().after_ms(wait_ms - STOP_TIME_MS)
     }
 
-    /// Returns the moment after which the leader takes up no job that it learns of, until the next commit: a successor
-    /// wouldn't know that a previous leader may have started it.
-    pub fn new_jobs_end(&self) -> clock::Instant {
-        self.committed_at.after_ms(predecessors::NEW_JOBS_MS)
+    /// Returns when the newest successful commit was sent, which proves that nobody had taken over before.
+    pub fn committed_at(&self) -> clock::Instant {
+        self.committed_at
     }
 
     /// Returns whether the leader may send commands, as of the last observation.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -39,6 +39,7 @@
 mod commands;
 mod drain;
 mod orphans;
+mod tenure;
 mod tickets;
 mod unread;
 mod waiting;
@@ -77,8 +78,8 @@
     refused_at: clock::Instant,
     /// All leases have to end by then; `None` as long as that wasn't said.
     leases_end: Option<clock::Instant>,
-    /// Jobs that became known later than that wait; `None` as long as that wasn't said.
-    new_jobs_end: Option<clock::Instant>,
+    /// Whether nobody had taken over before some moment.
+    tenure: tenure::Tenure,
     /// When the runs of all workers were last checked for progress and unanswered stops.
     runs_checked_at: clock::Instant,
     config: Arc<queue::Config>,
@@ -153,7 +154,7 @@
             started_at: now,
             refused_at: now,
             leases_end: None,
-            new_jobs_end: None,
+            tenure: tenure::Tenure::default(),
             runs_checked_at: now,
             config,
             jobs: HashMap::new(),
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -187,7 +187,9 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if has_unresolved && job.known_to_earlier || !self.may_take_up(job) {
+            let may_run_elsewhere =
+                job.known_to_earlier && (has_unresolved || !self.tenure.are_inherited_proven());
+            if may_run_elsewhere || !self.tenure.may_take_up(job) {
                 continue;
             }
             for &occurrence in job.occurrences.keys() {
@@ -232,7 +234,7 @@
         };
         (0_u32..)
             .zip(&occurrence_state.steps[step as usize].tasks)
-            .filter(|(_, task)| task.is_waiting(now))
+            .filter(|(_, task)| task.is_waiting(now) && self.tenure.may_start_again(task))
             .map(|(index, _)| TaskId {
                 job: job.id,
                 occurrence,
--- a/src/batch/scheduler/release.rs
+++ b/src/batch/scheduler/release.rs
@@ -27,6 +27,16 @@
 }
 
 impl Release {
+    /// Returns whether the worker said so to this leader, which it says to none that was replaced there. Else a successor may
+    /// know more of the run.
+    pub fn is_reported(self) -> bool {
+        match self {
+            Self::Reported | Self::NotStarted => true,
+            // A run can also be missing because its worker has started again.
+            Self::Missing | Self::IncarnationEnded(_) | Self::LeaseLapsed => false,
+        }
+    }
+
     /// Returns the name that the log gives to the reason.
     pub fn label(self) -> &'static str {
         match self {
@@ -81,6 +91,9 @@
         let Some(active) = job.take_active(&id) else {
             return;
         };
+        if !by.is_reported() {
+            self.tenure.run_ended(now);
+        }
         if let Some(task) = job.task_mut(&id) {
             task.released = Some(Released {
                 worker: active.worker.clone(),
--- /dev/null
+++ b/src/batch/scheduler/tenure.rs
@@ -0,0 +1,85 @@
+//! What a leader may start, by the newest moment at which it certainly led.
+//!
+//! A leader that was replaced and doesn't know it is refused by all workers that its successor has reached. On others it
+//! could still start a task that its successor has started elsewhere, or knows to be done. That needs knowledge of a run
+//! that didn't come from the run's worker, or a job that the successor takes for new. Both wait until a later commit
+//! succeeds.
+
+use crate::batch::predecessors;
+use crate::batch::scheduler::{Scheduler, job};
+use crate::clock;
+
+/// Moments that decide what may start.
+#[derive(Debug, Default)]
+pub(super) struct Tenure {
+    /// When the newest successful commit was sent; `None` as long as that wasn't said.
+    proven_at: Option<clock::Instant>,
+    /// When a run of this leader was last taken for ended without its worker's word.
+    run_ended_at: clock::Instant,
+    /// When a worker of earlier leaders was last taken for ended without its answer.
+    inherited_ended_at: clock::Instant,
+}
+
+impl Tenure {
+    /// Records that a run was taken for ended without its worker's word.
+    pub(super) fn run_ended(&mut self, now: clock::Instant) {
+        self.run_ended_at = self.run_ended_at.max(now);
+    }
+
+    /// Records that a worker of earlier leaders was taken for ended without its answer.
+    pub(super) fn inherited_ended(&mut self, now: clock::Instant) {
+        self.inherited_ended_at = self.inherited_ended_at.max(now);
+    }
+
+    fn is_proven(&self, at: clock::Instant) -> bool {
+        self.proven_at.is_none_or(|proven_at| at <= proven_at)
+    }
+
+    /// Returns whether all that was taken for ended was so while this leader certainly led.
+    fn is_all_proven(&self) -> bool {
+        self.is_proven(self.run_ended_at) && self.are_inherited_proven()
+    }
+
+    /// Returns whether runs of earlier leaders on workers without an answer have certainly ended for all leaders.
+    pub(super) fn are_inherited_proven(&self) -> bool {
+        self.is_proven(self.inherited_ended_at)
+    }
+
+    /// Returns whether a successor would know that this leader may have started tasks of a job.
+    pub(super) fn may_take_up(&self, job: &job::Job) -> bool {
+        self.proven_at
+            .is_none_or(|proven_at| job.known_at <= proven_at.after_ms(predecessors::NEW_JOBS_MS))
+    }
+
+    /// Returns whether no successor can know more of a task's last run.
+    pub(super) fn may_start_again(&self, task: &job::Task) -> bool {
+        task.released
+            .as_ref()
+            .is_none_or(|released| released.by.is_reported() || self.is_proven(released.at))
+    }
+}
+
+impl Scheduler {
+    /// Records that nobody had taken over before `at`, when the newest successful commit was sent. Returns whether starts may
+    /// have waited for that.
+    pub fn certainly_led(&mut self, at: clock::Instant, now: clock::Instant) -> bool {
+        let previous = self.tenure.proven_at;
+        if previous.is_some_and(|previous| at <= previous) {
+            return false;
+        }
+        let was_old =
+            previous.is_some_and(|previous| now.since_ms(previous) > predecessors::NEW_JOBS_MS);
+        let has_waited = was_old || !self.tenure.is_all_proven();
+        self.tenure.proven_at = Some(at);
+        if has_waited {
+            self.dirty_services
+                .extend(self.config.services.keys().cloned());
+        }
+        has_waited
+    }
+
+    /// Returns whether starts wait for a commit that is sent from now on.
+    pub fn awaits_commit(&self) -> bool {
+        !self.tenure.is_all_proven()
+    }
+}
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -4,7 +4,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::scheduler::release::Release;
-use crate::batch::scheduler::{Output, Scheduler, crashes, job};
+use crate::batch::scheduler::{Output, Scheduler, crashes};
 use crate::batch::worker_state;
 use crate::clock;
 use crate::id;
@@ -58,23 +58,6 @@
         self.leases_end = Some(end);
     }
 
-    /// Sets the moment after which jobs that become known wait, on this process's clock. Returns whether jobs that have waited
-    /// can be taken up.
-    pub fn limit_new_jobs(&mut self, end: clock::Instant, now: clock::Instant) -> bool {
-        let previous = self.new_jobs_end.replace(end);
-        let have_waited = previous.is_some_and(|previous| previous < now && previous < end);
-        if have_waited {
-            self.dirty_services
-                .extend(self.config.services.keys().cloned());
-        }
-        have_waited
-    }
-
-    /// Returns whether a successor would know that this leader may have started tasks of a job.
-    pub(super) fn may_take_up(&self, job: &job::Job) -> bool {
-        self.new_jobs_end.is_none_or(|end| job.known_at <= end)
-    }
-
     /// Returns the length of a lease that begins now on a worker's clock, which may be slow, in milliseconds.
     pub(super) fn lease_ms(&self, now: clock::Instant) -> u64 {
         let left_ms = self.leases_end.map(|end| end.since_ms(now));
@@ -91,7 +74,9 @@
 
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
     pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd, now: clock::Instant) {
-        self.unresolved.remove(id);
+        if self.unresolved.remove(id).is_some() {
+            self.tenure.inherited_ended(now);
+        }
         self.orphans.forget_worker(id);
         self.ledger.set_unexpected(id, Vec::new());
         let Some(worker) = self.workers.remove(id) else {
@@ -173,6 +158,7 @@
         }
         for (worker, row) in std::mem::take(&mut self.unresolved) {
             self.log(format!("worker of previous leader lapsed worker={worker}"));
+            self.tenure.inherited_ended(now);
             self.dirty_services.insert(row.service);
             if !self.workers.contains_key(&worker) {
                 self.pending_rows.remove_worker(&worker);
--- a/tests/test_batch_predecessors.rs
+++ b/tests/test_batch_predecessors.rs
@@ -2,7 +2,7 @@
 
 use proptest::{prop_assert, proptest};
 use wasabiloft::batch::predecessors::{CountedOn, Earlier};
-use wasabiloft::batch::scheduler::{self, Output, RecoveredState, Scheduler};
+use wasabiloft::batch::scheduler::{self, IncarnationEnd, Output, RecoveredState, Scheduler};
 use wasabiloft::batch::{JobId, authority, predecessors, record, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
@@ -163,6 +163,11 @@
 
 /// Returns the jobs of which a planning round starts tasks.
 fn started(scheduler: &mut Scheduler, at: Instant) -> Vec<JobId> {
+    started_on("heard", scheduler, at)
+}
+
+/// Returns the same, after an answer of this worker.
+fn started_on(worker: &str, scheduler: &mut Scheduler, at: Instant) -> Vec<JobId> {
     let report = worker_state::Report {
         unreadable_runs: 0,
         unreadable_ends: 0,
@@ -171,7 +176,7 @@
         running: Vec::new(),
         ended: Vec::new(),
     };
-    scheduler.poll_answered(&id::Worker::new("heard"), &report, at, at, 0);
+    scheduler.poll_answered(&id::Worker::new(worker), &report, at, at, 0);
     scheduler.tick(at, 0);
     scheduler.plan(at, 0);
     let outputs = scheduler.take_outputs();
@@ -211,13 +216,13 @@
 #[test]
 fn a_leader_takes_up_no_job_that_it_learns_of_long_after_its_newest_commit() {
     let (mut scheduler, now) = successor(Earlier::Ended);
-    scheduler.limit_new_jobs(now.after_ms(predecessors::NEW_JOBS_MS), now);
+    scheduler.certainly_led(now, now);
     let late = now.after_ms(predecessors::NEW_JOBS_MS + 1);
     scheduler.job_accepted(JobId(7), accepted(vec![step(1, &[])], 3), late);
     assert_eq!(started(&mut scheduler, late), []);
     assert_eq!(started(&mut scheduler, late.after_ms(10_000)), []);
     let committed = late.after_ms(10_001);
-    assert!(scheduler.limit_new_jobs(committed.after_ms(predecessors::NEW_JOBS_MS), committed));
+    assert!(scheduler.certainly_led(committed, committed));
     assert_eq!(started(&mut scheduler, committed), [JobId(7)]);
 }
 
@@ -229,3 +234,38 @@
     let worker = &scheduler.workers()[&id::Worker::new("heard")];
     assert!(!worker.is_lapsed(now.after_ms(LEASE_MS)));
 }
+
+/// Guards against a replaced leader that learns of its worker's end, and starts a task again that its successor has started
+/// elsewhere or knows to be done.
+#[test]
+fn a_task_whose_worker_ended_starts_again_only_after_a_later_commit() {
+    let (mut scheduler, now) = successor(Earlier::Ended);
+    scheduler.certainly_led(now, now);
+    let later = now.after_ms(scheduler::lease_expiry_ms(LEASE_MS));
+    assert_eq!(started(&mut scheduler, later), []);
+    scheduler.certainly_led(later, later);
+    scheduler.job_accepted(JobId(7), accepted(vec![step(1, &[])], 3), later);
+    assert_eq!(started(&mut scheduler, later.after_ms(2)), [JobId(7)]);
+    scheduler.worker_listed(listing("other"), later);
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    let ended_at = later.after_ms(500);
+    let worker = id::Worker::new("heard");
+    scheduler.incarnation_ended(&worker, IncarnationEnd::MachineWithout, ended_at);
+    assert!(scheduler.awaits_commit());
+    let none: [JobId; 0] = [];
+    assert_eq!(
+        started_on("other", &mut scheduler, ended_at.after_ms(1)),
+        none
+    );
+    // This commit was sent before the end was known.
+    scheduler.certainly_led(later.after_ms(499), ended_at.after_ms(10));
+    assert_eq!(
+        started_on("other", &mut scheduler, ended_at.after_ms(11)),
+        none
+    );
+    scheduler.certainly_led(ended_at, ended_at.after_ms(20));
+    assert!(!scheduler.awaits_commit());
+    let after = started_on("other", &mut scheduler, ended_at.after_ms(21));
+    assert_eq!(after, [JobId(7)]);
+}
