--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -1,11 +1,12 @@
 //! Commits of a leader, and the lists of machines and commands that they allow.
 
-use wasabiloft::batch::{record, waves};
+use wasabiloft::batch::{predecessors, record, waves};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 use crate::search::node::{CLOUD_TIMEOUT_MS, Call, RENEW_INTERVAL_MS, Timer};
 use crate::search::platform::Transaction;
+use crate::search::term::LEASE_MS;
 use crate::search::world::{Answer, World};
 
 /// Minimum interval between two commits, in milliseconds.
@@ -32,7 +33,14 @@
         }
         let batch = term.scheduler.take_batch();
         term.next_commit_ms = now_ms + COMMIT_INTERVAL_MS;
-        let is_due = now_ms - term.committed_ms >= RENEW_INTERVAL_MS;
+        let is_due =
+            now_ms - term.committed_ms >= RENEW_INTERVAL_MS || term.scheduler.awaits_commit();
+        let now = Instant::from_ms(now_ms);
+        let wait_ms = term.standing.earlier.wait_ms(LEASE_MS);
+        if now.since_ms(term.began_at) >= wait_ms {
+            term.standing.earlier = predecessors::Earlier::Ended;
+        }
+        term.standing.commits_only = term.authority.commits_only(now);
         if batch.rows() == 0 && !is_due {
             if !batch.is_empty() {
                 self.batch_committed(node, &batch);
@@ -47,6 +55,7 @@
             batch,
             cpu_milli,
             releases: false,
+            standing: term.standing,
         };
         term.in_flight = Some((transaction, now_ms));
         self.send_commit(node);
@@ -75,8 +84,10 @@
                 };
                 term.version = *version;
                 term.committed_ms = sent_at_ms;
-                term.authority
-                    .committed(Instant::from_ms(sent_at_ms), false);
+                term.authority.committed(
+                    Instant::from_ms(sent_at_ms),
+                    transaction.standing.commits_only,
+                );
                 term.next_commit_ms = now_ms + COMMIT_INTERVAL_MS;
                 self.limit_leases(node);
                 self.batch_committed(node, &transaction.batch);
--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -1,11 +1,11 @@
 //! Followers: when they claim the duty.
 
-use wasabiloft::batch::{authority, record, succession};
+use wasabiloft::batch::{authority, predecessors, record, succession};
 use wasabiloft::clock::Instant;
 
 use crate::search::history::Cut;
-use crate::search::node::{Call, TAKEOVER_READ_MS, Timer};
-use crate::search::platform::Transaction;
+use crate::search::node::{Call, Claim, TAKEOVER_READ_MS, Timer};
+use crate::search::platform::{Standing, Transaction};
 use crate::search::shell;
 use crate::search::world::{Answer, LATENCY_MS, World};
 
@@ -147,6 +147,7 @@
             self.read_row(node, shell::Evidence::NotLeading, LATENCY_MS);
             return;
         };
+        let counts_on = leader.term.is_some();
         let commit_is_old = leader
             .term
             .as_ref()
@@ -161,6 +162,9 @@
             self.read_row(node, shell::Evidence::RequestsHandover, LATENCY_MS);
         } else {
             state.confirms = Some((epoch, now));
+            if counts_on {
+                state.counted_on = Some(predecessors::CountedOn { epoch, at: now });
+            }
             self.follow_later(node);
         }
     }
@@ -221,9 +225,7 @@
             shell::Step::Recheck => {
                 self.push_timer(node, now.as_ms() + RECHECK_MS, Timer::Follow);
             }
-            shell::Step::Claim {
-                previous_leader_may_act: may_act,
-            } => {
+            shell::Step::Claim { has_ended } => {
                 let jitter_ms = if self.store.holder.is_none() {
                     node as u64 * CLAIM_JITTER_MS
                 } else {
@@ -232,7 +234,7 @@
                 let expected_milli = self.nodes[node].expected_cpu_milli;
                 let delay_ms = succession::claim_delay_ms(self.cpu_milli(node), expected_milli);
                 let at_ms = now.as_ms() + jitter_ms + delay_ms;
-                self.push_timer(node, at_ms, Timer::Claim { may_act });
+                self.push_timer(node, at_ms, Timer::Claim { has_ended });
             }
         }
     }
@@ -242,14 +244,26 @@
         let store = &self.store;
         let state = &mut self.nodes[node];
         state.known = (store.version, store.holder, store.epoch);
+        state.known_standing = store.standing;
         state.expected_cpu_milli = (store.version > 0).then_some(store.cpu_milli);
     }
 
-    pub(super) fn claim(&mut self, node: usize, may_act: bool) {
-        let (version, _, epoch) = self.nodes[node].known;
+    pub(super) fn claim(&mut self, node: usize, has_ended: bool) {
+        let now = self.now();
+        let state = &self.nodes[node];
+        let (version, _, epoch) = state.known;
+        let row = (version > 0).then(|| record::Duty {
+            epoch,
+            commits_only: state.known_standing.commits_only,
+            earlier: state.known_standing.earlier,
+            ..record::Duty::default()
+        });
+        let counted_on = state.counted_on.as_ref();
+        let earlier = predecessors::assume(row.as_ref(), has_ended, counted_on, now);
         let epoch = epoch + 1;
+        let claim = Claim { epoch, earlier };
         self.nodes[node].claims = Some(epoch);
-        self.note(|| format!("n{node} claims epoch={epoch} predecessor_may_act={may_act}"));
+        self.note(|| format!("n{node} claims epoch={epoch} earlier={earlier:?}"));
         let transaction = Transaction {
             node,
             version,
@@ -258,24 +272,32 @@
             batch: record::WriteBatch::default(),
             cpu_milli: self.cpu_milli(node),
             releases: false,
+            standing: Standing {
+                commits_only: true,
+                earlier,
+            },
+        };
+        let call = Call::Claim {
+            claim,
+            sent_at: now,
         };
-        let call = self.call(node, None, Call::Claim { may_act, epoch }, CALL_TIMEOUT_MS);
+        let call = self.call(node, None, call, CALL_TIMEOUT_MS);
         self.transact(node, call, transaction);
     }
 
     pub(super) fn claim_answered(
         &mut self,
         node: usize,
-        may_act: bool,
-        epoch: u64,
+        claim: Claim,
+        sent_at: Instant,
         answer: &Answer,
     ) {
         let now_ms = self.now_ms;
         match answer {
             Answer::Committed(version) => {
-                self.nodes[node].known = (*version, Some(node), epoch);
+                self.nodes[node].known = (*version, Some(node), claim.epoch);
                 self.nodes[node].expected_cpu_milli = Some(self.cpu_milli(node));
-                self.read_takeover(node, may_act, epoch);
+                self.read_takeover(node, claim, sent_at);
             }
             Answer::Failed { refused: false } => {
                 let took_ms = if self.reaches_store(node) {
@@ -283,7 +305,10 @@
                 } else {
                     CALL_TIMEOUT_MS
                 };
-                let timer = Timer::ResolveClaim { may_act, epoch };
+                let timer = Timer::ResolveClaim {
+                    claim,
+                    sent_at: Instant::from_ms(now_ms),
+                };
                 self.push_timer(node, now_ms + took_ms, timer);
             }
             Answer::CheckFailed => {
@@ -295,14 +320,15 @@
     }
 
     /// Reads the row to find out whether a claim without a response was committed.
-    pub(super) fn resolve_claim(&mut self, node: usize, may_act: bool, epoch: u64) {
+    pub(super) fn resolve_claim(&mut self, node: usize, claim: Claim, sent_at: Instant) {
         if !self.reaches_store(node) {
             self.claim_failed(node);
             return;
         }
         self.record_row(node);
-        if self.store.holder == Some(node) && self.store.epoch == epoch {
-            self.read_takeover(node, may_act, epoch);
+        if self.store.holder == Some(node) && self.store.epoch == claim.epoch {
+            let earlier = claim.earlier.max(self.store.standing.earlier);
+            self.read_takeover(node, Claim { earlier, ..claim }, sent_at);
         } else {
             self.claim_failed(node);
         }
@@ -313,14 +339,10 @@
         self.push_timer(node, self.now_ms + CLAIM_RETRY_MS, Timer::Follow);
     }
 
-    /// Reads the rows of a takeover; the answer to the claim is the newest proof of the duty.
-    fn read_takeover(&mut self, node: usize, may_act: bool, epoch: u64) {
+    /// Reads the rows of a takeover; the node certainly led at `proven_at`, when the call that shows it was sent.
+    fn read_takeover(&mut self, node: usize, claim: Claim, proven_at: Instant) {
         let now = self.now();
-        let timer = Timer::Lead {
-            may_act,
-            epoch,
-            proven_at: now,
-        };
+        let timer = Timer::Lead { claim, proven_at };
         let at_ms = now.as_ms() + TAKEOVER_READ_MS + self.store_delay_ms(node);
         self.push_timer(node, at_ms, timer);
     }
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use wasabiloft::batch::scheduler::{Scheduler, Start};
-use wasabiloft::batch::{TaskId, authority};
+use wasabiloft::batch::{TaskId, authority, predecessors};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 use crate::search::history::First;
-use crate::search::platform::Transaction;
+use crate::search::platform::{Standing, Transaction};
 use crate::search::shell;
 use crate::search::term::LEASE_MS;
 use crate::search::world::{Answer, Event, World};
@@ -56,15 +56,19 @@
         reaches_store: bool,
     },
     /// The duty is claimed, after the delay of a weak node.
-    Claim { may_act: bool },
+    Claim { has_ended: bool },
     /// The row is read after a claim without a response.
-    ResolveClaim { may_act: bool, epoch: u64 },
+    ResolveClaim { claim: Claim, sent_at: Instant },
     /// The rows of a takeover are read.
-    Lead {
-        may_act: bool,
-        epoch: u64,
-        proven_at: Instant,
-    },
+    Lead { claim: Claim, proven_at: Instant },
+}
+
+/// A claim of the duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Claim {
+    pub(super) epoch: u64,
+    /// What leaders before may still do.
+    pub(super) earlier: predecessors::Earlier,
 }
 
 /// A call in progress.
@@ -96,12 +100,13 @@
         sent: shell::PendingCommand,
     },
     Claim {
-        may_act: bool,
-        epoch: u64,
+        claim: Claim,
+        sent_at: Instant,
     },
     /// The last commit of a leader that stops leading, which then releases the duty.
     LastCommit {
         epoch: u64,
+        standing: Standing,
     },
     Release,
 }
@@ -141,6 +146,9 @@
     pub(super) plan_scheduled: bool,
     pub(super) registry: shell::Registry,
     pub(super) authority: authority::Authority,
+    pub(super) began_at: Instant,
+    /// What the next transaction says of the leader.
+    pub(super) standing: Standing,
 }
 
 /// A node.
@@ -177,10 +185,14 @@
     pub(super) unresponsive_ms: Option<u64>,
     /// Version, holder and epoch of the duty's row as it was read last.
     pub(super) known: (u64, Option<usize>, u64),
+    /// What the row said of its leader.
+    pub(super) known_standing: Standing,
     /// CPU that the row names, in thousandths of a core.
     pub(super) expected_cpu_milli: Option<u64>,
     /// The newest response of a leader after which the node went on following it: the leader's epoch, and when it was sent.
     pub(super) confirms: Option<(u64, Instant)>,
+    /// The leader that counts on the node.
+    pub(super) counted_on: Option<predecessors::CountedOn>,
 }
 
 impl Node {
@@ -207,8 +219,10 @@
             refusals: 0,
             unresponsive_ms: None,
             known: (0, None, 0),
+            known_standing: Standing::default(),
             expected_cpu_milli: None,
             confirms: None,
+            counted_on: None,
         }
     }
 
@@ -343,12 +357,15 @@
             Timer::Tick => {
                 let now = self.now();
                 let may_act = self.may_act(node);
+                let follows_jobs = now.as_ms() >= self.nodes[node].store_away_until_ms;
                 if let Some(term) = &mut self.nodes[node].term {
                     term.scheduler.tick(now, now.as_ms());
                     if may_act {
                         term.scheduler.evict_long_running(now);
                     }
-                    term.scheduler.jobs_read(now);
+                    if follows_jobs {
+                        term.scheduler.jobs_read(now);
+                    }
                     self.push_timer(node, now.as_ms() + TICK_MS, Timer::Tick);
                     self.plan(node);
                 }
@@ -370,13 +387,9 @@
                 sent_at_ms,
                 reaches_store,
             } => self.row_read(node, evidence, sent_at_ms, reaches_store),
-            Timer::Claim { may_act } => self.claim(node, may_act),
-            Timer::ResolveClaim { may_act, epoch } => self.resolve_claim(node, may_act, epoch),
-            Timer::Lead {
-                may_act,
-                epoch,
-                proven_at,
-            } => self.lead(node, may_act, epoch, proven_at),
+            Timer::Claim { has_ended } => self.claim(node, has_ended),
+            Timer::ResolveClaim { claim, sent_at } => self.resolve_claim(node, claim, sent_at),
+            Timer::Lead { claim, proven_at } => self.lead(node, claim, proven_at),
         }
     }
 
@@ -395,9 +408,12 @@
 
     /// Passes a leader's scheduler the moment by which leases have to end.
     pub(super) fn limit_leases(&mut self, node: usize) {
+        let now = self.now();
         if let Some(term) = &mut self.nodes[node].term {
             let end = term.authority.leases_end(LEASE_MS);
             term.scheduler.limit_leases(end);
+            term.scheduler
+                .certainly_led(term.authority.committed_at(), now);
         }
     }
 
@@ -500,8 +516,12 @@
                     self.commit(node);
                 }
             }
-            Call::Claim { may_act, epoch } => self.claim_answered(node, may_act, epoch, &answer),
-            Call::LastCommit { epoch } => self.last_commit_answered(node, epoch, &answer),
+            Call::Claim { claim, sent_at } => {
+                self.claim_answered(node, claim, sent_at, &answer);
+            }
+            Call::LastCommit { epoch, standing } => {
+                self.last_commit_answered(node, epoch, standing, &answer);
+            }
             Call::Release => self.released(node),
         }
     }
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wasabiloft::batch::{JobId, pools, progress_rows, queue, record, spec, waves};
+use wasabiloft::batch::{JobId, pools, predecessors, progress_rows, queue, record, spec, waves};
 use wasabiloft::id;
 use wasabiloft::platform::Resources;
 
@@ -34,6 +34,17 @@
     pub cpu_milli: u64,
     /// Whether the duty is released.
     pub releases: bool,
+    /// What the row says of its leader.
+    pub standing: Standing,
+}
+
+/// What the duty's row says of its leader, apart from who it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Standing {
+    /// Whether only commits prove to the leader that it leads.
+    pub commits_only: bool,
+    /// What leaders before it may still do.
+    pub earlier: predecessors::Earlier,
 }
 
 /// The rows of the store.
@@ -47,6 +58,8 @@
     pub epoch: u64,
     /// CPU of the node that leads, or led last, in thousandths of a core.
     pub cpu_milli: u64,
+    /// What the row says of its leader.
+    pub standing: Standing,
     token: u64,
     /// Accepted jobs.
     pub accepted: Vec<(JobId, record::Accepted)>,
@@ -108,6 +121,7 @@
         self.holder = Some(transaction.node).filter(|_| !transaction.releases);
         self.epoch = transaction.epoch;
         self.cpu_milli = transaction.cpu_milli;
+        self.standing = transaction.standing;
         let batch = &transaction.batch;
         self.progress.extend(batch.progress.iter().cloned());
         self.workers.extend(batch.workers_added.iter().cloned());
--- a/measure/src/search/release.rs
+++ b/measure/src/search/release.rs
@@ -3,7 +3,7 @@
 use wasabiloft::batch::record;
 
 use crate::search::node::{Call, HEARTBEAT_MS, Timer};
-use crate::search::platform::Transaction;
+use crate::search::platform::{Standing, Transaction};
 use crate::search::shell;
 use crate::search::world::{Answer, World};
 
@@ -25,6 +25,7 @@
         state.incarnation += 1;
         state.follower = shell::Follower::default();
         state.confirms = None;
+        state.counted_on = None;
         self.push_timer(node, self.now_ms + HEARTBEAT_MS, Timer::Follow);
     }
 
@@ -41,16 +42,21 @@
         state.incarnation += 1;
         state.follower = shell::Follower::default();
         state.confirms = None;
+        state.counted_on = None;
+        let standing = term.standing;
         if let Some((transaction, _)) = term.in_flight {
-            let call = Call::LastCommit { epoch: term.epoch };
+            let call = Call::LastCommit {
+                epoch: term.epoch,
+                standing,
+            };
             let call = self.call(node, None, call, LAST_COMMIT_TIMEOUT_MS);
             self.transact(node, call, transaction);
         } else {
-            self.send_release(node, term.epoch, term.version);
+            self.send_release(node, term.epoch, term.version, standing);
         }
     }
 
-    fn send_release(&mut self, node: usize, epoch: u64, version: u64) {
+    fn send_release(&mut self, node: usize, epoch: u64, version: u64, standing: Standing) {
         let call = self.call(node, None, Call::Release, RELEASE_TIMEOUT_MS);
         let transaction = Transaction {
             node,
@@ -60,13 +66,20 @@
             batch: record::WriteBatch::default(),
             cpu_milli: self.cpu_milli(node),
             releases: true,
+            standing,
         };
         self.transact(node, call, transaction);
     }
 
-    pub(super) fn last_commit_answered(&mut self, node: usize, epoch: u64, answer: &Answer) {
+    pub(super) fn last_commit_answered(
+        &mut self,
+        node: usize,
+        epoch: u64,
+        standing: Standing,
+        answer: &Answer,
+    ) {
         match answer {
-            Answer::Committed(version) => self.send_release(node, epoch, *version),
+            Answer::Committed(version) => self.send_release(node, epoch, *version, standing),
             _ => self.released(node),
         }
     }
--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -400,8 +400,8 @@
     Recheck,
     /// Claim the duty.
     Claim {
-        /// Whether the previous leader's process can still be running.
-        previous_leader_may_act: bool,
+        /// Whether the holder that the row names certainly leads no more.
+        has_ended: bool,
     },
 }
 
@@ -424,13 +424,11 @@
         now: Instant,
     ) -> Step {
         if is_vacant {
-            return Step::Claim {
-                previous_leader_may_act: false,
-            };
+            return Step::Claim { has_ended: true };
         }
         if evidence != Evidence::None && is_known {
             return Step::Claim {
-                previous_leader_may_act: evidence != Evidence::NotLeading,
+                has_ended: evidence == Evidence::NotLeading,
             };
         }
         if version != self.version {
@@ -444,9 +442,7 @@
             UNCHANGED_LIMIT_MS
         };
         if sent_at.since_ms(self.since) >= unchanged_ms {
-            return Step::Claim {
-                previous_leader_may_act: true,
-            };
+            return Step::Claim { has_ended: false };
         }
         Step::Recheck
     }
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
-use wasabiloft::batch::{authority, predecessors, queue, worker_state};
+use wasabiloft::batch::{authority, queue, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::search::node::{RENEW_INTERVAL_MS, Term, Timer};
+use crate::search::node::{Claim, RENEW_INTERVAL_MS, Term, Timer};
+use crate::search::platform::Standing;
 use crate::search::runner;
 use crate::search::shell;
 use crate::search::world::{POOL, World};
@@ -64,7 +65,8 @@
         }
     }
 
-    pub(super) fn lead(&mut self, node: usize, may_act: bool, epoch: u64, proven_at: Instant) {
+    pub(super) fn lead(&mut self, node: usize, claim: Claim, proven_at: Instant) {
+        let Claim { epoch, earlier } = claim;
         let now = self.now();
         self.note(|| format!("n{node} leads epoch={epoch}"));
         let store = &self.store;
@@ -72,11 +74,7 @@
             accepted: store.accepted.clone(),
             progress: store.progress.clone().into_iter().collect(),
             workers: store.workers.clone().into_iter().collect(),
-            earlier: if may_act {
-                predecessors::Earlier::Lapsing
-            } else {
-                predecessors::Earlier::Ended
-            },
+            earlier,
             ..RecoveredState::default()
         };
         let settings = Settings {
@@ -113,6 +111,11 @@
             plan_scheduled: false,
             registry: shell::Registry::default(),
             authority: authority::Authority::new(proven_at, now),
+            began_at: now,
+            standing: Standing {
+                commits_only: true,
+                earlier,
+            },
         };
         self.nodes[node].claims = None;
         self.nodes[node].term = Some(term);
