scheduler: keep the ends of a job whose row can't be decoded

A leader that couldn't decode the row of a job took its ends for those of an unknown job once the job table had been read, and acknowledged them although no row holds them. A later leader that can decode the row starts the done tasks again.

Such ends are now left with the worker, also if the row came by the feed. Runs are stopped as before.

Test: the_end_of_a_job_whose_row_cannot_be_decoded_is_not_acknowledged, which failed before.

--- a/node/src/batch/job_feed.rs
+++ b/node/src/batch/job_feed.rs
@@ -47,6 +47,7 @@
             JobsEvent::Polled(sent_at, Ok(page)) => {
                 shared.record_store_response();
                 let jobs = leadership.decode_jobs(&page.rows);
+                leadership.scheduler().jobs_undecodable(jobs.undecodable);
                 for (job, accepted) in jobs.accepted {
                     leadership.accepted(job, accepted);
                 }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -199,7 +199,7 @@
 
     /// Handles all ends whose job is known. Those after the first whose job is still unknown are acknowledged only after
     /// that one, because a worker discards all ends up to the acknowledged number. Next to an end that cannot be read, none
-    /// is acknowledged.
+    /// is acknowledged, and none after that of a job whose row cannot be decoded.
     fn apply_ends(
         &mut self,
         id: &id::Worker,
@@ -221,7 +221,10 @@
                 percent: 0,
                 usage: 0,
             };
-            if is_new && self.keep_orphan(id, run, now) {
+            // The end of a job whose row can't be decoded is left to a leader that can decode it.
+            let is_held =
+                self.undecodable.contains(&end.task.job) && !self.jobs.contains_key(&end.task.job);
+            if is_new && (is_held || self.keep_orphan(id, run, now)) {
                 is_complete = false;
                 continue;
             }
--- a/src/batch/scheduler/unread.rs
+++ b/src/batch/scheduler/unread.rs
@@ -40,6 +40,11 @@
         added
     }
 
+    /// Records jobs whose row was written or changed and cannot be decoded.
+    pub fn jobs_undecodable(&mut self, jobs: Vec<JobId>) {
+        self.undecodable.extend(jobs);
+    }
+
     /// Removes and returns the recovered progress of a job that becomes known.
     pub(super) fn claim_progress(
         &mut self,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,6 +9,7 @@
 mod keys_world;
 mod test_admission;
 mod test_batch_accounts;
+mod test_batch_acknowledged;
 mod test_batch_admission_limit;
 mod test_batch_authority;
 mod test_batch_budget;
