scheduler: acknowledge no end that comes after a refused progress row

After the store had refused a progress row, ends were held back only if their changes were newer than all changes when the batch was taken. With more changed rows than one batch holds, the next batch acknowledged ends between the refused row and that moment. A worker discards all ends up to the acknowledged number, so the refused row's end was lost with them, and the next leader started the done task again.

A refused row now counts with its first change. The ends of the refused batch are put back: before, they were acknowledged only after a further end of the same worker.

--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -278,8 +278,8 @@
     pub machine_commands: Vec<(id::Vm, MachineRow)>,
     /// Progress rows that are deleted because they are no longer needed.
     pub progress_deleted: Vec<progress_rows::Key>,
-    /// Number of the newest change of progress that the batch writes.
-    pub change: u64,
+    /// Number of the first change of progress that each progress row writes.
+    pub first_changes: BTreeMap<progress_rows::Key, u64>,
     /// Ended runs that can be acknowledged once the batch is committed.
     pub acknowledge: BTreeMap<id::Worker, HandledRuns>,
 }
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -111,7 +111,7 @@
             batch.machine_commands.push(command);
         }
         while batch.rows() < ROWS_MAX {
-            let Some(row) = self.changed_rows.pop_first() else {
+            let Some((change, row)) = self.changed_rows.pop_first() else {
                 break;
             };
             let Some(job) = self.jobs.get_mut(&row.job) else {
@@ -124,9 +124,9 @@
                 job.rows.insert(row.part);
                 self.pending_rows.keep_progress(row);
                 batch.progress.push((row, progress));
+                batch.first_changes.insert(row, change);
             }
         }
-        batch.change = self.changed_rows.newest();
         let pending = &mut self.pending_rows;
         while batch.rows() < ROWS_MAX {
             let Some((worker, row)) = pending.added.pop_first() else {
@@ -158,7 +158,7 @@
 
     /// Takes rows of a batch that the store refuses for good, by table and key, out of it.
     ///
-    /// Progress is written again later; until then, ends that were handled since are not acknowledged. A worker or machine
+    /// Progress is written again later; until then, neither the batch's ends nor later ones are acknowledged. A worker or machine
     /// whose row is refused isn't used.
     pub fn rows_refused<F>(&mut self, batch: &mut record::WriteBatch, is_refused: F)
     where
@@ -166,11 +166,17 @@
     {
         let is_refused_progress =
             |row: &progress_rows::Key| is_refused(record::PROGRESS_TABLE, &row.to_string());
-        for (row, _) in &batch.progress {
-            if is_refused_progress(row) {
-                self.changed_rows.refuse(*row, batch.change);
-                batch.acknowledge.clear();
-            }
+        let refused = batch.first_changes.iter();
+        let refused: Vec<(u64, progress_rows::Key)> = refused
+            .filter(|(row, _)| is_refused_progress(row))
+            .map(|(row, change)| (*change, *row))
+            .collect();
+        for &(change, row) in &refused {
+            self.changed_rows.refuse(row, change);
+        }
+        if let Some(&(first, _)) = refused.iter().min() {
+            let ends = std::mem::take(&mut batch.acknowledge);
+            self.pending_rows.handled_ends.put_back(ends, first);
         }
         batch.progress.retain(|(row, _)| !is_refused_progress(row));
         batch
--- a/src/batch/scheduler/ends.rs
+++ b/src/batch/scheduler/ends.rs
@@ -15,7 +15,7 @@
 pub(super) struct ChangedRows {
     by_change: BTreeSet<(u64, progress_rows::Key)>,
     changes: HashMap<progress_rows::Key, u64>,
-    /// Rows that the store refused, with the newest change when they were taken to be written.
+    /// Rows that the store refused, by the first change that they would have written.
     refused: BTreeSet<(u64, progress_rows::Key)>,
     /// Number of the newest change.
     newest: u64,
@@ -31,10 +31,11 @@
         });
     }
 
-    pub(super) fn pop_first(&mut self) -> Option<progress_rows::Key> {
-        let (_, row) = self.by_change.pop_first()?;
+    /// Removes and returns the row with the oldest change, and the number of that change.
+    pub(super) fn pop_first(&mut self) -> Option<(u64, progress_rows::Key)> {
+        let (change, row) = self.by_change.pop_first()?;
         self.changes.remove(&row);
-        Some(row)
+        Some((change, row))
     }
 
     /// Returns the number of the newest change.
@@ -42,7 +43,7 @@
         self.newest
     }
 
-    /// Records that the store refused a row that was taken when `change` was the newest change.
+    /// Records that the store refused a row of which `change` was the first change.
     pub(super) fn refuse(&mut self, row: progress_rows::Key, change: u64) {
         self.refused.insert((change, row));
     }
@@ -89,6 +90,19 @@
         ends.push_back(HandledEnd { runs, change });
     }
 
+    /// Puts ends back that were taken, because the store refused a row of which `change` was the first change. They are the
+    /// oldest ones of their workers.
+    pub(super) fn put_back(
+        &mut self,
+        ends: BTreeMap<id::Worker, record::HandledRuns>,
+        change: u64,
+    ) {
+        for (worker, runs) in ends {
+            let ends = self.workers.entry(worker).or_default();
+            ends.push_front(HandledEnd { runs, change });
+        }
+    }
+
     pub(super) fn forget(&mut self, worker: &id::Worker) {
         self.workers.remove(worker);
     }
--- a/tests/test_batch_acknowledged.rs
+++ b/tests/test_batch_acknowledged.rs
@@ -5,7 +5,7 @@
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::fake_workers::{config, listing, settings};
+use crate::fake_workers::{accepted, config, listing, settings, step};
 
 fn task(job: u64) -> TaskId {
     TaskId {
@@ -51,6 +51,48 @@
     scheduler
 }
 
+/// Guards against a done task that starts again: the store refused the row of an end in the first of two batches, and the
+/// second batch acknowledged a later end of the same worker, and with it that end.
+#[test]
+fn an_end_after_a_refused_row_is_not_acknowledged_by_a_later_batch() {
+    const ENDS: u64 = 120;
+    let now = Instant::from_ms(1_000);
+    let a = id::Worker::new("a");
+    let recovered = RecoveredState {
+        accepted: (1..=ENDS)
+            .map(|job| (JobId(job), accepted(vec![step(1, &[])], 3)))
+            .collect(),
+        ..RecoveredState::default()
+    };
+    let mut scheduler = scheduler(recovered, now);
+    let ended = (1..=ENDS).map(|number| done(number, number)).collect();
+    scheduler.poll_answered(&a, &report(ended), now, now, 0);
+
+    let refused = JobId(1).to_string();
+    let mut first = scheduler.take_batch();
+    assert!(first.progress.len() < ENDS as usize, "not all in one batch");
+    scheduler.rows_refused(&mut first, |_, key| key == refused);
+    scheduler.batch_committed(&first);
+    let second = scheduler.take_batch();
+    scheduler.batch_committed(&second);
+    let poll = scheduler.next_poll(&a, now.after_ms(10)).expect("a poll");
+    assert_eq!(poll.acknowledged, 0, "no row holds the first end");
+
+    // Once the row is written, all ends are acknowledged without a further one.
+    scheduler.tick(now.after_ms(6_000), 0);
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    scheduler.poll_answered(
+        &a,
+        &report(vec![]),
+        now.after_ms(6_000),
+        now.after_ms(6_010),
+        0,
+    );
+    let poll = scheduler.next_poll(&a, now.after_ms(6_020));
+    assert_eq!(poll.expect("a poll").acknowledged, ENDS);
+}
+
 /// Guards against a done task that starts again: the end of a task whose job's row can't be decoded was acknowledged, and a
 /// leader that can decode the row starts the job from its beginning.
 #[test]
