scheduler: jobs of a partition that was never read wait for workers of previous leaders

A node that stores a job, and leads before the store's response arrives, passes the job to its scheduler as a new one. If the job's partition can't be read meanwhile, nothing shows that a previous leader got the job by the feed and started it. The node started it a second time while a worker of that leader had not been heard.

Jobs of partitions that were never read now count as recovered, whatever tells of them.

Test: a_job_of_a_partition_that_was_never_read_waits_for_workers_of_previous_leaders, which failed before.

--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -202,9 +202,11 @@
         scheduler
     }
 
-    /// Adds a job that was accepted after this scheduler started.
+    /// Adds a job that was accepted after this scheduler started, or whose partition was never read.
     pub fn job_accepted(&mut self, id: JobId, accepted: record::Accepted, now: clock::Instant) {
-        self.add_job(id, accepted, false, now);
+        // The store's response to this node's own submission can arrive after a previous leader has started the job.
+        let recovered = self.orphans.is_never_read(record::job_partition_number(id));
+        self.add_job(id, accepted, recovered, now);
         self.apply_orphans(id, now);
         if self.early_cancels.remove(&id) {
             self.job_cancelled(id, now, 0);
--- a/src/batch/scheduler/orphans.rs
+++ b/src/batch/scheduler/orphans.rs
@@ -109,6 +109,11 @@
         !self.unread.contains(&partition)
     }
 
+    /// Returns whether a partition was not read since the scheduler started.
+    pub(super) fn is_never_read(&self, partition: u64) -> bool {
+        self.never_read.contains(&partition)
+    }
+
     fn take(&mut self, job: JobId) -> Option<OrphanRuns> {
         let orphan_runs = self.jobs.remove(&job)?;
         for (worker, _) in orphan_runs.runs.keys() {
--- a/tests/test_batch_acknowledged.rs
+++ b/tests/test_batch_acknowledged.rs
@@ -1,11 +1,14 @@
 //! Ends that are acknowledged although no row holds them: the next leader starts their tasks again.
 
+use std::collections::BTreeSet;
+
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler};
-use wasabiloft::batch::{JobId, TaskId, worker_state};
+use wasabiloft::batch::{JobId, TaskId, record, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
-use crate::fake_workers::{accepted, config, listing, settings, step};
+use crate::fake_pair::starts;
+use crate::fake_workers::{SERVICE, accepted, config, listing, settings, step};
 
 fn task(job: u64) -> TaskId {
     TaskId {
@@ -114,3 +117,33 @@
     let poll = scheduler.next_poll(&a, now.after_ms(200)).expect("a poll");
     assert_eq!(poll.acknowledged, 0);
 }
+
+/// Guards against a second run beside the first: this node stored a job before it led, and got the store's response
+/// afterwards, while the job's partition can't be read. The previous leader has started the job on a worker that answers
+/// nobody.
+#[test]
+fn a_job_of_a_partition_that_was_never_read_waits_for_workers_of_previous_leaders() {
+    let now = Instant::from_ms(1_000);
+    let row = record::WorkerRow {
+        service: id::Service::new(SERVICE),
+    };
+    let job = JobId(1);
+    let recovered = RecoveredState {
+        workers: vec![(id::Worker::new("silent"), row)],
+        unread: BTreeSet::from([record::job_partition_number(job)]),
+        ..RecoveredState::default()
+    };
+    let mut scheduler = scheduler(recovered, now);
+    scheduler.job_accepted(job, accepted(vec![step(1, &[])], 3), now.after_ms(20));
+    scheduler.plan(now.after_ms(20), 0);
+    assert_eq!(starts(&mut scheduler), []);
+    for after_ms in (100..4_800).step_by(100) {
+        let at = now.after_ms(after_ms);
+        for worker in ["a", "b"] {
+            scheduler.poll_answered(&id::Worker::new(worker), &report(vec![]), at, at, 0);
+        }
+        scheduler.tick(at, 0);
+    }
+    scheduler.plan(now.after_ms(4_800), 0);
+    assert_eq!(starts(&mut scheduler).len(), 1, "its leases have lapsed");
+}
