scheduler: a successor waits for leases from before a worker's restart

A worker that starts again under its id can hold a lease of the greatest length that it accepts: a start that was under way is a time on the clock of the earlier incarnation. The leader that notices the restart counts with that, but its successor didn't know of it. It took the worker for lapsed after 4.58 s, and if it had heard it once, after its own lease, and started the tasks again beside their runs.

The worker's row now says that it has started again, before the worker gets another task. A successor waits for the longest lease of such a worker, and counts with it if it hears the worker. The row is rewritten after twice that time. What is left: a leader that ends before that commit.

Tests: test_batch_restarts. Before, the successor started the task after 4,580 ms, or 4,390 ms if it had heard the worker once; the longest lease is 10 s.

--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -231,13 +231,26 @@
 pub struct WorkerRow {
     /// Service whose tasks the worker runs; has no name if the row cannot be read.
     pub service: id::Service,
+    /// Whether the worker has started again under its id lately. A lease that was granted on the clock of the earlier
+    /// incarnation then has the greatest length that workers accept.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub restarted: bool,
 }
 
 impl WorkerRow {
+    /// Returns the row of a worker of a service.
+    pub fn new(service: id::Service) -> Self {
+        Self {
+            service,
+            restarted: false,
+        }
+    }
+
     /// Returns the row of a worker whose row cannot be read.
     pub fn unreadable() -> Self {
         Self {
             service: id::Service::new(""),
+            restarted: false,
         }
     }
 
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -92,6 +92,7 @@
             self.log(format!(
                 "worker's clock went back worker={id} clock_ms={clock_ms}"
             ));
+            self.record_restart(id, now);
         }
     }
 
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -41,13 +41,16 @@
     pub(super) fn add_worker(&mut self, worker: &id::Worker, service: &id::Service) {
         self.removed.remove(worker);
         if !self.is_recorded(worker) {
-            let row = record::WorkerRow {
-                service: service.clone(),
-            };
+            let row = record::WorkerRow::new(service.clone());
             self.added.insert(worker.clone(), row);
         }
     }
 
+    /// Writes the row of a worker again.
+    pub(super) fn update_worker(&mut self, worker: &id::Worker, row: record::WorkerRow) {
+        self.added.insert(worker.clone(), row);
+    }
+
     pub(super) fn remove_worker(&mut self, worker: &id::Worker) {
         self.added.remove(worker);
         self.handled_ends.forget(worker);
@@ -225,7 +228,7 @@
         }
         for (id, _) in &batch.workers_added {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.recorded = true;
+                worker.recorded = !self.pending_rows.added.contains_key(id);
                 self.pending_rows.recorded.insert(id.clone());
                 self.dirty_services.insert(worker.listing.service.clone());
             } else {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -392,6 +392,7 @@
         self.open_due_occurrences(unix_ms);
         self.resolve_expired(now);
         self.expire_leases(now);
+        self.forget_restarts(now);
         if now.since_ms(self.runs_checked_at) >= RUNS_CHECK_MS {
             self.runs_checked_at = now;
             self.resend_stops(now);
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -93,35 +93,12 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let lease_max_ms = self.settings.lease_max_ms;
         let born_unix_ms = report.started_unix_ms.unwrap_or(worker.started_unix_ms);
         if worker.adopted && born_unix_ms != worker.started_unix_ms {
             self.restarted(id, report);
+            self.begin_incarnation(id, report, now);
         }
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if worker.adopted && born_unix_ms != worker.started_unix_ms {
-            worker.joined_at = now;
-            worker.handled = 0;
-            worker.handled_ahead.clear();
-            worker.acknowledged = 0;
-            if worker.lease_until_ms > 0 {
-                // On this incarnation's clock, leases that were granted to the earlier one have their greatest length.
-                worker.lease_until_ms = report.clock_ms + lease_max_ms;
-            }
-            // The new incarnation knows nothing of a stop that the earlier one acknowledged.
-            let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
-            for task in tasks {
-                let job = self.jobs.get_mut(&task.job);
-                let task = job.and_then(|job| job.task_mut(&task));
-                if let Some(active) = task.and_then(|task| task.active.as_mut()) {
-                    active.stop_acked_at = None;
-                }
-            }
-            self.orphans.forget_worker(id);
-            self.log(format!("worker restarted with the same id worker={id}"));
-        }
+        let lease_max_ms = self.settings.lease_max_ms;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -144,9 +121,14 @@
         if !worker.adopted {
             worker.adopted = true;
             // An earlier leader may have renewed its lease just before.
-            let lease_ms = self.settings.lease_ms;
+            let row = self.unresolved.remove(id);
+            let lease_ms = if row.is_some_and(|row| row.restarted) {
+                worker.restarted_at = Some(now);
+                lease_max_ms
+            } else {
+                self.settings.lease_ms
+            };
             worker.lease_until_ms = worker.lease_until_ms.max(report.clock_ms + lease_ms);
-            self.unresolved.remove(id);
             self.log(format!(
                 "worker adopted worker={id} runs={} ends={}",
                 report.running.len(),
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::batch::TaskId;
+use crate::batch::record;
 use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Output, Scheduler, crashes};
 use crate::batch::worker_state;
@@ -140,6 +141,42 @@
         }
     }
 
+    /// Begins a new incarnation of a worker, which knows nothing of the earlier one.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        id: &id::Worker,
+        report: &worker_state::Report,
+        now: clock::Instant,
+    ) {
+        let lease_max_ms = self.settings.lease_max_ms;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.joined_at = now;
+        worker.handled = 0;
+        worker.handled_ahead.clear();
+        worker.acknowledged = 0;
+        let had_lease = worker.lease_until_ms > 0;
+        if had_lease {
+            // On this incarnation's clock, leases that were granted to the earlier one have their greatest length.
+            worker.lease_until_ms = report.clock_ms + lease_max_ms;
+        }
+        // The new incarnation knows nothing of a stop that the earlier one acknowledged.
+        let tasks: Vec<TaskId> = worker.tasks.iter().copied().collect();
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.job);
+            let task = job.and_then(|job| job.task_mut(&task));
+            if let Some(active) = task.and_then(|task| task.active.as_mut()) {
+                active.stop_acked_at = None;
+            }
+        }
+        self.orphans.forget_worker(id);
+        self.log(format!("worker restarted with the same id worker={id}"));
+        if had_lease {
+            self.record_restart(id, now);
+        }
+    }
+
     /// Returns for how long the active run of a task certainly ran on its worker, in milliseconds: from the worker's
     /// confirmation of the start to its last report. `None` if the start was not confirmed.
     fn survived_ms(&self, id: &TaskId, worker: &worker_state::Worker) -> Option<u64> {
@@ -153,15 +190,56 @@
         if self.unresolved.is_empty() {
             return;
         }
-        if now.since_ms(self.started_at) < self.earlier.wait_ms(self.settings.lease_ms) {
-            return;
-        }
-        for (worker, row) in std::mem::take(&mut self.unresolved) {
+        let (lease_ms, lease_max_ms) = (self.settings.lease_ms, self.settings.lease_max_ms);
+        let (earlier, waited_ms) = (self.earlier, now.since_ms(self.started_at));
+        let may_run = |row: &record::WorkerRow| {
+            let lease_ms = if row.restarted {
+                lease_max_ms
+            } else {
+                lease_ms
+            };
+            waited_ms < earlier.wait_ms(lease_ms)
+        };
+        let lapsed = self.unresolved.extract_if(.., |_, row| !may_run(row));
+        let lapsed: Vec<(id::Worker, record::WorkerRow)> = lapsed.collect();
+        for (worker, row) in lapsed {
             self.log(format!("worker of previous leader lapsed worker={worker}"));
             self.tenure.inherited_ended(now);
             self.dirty_services.insert(row.service);
-            if !self.workers.contains_key(&worker) {
-                self.pending_rows.remove_worker(&worker);
+            match self.workers.get_mut(&worker) {
+                Some(state) => state.restarted_at = row.restarted.then_some(now),
+                None => self.pending_rows.remove_worker(&worker),
+            }
+        }
+    }
+
+    /// Writes to a worker's row that it has started again under its id. It gets no tasks before that is committed, as a
+    /// successor has to wait for leases of the greatest length.
+    pub(super) fn record_restart(&mut self, id: &id::Worker, now: clock::Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.restarted_at = Some(now);
+        worker.recorded = false;
+        let row = record::WorkerRow {
+            restarted: true,
+            ..record::WorkerRow::new(worker.listing.service.clone())
+        };
+        self.pending_rows.update_worker(id, row);
+    }
+
+    /// Rewrites the rows of workers whose leases on the clock of an earlier incarnation have lapsed. A command of that time
+    /// can arrive seconds late, so that they are awaited twice.
+    pub(super) fn forget_restarts(&mut self, now: clock::Instant) {
+        let wait_ms = 2 * lease_expiry_ms(self.settings.lease_max_ms);
+        for (id, worker) in &mut self.workers {
+            let is_over = worker
+                .restarted_at
+                .is_some_and(|at| now.since_ms(at) >= wait_ms);
+            if is_over {
+                worker.restarted_at = None;
+                let row = record::WorkerRow::new(worker.listing.service.clone());
+                self.pending_rows.update_worker(id, row);
             }
         }
     }
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -143,6 +143,8 @@
     excused_ms: u64,
     /// Whether the newest poll got no response.
     pub unanswered: bool,
+    /// When it was noticed that the worker had started again under its id, as long as its row says so.
+    pub restarted_at: Option<clock::Instant>,
     /// End of the longest lease that the worker can have received, on its own clock, in milliseconds.
     pub lease_until_ms: u64,
     /// Tasks that can be running on the worker.
@@ -195,6 +197,7 @@
             last_response_at: now,
             excused_ms: 0,
             unanswered: false,
+            restarted_at: None,
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
             used: Resources::default(),
--- a/tests/test_batch_acknowledged.rs
+++ b/tests/test_batch_acknowledged.rs
@@ -124,9 +124,7 @@
 #[test]
 fn a_job_of_a_partition_that_was_never_read_waits_for_workers_of_previous_leaders() {
     let now = Instant::from_ms(1_000);
-    let row = record::WorkerRow {
-        service: id::Service::new(SERVICE),
-    };
+    let row = record::WorkerRow::new(id::Service::new(SERVICE));
     let job = JobId(1);
     let recovered = RecoveredState {
         workers: vec![(id::Worker::new("silent"), row)],
--- a/tests/test_batch_capacity.rs
+++ b/tests/test_batch_capacity.rs
@@ -253,9 +253,7 @@
 /// Returns a scheduler of the next epoch, which recovers job 1 as cancelled and job 2 as accepted, and knows worker `a`.
 fn successor_after_cancel(now: Instant) -> Scheduler {
     let job = accepted(vec![step(4, &[])], 3);
-    let row = record::WorkerRow {
-        service: listing("a").service,
-    };
+    let row = record::WorkerRow::new(listing("a").service);
     let recovered = RecoveredState {
         accepted: vec![(JobId(1), job.clone()), (JobId(2), job)],
         cancelled: vec![JobId(1)],
--- a/tests/test_batch_holder.rs
+++ b/tests/test_batch_holder.rs
@@ -217,9 +217,7 @@
     let rows = RecoveredState {
         workers: vec![(
             id::Worker::new("unheard"),
-            record::WorkerRow {
-                service: id::Service::new(SERVICE),
-            },
+            record::WorkerRow::new(id::Service::new(SERVICE)),
         )],
         earlier: predecessors::Earlier::Lapsing,
         ..RecoveredState::default()
--- a/tests/test_batch_inherit.rs
+++ b/tests/test_batch_inherit.rs
@@ -172,9 +172,7 @@
     long_running.long_running = true;
     long_running.per_worker_max = 1;
     long_running.unavailable_max = Some(1);
-    let row = record::WorkerRow {
-        service: id::Service::new(SERVICE),
-    };
+    let row = record::WorkerRow::new(id::Service::new(SERVICE));
     let rows = RecoveredState {
         accepted: vec![(JOB, accepted(vec![long_running], 2))],
         workers: vec![(id::Worker::new("a"), row)],
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -29,6 +29,7 @@
 mod test_batch_rejection;
 mod test_batch_relays;
 mod test_batch_release;
+mod test_batch_restarts;
 mod test_batch_room;
 mod test_batch_slowness;
 mod test_batch_submissions;
