submissions: a late cancellation doesn't cancel a later job of the same id

Cancellations were the only write without a condition. One that the store applied after its job's rows had been removed, and the id submitted again, cancelled the later job.

The transaction now expects the version of the job's row that was read before. A cancellation whose check fails is answered 410, as its job is gone, unless its own row exists; it isn't remembered as written. Nodes pass the version on when they forward entries; an entry of a node of the previous version has none and is written as before.

--- a/node/src/batch/forward.rs
+++ b/node/src/batch/forward.rs
@@ -84,6 +84,9 @@
 struct Entry {
     key: String,
     value: String,
+    /// Version of the row of the job that a cancellation is for; a node of the previous version doesn't tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    job_version: Option<u64>,
     /// Time until the caller's deadline, in milliseconds.
     remaining_ms: u64,
 }
@@ -100,6 +103,7 @@
             key,
             value: self.value.into_bytes(),
             accepted,
+            job_version: self.job_version,
             deadline: now.after_ms(self.remaining_ms),
         })
     }
@@ -276,6 +280,7 @@
         Some(Entry {
             key: item.key.text(),
             value: std::str::from_utf8(&item.value).ok()?.to_owned(),
+            job_version: item.job_version,
             remaining_ms: item.deadline.since_ms(now).saturating_sub(RETURN_MS),
         })
     };
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -59,6 +59,7 @@
         key: record::JobKey::Accepted(job),
         value,
         accepted: Some(accepted),
+        job_version: None,
         deadline,
     };
     // The node that commits the row logs it and passes it to the scheduler.
@@ -215,22 +216,34 @@
     deadline: wasabiloft::clock::Instant,
 ) -> Outcome {
     let accepted = job_row(job, record::JobKey::Accepted(job));
-    match read(shared, &accepted, deadline).await {
-        Ok(Some(_)) => {}
+    let job_version = match read(shared, &accepted, deadline).await {
+        Ok(Some(row)) => row.version,
         Ok(None) => return Outcome::NoJob,
         Err(outcome) => return outcome,
-    }
+    };
     let item = submissions::Item {
         key: record::JobKey::Cancelled(job),
         value: b"{}".to_vec(),
         accepted: None,
+        job_version: Some(job_version),
         deadline,
     };
-    match shared.submissions.write(item).await {
-        Answer::Committed(_) | Answer::Exists => {
-            Outcome::Done(submission::state_body(record::State::Cancelled))
+    let is_cancelled = match shared.submissions.write(item).await {
+        Answer::Committed(_) => true,
+        // The row of the cancellation exists, or the job was removed.
+        Answer::Exists => {
+            let cancelled = job_row(job, record::JobKey::Cancelled(job));
+            match read(shared, &cancelled, deadline).await {
+                Ok(row) => row.is_some(),
+                Err(outcome) => return outcome,
+            }
         }
-        answer => unwritten(answer),
+        answer => return unwritten(answer),
+    };
+    if is_cancelled {
+        Outcome::Done(submission::state_body(record::State::Cancelled))
+    } else {
+        Outcome::NoJob
     }
 }
 
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -42,6 +42,8 @@
     pub value: Vec<u8>,
     /// The decoded content; absent for a cancellation.
     pub accepted: Option<record::Accepted>,
+    /// Version of the row of the job that a cancellation is for; absent for a submission.
+    pub job_version: Option<u64>,
     /// When the caller stops waiting.
     pub deadline: wasabiloft::clock::Instant,
 }
@@ -360,15 +362,33 @@
     store::Name::new(record::JOB_TABLE, &record::job_partition(job), &key.text())
 }
 
+/// Returns the row that an item's transaction checks, and its expected version: the row of a submission is absent, and the job
+/// of a cancellation is the one that was read.
+fn check(item: &Item) -> Option<(store::Name, u64)> {
+    match item.key {
+        record::JobKey::Accepted(_) => Some((name(item.key), 0)),
+        record::JobKey::Cancelled(job) => {
+            let version = item.job_version?;
+            Some((name(record::JobKey::Accepted(job)), version))
+        }
+    }
+}
+
+/// Returns whether the check of an item failed, from the current state of all checked rows.
+fn is_failed(item: &Item, rows: &[store::Row]) -> bool {
+    check(item).is_some_and(|(name, expected)| {
+        let row = rows.iter().find(|row| row.name == name && !row.removed);
+        row.map_or(0, |row| row.version) != expected
+    })
+}
+
 /// Commits items of one partition in one transaction.
 async fn transact(shared: &shared::Shared, items: &[Arc<Item>], timeout_ms: u64) -> Outcome {
     let mut transaction = store::Transaction::default();
     for item in items {
-        let name = name(item.key);
-        if matches!(item.key, record::JobKey::Accepted(_)) {
-            transaction.checks.push((name.clone(), 0));
-        }
-        transaction.writes.push((name, item.value.clone()));
+        transaction.checks.extend(check(item));
+        let write = (name(item.key), item.value.clone());
+        transaction.writes.push(write);
     }
     match shared.store.transact(&transaction, timeout_ms).await {
         Ok(store::CommitOutcome::Applied(version)) => {
@@ -380,9 +400,8 @@
         }
         Ok(store::CommitOutcome::CheckFailed(rows)) => {
             shared.record_store_response();
-            let existing = rows.iter().filter(|row| !row.removed);
-            let keys = existing.filter_map(|row| record::JobKey::parse(&row.name.key));
-            Outcome::CheckFailed(keys.collect())
+            let failed = items.iter().filter(|item| is_failed(item, &rows));
+            Outcome::CheckFailed(failed.map(|item| item.key).collect())
         }
         Err(error) => {
             counter!("wasabiloft_store_retries_total").increment(1);
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -9,6 +9,7 @@
 mod test_account_limits;
 mod test_accounts;
 mod test_answers;
+mod test_cancellations;
 mod test_capacity;
 mod test_connections;
 mod test_fleet;
--- a/src/batch/submissions.rs
+++ b/src/batch/submissions.rs
@@ -7,7 +7,8 @@
 //!
 //! A submission is written on the condition that its row is absent. It may therefore be sent again, and by several
 //! paths, without being accepted twice. Once it was part of a transaction without a response, it is never reported as
-//! not run, because the transaction may still be committed.
+//! not run, because the transaction may still be committed. A cancellation is written on the condition that the row of its
+//! job is the one that was read, so that a late one doesn't cancel a later job of the same id.
 
 mod outcome;
 mod partition;
@@ -337,7 +338,10 @@
                 let is_unexplained = existing.is_empty();
                 rest.iter_mut()
                     .for_each(|entry| entry.alone |= is_unexplained);
-                known.extend(existing.iter().map(|entry| entry.key));
+                // A failed check of a cancellation says nothing of its own row.
+                let submitted = existing.iter().map(|entry| entry.key);
+                let submitted = submitted.filter(|key| matches!(key, record::JobKey::Accepted(_)));
+                known.extend(submitted);
                 for entry in &existing {
                     partition.exists(entry, Answer::Exists, &mut actions);
                 }
--- a/src/batch/submissions/outcome.rs
+++ b/src/batch/submissions/outcome.rs
@@ -37,7 +37,8 @@
 pub enum Outcome {
     /// All entries were written, at this version.
     Committed(u64),
-    /// Nothing was written, since these rows exist.
+    /// Nothing was written, since the checks of these entries failed: the row of a submission exists, or the job of a
+    /// cancellation has been removed.
     CheckFailed(Vec<record::JobKey>),
     /// Nothing was written: the store is unavailable.
     Unavailable,
--- a/src/batch/submissions/partition.rs
+++ b/src/batch/submissions/partition.rs
@@ -71,9 +71,9 @@
     }
 
     pub(super) fn store_entries(&self) -> usize {
+        // The row, and the condition on the job's row.
         match self.key {
-            record::JobKey::Accepted(_) => 2,
-            record::JobKey::Cancelled(_) => 1,
+            record::JobKey::Accepted(_) | record::JobKey::Cancelled(_) => 2,
         }
     }
 }
--- a/standins/src/hosted/store/mod.rs
+++ b/standins/src/hosted/store/mod.rs
@@ -89,6 +89,8 @@
     pub lost_responses: AtomicU32,
     /// Number of upcoming transactions that are applied late and without a response.
     pub late_writes: AtomicU32,
+    /// Number of upcoming transactions on a table that are applied late and without a response.
+    late_writes_to: Mutex<BTreeMap<String, u32>>,
     /// Delay added to each response to a transaction or range read, in milliseconds.
     pub delay_ms: AtomicU64,
     /// Time that a partition takes for a transaction, in milliseconds; a partition processes them one by one.
@@ -255,6 +257,23 @@
         u64::try_from(self.clock.0.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Applies the next transactions on a table late and without a response.
+    pub fn write_late(&self, table: &str, transactions: u32) {
+        lock(&self.late_writes_to).insert(table.into(), transactions);
+    }
+
+    fn writes_late(&self, transaction: &Transaction) -> bool {
+        let mut late_writes_to = lock(&self.late_writes_to);
+        let table = transaction.writes.first().map(|row| row.table.as_str());
+        let remaining = table.and_then(|table| late_writes_to.get_mut(table));
+        if let Some(remaining) = remaining.filter(|remaining| **remaining > 0) {
+            *remaining -= 1;
+            return true;
+        }
+        drop(late_writes_to);
+        server::consume_fault(&self.late_writes)
+    }
+
     /// Returns the number of transactions received that wrote to a table.
     pub fn transactions(&self, table: &str) -> u64 {
         lock(&self.transactions).get(table).copied().unwrap_or(0)
--- a/standins/src/hosted/store/server.rs
+++ b/standins/src/hosted/store/server.rs
@@ -86,7 +86,7 @@
 }
 
 /// Decrements a fault counter; returns whether the fault applies.
-fn consume_fault(remaining: &AtomicU32) -> bool {
+pub(super) fn consume_fault(remaining: &AtomicU32) -> bool {
     let decrement = |remaining: u32| remaining.checked_sub(1);
     remaining
         .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement)
@@ -124,7 +124,7 @@
         }
     }
     store.delay_response().await;
-    if consume_fault(&store.late_writes) {
+    if store.writes_late(&transaction) {
         // Applied in a separate task, as the caller gives up first and its disconnect must not cancel the write.
         tokio::spawn(async move {
             time::sleep(Duration::from_millis(LATE_WRITE_DELAY_MS)).await;
