--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -157,7 +157,7 @@
         while !stop.is_cancelled() {
             let pause_ms = self.rng.random_range(match self.faults {
                 Faults::Single | Faults::FrozenLeaders => PAUSE_MS,
-                Faults::Series => LONG_PAUSE_MS,
+                Faults::Series | Faults::Partitions => LONG_PAUSE_MS,
             });
             time::sleep(Duration::from_millis(pause_ms)).await;
             match self.rng.random_range(0..10) {
@@ -272,7 +272,9 @@
         let is_long = match self.faults {
             _ if fails => false,
             Faults::Single => false,
-            Faults::Series | Faults::FrozenLeaders => self.rng.random_bool(LONG_SHARE),
+            Faults::Series | Faults::FrozenLeaders | Faults::Partitions => {
+                self.rng.random_bool(LONG_SHARE)
+            }
         };
         self.rng
             .random_range(if is_long { LONG_MS } else { 30..900 })
--- a/standins/src/soak/faults/mod.rs
+++ b/standins/src/soak/faults/mod.rs
@@ -1,6 +1,7 @@
 //! Fault injection of a soak: faults are drawn from the seed and can overlap.
 
 mod kind;
+mod partitions;
 mod workers;
 
 use std::ops::Range;
@@ -57,6 +58,9 @@
         soak::Faults::FrozenLeaders => {
             return freeze_leaders(world, &mut rng, started_at, options.run_ms).await;
         }
+        soak::Faults::Partitions => {
+            return partitions::inject_all(world, &mut rng, started_at, options.run_ms).await;
+        }
     };
     let mut injected = Vec::new();
     let mut active_faults = JoinSet::new();
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -47,6 +47,8 @@
     Series,
     /// The leader's process is frozen again and again while workers are cut off, and wakes before the cut ends.
     FrozenLeaders,
+    /// Several at a time, of the network from single nodes to the store, to workers and to each other, and of processes.
+    Partitions,
 }
 
 /// Options of a soak.
--- a/standins/src/soak_command.rs
+++ b/standins/src/soak_command.rs
@@ -28,6 +28,7 @@
     --single          Draw faults one at a time, of nodes, the store and the paths to workers.
                       [default: several at a time, also of the machine API and of unreachable workers]
     --frozen-leaders  Freeze the leader again and again while workers are cut off; it wakes before the cut ends.
+    --partitions      Cut single nodes off from the store, from workers and from each other, and starve processes.
     --large-every N   Run every Nth seed with 24 daemons, 48 machines and 24 callers. [default: 0, none]
     --regressions     Run the seeds that have failed before instead, with --single.
     -h, --help        Show this help.
@@ -57,6 +58,7 @@
             Long("accounts") => options.accounts = number(&mut parser)?.min(20) as usize,
             Long("single") => options.faults = soak::Faults::Single,
             Long("frozen-leaders") => options.faults = soak::Faults::FrozenLeaders,
+            Long("partitions") => options.faults = soak::Faults::Partitions,
             Long("large-every") => large_every = number(&mut parser)?,
             Long("regressions") => regressions = true,
             Short('h') | Long("help") => {
