--- a/measure/tests/test_search.rs
+++ b/measure/tests/test_search.rs
@@ -233,6 +233,37 @@
     assert_eq!(seen, serde_json::json!([]));
 }
 
+/// Guards against the same where the replaced leader's lease of the worker lapses, and the successor goes on with its runs.
+#[test]
+fn a_replaced_leader_starts_no_task_again_whose_lease_lapsed() {
+    let setup = serde_json::json!({"nodes": 2, "jobs": 2, "every_ms": 400});
+    let faults = serde_json::json!([
+        {"at_ms": 2_500, "what": "cut", "node": 0, "vm": 0, "how": "silent", "for_ms": 1_500},
+        {
+            "at_ms": 5_000, "what": "partition", "nodes": [0], "vms": [1], "writes_only": false,
+            "for_ms": 2_500,
+        },
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
+/// Guards against a lease on the clock of an earlier incarnation, which the next one takes for its longest lease, so that it
+/// lasts longer than the wait of a successor.
+#[test]
+fn a_lease_from_before_a_restart_does_not_outlast_the_wait_of_a_successor() {
+    let setup = serde_json::json!({"nodes": 2});
+    let faults = serde_json::json!([
+        {
+            "at_ms": 1_000, "what": "partition", "nodes": [0], "vms": [0], "writes_only": true,
+            "for_ms": 7_000,
+        },
+        {"at_ms": 1_500, "what": "crash", "vm": 0, "silent": true, "for_ms": 150, "same_id": true},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
 /// Guards against leases that count from the answer to a claim, which another node can have replaced before it arrived.
 #[test]
 fn leases_count_from_when_the_claim_was_sent() {
--- a/tests/test_batch_predecessors.rs
+++ b/tests/test_batch_predecessors.rs
@@ -146,9 +146,7 @@
     let rows = RecoveredState {
         workers: vec![(
             id::Worker::new("unheard"),
-            record::WorkerRow {
-                service: id::Service::new(SERVICE),
-            },
+            record::WorkerRow::new(id::Service::new(SERVICE)),
         )],
         earlier,
         ..RecoveredState::default()
