duty: a node whose claim may still be committed follows no leader

A follower whose claim got no response went on confirming the leader, which renewed leases on that; the claim can be committed seconds later, and whoever takes over from it assumes that the claimer had stopped confirming. A node that was restarted after such a claim confirmed in place of its earlier process. A node that stood still took itself for counted on from when it read the response. A claim that this node had given up was taken up again when another found it in the row, although others had been told that the node doesn't lead. And refused connections, which prove nothing, let a node claim that then has to wait long.

Change: until the row has another version than a claim without a known outcome expects, the node neither confirms nor says that it stops. An ended incarnation of a follower counts until a later commit, with which its claims fail. Times count from the heartbeat that was answered. A node that the leader doesn't count on doesn't claim for refused connections.

--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -160,6 +160,8 @@
         state.unresponsive_ms = None;
         if hands_over {
             self.read_row(node, shell::Evidence::RequestsHandover, LATENCY_MS);
+        } else if state.claimed.is_some() {
+            self.follow_later(node);
         } else {
             state.confirms = Some((epoch, now));
             if counts_on {
@@ -243,6 +245,7 @@
     fn record_row(&mut self, node: usize) {
         let store = &self.store;
         let state = &mut self.nodes[node];
+        state.claimed = state.claimed.filter(|expected| *expected == store.version);
         state.known = (store.version, store.holder, store.epoch);
         state.known_standing = store.standing;
         state.expected_cpu_milli = (store.version > 0).then_some(store.cpu_milli);
@@ -321,6 +324,7 @@
 
     /// Reads the row to find out whether a claim without a response was committed.
     pub(super) fn resolve_claim(&mut self, node: usize, claim: Claim, sent_at: Instant) {
+        self.nodes[node].claimed = Some(self.nodes[node].known.0);
         if !self.reaches_store(node) {
             self.claim_failed(node);
             return;
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -191,6 +191,8 @@
     pub(super) expected_cpu_milli: Option<u64>,
     /// The newest response of a leader after which the node went on following it: the leader's epoch, and when it was sent.
     pub(super) confirms: Option<(u64, Instant)>,
+    /// Version of the row that a claim without a known outcome expects.
+    pub(super) claimed: Option<u64>,
     /// The leader that counts on the node.
     pub(super) counted_on: Option<predecessors::CountedOn>,
 }
@@ -222,6 +224,7 @@
             known_standing: Standing::default(),
             expected_cpu_milli: None,
             confirms: None,
+            claimed: None,
             counted_on: None,
         }
     }
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -101,7 +101,12 @@
                     // The leader was told so, and doesn't count on this node any more.
                     break;
                 }
-                if let Some(claimed) = claim(&shared, has_ended, follower.counted_on).await {
+                let expected = shared.duty().version;
+                let outcome = claim(&shared, has_ended, follower.counted_on).await;
+                if let Outcome::Unknown = outcome {
+                    follower.claimed = Some(expected);
+                }
+                if let Outcome::Committed(claimed) = outcome {
                     let start = leadership::Start {
                         duty: claimed.duty,
                         version: claimed.version,
@@ -196,6 +201,8 @@
     confirms: Option<peers::Sent>,
     /// The leader that counts on this node.
     counted_on: Option<predecessors::CountedOn>,
+    /// Version of the row that a claim without a known outcome expects; it can still be committed.
+    claimed: Option<u64>,
     /// The rows that this node reads in advance, as the leader requested.
     standby: Option<standby::Standby>,
     /// The leader is expected to release the duty in favour of this node before this time.
@@ -242,11 +249,13 @@
             .standby
             .as_ref()
             .is_some_and(standby::Standby::is_prepared);
+        let sent_at = clock::since_boot();
         let heartbeat = peers::send_heartbeat(
             shared,
             address,
             is_prepared,
             self.confirms,
+            self.claimed.is_some(),
             HEARTBEAT_TIMEOUT_MS,
         );
         match heartbeat.await {
@@ -271,10 +280,14 @@
                     );
                     return self.check_row(shared, Evidence::RequestsHandover).await;
                 }
+                if self.claimed.is_some() {
+                    // If the claim is committed after all, this node hasn't followed the leader since.
+                    return Step::Follow;
+                }
                 if reply.counts_on {
                     self.counted_on = Some(predecessors::CountedOn {
                         epoch: reply.epoch,
-                        at: clock::since_boot(),
+                        at: sent_at,
                     });
                 }
                 self.confirms = Some(peers::Sent {
@@ -324,6 +337,19 @@
         let version = seen.version;
         let vacant = seen.duty.as_ref().is_none_or(|duty| duty.holder.is_empty());
         let known = shared.duty().version == version;
+        if self.claimed.is_some_and(|expected| expected != version) {
+            // The claim was committed, in which case the row names this node, or fails.
+            self.claimed = None;
+        }
+        // Refused connections prove nothing, and a node that the leader doesn't count on would have to wait long.
+        let is_counted_on = seen.duty.as_ref().is_some_and(|duty| {
+            let leader = self.counted_on.as_ref();
+            leader.is_some_and(|leader| leader.is_by(duty.epoch, now))
+        });
+        let evidence = match evidence {
+            Evidence::Refused if !is_counted_on => Evidence::None,
+            evidence => evidence,
+        };
         shared.record_duty(seen);
         if vacant {
             let successor = shared.duty().duty.and_then(|duty| duty.successor);
@@ -398,6 +424,16 @@
     }
 }
 
+/// What became of a claim of the duty.
+enum Outcome {
+    /// It was committed.
+    Committed(Claimed),
+    /// It wasn't, and won't be.
+    Failed,
+    /// It may have been committed, or may still be.
+    Unknown,
+}
+
 /// A claim of the duty that was committed.
 struct Claimed {
     duty: record::Duty,
@@ -407,17 +443,21 @@
     led_at: wasabiloft::clock::Instant,
 }
 
-/// Claims the duty, conditional on the version of the row that was last read. Returns the claim if this node now leads the
-/// duty.
+/// Claims the duty, conditional on the version of the row that was last read.
 async fn claim(
     shared: &shared::Shared,
     has_ended: bool,
     counted_on: Option<predecessors::CountedOn>,
-) -> Option<Claimed> {
+) -> Outcome {
     let seen = shared.duty();
     let settings = shared.settings();
     let now = clock::since_boot();
-    let earlier = predecessors::assume(seen.duty.as_ref(), has_ended, counted_on.as_ref(), now);
+    let earlier = if seen.duty.is_none() && seen.version > 0 {
+        // The row can't be decoded.
+        predecessors::Earlier::Unconfirmed
+    } else {
+        predecessors::assume(seen.duty.as_ref(), has_ended, counted_on.as_ref(), now)
+    };
     let duty = record::Duty {
         holder: settings.node.clone(),
         address: settings.peers.to_string(),
@@ -433,7 +473,7 @@
         Ok(value) => value,
         Err(error) => {
             log::warn("duty", &format!("cannot encode the row reason={error}"));
-            return None;
+            return Outcome::Failed;
         }
     };
     let transaction = store::Transaction {
@@ -444,18 +484,18 @@
     // Set before the claim is sent: once the claim is committed, a heartbeat must not be told that this node does not
     // lead the duty.
     shared.set_own_epoch(duty.epoch);
-    let claimed = commit_claim(shared, duty, &transaction).await;
-    if claimed.is_none() {
+    let outcome = commit_claim(shared, duty, &transaction).await;
+    if !matches!(outcome, Outcome::Committed(_)) {
         shared.set_own_epoch(0);
     }
-    claimed
+    outcome
 }
 
 async fn commit_claim(
     shared: &shared::Shared,
     duty: record::Duty,
     transaction: &store::Transaction,
-) -> Option<Claimed> {
+) -> Outcome {
     let sent_at = clock::since_boot();
     match shared.store.transact(transaction, CALL_TIMEOUT_MS).await {
         Ok(store::CommitOutcome::Applied(version)) => {
@@ -470,19 +510,20 @@
                 duty: Some(duty.clone()),
                 version,
             });
-            Some(Claimed {
+            Outcome::Committed(Claimed {
                 duty,
                 version,
                 led_at: sent_at,
             })
         }
         Ok(store::CommitOutcome::CheckFailed(rows)) => {
-            let now = read(rows.into_iter().next());
-            if_committed(shared, duty, now, sent_at)
+            // If the row is an earlier claim of this node, others have been told since that it doesn't lead.
+            shared.record_duty(read(rows.into_iter().next()));
+            Outcome::Failed
         }
         Err(error) if error.verdict() == Verdict::NotRun => {
             log::info("duty", &format!("claim refused reason={error}"));
-            None
+            Outcome::Failed
         }
         Err(error) => {
             log::info("duty", &format!("claim got no response reason={error}"));
@@ -494,15 +535,15 @@
 /// Reads the row to find out whether a claim without a response was committed.
 ///
 /// Refused reads are repeated, because another claim would raise the epoch once more.
-async fn resolve_claim(shared: &shared::Shared, duty: record::Duty) -> Option<Claimed> {
+async fn resolve_claim(shared: &shared::Shared, duty: record::Duty) -> Outcome {
     let mut reads = 1;
     loop {
         let sent_at = clock::since_boot();
         match shared.store.row(&row_name(), CALL_TIMEOUT_MS).await {
-            Ok(row) => return if_committed(shared, duty, read(row), sent_at),
+            Ok(row) => return read_outcome(shared, duty, read(row), sent_at),
             Err(error) if error.verdict() != Verdict::NotRun || reads >= CLAIM_READS_MAX => {
                 log::info("duty", &format!("claim outcome unknown reason={error}"));
-                return None;
+                return Outcome::Unknown;
             }
             Err(_) => {
                 reads += 1;
@@ -512,26 +553,27 @@
     }
 }
 
-/// Returns the claim if the row that was read by a call sent at `sent_at` is the claim.
-fn if_committed(
+/// Returns what became of a claim, by the row that was read by a call sent at `sent_at`. A claim that isn't in the row can
+/// still be committed later.
+fn read_outcome(
     shared: &shared::Shared,
-    mut duty: record::Duty,
+    duty: record::Duty,
     now: shared::DutyRow,
     sent_at: wasabiloft::clock::Instant,
-) -> Option<Claimed> {
+) -> Outcome {
     let committed = now
         .duty
         .as_ref()
         .is_some_and(|now| now.incarnation == duty.incarnation && now.epoch == duty.epoch);
     let version = now.version;
-    if let Some(now) = now.duty.as_ref().filter(|_| committed) {
-        // The row can be an earlier claim of this node that got no response.
-        duty.earlier = duty.earlier.max(now.earlier);
-    }
     shared.record_duty(now);
-    committed.then_some(Claimed {
-        duty,
-        version,
-        led_at: sent_at,
-    })
+    if committed {
+        Outcome::Committed(Claimed {
+            duty,
+            version,
+            led_at: sent_at,
+        })
+    } else {
+        Outcome::Unknown
+    }
 }
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -319,6 +319,7 @@
 
 /// Sends a heartbeat and applies the configuration of the response; `is_prepared` says whether this node is a standby that
 /// has read its rows, and `confirms` after which response this node went on following the leader.
+/// A node that `may_lead`, as a claim of it can still be committed, doesn't say that it stops.
 ///
 /// # Errors
 ///
@@ -328,6 +329,7 @@
     address: SocketAddr,
     is_prepared: bool,
     confirms: Option<Sent>,
+    may_lead: bool,
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
     let configured = shared.current_config();
@@ -345,7 +347,7 @@
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
         peers: Some(settings.peers),
-        relay: (!shared.stop.is_cancelled()).then_some(relay),
+        relay: (may_lead || !shared.stop.is_cancelled()).then_some(relay),
         confirms,
         offered: admission::report(shared, configured.config.as_deref()),
         node: settings.node.clone(),
--- a/src/batch/authority.rs
+++ b/src/batch/authority.rs
@@ -40,10 +40,11 @@
 /// A follower's newest confirmation.
 #[derive(Clone, Copy, Debug)]
 struct Follower {
-    incarnation: u64,
     heard_at: clock::Instant,
     /// When the leader sent the newest response that the follower has confirmed.
     confirmed_at: clock::Instant,
+    /// When a later incarnation of the node was first heard.
+    superseded_at: Option<clock::Instant>,
 }
 
 /// A leader's authority over workers and machines.
@@ -58,8 +59,8 @@
     committed_at: clock::Instant,
     /// Whether a commit has said that the leader counts on its followers.
     counts_on_followers: bool,
-    /// The followers that were heard in this term, by name.
-    followers: BTreeMap<String, Follower>,
+    /// The followers that were heard in this term, by name and incarnation.
+    followers: BTreeMap<(String, u64), Follower>,
 }
 
 impl Authority {
@@ -98,10 +99,11 @@
         self.committed_at = self.committed_at.max(sent_at);
         self.counts_on_followers = !commits_only;
         // A commit that is newer than its silence proves that a follower hasn't taken over, and when it comes back it knows
-        // that the leader counts on it no more.
+        // that the leader counts on it no more. Claims of an incarnation that has ended fail after a commit.
         let committed_at = self.committed_at;
         self.followers.retain(|_, follower| {
             committed_at.since_ms(follower.heard_at) < predecessors::FOLLOWER_GONE_MS
+                && follower.superseded_at.is_none_or(|at| at > committed_at)
         });
         let regained = self.resumed_at.is_some_and(|resumed| resumed <= sent_at);
         if regained {
@@ -119,15 +121,18 @@
         confirmed_at: Option<clock::Instant>,
         now: clock::Instant,
     ) {
-        let began = Follower {
-            incarnation,
+        let key = (name.to_owned(), incarnation);
+        if !self.followers.contains_key(&key) {
+            let earlier = self.followers.iter_mut();
+            for (_, follower) in earlier.filter(|((other, _), _)| other == name) {
+                follower.superseded_at.get_or_insert(now);
+            }
+        }
+        let follower = self.followers.entry(key).or_insert(Follower {
             heard_at: now,
             confirmed_at: self.began_at,
-        };
-        let follower = self.followers.entry(name.to_owned()).or_insert(began);
-        if follower.incarnation != incarnation {
-            *follower = began;
-        }
+            superseded_at: None,
+        });
         follower.heard_at = now;
         if let Some(at) = confirmed_at {
             follower.confirmed_at = follower.confirmed_at.max(at);
@@ -136,10 +141,7 @@
 
     /// Records that a follower stops, so that this incarnation of it claims nothing any more.
     pub fn stopped(&mut self, name: &str, incarnation: u64) {
-        let follower = self.followers.get(name);
-        if follower.is_some_and(|follower| follower.incarnation == incarnation) {
-            self.followers.remove(name);
-        }
+        self.followers.remove(&(name.to_owned(), incarnation));
     }
 
     /// Returns the newest moment at which no other node can have taken the duty over, except one that waits longer.
--- a/src/batch/predecessors.rs
+++ b/src/batch/predecessors.rs
@@ -19,15 +19,17 @@
 use crate::batch::scheduler;
 use crate::clock;
 
-/// A leader counts on its followers for this long without a commit, in milliseconds; longer than most outages of a store.
+/// A leader counts on its followers, which means that it renews leases while all of them confirm it, for this long without a
+/// commit, in milliseconds; longer than most outages of a store.
 pub const UNCONFIRMED_MAX_MS: u64 = 300_000;
 /// A leader takes up jobs that it learned of within this time after its newest commit, in milliseconds; twice as long as a
 /// commit takes while the store is slow.
 pub const NEW_JOBS_MS: u64 = 2_000;
-/// A follower that the leader has heard is counted on for this long, in milliseconds; below [`FOLLOWER_GONE_MS`], as clocks
-/// differ.
+/// A follower takes itself for one that the leader counts on for this long after its newest heartbeat that was answered, in
+/// milliseconds; below [`FOLLOWER_GONE_MS`], as clocks differ.
 const COUNTED_ON_MS: u64 = 30_000;
-/// A follower that was silent for this long before a commit is gone, in milliseconds: its machine was removed.
+/// A follower that was silent for this long before a commit isn't counted on any more, in milliseconds: its machine may have
+/// been removed.
 pub const FOLLOWER_GONE_MS: u64 = 60_000;
 
 /// What leaders before the holder of the duty may still do.
@@ -36,7 +38,7 @@
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum Earlier {
-    /// Nothing: their processes have ended, or all that they granted has lapsed.
+    /// Nothing: none of them commands workers any more. Leases that the last one granted may run on, for the usual wait.
     #[default]
     Ended,
     /// They may act until their leases lapse, within the usual wait.
@@ -67,19 +69,19 @@
 pub struct CountedOn {
     /// Epoch of the leader.
     pub epoch: u64,
-    /// When its response arrived.
+    /// When the heartbeat was sent that the leader answered.
     pub at: clock::Instant,
 }
 
 impl CountedOn {
     /// Returns whether the leader of an epoch still counts on this node.
-    fn is_by(&self, epoch: u64, now: clock::Instant) -> bool {
+    pub fn is_by(&self, epoch: u64, now: clock::Instant) -> bool {
         self.epoch == epoch && now.since_ms(self.at) < COUNTED_ON_MS
     }
 }
 
 /// Returns what a node that claims the duty has to assume of all earlier leaders. `row` is the duty's row that the claim
-/// replaces, and `has_ended` says whether its holder certainly leads no more.
+/// replaces, if there is one that can be read, and `has_ended` says whether its holder certainly leads no more.
 pub fn assume(
     row: Option<&record::Duty>,
     has_ended: bool,
--- a/tests/test_batch_authority.rs
+++ b/tests/test_batch_authority.rs
@@ -135,6 +135,23 @@
     }
 }
 
+/// Guards against a claim of a follower's ended process that is committed late, while its next process confirms the leader.
+#[test]
+fn an_ended_incarnation_of_a_follower_is_waited_for_until_a_later_commit() {
+    let at = Instant::from_ms;
+    let mut leader = authority::Authority::new(at(990), at(1_000));
+    leader.committed(at(4_000), false);
+    leader.heard("n2", 7, Some(at(4_000)), at(4_100));
+    leader.heard("n2", 8, None, at(8_000));
+    leader.heard("n2", 8, Some(at(8_000)), at(8_250));
+    let end = leader.leases_end(WORKER_LEASE_MS);
+    assert!(end.as_ms() <= 4_000 + scheduler::lease_expiry_ms(WORKER_LEASE_MS));
+    leader.committed(at(8_300), false);
+    leader.heard("n2", 8, Some(at(9_000)), at(9_250));
+    let end = leader.leases_end(WORKER_LEASE_MS);
+    assert!(end.as_ms() > 9_000 + WORKER_LEASE_MS);
+}
+
 proptest! {
     #![proptest_config(crate::fixed_seed(500))]
 
