scheduler: jobs wait for no worker of another service, evictions for late stops of earlier leaders

Workers of earlier leaders that were found gone while the store is away held back the known jobs of all services; now those of their service. A successor of a leader that all recorded workers have answered doesn't wait for longer than usual. Evictions began 1.5 s after a leader's beginning, although earlier leaders may stop tasks on a worker until it answers (AVAIL); the time now counts from the last such answer. After a newer epoch was seen, no further command of the round is sent.

By reading; checked with the library's tests.

--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -127,8 +127,11 @@
         let wait_ms = self.earlier.wait_ms(self.lease_ms);
         let earlier = if now.since_ms(self.began_at) >= wait_ms {
             predecessors::Earlier::Ended
-        } else {
+        } else if self.scheduler().has_unresolved_workers() {
             self.earlier
+        } else {
+            // All workers refuse earlier leaders.
+            self.earlier.min(predecessors::Earlier::Lapsing)
         };
         commit::Standing {
             commits_only: self.authority().commits_only(now),
@@ -552,6 +555,7 @@
                 Output::Superseded => {
                     log::info("duty", "superseded by a newer epoch");
                     leadership.ended.cancel();
+                    break;
                 }
                 command => workers.execute(command),
             }
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -58,8 +58,10 @@
 
     /// Evicts long-running tasks from workers that are draining or leaving.
     pub fn evict_long_running(&mut self, now: clock::Instant) {
+        // An earlier leader may have stopped tasks on a worker until it answered this one.
+        let since = self.started_at.max(self.tenure.inherited_heard_at);
         let may_predecessor_stop =
-            self.has_predecessor && now.since_ms(self.started_at) < PREDECESSOR_STOPS_MS;
+            self.has_predecessor && now.since_ms(since) < PREDECESSOR_STOPS_MS;
         if may_predecessor_stop || !self.may_change_runs(now) {
             return;
         }
--- a/src/batch/scheduler/machine_list.rs
+++ b/src/batch/scheduler/machine_list.rs
@@ -95,7 +95,7 @@
             self.missing_since.remove(&worker);
             if let Some(row) = self.unresolved.remove(&worker) {
                 self.log(format!("worker of previous leader gone worker={worker}"));
-                self.tenure.inherited_ended(now);
+                self.tenure.inherited_ended(&row, now);
                 self.dirty_services.insert(row.service);
             }
             if self.workers.contains_key(&worker) {
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -78,7 +78,7 @@
     refused_at: clock::Instant,
     /// All leases have to end by then; `None` as long as that wasn't said.
     leases_end: Option<clock::Instant>,
-    /// Whether nobody had taken over before some moment.
+    /// Which ends of runs, and which new jobs, a later commit has confirmed.
     tenure: tenure::Tenure,
     /// When the runs of all workers were last checked for progress and unanswered stops.
     runs_checked_at: clock::Instant,
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -187,8 +187,8 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            let may_run_elsewhere =
-                job.known_to_earlier && (has_unresolved || !self.tenure.are_inherited_proven());
+            let may_run_elsewhere = job.known_to_earlier
+                && (has_unresolved || !self.tenure.are_inherited_proven(service));
             if may_run_elsewhere || !self.tenure.may_take_up(job) {
                 continue;
             }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -122,6 +122,9 @@
             worker.adopted = true;
             // An earlier leader may have renewed its lease just before.
             let row = self.unresolved.remove(id);
+            if row.is_some() {
+                self.tenure.inherited_heard_at = now;
+            }
             let lease_ms = if row.is_some_and(|row| row.restarted) {
                 worker.restarted_at = Some(now);
                 lease_max_ms
--- a/src/batch/scheduler/tenure.rs
+++ b/src/batch/scheduler/tenure.rs
@@ -5,19 +5,25 @@
 //! that didn't come from the run's worker, or a job that the successor takes for new. Both wait until a later commit
 //! succeeds.
 
+use std::collections::BTreeMap;
+
 use crate::batch::predecessors;
+use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, job};
 use crate::clock;
+use crate::id;
 
-/// Moments that decide what may start.
+/// Which ends of runs, and which new jobs, a later commit has confirmed.
 #[derive(Debug, Default)]
 pub(super) struct Tenure {
-    /// When the newest successful commit was sent; `None` as long as that wasn't said.
+    /// When the newest successful commit was sent; `None` where nobody says, and nothing has to be confirmed.
     proven_at: Option<clock::Instant>,
     /// When a run of this leader was last taken for ended without its worker's word.
     run_ended_at: clock::Instant,
-    /// When a worker of earlier leaders was last taken for ended without its answer.
-    inherited_ended_at: clock::Instant,
+    /// When a worker of earlier leaders was last taken for ended without its answer, by service.
+    inherited_ended: BTreeMap<id::Service, clock::Instant>,
+    /// When a worker of earlier leaders first answered last.
+    pub(super) inherited_heard_at: clock::Instant,
 }
 
 impl Tenure {
@@ -27,8 +33,8 @@
     }
 
     /// Records that a worker of earlier leaders was taken for ended without its answer.
-    pub(super) fn inherited_ended(&mut self, now: clock::Instant) {
-        self.inherited_ended_at = self.inherited_ended_at.max(now);
+    pub(super) fn inherited_ended(&mut self, row: &record::WorkerRow, now: clock::Instant) {
+        self.inherited_ended.insert(row.service.clone(), now);
     }
 
     fn is_proven(&self, at: clock::Instant) -> bool {
@@ -37,12 +43,15 @@
 
     /// Returns whether all that was taken for ended was so while this leader certainly led.
     fn is_all_proven(&self) -> bool {
-        self.is_proven(self.run_ended_at) && self.are_inherited_proven()
+        self.is_proven(self.run_ended_at)
+            && self.inherited_ended.values().all(|at| self.is_proven(*at))
     }
 
-    /// Returns whether runs of earlier leaders on workers without an answer have certainly ended for all leaders.
-    pub(super) fn are_inherited_proven(&self) -> bool {
-        self.is_proven(self.inherited_ended_at)
+    /// Returns whether a commit has confirmed that workers of earlier leaders have ended that may run tasks of a service.
+    pub(super) fn are_inherited_proven(&self, service: &id::Service) -> bool {
+        let unreadable = record::WorkerRow::unreadable().service;
+        let ended = [service, &unreadable].map(|service| self.inherited_ended.get(service));
+        ended.into_iter().flatten().all(|at| self.is_proven(*at))
     }
 
     /// Returns whether a successor would know that this leader may have started tasks of a job.
@@ -78,6 +87,11 @@
         has_waited
     }
 
+    /// Returns whether workers of earlier leaders have neither answered nor been taken for ended.
+    pub fn has_unresolved_workers(&self) -> bool {
+        !self.unresolved.is_empty()
+    }
+
     /// Returns whether starts wait for a commit that is sent from now on.
     pub fn awaits_commit(&self) -> bool {
         !self.tenure.is_all_proven()
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -75,8 +75,8 @@
 
     /// Handles the proven end of a worker's incarnation: everything that ran on it has ended.
     pub fn incarnation_ended(&mut self, id: &id::Worker, end: IncarnationEnd, now: clock::Instant) {
-        if self.unresolved.remove(id).is_some() {
-            self.tenure.inherited_ended(now);
+        if let Some(row) = self.unresolved.remove(id) {
+            self.tenure.inherited_ended(&row, now);
         }
         self.orphans.forget_worker(id);
         self.ledger.set_unexpected(id, Vec::new());
@@ -204,7 +204,7 @@
         let lapsed: Vec<(id::Worker, record::WorkerRow)> = lapsed.collect();
         for (worker, row) in lapsed {
             self.log(format!("worker of previous leader lapsed worker={worker}"));
-            self.tenure.inherited_ended(now);
+            self.tenure.inherited_ended(&row, now);
             self.dirty_services.insert(row.service);
             match self.workers.get_mut(&worker) {
                 Some(state) => state.restarted_at = row.restarted.then_some(now),
