recovery: a job whose progress can't be decoded is held

A new leader skipped progress rows that it couldn't decode, so that their jobs counted as not begun and their done tasks ran again.

Such a job is held now: none of its tasks starts, its ends are left with their workers, and its rows aren't overwritten, unless it is cancelled. It is logged (job held), and rows that can't be decoded are counted (wasabiloft_rows_undecodable_total). It is held until the row is replaced and another leader begins.

Test: a_job_whose_progress_cannot_be_decoded_does_not_run_again (real process); before, the done task was started a second time.

--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time;
 use wasabiloft::batch::recovery::{Part, Reads};
-use wasabiloft::batch::{JobId, record, recovery_pages, scheduler};
+use wasabiloft::batch::{JobId, progress_rows, record, recovery_pages, scheduler};
 use wasabiloft::id;
 use wasabiloft_platform::{excerpt, store};
 
@@ -74,6 +74,8 @@
 }
 
 fn log_decode_error(row: &store::Row, reason: &str) {
+    metrics::counter!("wasabiloft_rows_undecodable_total", "table" => row.name.table.clone())
+        .increment(1);
     log::warn(
         "holder",
         &format!(
@@ -333,8 +335,12 @@
             }
             Part::Progress => {
                 for row in &read.rows {
-                    if let (Ok(key), Some(progress)) = (row.name.key.parse(), decode(row)) {
-                        self.state.progress.push((key, progress));
+                    let Ok(key) = row.name.key.parse::<progress_rows::Key>() else {
+                        continue;
+                    };
+                    match decode(row) {
+                        Some(progress) => self.state.progress.push((key, progress)),
+                        None => self.state.undecodable_progress.push(key.job),
                     }
                 }
             }
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -23,6 +23,7 @@
 mod test_nodes;
 mod test_odd_entries;
 mod test_odd_machines;
+mod test_odd_rows;
 mod test_recovery;
 mod test_removal;
 mod test_replaced_leader;
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -117,6 +117,9 @@
             let Some((change, row)) = self.changed_rows.pop_first() else {
                 break;
             };
+            if self.is_held(row.job) {
+                continue;
+            }
             let Some(job) = self.jobs.get_mut(&row.job) else {
                 continue;
             };
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -120,6 +120,8 @@
     pub earlier: predecessors::Earlier,
     /// Jobs whose row exists but cannot be decoded.
     pub undecodable: Vec<JobId>,
+    /// Jobs with a progress row that cannot be decoded.
+    pub undecodable_progress: Vec<JobId>,
     /// Numbers of the partitions of the job table that were not read.
     pub unread: BTreeSet<u64>,
 }
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -94,6 +94,8 @@
     obsolete_progress_unchecked: bool,
     /// Jobs whose row exists but cannot be decoded; their progress is kept.
     undecodable: BTreeSet<JobId>,
+    /// Jobs with a progress row that cannot be decoded. None of their tasks starts, as it may be done, and the row is kept.
+    held: BTreeSet<JobId>,
     /// Ended jobs whose rows are being removed.
     jobs_in_removal: BTreeSet<JobId>,
     /// Those of them that were not handed out yet.
@@ -163,6 +165,7 @@
             unclaimed_progress: HashMap::new(),
             obsolete_progress_unchecked: true,
             undecodable: recovered.undecodable.into_iter().collect(),
+            held: recovered.undecodable_progress.into_iter().collect(),
             jobs_in_removal: BTreeSet::new(),
             expired_jobs: Vec::new(),
             workers: BTreeMap::new(),
@@ -252,6 +255,9 @@
         }
         let is_final = job.state.is_final();
         self.jobs.insert(id, job);
+        if self.is_held(id) {
+            self.log(format!("job held job={id} reason=progress-undecodable"));
+        }
         if is_final {
             self.delete_further_progress(id);
         }
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -189,7 +189,7 @@
             };
             let may_run_elsewhere = job.known_to_earlier
                 && (has_unresolved || !self.tenure.are_inherited_proven(service));
-            if may_run_elsewhere || !self.tenure.may_take_up(job) {
+            if may_run_elsewhere || !self.tenure.may_take_up(job) || self.is_held(*id) {
                 continue;
             }
             for &occurrence in job.occurrences.keys() {
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -207,8 +207,7 @@
                 usage: 0,
             };
             // The end of a job whose row can't be decoded is left to a leader that can decode it.
-            let is_held =
-                self.undecodable.contains(&end.task.job) && !self.jobs.contains_key(&end.task.job);
+            let is_held = self.is_held(end.task.job);
             if is_new && (is_held || self.keep_orphan(id, run, now)) {
                 is_complete = false;
                 continue;
--- a/src/batch/scheduler/unread.rs
+++ b/src/batch/scheduler/unread.rs
@@ -45,6 +45,15 @@
         self.undecodable.extend(jobs);
     }
 
+    /// Returns whether a row of a job cannot be decoded, so that no task of it starts and no end of it is applied. An operator
+    /// ends this by cancelling the job, or by replacing the row before the next leader begins.
+    pub(super) fn is_held(&self, id: JobId) -> bool {
+        match self.jobs.get(&id) {
+            Some(job) => self.held.contains(&id) && !job.state.is_final(),
+            None => self.undecodable.contains(&id),
+        }
+    }
+
     /// Removes and returns the recovered progress of a job that becomes known.
     pub(super) fn claim_progress(
         &mut self,
