--- a/measure/src/search.rs
+++ b/measure/src/search.rs
@@ -1,5 +1,6 @@
 //! `measure search`: searches for histories that break the rules, with the real decision code in a simulated deployment.
 
+mod answers;
 mod check;
 mod commands;
 mod commits;
--- a/measure/src/search/faults.rs
+++ b/measure/src/search/faults.rs
@@ -17,7 +17,7 @@
 /// Time until a leader learns of a change in the registry, in milliseconds.
 const REGISTRY_DELAY_MS: u64 = 60;
 /// Time until a leader learns of an accepted job, in milliseconds.
-const JOB_DELAY_MS: u64 = 10;
+pub(super) const JOB_DELAY_MS: u64 = 10;
 /// Announced time from the registration of a stop to its begin, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
 /// Time for which a machine is unavailable for a move, in milliseconds.
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -8,11 +8,12 @@
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
+use crate::search::faults::JOB_DELAY_MS;
 use crate::search::node::{Claim, RENEW_INTERVAL_MS, Term, Timer};
 use crate::search::platform::Standing;
 use crate::search::runner;
 use crate::search::shell;
-use crate::search::world::{POOL, World};
+use crate::search::world::{Event, POOL, World};
 
 /// Length of the workers' leases, in milliseconds.
 pub(super) const LEASE_MS: u64 = 4_000;
@@ -52,6 +53,27 @@
         }
     }
 
+    /// Reads the changes of the jobs' table: those that were stored before reach the leader first.
+    pub(super) fn read_jobs(&mut self, node: usize) {
+        let (until_ms, state) = (self.now_ms, &self.nodes[node]);
+        let event = Event::JobsRead {
+            node,
+            incarnation: state.incarnation,
+            until_ms,
+        };
+        let at_ms = state.store_away_until_ms.max(until_ms) + JOB_DELAY_MS;
+        self.push(at_ms, event);
+    }
+
+    pub(super) fn jobs_read(&mut self, node: usize, incarnation: u64, until_ms: u64) {
+        let state = &mut self.nodes[node];
+        if let Some(term) = &mut state.term
+            && state.incarnation == incarnation
+        {
+            term.scheduler.jobs_read(Instant::from_ms(until_ms));
+        }
+    }
+
     /// Passes an accepted job to a leader.
     pub fn job_known(&mut self, node: usize, job: u64) {
         let now = self.now();
--- a/measure/src/search/world.rs
+++ b/measure/src/search/world.rs
@@ -125,6 +125,12 @@
     },
     /// An accepted job reaches a node.
     Job { node: usize, job: u64 },
+    /// All jobs that were stored before some time have reached a node.
+    JobsRead {
+        node: usize,
+        incarnation: u64,
+        until_ms: u64,
+    },
     /// A node's timer.
     Timer {
         node: usize,
@@ -355,6 +361,7 @@
             Event::ToNode { node, .. }
             | Event::Registry { node, .. }
             | Event::Job { node, .. }
+            | Event::JobsRead { node, .. }
             | Event::Timer { node, .. } => Some(*node),
             _ => None,
         };
@@ -414,6 +421,11 @@
                 listing,
             } => self.registry_changed(node, &worker, listing),
             Event::Job { node, job } => self.job_known(node, job),
+            Event::JobsRead {
+                node,
+                incarnation,
+                until_ms,
+            } => self.jobs_read(node, incarnation, until_ms),
             Event::Timer {
                 node,
                 incarnation,
