--- a/measure/tests/test_search.rs
+++ b/measure/tests/test_search.rs
@@ -264,6 +264,27 @@
     assert_eq!(seen, serde_json::json!([]));
 }
 
+/// Guards against a start under way that the next incarnation of its worker carries out, after the leader has learned from the
+/// list of machines that the worker ended.
+#[test]
+fn a_start_under_way_is_not_carried_out_by_the_next_incarnation() {
+    let setup = serde_json::json!({
+        "nodes": 1, "vms": 3, "latency_ms": 20, "cores": 2, "jobs": 30, "every_ms": 300,
+        "task_ms": 700, "submit_ms": 0,
+    });
+    let faults = serde_json::json!([
+        {
+            "at_ms": 600, "what": "partition", "nodes": [0], "vms": [2], "writes_only": false,
+            "for_ms": 800,
+        },
+        {"at_ms": 750, "what": "move", "vm": 1},
+        {"at_ms": 5_350, "what": "cloud-slow", "delay_ms": 400, "for_ms": 2_500},
+        {"at_ms": 7_150, "what": "crash", "vm": 2, "silent": true, "for_ms": 800, "same_id": true},
+    ]);
+    let seen = violations_of_several(&setup, &faults);
+    assert_eq!(seen, serde_json::json!([]));
+}
+
 /// Guards against leases that count from the answer to a claim, which another node can have replaced before it arrived.
 #[test]
 fn leases_count_from_when_the_claim_was_sent() {
