standins: a proxy ends with its owner

The tasks of dropped proxies ran on: the channel of their faults was closed, so that each wait for a fault returned at once, and the loop that accepts connections spun for as long as the process lived.

--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -32,3 +32,4 @@
 mod test_stop;
 mod test_submissions;
 mod test_twice;
+mod test_views;
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -142,10 +142,16 @@
     }
 
     /// Stops the proxy and drops its connections.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.task.abort();
         // The task was aborted, so its result is ignored.
-        let _ = self.task.await;
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
