--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -15,8 +15,8 @@
 use wasabiloft_platform::{settings, store};
 
 use crate::batch::{
-    commit, fleet, gauges, job_feed, lateness, peers, recovery, registry_feed, removal, shared,
-    standby, watch,
+    commit, fleet, gauges, job_feed, lateness, recovery, registry_feed, removal, shared, standby,
+    watch,
 };
 use crate::clock;
 use crate::log;
@@ -57,14 +57,14 @@
     pub committed: Notify,
     /// Cancelled when the duty is lost or released.
     pub ended: CancellationToken,
-    committed_ms: AtomicU64,
+    pub(super) committed_ms: AtomicU64,
     /// Length of the workers' leases, in milliseconds.
-    lease_ms: u64,
-    authority: Mutex<authority::Authority>,
+    pub(super) lease_ms: u64,
+    pub(super) authority: Mutex<authority::Authority>,
     /// What leaders before this one may still do, as of its beginning.
-    earlier: predecessors::Earlier,
+    pub(super) earlier: predecessors::Earlier,
     /// What leases were last granted by.
-    proof: Mutex<authority::Proof>,
+    pub(super) proof: Mutex<authority::Proof>,
     /// Cancelled when a node with more CPU should take over the duty.
     step_down_requested: CancellationToken,
     successor_cpu_milli: OnceLock<u64>,
@@ -121,109 +121,6 @@
         clock::since_boot().as_ms().saturating_sub(at)
     }
 
-    /// Returns what the next commit says of this leader and of those before it.
-    pub fn standing(&self) -> commit::Standing {
-        let now = clock::since_boot();
-        let wait_ms = self.earlier.wait_ms(self.lease_ms);
-        let earlier = if now.since_ms(self.began_at) >= wait_ms {
-            predecessors::Earlier::Ended
-        } else if self.scheduler().has_unresolved_workers() {
-            self.earlier
-        } else {
-            // All workers refuse earlier leaders.
-            self.earlier.min(predecessors::Earlier::Lapsing)
-        };
-        commit::Standing {
-            commits_only: self.authority().commits_only(now),
-            earlier,
-        }
-    }
-
-    /// Records when the newest successful commit was sent, and what it said of this leader.
-    pub fn commit_sent(&self, at: wasabiloft::clock::Instant, standing: commit::Standing) {
-        self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
-        // A commit that was sent before this process stood still doesn't confirm it.
-        self.may_act();
-        let regained = self.authority().committed(at, standing.commits_only);
-        let has_waited = self.limit_leases();
-        if regained {
-            log::info("duty", &format!("authority regained epoch={}", self.epoch));
-        }
-        if regained || has_waited {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Records a heartbeat of a follower, which proves that it hadn't taken over at an earlier moment.
-    pub fn follower_heard(&self, heartbeat: &peers::Heartbeat, now: wasabiloft::clock::Instant) {
-        let mut authority = self.authority();
-        if heartbeat.relay.is_none() {
-            authority.stopped(&heartbeat.node, heartbeat.incarnation);
-        } else {
-            let confirmed = heartbeat.confirms.filter(|sent| sent.epoch == self.epoch);
-            let confirmed_at =
-                confirmed.map(|sent| wasabiloft::clock::Instant::from_ms(sent.sent_ms));
-            authority.heard(&heartbeat.node, heartbeat.incarnation, confirmed_at, now);
-        }
-        drop(authority);
-        self.limit_leases();
-    }
-
-    /// Passes the scheduler what proves that this node leads. Returns whether starts may have waited for that.
-    fn limit_leases(&self) -> bool {
-        let authority = self.authority();
-        let (leases_end, committed_at) = (
-            authority.leases_end(self.lease_ms),
-            authority.committed_at(),
-        );
-        let proof = authority.proof();
-        drop(authority);
-        let mut scheduler = self.scheduler();
-        scheduler.limit_leases(leases_end);
-        let has_waited = scheduler.certainly_led(committed_at, clock::since_boot());
-        drop(scheduler);
-        let previous = std::mem::replace(
-            &mut *self.proof.lock().unwrap_or_else(PoisonError::into_inner),
-            proof,
-        );
-        if previous != proof {
-            log::info(
-                "duty",
-                &format!(
-                    "leases granted by={proof:?} epoch={} commit_ms={}",
-                    self.epoch,
-                    self.since_commit_ms()
-                ),
-            );
-        }
-        has_waited
-    }
-
-    fn authority(&self) -> MutexGuard<'_, authority::Authority> {
-        self.authority
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns whether commands may be sent to workers and machines.
-    pub fn may_act(&self) -> bool {
-        let mut authority = self.authority();
-        let stalled_ms = authority.observe(clock::since_boot());
-        let may_act = authority.may_act();
-        drop(authority);
-        if let Some(stalled_ms) = stalled_ms {
-            metrics::counter!("wasabiloft_authority_lost_total").increment(1);
-            log::info(
-                "duty",
-                &format!(
-                    "authority lost epoch={} stalled_ms={stalled_ms}",
-                    self.epoch
-                ),
-            );
-        }
-        may_act
-    }
-
     /// Releases the duty in favour of a node with more CPU, given in thousandths of a core.
     pub fn step_down(&self, cpu_milli: u64) {
         self.successor_cpu_milli.get_or_init(|| cpu_milli);
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod channels;
+mod claim;
 mod commit;
 mod configuration;
 mod duty;
@@ -21,6 +22,7 @@
 mod server;
 mod shared;
 mod standby;
+mod standing;
 mod submissions;
 mod unreadable;
 mod watch;
