--- a/node/tests/test_lost_store.rs
+++ b/node/tests/test_lost_store.rs
@@ -19,6 +19,8 @@
 const FOLLOWERS_KNOWN_MS: u64 = 3_000;
 /// For how long a leader stands still, in milliseconds; shorter than the leases last.
 const STANDS_STILL_MS: u64 = 1_000;
+/// For how long a leader doesn't reach a worker before it loses the store, in milliseconds; shorter than a lease.
+const WORKER_SILENT_MS: u64 = 2_500;
 /// Time within which a node that starts follows the duty, in milliseconds.
 const START_MS: u64 = 2_000;
 /// Time after a takeover within which the effects of the faults show, in milliseconds.
@@ -237,3 +239,27 @@
     let (third, _) = scenario.leader_after(epoch).await.expect("a third leader");
     submit_second_job(&scenario, third).await;
 }
+
+/// Guards against a leader that takes a worker for lapsed which it lost before it lost the store, while its successor renews
+/// the worker's leases.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replaced_leader_does_not_take_a_worker_for_lapsed_that_its_successor_reaches() {
+    let scenario = start(3).await;
+    let (leader, epoch) = scenario.leader_after(0).await.expect("a leader");
+    let worker = start_tasks(&scenario).await;
+    scenario.pause(FOLLOWERS_KNOWN_MS).await;
+    scenario.cut(&[Path::Worker(leader, worker)], Cut::BlackHole);
+    scenario.pause(WORKER_SILENT_MS).await;
+    // The queue's pool has the workers 0 and 2.
+    let other = 2 - worker;
+    let mut paths = paths_to_other_workers(&scenario, leader, other);
+    paths.push(Path::Store(leader));
+    for follower in (0..3).filter(|node| *node != leader) {
+        paths.push(Path::Node(follower, leader));
+        paths.push(Path::Worker(follower, other));
+    }
+    scenario.cut(&paths, Cut::BlackHole);
+    scenario.leader_after(epoch).await.expect("a successor");
+    scenario.pause(SETTLE_MS).await;
+    assert_never_twice(&scenario);
+}
