peers: confirmations name the leader's incarnation

A node answers heartbeats with the epoch that it claims. If another node's claim of the same epoch succeeds, the follower confirmed to that leader a time on the first node's clock, by which the leader could grant leases for far too long. Confirmations of leaders of the previous version count as none.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -286,6 +286,7 @@
                 }
                 self.confirms = Some(peers::Sent {
                     epoch: reply.epoch,
+                    incarnation: reply.incarnation,
                     sent_ms: reply.sent_ms,
                 });
                 Step::Follow
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -103,6 +103,9 @@
 pub struct Sent {
     /// Epoch of the leader that sent it.
     pub epoch: u64,
+    /// Incarnation of the leader; another node may have claimed the same epoch in vain.
+    #[serde(default)]
+    pub incarnation: u64,
     /// When the leader sent it, in milliseconds on the leader's clock.
     pub sent_ms: u64,
 }
@@ -126,6 +129,9 @@
     /// When the response was sent, in milliseconds on the responding node's clock; 0 from nodes of earlier versions.
     #[serde(default)]
     pub sent_ms: u64,
+    /// Incarnation of the responding node; 0 from nodes of earlier versions.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Whether the leader requests that this follower takes over.
     pub hand_over: bool,
     /// Whether the leader knows this follower, and renews leases without the store only while it confirms.
@@ -178,12 +184,13 @@
         config_age_ms: configured.confirmed_at.map(|at| now.since_ms(at)),
         config_version: version,
         sent_ms: now.as_ms(),
+        incarnation: shared.incarnation,
         ..HeartbeatReply::default()
     };
     reply.epoch = shared.own_epoch();
     reply.releasing = heartbeat.incarnation != 0 && shared.successor() == heartbeat.incarnation;
     if let Some(leadership) = shared.leadership() {
-        leadership.follower_heard(&heartbeat, now);
+        leadership.follower_heard(&heartbeat, shared.incarnation, now);
         reply.counts_on = heartbeat.relay.is_some();
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
--- a/node/src/batch/standing.rs
+++ b/node/src/batch/standing.rs
@@ -44,12 +44,19 @@
     }
 
     /// Records a heartbeat of a follower, which proves that it hadn't taken over at an earlier moment.
-    pub fn follower_heard(&self, heartbeat: &peers::Heartbeat, now: wasabiloft::clock::Instant) {
+    pub fn follower_heard(
+        &self,
+        heartbeat: &peers::Heartbeat,
+        own_incarnation: u64,
+        now: wasabiloft::clock::Instant,
+    ) {
         let mut authority = self.authority();
         if heartbeat.relay.is_none() {
             authority.stopped(&heartbeat.node, heartbeat.incarnation);
         } else {
-            let confirmed = heartbeat.confirms.filter(|sent| sent.epoch == self.epoch);
+            let confirmed = heartbeat
+                .confirms
+                .filter(|sent| sent.epoch == self.epoch && sent.incarnation == own_incarnation);
             let confirmed_at =
                 confirmed.map(|sent| wasabiloft::clock::Instant::from_ms(sent.sent_ms));
             authority.heard(&heartbeat.node, heartbeat.incarnation, confirmed_at, now);
