duty: a node with a pending claim reads the row until the claim can't be committed any more

The node confirmed nothing until it next read the row, which it does only when the leader doesn't respond. After one claim without a known outcome a leader that lost the store later couldn't count on its followers, and all runs would have lapsed. Found when the change was read once more; not run by itself. Comments of the scheduler's releases say "report".

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -275,8 +275,9 @@
                     return self.check_row(shared, Evidence::RequestsHandover).await;
                 }
                 if self.claimed.is_some() {
-                    // If the claim is committed after all, this node hasn't followed the leader since.
-                    return Step::Follow;
+                    // If the claim is committed after all, this node hasn't followed the leader since. The row shows whether it
+                    // still can be.
+                    return self.check_row(shared, Evidence::None).await;
                 }
                 if reply.counts_on {
                     self.counted_on = Some(predecessors::CountedOn {
--- a/src/batch/scheduler/release.rs
+++ b/src/batch/scheduler/release.rs
@@ -27,8 +27,8 @@
 }
 
 impl Release {
-    /// Returns whether the worker said so to this leader, which it says to none that was replaced there. Else a successor may
-    /// know more of the run.
+    /// Returns whether the worker reported it to this leader. A worker reports nothing to a leader once it has the fence of a
+    /// newer epoch; without a report, a successor may know more of the run.
     pub fn is_reported(self) -> bool {
         match self {
             Self::Reported | Self::NotStarted => true,
--- a/src/batch/scheduler/tenure.rs
+++ b/src/batch/scheduler/tenure.rs
@@ -1,9 +1,9 @@
 //! What a leader may start, by the newest moment at which it certainly led.
 //!
 //! A leader that was replaced and doesn't know it is refused by all workers that its successor has reached. On others it
-//! could still start a task that its successor has started elsewhere, or knows to be done. That needs knowledge of a run
-//! that didn't come from the run's worker, or a job that the successor takes for new. Both wait until a later commit
-//! succeeds.
+//! could still start a task that its successor has started elsewhere, or knows to be done: a task whose run it takes for
+//! ended although the run's worker hasn't reported so, or one of a job that the successor takes for new. Both wait until a
+//! later commit succeeds.
 
 use std::collections::BTreeMap;
 
@@ -18,16 +18,16 @@
 pub(super) struct Tenure {
     /// When the newest successful commit was sent; `None` where nobody says, and nothing has to be confirmed.
     proven_at: Option<clock::Instant>,
-    /// When a run of this leader was last taken for ended without its worker's word.
+    /// When a run of this leader was last taken for ended without a report of its worker.
     run_ended_at: clock::Instant,
     /// When a worker of earlier leaders was last taken for ended without its answer, by service.
     inherited_ended: BTreeMap<id::Service, clock::Instant>,
-    /// When a worker of earlier leaders first answered last.
+    /// The newest moment at which a worker of earlier leaders answered for the first time.
     pub(super) inherited_heard_at: clock::Instant,
 }
 
 impl Tenure {
-    /// Records that a run was taken for ended without its worker's word.
+    /// Records that a run was taken for ended without a report of its worker.
     pub(super) fn run_ended(&mut self, now: clock::Instant) {
         self.run_ended_at = self.run_ended_at.max(now);
     }
