--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -74,9 +74,12 @@
 class Server:
     """A small HTTP/1.1 server; `handle(method, path, query, headers, body)` returns a status and a JSON value."""
 
-    def __init__(self, handle, answer_s=0.0):
+    def __init__(self, handle, answer_s=0.0, connections_max=None):
         self.handle = handle
         self.answer_s = answer_s
+        self.connections_max = connections_max
+        # Connections that were reset because of the limit.
+        self.turned_away = 0
         self.server = None
         self.port = 0
         self.writers = set()
@@ -99,6 +102,10 @@
             writer.transport.abort()
 
     async def serve(self, reader, writer):
+        if self.connections_max is not None and len(self.writers) >= self.connections_max:
+            self.turned_away += 1
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -287,13 +294,16 @@
     def __init__(self, world, machine, number):
         self.world, self.machine = world, machine
         self.id = f"i-{machine.name}-{number}"
-        self.server = Server(self.handle)
+        self.server = Server(self.handle, connections_max=world.worker_connections_max)
         self.born_ms = int(time.time() * 1000)
         self.zero_ms = now_ms() - 1000
         self.fence = 0
         self.running, self.ended, self.highest = {}, [], {}
         self.numbers = 0
         self.until_ms = 0
+        self.held_at_ms = 0
+        # Fencing token of the newest start or stop.
+        self.commanded = 0
         self.alive = True
         self.news = asyncio.Condition()
 
@@ -365,6 +375,8 @@
         if wire.get("fenceToken", 0) < self.fence:
             return 409, {"reason": "fence", **clock}
         self.fence = max(self.fence, wire.get("fenceToken", 0))
+        if path in ("/run-start", "/run-stop"):
+            self.commanded = self.fence
         if path == "/run-start":
             task, number = wire["task"], wire["runId"]
             known = self.running.get(task)
@@ -393,6 +405,7 @@
                 self.highest[task] = max(self.highest.get(task, 0), number)
             return 200, clock
         if path == "/hold":
+            self.held_at_ms = self.clock_ms()
             self.hold_until(wire.get("untilMs"))
             self.ended = [end for end in self.ended if end[0] > wire.get("ackIndex", 0)]
             until = time.monotonic() + wire.get("waitMs", 0) / 1000
@@ -425,8 +438,15 @@
         self.state = "down"
         self.worker = None
         self.lives = 0
+        self.is_lost = False
 
     async def boot(self):
+        if self.is_lost:
+            return
+        if self.pool in self.world.spare_pools:
+            # Off, and without a worker.
+            self.state = "up"
+            return
         self.lives += 1
         self.worker = Worker(self.world, self, self.lives)
         await self.worker.server.start()
@@ -441,6 +461,13 @@
         await asyncio.sleep(back_s)
         await self.boot()
 
+    def lose(self):
+        """The machine is lost for good; what ran there ends, and its entry lapses."""
+        worker, self.worker, self.state, self.is_lost = self.worker, None, "down", True
+        if worker is not None:
+            worker.crash()
+            self.world.spawn(self.forget(worker.id, 3 * HEARTBEAT_S))
+
     async def forget(self, worker_id, after_s):
         await asyncio.sleep(after_s)
         await self.world.store.put("servers", worker_id, None)
@@ -450,8 +477,8 @@
         if worker is not None:
             worker.crash()
             await self.world.store.put("servers", worker.id, None)
-        await asyncio.sleep(after_s)
         self.pool = pool
+        await asyncio.sleep(after_s)
         await self.boot()
 
     def wire(self):
@@ -507,6 +534,10 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def lose_power(self):
+        """The machine neither runs nor answers from here on, and closes no connection; the process ends with the case."""
+        self.kill(signal.SIGSTOP)
+
     def kill(self, with_signal=signal.SIGKILL):
         if self.is_running():
             self.process.send_signal(with_signal)
@@ -530,6 +561,9 @@
         self.store = Store()
         self.cloud = Server(self.handle_cloud)
         self.machines, self.nodes = [], []
+        self.spare_pools = set()
+        # Connections that a worker takes; the sites' services have 64.
+        self.worker_connections_max = 64
         self.tasks = set()
         # Every start and end that workers have seen: (time, what, worker, task, run, how, spec).
         self.events = []
@@ -560,6 +594,7 @@
             return 409, {"reason": "busy"}
         if path == "/machine-move":
             if machine.pool != wire["pool"]:
+                self.on_move(machine, wire["pool"])
                 self.spawn(machine.change("moving", wire["pool"], MOVE_S))
             return 200, {}
         if path == "/machine-upkeep":
@@ -568,6 +603,9 @@
             return 200, {}
         return 404, {}
 
+    def on_move(self, machine, pool):
+        """Overridden by cases that watch moves."""
+
     def on_upkeep(self, machine, wave):
         """Overridden by cases that watch waves."""
 
@@ -583,6 +621,7 @@
         capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 0}
         await self.store.server.start()
         await self.cloud.start()
+        self.spare_pools = {entry["name"] for entry in services if entry.get("spare")}
         for pool, count in workers.items():
             for number in range(count):
                 machine = Machine(self, f"m-{pool}-{number}", pool, f"r-{pool}-{number // 4}", capacity)
@@ -604,6 +643,16 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)
 
+    async def replace(self, node):
+        """A machine is gone for good; a new one comes at another address."""
+        self.record.line(f"machine of front-{node.number} loses power for good")
+        node.lose_power()
+        fresh = Node(self, len(self.nodes) + 1)
+        self.nodes.append(fresh)
+        fresh.start()
+        self.record.line(f"machine of front-{fresh.number} comes")
+        return fresh
+
     def worker(self, worker_id):
         return next((m.worker for m in self.machines if m.worker is not None and m.worker.id == worker_id), None)
 
