Renumber the review's cases; drop the give-up case that review/5 shows

The case of a job that is shown as failed after its workers crashed is dropped: review/5 shows the same fault. Case 7 is now the past schedule (before 8), case 8 the service that one unreachable worker stops (before 9).

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Workers crash, one at a time; no run ends `failed`, yet a job whose tasks last is shown as `failed` and is not run on."""
+"""One accepted job ends each node that leads in turn, and no job runs any more."""
 
 import asyncio
 import json
@@ -9,52 +9,82 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import world  # noqa: E402
 
-# One worker of nine is down at a time, a share of 0.11, for 4.5 s; the site's entries have 0.14 and 4.5 s. The next one
-# crashes when the one before is back, and it is the one with the most runs.
-WORKERS = 9
-CRASHES = 9
-BACK_S = 4.5
-# Five tasks that last, as `catalogue-sync` of the site has them.
-LASTING = {"lasts": True, "cpu": 1500, "memMb": 3100}
-JOB = "00000000000000a1"
-# The rule's bounds: seconds from a task's last run, and seconds without a run.
-AFTER_RUN_S = 6
-WITHOUT_RUN_S = 3
+# Of the site: a process that exceeds it is killed, and is restarted after a short delay.
+MEMORY_MB = 260
+RESTART_S = 0.5
+FINISH_S = 14
+JOBS = 40
+JOB_EVERY_S = 0.5
+ATTEMPTS = 5
+TASK = {"ms": 800, "cpu": 1100, "memMb": 1200}
+# Every minute, two million times, with a first time of 0, which is omitted on the wire: the times of the past years are due.
+SCHEDULE = {"repeatCount": 2_000_000, "intervalMs": 60_000}
 
 
 class Deployment(world.World):
+    ended = 0
+
     async def start_case(self):
-        routes = [world.route("catalogue-sync", "/sync/", "notices", maxAttempts=4, stretch=2.2, targetLatencyMs=2500)]
-        await self.start(3, {"notices": WORKERS}, routes, [world.service("notices")])
+        routes = [world.route("daily-loans", "/loans/", "tally"), world.route("archive", "/archive/", "tally")]
+        capacity = {"cpu": 16000, "memMb": 32768, "gpu": 0}
+        await self.start(3, {"tally": 9}, routes, [world.service("tally")], capacity)
+        self.spawn(self.limit_memory())
+
+    async def limit_memory(self):
+        """The platform: kills a process that exceeds its memory, and starts ended processes again."""
+        while True:
+            for node in self.nodes:
+                memory_mb = node.memory_mb()
+                if not node.is_running():
+                    self.record.line(f"front-{node.number} has ended by itself with {node.process.returncode}")
+                elif memory_mb > MEMORY_MB:
+                    self.record.line(f"front-{node.number} holds {memory_mb} MB of {MEMORY_MB}: the platform kills it")
+                    node.kill()
+                    node.process.wait()
+                else:
+                    continue
+                self.ended += 1
+                await asyncio.sleep(RESTART_S)
+                node.start()
+            await asyncio.sleep(0.02)
 
 
 async def case(deployment, trouble):
-    step = {"count": 5, "cpu": 1500, "memMb": 3100, "estimateMs": 900, "longRunning": True, "image": "sync"}
-    body = {"spec": json.dumps(LASTING), "steps": [step]}
-    status, _ = await deployment.request(deployment.nodes[0], "POST", f"/sync/{JOB}", body)
-    if status != 200:
-        raise RuntimeError(f"the job was answered {status}")
-    await asyncio.sleep(5)
-    for _ in range(CRASHES):
-        if trouble:
-            up = [machine for machine in deployment.machines if machine.worker is not None]
-            machine = max(up, key=lambda machine: len(machine.worker.running))
-            deployment.record.line(f"worker crashes {machine.worker.id} running={len(machine.worker.running)}")
-            await machine.crash(BACK_S)
-        else:
-            await asyncio.sleep(BACK_S)
-        await deployment.request(deployment.nodes[1], "GET", f"/sync/{JOB}")
-    # All workers are back. A calm time of 4 s, and then the rule's bounds.
-    await asyncio.sleep(4 + AFTER_RUN_S + WITHOUT_RUN_S)
+    accepted = []
+
+    async def submit(path, job, body):
+        for attempt in range(ATTEMPTS):
+            node = deployment.nodes[(int(job, 16) + attempt) % len(deployment.nodes)]
+            status, _ = await deployment.request(node, "POST", f"/{path}/{job}", body)
+            if status == 200:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    body = {"spec": json.dumps(TASK)}
+    for number in range(JOBS):
+        if trouble and number == 10:
+            step = {"count": 1, "cpu": TASK["cpu"], "memMb": TASK["memMb"], "estimateMs": 800}
+            await submit("archive", "00000000000000b1", {**body, "steps": [step], **SCHEDULE})
+        job = f"{0xC000000000000000 + number:016x}"
+        step = {"count": 2, "cpu": TASK["cpu"], "memMb": TASK["memMb"], "estimateMs": 800}
+        if await submit("loans", job, {**body, "steps": [step]}):
+            accepted.append(job)
+        await asyncio.sleep(JOB_EVERY_S)
+    await asyncio.sleep(FINISH_S)
     broken = []
-    ends = [event[5] for event in deployment.events if event[1] == "end"]
-    for node in deployment.nodes:
-        status, value = await deployment.request(node, "GET", f"/sync/{JOB}")
-        if status != 200 or value.get("state") not in ("queued", "running"):
-            broken.append(f"LOST: front-{node.number} shows the job as {status} {value}; nobody cancelled it, its runs ended {ends}")
-    running = sum(len(machine.worker.running) for machine in deployment.machines if machine.worker is not None)
-    if running < 5:
-        broken.append(f"LOST: {5 - running} of 5 tasks that last don't run, with {len(deployment.machines)} workers up and free")
+    for job in accepted:
+        for attempt in range(ATTEMPTS):
+            status, value = await deployment.request(deployment.nodes[attempt % 3], "GET", f"/loans/{job}")
+            if status == 200:
+                break
+            await asyncio.sleep(0.2)
+        state = value.get("state") if isinstance(value, dict) else None
+        started = sum(event[3].startswith(job) and event[1] == "start" for event in deployment.events)
+        if state != "completed":
+            broken.append(f"LOST: job {job} is answered {status} {state} after finish_s; {started} of its 2 tasks started")
+    if deployment.ended > 3:
+        broken.append(f"Fault: processes of {len(deployment.nodes)} machines ended {deployment.ended} times for their memory")
     return broken
 
 
