fleet: a machine counts as arriving only while the lists of machines allow that it arrives

A move that the platform had answered was noted as a machine about to join the pool, and the note was removed only by a list that showed the machine up there. A machine that was lost on its way is listed as down for ever, so that the pool counted it for ever: with as many of them as it needs, it gave all its sound machines to the spare pool and asked for none. Only a new leader, which knows no notes, ended that. In the same way a machine that is up, and whose worker never answers, counted as arriving for ever; and a worker that answered once counted as capacity however long it was silent.

pools::Arrivals now holds the machines on their way, as the lists show them: each counts until it has joined, and no longer than it is listed as moving, or up without a worker that has joined, for the time that this takes. A list that was requested after the answer and shows the machine down, in maintenance, in another pool or not at all ends the move. A new leader counts the moves of its predecessor by the list. No machine is powered off for one that has not arrived.

--- a/node/src/batch/fleet/commands.rs
+++ b/node/src/batch/fleet/commands.rs
@@ -148,7 +148,8 @@
         }
         match (&result.command, result.outcome) {
             (Command::Move { to }, Some(ChangeOutcome::Yes)) => {
-                self.sent.insert(result.vm.clone(), to.clone());
+                self.arrivals
+                    .move_answered(result.vm.clone(), to.clone(), now);
             }
             (Command::Upkeep { wave }, Some(ChangeOutcome::Yes)) => {
                 self.maintenance_begun(*wave, &result.vm);
--- a/node/src/batch/fleet/list.rs
+++ b/node/src/batch/fleet/list.rs
@@ -61,13 +61,6 @@
                 wave.exclude(&vm);
             }
         }
-        for machine in &list {
-            if machine.state == pools::State::Up
-                && self.sent.get(&machine.vm) == Some(&machine.pool)
-            {
-                self.sent.remove(&machine.vm);
-            }
-        }
         self.end_missing_incarnations(&list, requested_at, unreadable.is_empty());
         self.positions = list
             .iter()
@@ -75,12 +68,39 @@
             .map(|(position, machine)| (machine.vm.clone(), position))
             .collect();
         self.list = Arc::new(list);
+        self.follow_arrivals(unreadable, requested_at);
         for vm in self.answered.machines_listed(&self.list, requested_at) {
             log::info("fleet", &format!("change was done before vm={vm}"));
             self.set_draining_vm(&vm, false);
         }
     }
 
+    /// Applies the list to the machines that are about to join a pool.
+    fn follow_arrivals(
+        &mut self,
+        unreadable: &pools::Unreadable,
+        requested_at: wasabiloft::clock::Instant,
+    ) {
+        let now = clock::since_boot();
+        let scheduler = self.leadership.scheduler();
+        let has_joined = |worker: &id::Worker| scheduler.has_joined(worker, now);
+        let lost =
+            self.arrivals
+                .machines_listed(&self.list, unreadable, requested_at, now, has_joined);
+        drop(scheduler);
+        for vm in lost {
+            let machine = self.machine(&vm);
+            log::info(
+                "fleet",
+                &format!(
+                    "machine didn't arrive vm={vm} state={:?} pool={:?}",
+                    machine.map(|machine| machine.state),
+                    machine.map(|machine| &machine.pool)
+                ),
+            );
+        }
+    }
+
     /// Passes the workers that the list shows to the scheduler, which ends those whose machine no longer runs them: crashed,
     /// moved, in maintenance, or removed.
     ///
--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -48,8 +48,8 @@
     pending: BTreeMap<id::Vm, commands::PendingCommand>,
     /// Commands that were answered as done, until a list shows their effect.
     answered: machine_commands::Answered,
-    /// Target pools of moved machines, until a list shows them there.
-    sent: BTreeMap<id::Vm, id::Service>,
+    /// Machines that are about to join a pool.
+    arrivals: pools::Arrivals,
     paused: BTreeMap<id::Vm, wasabiloft::clock::Instant>,
     commands: JoinSet<commands::CommandResult>,
     logged_at: wasabiloft::clock::Instant,
@@ -78,7 +78,7 @@
         positions: HashMap::new(),
         busy: BTreeSet::new(),
         answered: machine_commands::Answered::default(),
-        sent: BTreeMap::new(),
+        arrivals: pools::Arrivals::new(settings.move_ms),
         paused: recovered.held_off,
         pending: BTreeMap::new(),
         commands: JoinSet::new(),
@@ -272,27 +272,24 @@
                 scheduler.config().spare_pool().cloned(),
             )
         };
-        let mut incoming: BTreeMap<id::Service, u32> = BTreeMap::new();
-        for to in self.sent.values() {
-            *incoming.entry(to.clone()).or_default() += 1;
-        }
+        let incoming = self.arrivals.count(now);
         let mut candidates = Vec::new();
         let list = Arc::clone(&self.list);
         for machine in list.iter() {
             let unavailable = machine.state != pools::State::Up
                 || self.busy.contains(&machine.vm)
-                || self.sent.contains_key(&machine.vm);
+                || self.arrivals.is_moving(&machine.vm);
             if unavailable {
                 continue;
             }
-            let usage = machine
-                .worker
-                .as_ref()
-                .and_then(|worker| self.leadership.scheduler().usage(worker));
             let is_spare_machine = Some(&machine.pool) == spare.as_ref();
+            let usage = {
+                let scheduler = self.leadership.scheduler();
+                let worker = machine.worker.as_ref();
+                let worker = worker.filter(|worker| scheduler.has_joined(worker, now));
+                worker.and_then(|worker| scheduler.usage(worker))
+            };
             if usage.is_none() && !is_spare_machine {
-                // The scheduler doesn't know its worker yet; the machine counts as arriving.
-                *incoming.entry(machine.pool.clone()).or_default() += 1;
                 continue;
             }
             let (used, draining) = usage.unwrap_or_default();
--- /dev/null
+++ b/node/tests/test_lost_machines.rs
@@ -0,0 +1,61 @@
+//! Machines that are lost for good while they move to a pool.
+
+use std::path::Path;
+
+use wasabiloft_standins::soak::Options;
+use wasabiloft_standins::soak::scenario::Scenario;
+use wasabiloft_standins::soak::world::QUEUES;
+
+/// Jobs of a burst, and the tasks of each: more than the machines of the pool can run at once.
+const BURST: std::ops::Range<u32> = 0x10..0x14;
+const BURST_TASKS: u32 = 12;
+const BURST_SPEC: &str = "work_ms=2000";
+/// Time after which a pool without work gives machines away, also under a new leader, in milliseconds.
+const IDLE_MS: u64 = 14_000;
+
+async fn submit(scenario: &Scenario, id: u32, tasks: u32, spec: &str) -> String {
+    let id = format!("{id:016x}");
+    let submitted = scenario.submit(&id, tasks, spec).await;
+    submitted.expect("an accepted job");
+    id
+}
+
+async fn until_completed(scenario: &Scenario, id: &str) {
+    let is_completed = async || scenario.state(id).await.as_deref() == Some("completed");
+    let completed = scenario.until("the job is completed", is_completed);
+    completed.await.expect("a completed job");
+}
+
+/// Guards against machines that count as arriving for ever: the pool gives all its others away, and its jobs never start.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_run_after_machines_are_lost_on_their_way_to_the_pool() {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_wasabiloftd")).to_owned();
+    let options = Options {
+        nodes: 2,
+        machines: 6,
+        wave: false,
+        ..Options::new(daemon, 1)
+    };
+    let scenario = Scenario::start(&options).await.expect("a scenario");
+    let first = submit(&scenario, 1, 2, "work_ms=200").await;
+    until_completed(&scenario, &first).await;
+
+    let mut burst = Vec::new();
+    for id in BURST {
+        burst.push(submit(&scenario, id, BURST_TASKS, BURST_SPEC).await);
+    }
+    let machines = &scenario.world.machines.state;
+    let lost = scenario
+        .until("machines move", async || {
+            machines.lose_moving(QUEUES[0].1) > 0
+        })
+        .await;
+    lost.expect("lost machines");
+    for id in &burst {
+        until_completed(&scenario, id).await;
+    }
+
+    scenario.pause(IDLE_MS).await;
+    let last = submit(&scenario, 0x20, 2, "work_ms=200").await;
+    until_completed(&scenario, &last).await;
+}
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -19,6 +19,7 @@
 mod test_keys;
 mod test_large_jobs;
 mod test_links;
+mod test_lost_machines;
 mod test_lost_store;
 mod test_nodes;
 mod test_odd_entries;
--- a/src/batch/pools.rs
+++ b/src/batch/pools.rs
@@ -1,5 +1,6 @@
 //! Assignment of machines to pools: enough machines where work arrives, the rest powered off.
 
+mod arrivals;
 mod forecast;
 mod unreadable;
 
@@ -8,6 +9,7 @@
 use crate::id;
 use crate::platform::Resources;
 
+pub use arrivals::{Arrivals, JOIN_TIMEOUT_MS};
 pub use forecast::{Arrival, Forecast, HISTORY_MS};
 pub use unreadable::Unreadable;
 
@@ -139,7 +141,7 @@
 pub struct Input<'a> {
     /// Target of each pool.
     pub targets: &'a BTreeMap<id::Service, Target>,
-    /// Number of machines that are moving to each pool.
+    /// Number of machines that are about to join each pool.
     pub incoming: &'a BTreeMap<id::Service, u32>,
     /// Pool of powered-off machines, if there is one.
     pub spare: Option<&'a id::Service>,
@@ -185,7 +187,8 @@
         kept_for_late.extend(kept.map(|candidate| &candidate.machine.vm));
         let pool = Pool {
             surplus,
-            unused: have.saturating_sub(target.retain).min(count(&members)) as usize,
+            // No machine is powered off because others are about to come.
+            unused: count(&members).saturating_sub(target.retain) as usize,
             members,
         };
         pools.insert(service, pool);
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -181,6 +181,12 @@
         Some((machine_share(used, &state.listing.size), state.draining))
     }
 
+    /// Returns whether a worker has joined its pool: it has answered, and hasn't been silent for as long as joining takes.
+    pub fn has_joined(&self, worker: &id::Worker, now: clock::Instant) -> bool {
+        let state = self.workers.get(worker);
+        state.is_some_and(|state| state.adopted && state.silent_ms(now) < pools::JOIN_TIMEOUT_MS)
+    }
+
     /// Queues a row that records a machine command before it is sent, with the time on the store's clock in
     /// milliseconds.
     pub fn record_machine_command(&mut self, vm: id::Vm, at_ms: u64) {
--- a/standins/src/hosted/machines.rs
+++ b/standins/src/hosted/machines.rs
@@ -23,6 +23,8 @@
 pub const MAINTENANCE_MS: u64 = 800;
 /// Minimum time between commands of two lease holders to the same machine, in milliseconds.
 pub const LEASE_MS: u64 = 3_000;
+/// Time for which a lost machine is down, longer than any test.
+const LOST: Duration = Duration::from_secs(24 * 60 * 60);
 /// Memory of each machine, in MiB.
 const MEMORY_MIB: u64 = 32_000;
 
@@ -155,6 +157,19 @@
         }
     }
 
+    /// Loses all machines that are moving to a pool, for good, and returns their number.
+    pub fn lose_moving(&self, pool: &str) -> usize {
+        let mut inner = lock(&self.inner);
+        let is_moving = |machine: &&mut Machine| {
+            machine.pool == pool && matches!(machine.outage, Some(("moving", _)))
+        };
+        let moving = inner.machines.values_mut().filter(is_moving);
+        let until = time::Instant::now() + LOST;
+        moving
+            .map(|machine| machine.outage = Some(("down", until)))
+            .count()
+    }
+
     /// Adds a maintenance wave that operators requested.
     pub fn add_wave(&self, number: u64, machines: &[String], max_concurrent: usize) {
         let wave = (
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -12,7 +12,8 @@
 
 const SPARE: &str = "spare";
 
-fn machine(name: &str, pool: &str) -> Machine {
+/// Returns a machine that is up and runs the worker of its name.
+pub fn machine(name: &str, pool: &str) -> Machine {
     Machine {
         vm: id::Vm::new(name),
         pool: id::Service::new(pool),
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -11,6 +11,7 @@
 mod test_batch_accounts;
 mod test_batch_acknowledged;
 mod test_batch_admission_limit;
+mod test_batch_arrivals;
 mod test_batch_authority;
 mod test_batch_budget;
 mod test_batch_capacity;
