waves: a machine that is lost in its maintenance frees its place

Operators saw a wave that never went on. A machine whose maintenance had begun counted as one of those in maintenance until a list showed it up again. A machine that was lost then is listed as down for ever, or not at all, so that as many of them as the wave allows at once stopped it.

Wave::machines_listed applies a list as a whole, where the shell passed on two sets of machines before: a machine counts until the time of its maintenance is over and a list shows it neither in maintenance nor unreadably. A machine that the platform has removed is no longer part of the wave, as before.

--- a/measure/src/search/shell.rs
+++ b/measure/src/search/shell.rs
@@ -164,14 +164,14 @@
         requested_at: Instant,
         now: Instant,
     ) {
-        let in_state = |state: pools::State| -> BTreeSet<id::Vm> {
-            let machines = list.iter().filter(|machine| machine.state == state);
-            machines.map(|machine| machine.vm.clone()).collect()
-        };
-        let (up, in_maintenance) = (in_state(pools::State::Up), in_state(pools::State::Upkeep));
+        let maintenance_ms = MAINTENANCE_MS + RETURN_MARGIN_MS;
         for wave in self.waves.values_mut() {
-            wave.on_seen_in_maintenance(&in_maintenance, requested_at);
-            wave.on_seen_up(&up, requested_at, MAINTENANCE_MS + RETURN_MARGIN_MS);
+            wave.machines_listed(
+                &list,
+                &pools::Unreadable::default(),
+                requested_at,
+                maintenance_ms,
+            );
         }
         let current: BTreeSet<&id::Worker> = list
             .iter()
--- a/node/src/batch/fleet/list.rs
+++ b/node/src/batch/fleet/list.rs
@@ -27,38 +27,13 @@
         requested_at: wasabiloft::clock::Instant,
     ) {
         unreadable.keep_from(&self.list, &mut list);
-        let settings = self.shared.settings();
-        let up: BTreeSet<id::Vm> = list
-            .iter()
-            .filter(|machine| machine.state == pools::State::Up)
-            .map(|machine| machine.vm.clone())
-            .collect();
-        let in_maintenance: BTreeSet<id::Vm> = list
-            .iter()
-            .filter(|machine| machine.state == pools::State::Upkeep)
-            .map(|machine| machine.vm.clone())
-            .collect();
-        let known: BTreeSet<id::Vm> = list.iter().map(|machine| machine.vm.clone()).collect();
+        let maintenance_ms = self.shared.settings().maintenance_ms + RETURN_MARGIN_MS;
         for wave in self.waves.values_mut() {
-            wave.on_seen_in_maintenance(&in_maintenance, requested_at);
-            wave.on_seen_up(
-                &up,
-                requested_at,
-                settings.maintenance_ms + RETURN_MARGIN_MS,
-            );
-            let unanswered = wave.unanswered().map(|(vm, _)| vm);
-            let removed: Vec<id::Vm> = wave
-                .remaining()
-                .chain(unanswered)
-                .filter(|vm| !known.contains(*vm) && !unreadable.may_include(vm))
-                .cloned()
-                .collect();
-            for vm in removed {
+            for vm in wave.machines_listed(&list, unreadable, requested_at, maintenance_ms) {
                 log::info(
                     "fleet",
                     &format!("machine removed vm={vm} wave={}", wave.request.number),
                 );
-                wave.exclude(&vm);
             }
         }
         self.end_missing_incarnations(&list, requested_at, unreadable.is_empty());
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::pools;
 use crate::clock;
 use crate::id;
 
@@ -267,43 +268,63 @@
         self.record.begun.insert(vm.clone());
     }
 
-    /// Records machines that are in maintenance, including those that a previous leader sent there.
+    /// Applies a list of machines that was requested at `requested_at`. Returns the machines that the platform has removed,
+    /// which are no longer part of the wave.
+    ///
+    /// `maintenance_ms` is the time after which a list shows that maintenance is over.
+    pub fn machines_listed(
+        &mut self,
+        list: &[pools::Machine],
+        unreadable: &pools::Unreadable,
+        requested_at: clock::Instant,
+        maintenance_ms: u64,
+    ) -> Vec<id::Vm> {
+        let states: BTreeMap<&id::Vm, pools::State> = list
+            .iter()
+            .map(|machine| (&machine.vm, machine.state))
+            .collect();
+        let is_removed = |vm: &id::Vm| !states.contains_key(vm) && !unreadable.may_include(vm);
+        self.count_maintained(&states, requested_at);
+        self.in_maintenance.retain(|vm, machine| {
+            let is_due = machine.responded_at.is_some_and(|at| {
+                requested_at.since_ms(at.max(machine.commanded_at)) >= maintenance_ms
+            });
+            // A machine can be lost in its maintenance, and come back much later or never.
+            let is_over = match states.get(vm) {
+                Some(pools::State::Up | pools::State::Down | pools::State::Moving) => true,
+                Some(pools::State::Upkeep | pools::State::Unreadable) => false,
+                None => is_removed(vm),
+            };
+            !(is_due && is_over)
+        });
+        let unanswered = self.unanswered().map(|(vm, _)| vm);
+        let removed = self.remaining().chain(unanswered);
+        let removed: Vec<id::Vm> = removed.filter(|vm| is_removed(vm)).cloned().collect();
+        for vm in &removed {
+            self.exclude(vm);
+        }
+        removed
+    }
+
+    /// Counts the machines in maintenance, including those that a previous leader sent there.
     ///
     /// Whether the maintenance belongs to this wave shows when the command is repeated; the platform treats the repeat
     /// as the same command.
-    pub fn on_seen_in_maintenance(
+    fn count_maintained(
         &mut self,
-        in_maintenance: &BTreeSet<id::Vm>,
-        now: clock::Instant,
+        states: &BTreeMap<&id::Vm, pools::State>,
+        requested_at: clock::Instant,
     ) {
-        for vm in self
-            .request
-            .vms
-            .iter()
-            .filter(|vm| in_maintenance.contains(*vm))
-        {
+        let maintained = self.request.vms.iter();
+        let maintained = maintained.filter(|vm| states.get(vm) == Some(&pools::State::Upkeep));
+        for vm in maintained {
             self.in_maintenance
                 .entry(vm.clone())
                 .or_insert(Maintenance {
                     worker: None,
-                    commanded_at: now,
-                    responded_at: Some(now),
+                    commanded_at: requested_at,
+                    responded_at: Some(requested_at),
                 });
         }
     }
-
-    /// Records machines that are up again, from a list that was requested at `requested_at`.
-    pub fn on_seen_up(
-        &mut self,
-        up: &BTreeSet<id::Vm>,
-        requested_at: clock::Instant,
-        maintenance_ms: u64,
-    ) {
-        self.in_maintenance.retain(|vm, machine| {
-            let finished = machine.responded_at.is_some_and(|at| {
-                requested_at.since_ms(at.max(machine.commanded_at)) >= maintenance_ms
-            });
-            !(finished && up.contains(vm))
-        });
-    }
 }
--- a/standins/src/hosted/machines.rs
+++ b/standins/src/hosted/machines.rs
@@ -157,16 +157,15 @@
         }
     }
 
-    /// Loses all machines that are moving to a pool, for good, and returns their number.
-    pub fn lose_moving(&self, pool: &str) -> usize {
+    /// Loses all machines of a pool that are in a state such as `moving`, for good, and returns their number.
+    pub fn lose(&self, pool: &str, state: &str) -> usize {
         let mut inner = lock(&self.inner);
-        let is_moving = |machine: &&mut Machine| {
-            machine.pool == pool && matches!(machine.outage, Some(("moving", _)))
+        let is_lost = |machine: &&mut Machine| {
+            machine.pool == pool && machine.outage.is_some_and(|(outage, _)| outage == state)
         };
-        let moving = inner.machines.values_mut().filter(is_moving);
+        let lost = inner.machines.values_mut().filter(is_lost);
         let until = time::Instant::now() + LOST;
-        moving
-            .map(|machine| machine.outage = Some(("down", until)))
+        lost.map(|machine| machine.outage = Some(("down", until)))
             .count()
     }
 
--- a/standins/src/soak/world.rs
+++ b/standins/src/soak/world.rs
@@ -48,7 +48,7 @@
 /// Number of the maintenance wave that operators request first.
 pub const FIRST_WAVE: u64 = 1;
 /// Limit of machines of the wave in maintenance at the same time.
-const WAVE_MAX_CONCURRENT: usize = 2;
+pub const WAVE_MAX_CONCURRENT: usize = 2;
 
 /// A path of a node through the network.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/test_batch_pools.rs
+++ b/tests/test_batch_pools.rs
@@ -1,6 +1,6 @@
 //! Pools that follow demand, maintenance waves, and throttling of best-effort tasks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use wasabiloft::batch::pools::{
     Action, Candidate, Demand, Forecast, Input, Machine, State, Target,
@@ -227,6 +227,24 @@
     assert!(target.retain < 9, "{target:?}");
 }
 
+/// Applies a list that shows these machines and no others; returns those that were removed.
+fn list(wave: &mut waves::Wave, shown: &[(&str, State)], requested_ms: u64) -> Vec<id::Vm> {
+    let machines: Vec<Machine> = shown
+        .iter()
+        .map(|(name, state)| Machine {
+            state: *state,
+            ..machine(name, "counter")
+        })
+        .collect();
+    let requested_at = Instant::from_ms(requested_ms);
+    wave.machines_listed(
+        &machines,
+        &pools::Unreadable::default(),
+        requested_at,
+        2_000,
+    )
+}
+
 fn wave(at_once_max: u32) -> waves::Wave {
     let request = waves::Request {
         number: 1,
@@ -257,19 +275,19 @@
 #[test]
 fn a_wave_never_exceeds_its_concurrency_limit() {
     let mut wave = wave(2);
-    let up: BTreeSet<id::Vm> = ["a", "b", "c"].map(id::Vm::new).into();
     let (a, b) = (id::Vm::new("a"), id::Vm::new("b"));
     wave.on_command(&a, None, Instant::from_ms(10));
     wave.on_command(&b, None, Instant::from_ms(10));
     assert_eq!(wave.free_slots(), 0);
     wave.on_begun(&a, Instant::from_ms(30));
-    wave.on_seen_up(&up, Instant::from_ms(500), 2_000);
+    let up = ["a", "b", "c"].map(|name| (name, State::Up));
+    list(&mut wave, &up, 500);
     assert_eq!(
         wave.free_slots(),
         0,
         "it can still be up from before its maintenance"
     );
-    wave.on_seen_up(&up, Instant::from_ms(2_500), 2_000);
+    list(&mut wave, &up, 2_500);
     assert_eq!(wave.free_slots(), 1);
     assert_eq!(
         wave.unanswered().count(),
@@ -305,15 +323,37 @@
 #[test]
 fn a_new_leader_counts_machines_already_in_maintenance() {
     let mut wave = wave(2);
-    let in_maintenance: BTreeSet<id::Vm> = ["a", "b"].map(id::Vm::new).into();
-    wave.on_seen_in_maintenance(&in_maintenance, Instant::from_ms(100));
+    let upkeep = |name| (name, State::Upkeep);
+    let shown = [upkeep("a"), upkeep("b"), ("c", State::Up)];
+    assert!(list(&mut wave, &shown, 100).is_empty());
     assert_eq!(wave.free_slots(), 0);
     assert_eq!(wave.remaining().count(), 1);
-    let up: BTreeSet<id::Vm> = ["a", "b", "c"].map(id::Vm::new).into();
-    wave.on_seen_up(&up, Instant::from_ms(2_500), 2_000);
+    let up = ["a", "b", "c"].map(|name| (name, State::Up));
+    list(&mut wave, &up, 2_500);
     assert_eq!(wave.free_slots(), 2);
 }
 
+/// Guards against a wave that never goes on: machines that are lost in their maintenance keep their places in it.
+#[test]
+fn machines_that_are_lost_in_maintenance_hold_up_no_other() {
+    let lists: [&[(&str, State)]; 3] = [
+        &[("a", State::Down), ("b", State::Down), ("c", State::Up)],
+        &[("a", State::Moving), ("b", State::Moving), ("c", State::Up)],
+        &[("c", State::Up)],
+    ];
+    for shown in lists {
+        let mut wave = wave(2);
+        for name in ["a", "b"] {
+            wave.on_command(&id::Vm::new(name), None, Instant::ZERO);
+            wave.on_begun(&id::Vm::new(name), Instant::ZERO);
+        }
+        list(&mut wave, shown, 1_900);
+        assert_eq!(wave.free_slots(), 0, "the maintenance can still last");
+        list(&mut wave, shown, 2_000);
+        assert_eq!(wave.free_slots(), 2, "{shown:?}");
+    }
+}
+
 /// The load of the small twin of the large site: one queue's late jobs fill most machines while the next queue's turn
 /// begins and its jobs are still in time.
 #[test]
