workers: commands share the connection of polls where a worker takes no other

A leader polled a worker on connections of its own and sent commands on others. A worker at its limit, as connections of leaders that lost their power stay open there, answered the polls, which renewed the lease of all that runs, and reset each connection for a stop.

A command whose connection can't be opened, or ends before the response, makes the commands to that worker share it (batch::connections), in turns with polls that are kept short. Errors of calls say why there is no answer, so that a command that the worker leaves unanswered changes nothing. Relays do the same on the leader's word.

--- a/node/src/batch/channels.rs
+++ b/node/src/batch/channels.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::task::JoinSet;
+use wasabiloft::batch::connections::{Connection, Exchange};
 use wasabiloft::batch::relays::Route;
 use wasabiloft::batch::worker_state;
 use wasabiloft::id;
@@ -96,14 +97,44 @@
                 Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {
                     return Err(Failure {
                         verdict: Verdict::NotRun,
+                        disconnected: false,
                         reason: "the leader has no authority".into(),
                     });
                 }
             }
         }
+        let worker = &recipient.target.worker;
+        let connection = match &command {
+            Command::Poll(poll) => poll.connection,
+            Command::Start { .. } | Command::Stop { .. } | Command::Pace { .. } => {
+                self.leadership.scheduler().command_connection(worker)
+            }
+        };
+        let outcome = self.send(recipient, command, timeout_ms, connection).await;
+        let exchange = match &outcome {
+            Ok(_) => Exchange::Answered,
+            Err(failure) if failure.disconnected => Exchange::Disconnected,
+            Err(_) => Exchange::Unanswered,
+        };
+        let now = clock::since_boot();
+        let mut scheduler = self.leadership.scheduler();
+        scheduler.connection_used(worker, connection, exchange, now);
+        drop(scheduler);
+        outcome
+    }
+
+    async fn send(
+        &self,
+        recipient: &Recipient,
+        mut command: Command,
+        timeout_ms: u64,
+        connection: Connection,
+    ) -> Result<Response, Failure> {
         let epoch = self.leadership.epoch;
         match self.channel(recipient) {
-            Channel::Direct(client) => message::execute(&client, &command, epoch, timeout_ms).await,
+            Channel::Direct(client) => {
+                message::execute(&client, &command, epoch, timeout_ms, connection).await
+            }
             Channel::Relay(link) => {
                 if let Command::Start { task, text, .. } = &mut command
                     && (!self.leadership.relays().sends_texts() || !link.is_first_start(task.job))
@@ -111,7 +142,8 @@
                     *text = None;
                 }
                 let target = recipient.target.clone();
-                link.call(target, command, epoch, timeout_ms).await
+                link.call(target, command, epoch, timeout_ms, connection)
+                    .await
             }
         }
     }
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -7,7 +7,7 @@
 use tokio::time;
 use wasabiloft::batch::authority::HEARTBEAT_TIMEOUT_MS;
 use wasabiloft::batch::{predecessors, record, succession};
-use wasabiloft_platform::store;
+use wasabiloft_platform::{call, store};
 
 use crate::batch::{claim, leadership, peers, shared, standby};
 use crate::clock;
@@ -294,7 +294,7 @@
             }
             Ok(_) => self.check_row(shared, Evidence::NotLeading).await,
             Err(error) => {
-                if error.refused {
+                if error.cause == call::Cause::Refused {
                     self.refusals += 1;
                 } else {
                     self.refusals = 0;
--- a/node/src/batch/relay/link.rs
+++ b/node/src/batch/relay/link.rs
@@ -14,6 +14,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::JobId;
+use wasabiloft::batch::connections::Connection;
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::call;
 
@@ -108,6 +109,7 @@
         command: Command,
         epoch: u64,
         timeout_ms: u64,
+        connection: Connection,
     ) -> Outcome {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (reply, outcome) = oneshot::channel();
@@ -117,6 +119,7 @@
             target,
             epoch,
             timeout_ms,
+            connection,
             command,
         };
         if self.requests.try_send(request).is_err() {
@@ -174,6 +177,7 @@
 fn failure(verdict: Verdict, reason: &str) -> Failure {
     Failure {
         verdict,
+        disconnected: false,
         reason: reason.into(),
     }
 }
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::TaskId;
+use wasabiloft::batch::connections::Connection;
 use wasabiloft::batch::scheduler::{Poll, Refusal};
 use wasabiloft::batch::worker_state;
 use wasabiloft::id;
@@ -75,6 +76,8 @@
 pub struct Failure {
     /// Whether the command can have had an effect.
     pub verdict: Verdict,
+    /// Whether the worker's connection could not be opened, or ended before the response.
+    pub disconnected: bool,
     /// Description of the failure for logs.
     pub reason: String,
 }
@@ -83,6 +86,10 @@
     fn from(error: call::NoAnswer) -> Self {
         Self {
             verdict: error.verdict,
+            disconnected: match error.cause {
+                call::Cause::Refused | call::Cause::Disconnected => true,
+                call::Cause::TimedOut | call::Cause::Unusable => false,
+            },
             reason: error.reason,
         }
     }
@@ -108,6 +115,8 @@
     pub epoch: u64,
     /// Timeout of the response, in milliseconds.
     pub timeout_ms: u64,
+    /// Connection for a command that is no poll.
+    pub connection: Connection,
     /// The command.
     pub command: Command,
 }
@@ -149,6 +158,7 @@
     command: &Command,
     epoch: u64,
     timeout_ms: u64,
+    connection: Connection,
 ) -> Result<Response, Failure> {
     let response = match command {
         Command::Start {
@@ -162,6 +172,7 @@
             let Some(text) = text else {
                 return Err(Failure {
                     verdict: Verdict::NotRun,
+                    disconnected: false,
                     reason: format!("no text of job {}", task.job),
                 });
             };
@@ -173,19 +184,21 @@
                 checkpoint: checkpoint.as_deref(),
                 ticket: ticket.as_deref(),
             };
-            match client.start(&start, epoch, timeout_ms).await? {
+            match client.start(&start, epoch, timeout_ms, connection).await? {
                 worker::StartReply::Accepted { clock_ms } => {
                     clock_ms.map_or(Response::Started, Response::StartedAt)
                 }
                 worker::StartReply::Refused(reason) => Response::StartRefused(reason),
             }
         }
-        Command::Stop { task, run } => {
-            Response::Done(client.stop(*task, *run, epoch, timeout_ms).await?)
-        }
+        Command::Stop { task, run } => Response::Done(
+            client
+                .stop(*task, *run, epoch, timeout_ms, connection)
+                .await?,
+        ),
         Command::Pace { task, run, percent } => Response::Done(
             client
-                .pace(*task, *run, *percent, epoch, timeout_ms)
+                .pace(*task, *run, *percent, epoch, timeout_ms, connection)
                 .await?,
         ),
         Command::Poll(poll) => match client.poll(poll, epoch, timeout_ms).await? {
--- a/node/src/batch/relay/server.rs
+++ b/node/src/batch/relay/server.rs
@@ -161,9 +161,14 @@
                         None => *text = texts.get(&shared, task.job).await,
                     }
                 }
-                let outcome =
-                    message::execute(&client, &request.command, request.epoch, request.timeout_ms)
-                        .await;
+                let outcome = message::execute(
+                    &client,
+                    &request.command,
+                    request.epoch,
+                    request.timeout_ms,
+                    request.connection,
+                )
+                .await;
                 // The receiver is dropped only together with this task.
                 let _ = replies
                     .send(Reply {
@@ -195,6 +200,7 @@
         number: request.number,
         outcome: Err(Failure {
             verdict: Verdict::NotRun,
+            disconnected: false,
             reason: "the relay received the command too late".into(),
         }),
     }
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -9,6 +9,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time;
 use wasabiloft::batch::TaskId;
+use wasabiloft::batch::connections::Connection;
 use wasabiloft::batch::worker_state;
 use wasabiloft::id;
 use wasabiloft::verdict::Verdict;
@@ -358,6 +359,7 @@
 fn unexpected(response: &Response) -> Failure {
     Failure {
         verdict: Verdict::MayHaveRun,
+        disconnected: false,
         reason: format!("unexpected response {response:?}"),
     }
 }
@@ -376,6 +378,7 @@
             return;
         };
         let timeout_ms = poll.wait_ms + POLL_TIMEOUT_MARGIN_MS;
+        let tries_connection = poll.connection == Connection::Commands;
         let outcome = channels.call(&recipient, Command::Poll(poll), timeout_ms);
         let error = match outcome.await {
             Ok(Response::Report(report)) => {
@@ -405,6 +408,7 @@
                 None
             }
             Ok(response) => Some(unexpected(&response)),
+            Err(_) if tries_connection => continue,
             Err(error) => Some(error),
         };
         if let Some(error) = error {
--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -13,6 +13,7 @@
 mod test_capacity;
 mod test_connections;
 mod test_fleet;
+mod test_full_workers;
 mod test_handover;
 mod test_hosted;
 mod test_jobs;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -8,6 +8,7 @@
 pub mod accounts;
 pub mod admission_limit;
 pub mod authority;
+pub mod connections;
 pub mod handover;
 pub mod list_pause;
 pub mod machine_commands;
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::TaskId;
+use crate::batch::connections::{Connection, Exchange};
 use crate::batch::scheduler::job;
 use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::worker_loss::IncarnationEnd;
@@ -75,6 +76,35 @@
         })
     }
 
+    /// Returns the connection for commands to a worker.
+    pub fn command_connection(&self, id: &id::Worker) -> Connection {
+        let worker = self.workers.get(id);
+        worker.map_or_else(Connection::default, |worker| {
+            worker.connections.for_commands()
+        })
+    }
+
+    /// Records what became of a command or a poll on its connection to a worker.
+    pub fn connection_used(
+        &mut self,
+        id: &id::Worker,
+        connection: Connection,
+        exchange: Exchange,
+        now: clock::Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if !worker.connections.record(connection, exchange, now) {
+            return;
+        }
+        let line = match worker.connections.for_commands() {
+            Connection::Commands => "takes further connections",
+            Connection::Polls => "takes no further connection",
+        };
+        self.log(format!("worker {line} worker={id}"));
+    }
+
     /// Handles the clock in a worker's response to a command that was sent at `sent_at`, in milliseconds.
     pub fn clock_answered(
         &mut self,
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::connections::Connection;
 use crate::batch::predecessors;
 use crate::batch::progress_rows;
 use crate::batch::record;
@@ -103,6 +104,8 @@
     pub acknowledged: u64,
     /// How long the worker can wait for a run to end before it answers, in milliseconds.
     pub wait_ms: u64,
+    /// Connection of the poll; [`Connection::Commands`] only tries whether the worker takes it.
+    pub connection: Connection,
 }
 
 /// Rows that a new scheduler recovers from the store.
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::batch::connections::{Connection, SHARED_POLL_WAIT_MS};
 use crate::batch::record;
 use crate::batch::scheduler::job;
 use crate::batch::scheduler::release::Release;
@@ -37,10 +38,12 @@
         let has_orphans = self.orphans.has_runs_on(id);
         let has_trial = self.has_trial(id);
         let worker = self.workers.get_mut(id)?;
+        let tries_connection = worker.connections.is_trial_due(now);
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
         let has_runs = has_orphans || !worker.tasks.is_empty();
-        if has_runs && !worker.unanswered && lease_ms > 0 {
+        let may_renew = !worker.unanswered && !tries_connection;
+        if has_runs && may_renew && lease_ms > 0 {
             until_ms = worker.lease_end_ms(now, lease_ms);
         }
         if let Some(until_ms) = until_ms {
@@ -53,6 +56,11 @@
             (true, false) if !worker.tasks.is_empty() => WAIT_BUSY_MS,
             (true, false) => WAIT_MS,
         };
+        let (connection, wait_ms) = match worker.connections.for_commands() {
+            Connection::Commands => (Connection::Polls, wait_ms),
+            Connection::Polls if tries_connection => (Connection::Commands, 0),
+            Connection::Polls => (Connection::Polls, wait_ms.min(SHARED_POLL_WAIT_MS)),
+        };
         let is_responsive =
             !worker.unanswered && now.since_ms(worker.last_response_at) < worker_state::SILENT_MS;
         Some(Poll {
@@ -64,6 +72,7 @@
                 0
             },
             wait_ms,
+            connection,
         })
     }
 
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::TaskId;
+use crate::batch::connections;
 use crate::clock;
 use crate::id;
 use crate::platform::Resources;
@@ -143,6 +144,8 @@
     excused_ms: u64,
     /// Whether the newest poll got no response.
     pub unanswered: bool,
+    /// Connections to the worker.
+    pub connections: connections::Connections,
     /// When it was noticed that the worker had started again under its id, as long as its row says so.
     pub restarted_at: Option<clock::Instant>,
     /// End of the longest lease that the worker can have received, on its own clock, in milliseconds.
@@ -197,6 +200,7 @@
             last_response_at: now,
             excused_ms: 0,
             unanswered: false,
+            connections: connections::Connections::default(),
             restarted_at: None,
             lease_until_ms: 0,
             tasks: BTreeSet::new(),
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -42,6 +42,9 @@
     pub refuse: bool,
     /// The target isn't there: its connections are reset and new ones refused. [`Proxy::set`] leaves this as it is.
     pub target_down: bool,
+    /// Number of connections at which further ones are reset directly after they were accepted; absent for no limit. Open
+    /// connections stay.
+    pub connections_max: Option<usize>,
     /// Number of response bytes after which a connection is closed; absent for no limit.
     pub cut_after_bytes: Option<u64>,
 }
@@ -210,8 +213,15 @@
         let changes = fault.clone();
         tokio::select! {
             accepted = listener.accept() => {
+                while connections.try_join_next().is_some() {}
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(forward(stream, target, changes));
+                    let connections_max = changes.borrow().connections_max;
+                    if connections_max.is_some_and(|max| connections.len() >= max) {
+                        // The close then sends a reset. If that can't be set, it still ends the connection.
+                        let _ = stream.set_zero_linger();
+                    } else {
+                        connections.spawn(forward(stream, target, changes));
+                    }
                 }
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
--- a/standins/src/soak/scenario.rs
+++ b/standins/src/soak/scenario.rs
@@ -107,6 +107,22 @@
         is_accepted
     }
 
+    /// Cancels a job of the first queue at the first node, and returns whether the node answers that it did.
+    pub async fn cancel(&self, id: &str) -> bool {
+        let world = &self.world;
+        let path = format!("{}{id}", QUEUES[0].0);
+        let response = callers::send_request(
+            world,
+            &self.client,
+            world.addresses[0],
+            Method::DELETE,
+            &path,
+            Vec::new(),
+            None,
+        );
+        matches!(response.await, Some((200, _)))
+    }
+
     /// Cuts paths until [`Scenario::join`].
     pub fn cut(&self, paths: &[Path], cut: Cut) {
         for path in paths {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod test_batch_authority;
 mod test_batch_budget;
 mod test_batch_capacity;
+mod test_batch_connections;
 mod test_batch_crashes;
 mod test_batch_evidence;
 mod test_batch_faults;
