workers: the lease is not renewed while a stop is not delivered for long

A cancelled task ran for ever on a worker that answers polls and refuses stops, or leaves them unanswered on every connection: each poll renewed the lease of all its runs.

After five seconds of attempts the polls of such a worker no longer renew its lease, so that the lease ends the run.

test_batch_connections::the_lease_is_not_renewed_while_a_stop_is_not_delivered_for_long failed before the change and passes. A further change was tried and left out: to start a task elsewhere once a worker doesn't have its run and the lease of an unanswered start has passed.

--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -19,6 +19,8 @@
     pub run: u32,
     /// When the worker first confirmed that it has the run; `None` until then.
     pub confirmed_at: Option<clock::Instant>,
+    /// When a stop was first requested.
+    pub stop_requested_at: Option<clock::Instant>,
     /// When a stop was last sent.
     pub stop_sent_at: Option<clock::Instant>,
     /// When the worker acknowledged a stop.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -325,6 +325,7 @@
             return;
         };
         active.stop_reason = Some(reason);
+        active.stop_requested_at.get_or_insert(now);
         active.stop_sent_at = Some(now);
         let (worker, run) = (active.worker.clone(), active.run);
         self.log(format!(
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -311,6 +311,7 @@
             worker: worker.clone(),
             run,
             confirmed_at: None,
+            stop_requested_at: None,
             stop_sent_at: None,
             stop_acked_at: None,
             stop_reason: None,
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -21,6 +21,9 @@
 const WAIT_TRIAL_MS: u64 = 100;
 /// The same while the worker has tasks, whose progress is followed closely, in milliseconds.
 const WAIT_BUSY_MS: u64 = 500;
+/// A run whose stop the worker hasn't acknowledged for this long is ended by its lease, in milliseconds; several attempts at
+/// the stop, as the other runs on the worker end with it.
+const STOP_OVERDUE_MS: u64 = 5_000;
 /// Maximum number of ends in one report.
 const ENDS_MAX: usize = 500;
 
@@ -37,12 +40,13 @@
         let uncertain = self.has_uncertain_runs(id);
         let has_orphans = self.orphans.has_runs_on(id);
         let has_trial = self.has_trial(id);
+        let has_overdue_stop = self.has_overdue_stop(id, now);
         let worker = self.workers.get_mut(id)?;
         let tries_connection = worker.connections.is_trial_due(now);
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
         let has_runs = has_orphans || !worker.tasks.is_empty();
-        let may_renew = !worker.unanswered && !tries_connection;
+        let may_renew = !worker.unanswered && !tries_connection && !has_overdue_stop;
         if has_runs && may_renew && lease_ms > 0 {
             until_ms = worker.lease_end_ms(now, lease_ms);
         }
@@ -76,6 +80,25 @@
         })
     }
 
+    /// Returns whether a worker that answers polls has not got the stop of a run for so long that only the end of its lease can
+    /// end the run.
+    fn has_overdue_stop(&self, id: &id::Worker, now: clock::Instant) -> bool {
+        let is_overdue = |active: &job::ActiveRun| {
+            let requested_at = active.stop_requested_at;
+            active.confirmed_at.is_some()
+                && active.stop_acked_at.is_none()
+                && requested_at.is_some_and(|at| now.since_ms(at) >= STOP_OVERDUE_MS)
+        };
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
+        worker.tasks.iter().any(|task| {
+            let task = self.jobs.get(&task.job).and_then(|job| job.task(task));
+            let active = task.and_then(|task| task.active.as_ref());
+            active.is_some_and(is_overdue)
+        })
+    }
+
     fn has_uncertain_runs(&self, id: &id::Worker) -> bool {
         self.workers.get(id).is_some_and(|worker| {
             worker.tasks.iter().any(|task| {
@@ -289,6 +312,7 @@
                     worker: id.clone(),
                     run: run.run,
                     confirmed_at: Some(now),
+                    stop_requested_at: None,
                     stop_sent_at: None,
                     stop_acked_at: None,
                     stop_reason: None,
--- a/tests/test_batch_connections.rs
+++ b/tests/test_batch_connections.rs
@@ -75,3 +75,27 @@
     scheduler.connection_used(&worker, commands, Exchange::Answered, now);
     assert_eq!(scheduler.command_connection(&worker), commands);
 }
+
+/// Guards against a cancelled task that runs for ever: its worker gets no stop, and its polls renew the lease.
+#[test]
+fn the_lease_is_not_renewed_while_a_stop_is_not_delivered_for_long() {
+    let now = Instant::from_ms(1_000);
+    let (mut scheduler, worker, _, run) = fake_pair::one_start(now);
+    scheduler.start_answered(&worker, TASK, run, StartOutcome::Started, now);
+    let cancelled = now.after_ms(100);
+    scheduler.job_cancelled(TASK.job, cancelled, 0);
+    let renews = |scheduler: &mut Scheduler, after_ms: u64| {
+        let at = cancelled.after_ms(after_ms);
+        scheduler.poll_answered(&worker, &fake_pair::running(&[(TASK, run)]), at, at, 0);
+        scheduler.tick(at, 0);
+        let poll = scheduler.next_poll(&worker, at).expect("a poll");
+        poll.until_ms.is_some()
+    };
+    for after_ms in (0..5_000).step_by(500) {
+        assert!(renews(&mut scheduler, after_ms), "{after_ms} ms");
+    }
+    assert!(!renews(&mut scheduler, 5_000));
+    // A stop that gets through keeps the lease of the other runs.
+    scheduler.stop_answered(&worker, TASK, run, cancelled.after_ms(5_100));
+    assert!(renews(&mut scheduler, 5_200));
+}
