scheduler: the state of a job grows with what is under way, not with what was asked

A step keeps a state only for tasks that were started or of which something was recorded; the others are numbers (batch::ranges, scheduler::tasks). A schedule opens at most 256 due occurrences that have no run, and all schedules together 4,096 or one each; finished ones are kept as ranges. The first progress row says below which number all occurrences are finished, and the rows of those are deleted, so that neither the store nor the next leader's read grows with the occurrences that are done. A planning round considers 1,000 waiting tasks of a step. Sums and products of numbers that callers choose saturate; before, one job with the largest estimate overflowed them.

--- a/node/tests/tests.rs
+++ b/node/tests/tests.rs
@@ -29,6 +29,7 @@
 mod test_recovery;
 mod test_removal;
 mod test_replaced_leader;
+mod test_schedules;
 mod test_slots;
 mod test_soak;
 mod test_stop;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -18,6 +18,7 @@
 pub mod predecessors;
 pub mod progress_rows;
 pub mod queue;
+pub mod ranges;
 pub mod rate_limit;
 pub mod record;
 pub mod recovery;
--- a/src/batch/pools/forecast.rs
+++ b/src/batch/pools/forecast.rs
@@ -108,7 +108,7 @@
             samples.push_back(total);
             for arrival in arrivals {
                 total.at = clock::Instant::from_ms(now.as_ms().saturating_sub(arrival.age_ms));
-                total.arrived += arrival.arrived;
+                total.arrived = total.arrived.saturating_add(arrival.arrived);
                 total.jobs += 1;
                 samples.push_back(total);
             }
@@ -129,9 +129,13 @@
         let min = demand.separate_machines.max(MACHINES_MIN);
         let min = min.saturating_add(lost_machines);
         let rate = self.rate_ahead(service, demand, now);
-        let present = demand.running + demand.waiting;
-        let rate = rate.min(present * RISE_MAX + u64::from(MACHINES_MIN) * MACHINE_MILLI);
-        let needed = present.max(rate) * HEADROOM_MILLI / 1_000 + demand.lost;
+        let present = demand.running.saturating_add(demand.waiting);
+        let rate_max = present
+            .saturating_mul(RISE_MAX)
+            .saturating_add(u64::from(MACHINES_MIN) * MACHINE_MILLI);
+        let rate = rate.min(rate_max);
+        let needed = present.max(rate).saturating_mul(HEADROOM_MILLI) / 1_000;
+        let needed = needed.saturating_add(demand.lost);
         let machines = u32::try_from(needed.div_ceil(MACHINE_MILLI)).unwrap_or(u32::MAX);
         let is_blocked = self.is_blocked(service, demand, now);
         // The machines that the pool would keep have no room for the tasks that wait.
@@ -194,7 +198,7 @@
             .unwrap_or_default();
         let present = Sample {
             at: now,
-            arrived: arrived + demand.arrived,
+            arrived: arrived.saturating_add(demand.arrived),
             jobs: jobs + demand.jobs,
         };
         let samples = self.samples.entry(service.clone()).or_default();
--- a/src/batch/progress_rows.rs
+++ b/src/batch/progress_rows.rs
@@ -102,6 +102,12 @@
         u32::try_from(position / self.tasks_per_row).unwrap_or(u32::MAX)
     }
 
+    /// Returns the last occurrence of which a row holds tasks.
+    pub fn last_occurrence(&self, part: u32) -> u64 {
+        let last = (u64::from(part) + 1) * self.tasks_per_row - 1;
+        last / self.tasks_per_occurrence()
+    }
+
     /// Iterates over the tasks that a row holds, in the order of occurrences and steps.
     pub fn tasks(&self, key: Key) -> impl Iterator<Item = TaskId> + '_ {
         let first = u64::from(key.part) * self.tasks_per_row;
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -139,6 +139,9 @@
     pub state: State,
     /// End of the job, in milliseconds since 1970; 0 while it has not ended.
     pub ended_unix_ms: u64,
+    /// Number below which all occurrences are finished; their tasks are in no row. Only in the first row.
+    #[serde(skip_serializing_if = "is_none_finished")]
+    pub finished_below: u32,
     /// Completed tasks, grouped by step.
     pub done: Vec<Done>,
     /// Records of tasks that are not completed.
@@ -148,6 +151,10 @@
     pub submitted_unix_ms: u64,
 }
 
+fn is_none_finished(finished_below: &u32) -> bool {
+    *finished_below == 0
+}
+
 fn is_zero(number: &u64) -> bool {
     *number == 0
 }
--- a/src/batch/scheduler/commit.rs
+++ b/src/batch/scheduler/commit.rs
@@ -209,15 +209,27 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let part = job.layout.part(id);
+        let part = job.row_to_write(id);
         // A job with progress has a first row, by which callers learn its state without the leader.
         if !job.rows.contains(&0) {
             self.changed_rows.insert(id.job.into());
         }
+        if job.has_finished_rows() {
+            self.changed_rows.insert(id.job.into());
+        }
         self.changed_rows
             .insert(progress_rows::Key { job: id.job, part });
     }
 
+    /// Deletes the further rows of a job whose occurrences are all finished by its first row.
+    pub(super) fn delete_finished_progress(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            let keys = job.take_finished_rows().into_iter();
+            let keys = keys.map(|part| progress_rows::Key { job: id, part });
+            self.pending_rows.delete_progress(keys);
+        }
+    }
+
     /// Records that a batch was committed.
     pub fn batch_committed(&mut self, batch: &record::WriteBatch) {
         for (row, progress) in &batch.progress {
@@ -227,6 +239,9 @@
             job.committed_state = progress.state;
             if progress.state.is_final() {
                 self.delete_further_progress(row.job);
+            } else {
+                job.record_finished(progress.finished_below);
+                self.delete_finished_progress(row.job);
             }
         }
         for (id, _) in &batch.workers_added {
--- a/src/batch/scheduler/crashes.rs
+++ b/src/batch/scheduler/crashes.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::record;
-use crate::batch::scheduler::{Scheduler, job, plan, room};
+use crate::batch::scheduler::{Scheduler, job, plan, room, tasks};
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
 use crate::clock;
@@ -44,7 +44,7 @@
 /// Returns whether crashes are held against a task, so that it is tried apart from other jobs.
 ///
 /// One crash of a worker counts only if the task had just begun; workers crash for other reasons too.
-pub(super) fn is_suspect(task: &job::Task) -> bool {
+pub(super) fn is_suspect(task: &tasks::Task) -> bool {
     unexplained(task) > 1
         || task
             .crashes
@@ -53,24 +53,24 @@
 }
 
 /// Returns the number of crashes held against a task that no other job was given up for.
-fn unexplained(task: &job::Task) -> usize {
+fn unexplained(task: &tasks::Task) -> usize {
     task.crashes.iter().filter(|crash| !crash.explained).count()
 }
 
 /// Returns how long a suspect task has to be at work until it has outlived its crashes, in milliseconds: twice as long as
 /// it survived before, and longer.
-fn outlived_ms(task: &job::Task) -> u64 {
+fn outlived_ms(task: &tasks::Task) -> u64 {
     let survived_ms = task.crashes.iter().map(|crash| crash.survived_ms).max();
     survived_ms.unwrap_or(0) * 2 + PROVEN_MS
 }
 
 /// Returns how long a suspect task has to be at work until its trial is over, in milliseconds.
-fn trial_ms(task: &job::Task) -> u64 {
+fn trial_ms(task: &tasks::Task) -> u64 {
     outlived_ms(task).min(TRIAL_MAX_MS)
 }
 
 /// Returns the number of crashes under a task whose start was confirmed.
-fn confirmed(task: &job::Task) -> usize {
+fn confirmed(task: &tasks::Task) -> usize {
     task.crashes.iter().filter(|crash| crash.confirmed).count()
 }
 
@@ -83,7 +83,7 @@
 }
 
 /// Returns whether a task is suspect and its run on a worker has not outlived its trial.
-fn is_on_trial(task: &job::Task, worker: &worker_state::Worker) -> bool {
+fn is_on_trial(task: &tasks::Task, worker: &worker_state::Worker) -> bool {
     is_suspect(task)
         && task
             .active
--- a/src/batch/scheduler/demand.rs
+++ b/src/batch/scheduler/demand.rs
@@ -11,11 +11,17 @@
 use crate::platform::Resources;
 use std::collections::BTreeMap;
 
+/// Maximum work of a step that counts, in thousandths of a core or MiB, times milliseconds: 1,000 cores for an hour. A sum of
+/// such steps stays far below the largest number.
+const STEP_WORK_MAX: u64 = 1_000 * 1_000 * 3_600_000;
+
 /// Returns the share of a machine that `need` takes, in thousandths: the larger of the processor and memory shares.
 pub fn machine_share(need: &Resources, size: &Resources) -> u64 {
-    let cpu = need.cpu_milli * pools::MACHINE_MILLI / size.cpu_milli.max(1);
-    let memory = need.memory_mib * pools::MACHINE_MILLI / size.memory_mib.max(1);
-    cpu.max(memory)
+    share(need.cpu_milli, size.cpu_milli).max(share(need.memory_mib, size.memory_mib))
+}
+
+fn share(need: u64, size: u64) -> u64 {
+    need.saturating_mul(pools::MACHINE_MILLI) / size.max(1)
 }
 
 /// Total work submitted to a service.
@@ -32,9 +38,7 @@
 impl SubmittedWork {
     /// Returns the work as thousandths of a machine times milliseconds: the larger of the processor and memory shares.
     fn share(&self, size: &Resources) -> u64 {
-        let cpu = self.cpu_milli_ms * pools::MACHINE_MILLI / size.cpu_milli.max(1);
-        let memory = self.memory_mib_ms * pools::MACHINE_MILLI / size.memory_mib.max(1);
-        cpu.max(memory)
+        share(self.cpu_milli_ms, size.cpu_milli).max(share(self.memory_mib_ms, size.memory_mib))
     }
 
     /// Adds the steps of a job that are not long-running.
@@ -45,9 +49,11 @@
         let finite_steps = spec.steps.iter().filter(|step| !step.long_running);
         for step in finite_steps {
             let need = plan::need(step);
-            let time_ms = step.estimate_ms * u64::from(step.tasks) * occurrences;
-            self.cpu_milli_ms += need.cpu_milli * time_ms;
-            self.memory_mib_ms += need.memory_mib * time_ms;
+            let tasks = u64::from(step.tasks).saturating_mul(occurrences);
+            let time_ms = step.estimate_ms.saturating_mul(tasks);
+            let work = |need: u64| need.saturating_mul(time_ms).min(STEP_WORK_MAX);
+            self.cpu_milli_ms = self.cpu_milli_ms.saturating_add(work(need.cpu_milli));
+            self.memory_mib_ms = self.memory_mib_ms.saturating_add(work(need.memory_mib));
         }
         self.jobs += u64::from(!spec.is_long_running());
     }
@@ -112,9 +118,10 @@
                     // The need of runs of unknown jobs is unknown.
                     None => worker.listing.size,
                 };
-                demand.running += machine_share(&used, size);
+                demand.running = demand.running.saturating_add(machine_share(&used, size));
                 if worker.listed {
-                    demand.lost += machine_share(&worker.lost(), &worker.largest);
+                    let lost = machine_share(&worker.lost(), &worker.largest);
+                    demand.lost = demand.lost.saturating_add(lost);
                 }
             }
         }
@@ -140,12 +147,11 @@
                     }
                     let share = machine_share(&plan::need(spec), size);
                     if !in_time {
-                        let active = step.tasks.iter().filter(|task| task.active.is_some());
-                        let active = share * active.count() as u64;
+                        let active = share.saturating_mul(u64::from(step.active()));
                         demand.running = demand.running.saturating_sub(active);
-                        demand.late += active;
+                        demand.late = demand.late.saturating_add(active);
                     }
-                    if step.idle == 0 || !job.is_step_ready(occurrence, number) {
+                    if step.idle() == 0 || !job.is_step_ready(occurrence, number) {
                         continue;
                     }
                     // Machines don't help tasks that a quota holds back.
@@ -153,14 +159,13 @@
                     if account.is_some_and(|account| self.ledger.is_at_quota(account)) {
                         continue;
                     }
-                    let waiting = step.tasks.iter().filter(|task| task.is_waiting(now));
-                    let waiting = waiting.count() as u64;
+                    let waiting = u64::from(step.waiting_count(now));
                     demand.blocked += if spec.long_running { waiting } else { 0 };
-                    let waiting = share * waiting;
+                    let waiting = share.saturating_mul(waiting);
                     if in_time {
-                        demand.waiting += waiting;
+                        demand.waiting = demand.waiting.saturating_add(waiting);
                     } else {
-                        demand.late += waiting;
+                        demand.late = demand.late.saturating_add(waiting);
                     }
                 }
             }
--- a/src/batch/scheduler/drain.rs
+++ b/src/batch/scheduler/drain.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::batch::TaskId;
-use crate::batch::scheduler::{Scheduler, job, plan, room};
+use crate::batch::scheduler::{Scheduler, job, plan, room, tasks};
 use crate::clock;
 use crate::id;
 use crate::platform::Resources;
@@ -118,21 +118,18 @@
             return None;
         }
         let occurrence_state = job.occurrences.get(&id.occurrence)?;
-        let unavailable = (0_u32..)
-            .zip(&occurrence_state.steps[id.step as usize].tasks)
-            .filter(|(index, task)| *index != id.index && !self.is_available(task, now))
-            .count();
+        let step_state = &occurrence_state.steps[id.step as usize];
+        let others = step_state.known().filter(|(index, _)| *index != id.index);
+        let available = others.filter(|(_, task)| self.is_available(task, now));
+        let unavailable = (step_state.count() as usize - 1).saturating_sub(available.count());
         // A leaving worker takes its tasks down with it, so after the grace period they are evicted even beyond the
         // tolerance. An eviction in progress on another worker finishes first, because it was allowed on the assumption
         // that the other tasks stay available.
-        let stopping = occurrence_state.steps[id.step as usize]
-            .tasks
-            .iter()
-            .any(|task| {
-                task.active
-                    .as_ref()
-                    .is_some_and(|active| active.stop_reason == Some(job::StopReason::Vacate))
-            });
+        let stopping = step_state.known().any(|(_, task)| {
+            task.active
+                .as_ref()
+                .is_some_and(|active| active.stop_reason == Some(job::StopReason::Vacate))
+        });
         // Without a stated tolerance, one task at a time can be unavailable.
         let is_tolerated = unavailable < step.unavailable_max.map_or(1, |max| max as usize)
             || (is_urgent && !stopping);
@@ -150,7 +147,7 @@
     }
 
     /// Returns whether a long-running task is available according to a recent answer of its worker.
-    fn is_available(&self, task: &job::Task, now: clock::Instant) -> bool {
+    fn is_available(&self, task: &tasks::Task, now: clock::Instant) -> bool {
         let Some(active) = &task.active else {
             return false;
         };
--- a/src/batch/scheduler/failures.rs
+++ b/src/batch/scheduler/failures.rs
@@ -4,7 +4,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::record;
-use crate::batch::scheduler::Scheduler;
+use crate::batch::scheduler::{Scheduler, tasks};
 use crate::batch::worker_state;
 use crate::clock;
 use crate::id;
@@ -68,11 +68,11 @@
         if !job.accepted.spec.steps[id.step as usize].gang {
             return job.task(id).map_or(0, |task| task.failed_runs.len());
         }
-        let step = &job.occurrences[&id.occurrence].steps[id.step as usize];
-        let runs: BTreeSet<u32> = step
-            .tasks
-            .iter()
-            .flat_map(|task| task.failed_runs.iter().copied())
+        let state = job.occurrences.get(&id.occurrence);
+        let step = state.and_then(|state| state.steps.get(id.step as usize));
+        let members = step.into_iter().flat_map(tasks::Step::known);
+        let runs: BTreeSet<u32> = members
+            .flat_map(|(_, task)| task.failed_runs.iter().copied())
             .collect();
         runs.len()
     }
--- a/src/batch/scheduler/gang.rs
+++ b/src/batch/scheduler/gang.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::TaskId;
 use crate::batch::scheduler::Scheduler;
-use crate::batch::scheduler::job;
+use crate::batch::scheduler::{job, tasks};
 use crate::clock;
 
 impl Scheduler {
@@ -11,17 +11,15 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let members: Vec<TaskId> = job
-            .tasks()
-            .filter(|(other, task)| {
-                other.occurrence == id.occurrence
-                    && other.step == id.step
-                    && task
-                        .active
-                        .as_ref()
-                        .is_some_and(|active| active.stop_reason.is_none())
+        let state = job.occurrences.get(&id.occurrence);
+        let step = state.and_then(|state| state.steps.get(id.step as usize));
+        let members = step.into_iter().flat_map(tasks::Step::known);
+        let members: Vec<TaskId> = members
+            .filter(|(_, task)| {
+                let active = task.active.as_ref();
+                active.is_some_and(|active| active.stop_reason.is_none())
             })
-            .map(|(other, _)| other)
+            .map(|(index, _)| TaskId { index, ..id })
             .collect();
         for member in members {
             self.stop_task(member, job::StopReason::Gang, now);
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -1,11 +1,15 @@
-//! Scheduling state of a job, its occurrences, steps and tasks.
+//! Scheduling state of a job and its occurrences.
+//!
+//! A schedule can have many more occurrences than run at a time, and any number of them can be due at once. Only a bounded
+//! number that wait are open, besides those with runs; finished ones are kept as numbers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::batch::progress_rows;
+use crate::batch::ranges::Ranges;
 use crate::batch::record;
-use crate::batch::scheduler::release;
+use crate::batch::scheduler::tasks::{self, Occurrence, Step, Task};
 use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
@@ -54,63 +58,6 @@
     Gang,
 }
 
-/// Scheduling state of a task.
-#[derive(Clone, Debug, Default)]
-pub struct Task {
-    /// Highest run number used so far; 0 before the first start.
-    pub last_run: u32,
-    /// The run that can be under way; `None` if there is none.
-    pub active: Option<ActiveRun>,
-    /// Whether a run of the task has completed; it is never started again.
-    pub done: bool,
-    /// Numbers of the runs that failed.
-    pub failed_runs: Vec<u32>,
-    /// Newest checkpoint, from which the next run continues; `None` if there is none.
-    pub checkpoint: Option<String>,
-    /// The task is not started before this moment.
-    pub not_before: clock::Instant,
-    /// Worker on which the task failed or got stuck most recently.
-    pub last_failed_on: Option<id::Worker>,
-    /// Crashes of workers that are held against the task.
-    pub crashes: Vec<record::Crash>,
-    /// The newest run that was taken for ended, with the reason.
-    pub released: Option<release::Released>,
-}
-
-impl Task {
-    /// Returns whether the task can be started at `now`.
-    pub fn is_waiting(&self, now: clock::Instant) -> bool {
-        !self.done && self.active.is_none() && now >= self.not_before
-    }
-}
-
-/// Scheduling state of the tasks of one step.
-#[derive(Clone, Debug, Default)]
-pub struct Step {
-    /// The tasks, by index.
-    pub tasks: Vec<Task>,
-    /// Number of tasks that are done.
-    pub done: u32,
-    /// Number of tasks that are neither done nor have an active run.
-    pub idle: u32,
-}
-
-/// Scheduling state of one repetition of a job's steps.
-#[derive(Clone, Debug, Default)]
-pub struct Occurrence {
-    /// The steps, in the order of the job's spec.
-    pub steps: Vec<Step>,
-}
-
-impl Occurrence {
-    /// Returns whether all tasks of the occurrence are done.
-    pub fn is_done(&self) -> bool {
-        self.steps
-            .iter()
-            .all(|step| step.done as usize == step.tasks.len())
-    }
-}
-
 /// Scheduling state of a job.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -126,8 +73,14 @@
     pub known_at: clock::Instant,
     /// Whether the job exceeds the rate of its account.
     pub beyond_rate: bool,
-    /// Occurrences that are due or of which a run is known, by number.
+    /// Open occurrences by number: those that were found to be due, or of which a run is known, until they are finished.
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences of which all tasks are done.
+    finished: Ranges,
+    /// Number below which all occurrences were opened.
+    opened_below: u32,
+    /// Number below which all occurrences are finished by the first progress row.
+    recorded_below: u32,
     /// Current state, which may not be committed yet.
     pub state: record::State,
     /// Last committed state.
@@ -163,6 +116,9 @@
             known_at: clock::Instant::ZERO,
             beyond_rate: false,
             occurrences: BTreeMap::new(),
+            finished: Ranges::default(),
+            opened_below: 0,
+            recorded_below: 0,
             state: record::State::Queued,
             committed_state: record::State::Queued,
             ended_unix_ms: 0,
@@ -189,115 +145,113 @@
         }
     }
 
-    /// Adds an occurrence with all its tasks waiting, unless it exists.
-    pub fn open_occurrence(&mut self, number: u32) -> &mut Occurrence {
-        let spec = &self.accepted.spec;
+    /// Opens an occurrence with all its tasks waiting, unless it is open or finished.
+    pub fn open_occurrence(&mut self, number: u32) {
+        if self.finished.contains(number) {
+            return;
+        }
+        let steps = &self.accepted.spec.steps;
         self.occurrences
             .entry(number)
             .or_insert_with(|| Occurrence {
-                steps: spec
-                    .steps
-                    .iter()
-                    .map(|step| Step {
-                        tasks: vec![Task::default(); step.tasks as usize],
-                        done: 0,
-                        idle: step.tasks,
-                    })
-                    .collect(),
-            })
+                steps: steps.iter().map(|step| Step::new(step.tasks)).collect(),
+            });
     }
 
-    /// Adds the occurrences that are due and returns whether there are new ones.
-    pub fn open_due(&mut self, unix_ms: u64) -> bool {
+    /// Opens occurrences that are due, as long as fewer than `waiting_max` open ones have no run; returns whether it opened
+    /// one.
+    pub fn open_due(&mut self, unix_ms: u64, waiting_max: usize) -> bool {
+        if !self.is_due(unix_ms) {
+            return false;
+        }
+        let waiting = self.occurrences.values();
+        let mut waiting = waiting.filter(|state| !state.is_active()).count();
         let mut opened = false;
-        let mut next = self
-            .occurrences
-            .keys()
-            .next_back()
-            .map_or(0, |last| last + 1);
-        while next < self.occurrence_count()
-            && (self.accepted.spec.schedule.is_none() || self.due_unix_ms(next) <= unix_ms)
-        {
-            self.open_occurrence(next);
-            next += 1;
+        while self.is_due(unix_ms) && waiting < waiting_max {
+            self.open_occurrence(self.opened_below);
+            self.opened_below += 1;
+            waiting += 1;
             opened = true;
         }
         opened
     }
 
-    /// Returns a task, or `None` if its occurrence is not due or the spec has no such task.
+    /// Passes over occurrences that are open or finished, and returns whether the next one is due.
+    fn is_due(&mut self, unix_ms: u64) -> bool {
+        loop {
+            if let Some(last) = self.finished.last_of(self.opened_below) {
+                self.opened_below = last.saturating_add(1);
+            } else if self.occurrences.contains_key(&self.opened_below) {
+                self.opened_below += 1;
+            } else {
+                break;
+            }
+        }
+        self.opened_below < self.occurrence_count()
+            && self.due_unix_ms(self.opened_below) <= unix_ms
+    }
+
+    /// Returns a task, or `None` if its occurrence is not open or finished, or the spec has no such task.
     pub fn task(&self, id: &TaskId) -> Option<&Task> {
-        self.occurrences
-            .get(&id.occurrence)?
-            .steps
-            .get(id.step as usize)?
-            .tasks
-            .get(id.index as usize)
+        match self.occurrences.get(&id.occurrence) {
+            Some(state) => state.steps.get(id.step as usize)?.get(id.index),
+            None => {
+                let step = self.accepted.spec.steps.get(id.step as usize)?;
+                let exists = id.index < step.tasks;
+                (exists && self.finished.contains(id.occurrence)).then_some(&tasks::DONE)
+            }
+        }
     }
 
-    /// Returns a task for changes. Adds its occurrence and all earlier ones, since a run of the task proves that it
-    /// was due.
+    /// Returns a task for changes, or `None` if its occurrence is finished or the spec has no such task. Opens its occurrence,
+    /// since a run of the task proves that it was due.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
-        let known = id.occurrence < self.occurrence_count()
-            && (id.step as usize) < self.accepted.spec.steps.len();
-        if !known {
+        self.step_mut(id)?.get_mut(id.index)
+    }
+
+    fn step_mut(&mut self, id: &TaskId) -> Option<&mut Step> {
+        let step = self.accepted.spec.steps.get(id.step as usize)?;
+        if id.occurrence >= self.occurrence_count() || id.index >= step.tasks {
             return None;
         }
-        for number in 0..=id.occurrence {
-            self.open_occurrence(number);
+        self.open_occurrence(id.occurrence);
+        let state = self.occurrences.get_mut(&id.occurrence)?;
+        state.steps.get_mut(id.step as usize)
+    }
+
+    /// Keeps no more than the number of an occurrence that is finished.
+    fn close_finished(&mut self, occurrence: u32) {
+        let state = self.occurrences.get(&occurrence);
+        if state.is_some_and(|state| state.is_done() && !state.is_active()) {
+            self.occurrences.remove(&occurrence);
+            self.finished.insert(occurrence);
         }
-        self.occurrences
-            .get_mut(&id.occurrence)?
-            .steps
-            .get_mut(id.step as usize)?
-            .tasks
-            .get_mut(id.index as usize)
     }
 
     /// Marks a task as done and drops its checkpoint.
     pub fn mark_done(&mut self, id: &TaskId) {
-        let Some(task) = self.task_mut(id) else {
-            return;
-        };
-        if task.done {
-            return;
-        }
-        task.done = true;
-        task.checkpoint = None;
-        let was_idle = task.active.is_none();
         if let Some(step) = self.step_mut(id) {
-            step.done += 1;
-            step.idle -= u32::from(was_idle);
+            step.mark_done(id.index);
+            self.close_finished(id.occurrence);
         }
     }
 
     /// Records that a run of a task is under way.
     pub fn set_active(&mut self, id: &TaskId, run: ActiveRun) {
-        let Some(task) = self.task_mut(id) else {
-            return;
-        };
-        let was_idle = task.active.replace(run).is_none() && !task.done;
         if let Some(step) = self.step_mut(id) {
-            step.idle -= u32::from(was_idle);
+            step.set_active(id.index, run);
         }
     }
 
     /// Removes and returns the active run of a task.
     pub fn take_active(&mut self, id: &TaskId) -> Option<ActiveRun> {
-        let task = self.task_mut(id)?;
-        let run = task.active.take()?;
-        let is_idle = !task.done;
-        if let Some(step) = self.step_mut(id) {
-            step.idle += u32::from(is_idle);
-        }
-        Some(run)
-    }
-
-    fn step_mut(&mut self, id: &TaskId) -> Option<&mut Step> {
-        self.occurrences
-            .get_mut(&id.occurrence)?
+        let state = self.occurrences.get_mut(&id.occurrence)?;
+        let run = state
             .steps
-            .get_mut(id.step as usize)
+            .get_mut(id.step as usize)?
+            .take_active(id.index)?;
+        self.close_finished(id.occurrence);
+        Some(run)
     }
 
     /// Returns whether a long-running task is at work.
@@ -314,7 +268,7 @@
         };
         (0_u32..)
             .zip(&occurrence_state.steps)
-            .any(|(number, step)| step.idle > 0 && self.is_step_ready(occurrence, number))
+            .any(|(number, step)| step.idle() > 0 && self.is_step_ready(occurrence, number))
     }
 
     /// Returns whether all steps that a step depends on are done.
@@ -325,10 +279,7 @@
         self.accepted.spec.steps[step as usize]
             .after
             .iter()
-            .all(|&after| {
-                let before = &occurrence_state.steps[after as usize];
-                before.done as usize == before.tasks.len()
-            })
+            .all(|&after| occurrence_state.steps[after as usize].is_done())
     }
 
     /// Returns the longest path of estimated work that is left in an occurrence, in milliseconds.
@@ -340,7 +291,7 @@
             .steps
             .iter()
             .zip(&self.critical_paths_ms)
-            .filter(|(step, _)| (step.done as usize) < step.tasks.len());
+            .filter(|(step, _)| !step.is_done());
         left.map(|(_, &chain)| chain).max().unwrap_or(0)
     }
 
@@ -348,43 +299,44 @@
     pub fn objective_unix_ms(&self, occurrence: u32) -> u64 {
         let chain = self.critical_paths_ms.iter().copied().max().unwrap_or(0);
         let queue = &self.accepted.queue;
-        self.due_unix_ms(occurrence) + chain * queue.stretch_milli / 1_000 + queue.target_ms
+        let stretched_ms = chain.saturating_mul(queue.stretch_milli) / 1_000;
+        self.due_unix_ms(occurrence)
+            .saturating_add(stretched_ms)
+            .saturating_add(queue.target_ms)
     }
 
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
-        self.occurrences.len() == self.occurrence_count() as usize
-            && self.occurrences.values().all(Occurrence::is_done)
+        // One with runs under way is still open.
+        let open = self.occurrences.values();
+        let done = open.filter(|state| state.is_done()).count() as u64;
+        self.finished.count() + done == u64::from(self.occurrence_count())
     }
 
-    /// Iterates over the tasks of all occurrences that were added.
+    /// Iterates over the tasks of open occurrences that have a state of their own.
     pub fn tasks(&self) -> impl Iterator<Item = (TaskId, &Task)> {
         let job = self.id;
-        self.occurrences
-            .iter()
-            .flat_map(move |(&occurrence, occurrence_state)| {
-                occurrence_state
-                    .steps
-                    .iter()
-                    .enumerate()
-                    .flat_map(move |(step, tasks)| {
-                        tasks.tasks.iter().enumerate().map(move |(index, task)| {
-                            let id = TaskId {
-                                job,
-                                occurrence,
-                                step: u32::try_from(step).unwrap_or(u32::MAX),
-                                index: u32::try_from(index).unwrap_or(u32::MAX),
-                            };
-                            (id, task)
-                        })
-                    })
+        let occurrences = self.occurrences.iter();
+        occurrences.flat_map(move |(&occurrence, state)| {
+            let steps = (0_u32..).zip(&state.steps);
+            steps.flat_map(move |(step, tasks)| {
+                tasks.known().map(move |(index, task)| {
+                    let id = TaskId {
+                        job,
+                        occurrence,
+                        step,
+                        index,
+                    };
+                    (id, task)
+                })
             })
+        })
     }
 
     /// Returns whether any task has been started.
     pub fn has_started(&self) -> bool {
-        self.tasks()
-            .any(|(_, task)| task.done || task.last_run > 0 || task.active.is_some())
+        let open = self.occurrences.values();
+        self.finished.count() > 0 || open.flat_map(|state| &state.steps).any(Step::has_started)
     }
 
     /// Returns a progress row that persists a part of the job's state.
@@ -393,6 +345,9 @@
         if part == 0 {
             progress.state = self.state;
             progress.ended_unix_ms = self.ended_unix_ms;
+            if !self.state.is_final() {
+                progress.finished_below = self.finished.first_missing();
+            }
         } else {
             progress.submitted_unix_ms = self.accepted.submitted_unix_ms;
         }
@@ -401,9 +356,8 @@
         }
         let key = progress_rows::Key { job: self.id, part };
         for id in self.layout.tasks(key) {
-            // Occurrences that are not due have no progress, and none is due after them.
-            if !self.occurrences.contains_key(&id.occurrence) {
-                break;
+            if id.occurrence < progress.finished_below {
+                continue;
             }
             let Some(task) = self.task(&id) else {
                 continue;
@@ -436,6 +390,45 @@
         progress
     }
 
+    /// Returns the number of the progress row that records the end of a task. The first row records all tasks of a further one
+    /// that is no longer needed.
+    pub fn row_to_write(&self, id: &TaskId) -> u32 {
+        let part = self.layout.part(id);
+        if self.is_row_below(part, self.finished.first_missing()) {
+            0
+        } else {
+            part
+        }
+    }
+
+    /// Returns whether all tasks of a row are of occurrences below a number.
+    fn is_row_below(&self, part: u32, occurrence: u32) -> bool {
+        self.layout.last_occurrence(part) < u64::from(occurrence)
+    }
+
+    /// Returns whether there are further rows that are not needed once the first row is written.
+    pub fn has_finished_rows(&self) -> bool {
+        let first = self.rows.range(1..).next();
+        first.is_some_and(|&part| self.is_row_below(part, self.finished.first_missing()))
+    }
+
+    /// Records the number below which all occurrences are finished by the first row.
+    pub fn record_finished(&mut self, finished_below: u32) {
+        self.recorded_below = self.recorded_below.max(finished_below);
+    }
+
+    /// Removes and returns the numbers of the further rows that are no longer needed.
+    pub fn take_finished_rows(&mut self) -> Vec<u32> {
+        let further = self.rows.range(1..).copied();
+        let finished: Vec<u32> = further
+            .take_while(|&part| self.is_row_below(part, self.recorded_below))
+            .collect();
+        for part in &finished {
+            self.rows.remove(part);
+        }
+        finished
+    }
+
     /// Restores the state from the progress rows. Returns the numbers of rows that have to be written, as the progress of
     /// their tasks was read from another row.
     pub fn restore(&mut self, stored: &progress_rows::Stored) -> BTreeSet<u32> {
@@ -443,6 +436,11 @@
         self.state = first.state;
         self.committed_state = first.state;
         self.ended_unix_ms = first.ended_unix_ms;
+        self.finished = Ranges::below(first.finished_below);
+        self.opened_below = first.finished_below;
+        self.recorded_below = first.finished_below;
+        self.occurrences
+            .retain(|number, _| *number >= first.finished_below);
         let mut moved = self.restore_row(0, first);
         self.rows.insert(0);
         let submitted_unix_ms = self.accepted.submitted_unix_ms;
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -41,6 +41,7 @@
 mod commands;
 mod drain;
 mod orphans;
+mod tasks;
 mod tenure;
 mod tickets;
 mod unread;
@@ -60,6 +61,11 @@
 /// Interval at which rows that the store refused are written again, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 5_000;
 
+/// Maximum number of due occurrences of all jobs that are open without a run. Each job has at least one.
+const OCCURRENCES_WAITING_MAX: usize = 4_096;
+/// The same of one job; more than most pools can start at once.
+const OCCURRENCES_WAITING_PER_JOB_MAX: usize = 256;
+
 /// Interval at which all runs are checked for progress and unanswered stops, in milliseconds; half a resend.
 const RUNS_CHECK_MS: u64 = 200;
 
@@ -262,6 +268,8 @@
         }
         if is_final {
             self.delete_further_progress(id);
+        } else {
+            self.delete_finished_progress(id);
         }
         // The first row comes last, as the progress that it may hold for others is lost with it.
         for part in moved.into_iter().rev() {
@@ -360,11 +368,23 @@
     }
 
     fn open_due_occurrences(&mut self, unix_ms: u64) {
-        for id in self.open_jobs.iter() {
-            let Some(job) = self.jobs.get_mut(id) else {
+        let is_scheduled = |id: &&JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| job.accepted.spec.schedule.is_some())
+        };
+        let scheduled: Vec<JobId> = self
+            .open_jobs
+            .iter()
+            .filter(is_scheduled)
+            .copied()
+            .collect();
+        let share = OCCURRENCES_WAITING_MAX / scheduled.len().max(1);
+        let waiting_max = share.clamp(1, OCCURRENCES_WAITING_PER_JOB_MAX);
+        for id in scheduled {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if job.accepted.spec.schedule.is_some() && job.open_due(unix_ms) {
+            if job.open_due(unix_ms, waiting_max) {
                 self.dirty_services
                     .insert(job.accepted.queue.service.clone());
             }
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -12,6 +12,9 @@
 use crate::platform::Resources;
 use std::sync::Arc;
 
+/// Maximum number of a step's waiting tasks that are considered at a time; more than a pool starts at once.
+const TASKS_CONSIDERED: usize = 1_000;
+
 /// Returns the capacity that a task of a step takes on a worker. A filler task takes no processor share.
 pub(super) fn need(step: &spec::Step) -> Resources {
     Resources {
@@ -29,7 +32,8 @@
     if job.accepted.spec.is_long_running() {
         return order::Class::LongRunning;
     }
-    if unix_ms + job.critical_path_left_ms(occurrence) <= job.objective_unix_ms(occurrence) {
+    let done_unix_ms = unix_ms.saturating_add(job.critical_path_left_ms(occurrence));
+    if done_unix_ms <= job.objective_unix_ms(occurrence) {
         order::Class::InTime
     } else {
         order::Class::Late
@@ -58,7 +62,7 @@
     if let Some(state) = job.occurrences.get(&occurrence) {
         for (step, spec) in state.steps.iter().zip(&job.accepted.spec.steps) {
             let need = need(spec);
-            let time_ms = spec.estimate_ms.saturating_mul(u64::from(step.idle));
+            let time_ms = spec.estimate_ms.saturating_mul(u64::from(step.idle()));
             work.add(&need, time_ms);
             need_min = Some(need_min.map_or(need, |min| smaller(&min, &need)));
         }
@@ -232,9 +236,17 @@
         let Some(occurrence_state) = job.occurrences.get(&occurrence) else {
             return Vec::new();
         };
-        (0_u32..)
-            .zip(&occurrence_state.steps[step as usize].tasks)
-            .filter(|(_, task)| task.is_waiting(now) && self.tenure.may_start_again(task))
+        let spec = &job.accepted.spec.steps[step as usize];
+        let considered = if spec.gang {
+            usize::MAX
+        } else {
+            TASKS_CONSIDERED
+        };
+        let step_state = &occurrence_state.steps[step as usize];
+        step_state
+            .waiting(now)
+            .filter(|(_, task)| self.tenure.may_start_again(task))
+            .take(considered)
             .map(|(index, _)| TaskId {
                 job: job.id,
                 occurrence,
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -156,12 +156,12 @@
             };
             let key = (account, &job.accepted.queue.service);
             let entry = startable.entry(key).or_default();
-            for (task, state) in job.tasks() {
-                let may_run = !state.done
-                    && state.active.is_none()
-                    && job.is_step_ready(task.occurrence, task.step);
-                if may_run {
-                    *entry = entry.plus(&job.accepted.spec.steps[task.step as usize].need);
+            for (&occurrence, state) in &job.occurrences {
+                let steps = (0_u32..).zip(&state.steps);
+                for (step, _) in steps.filter(|(step, _)| job.is_step_ready(occurrence, *step)) {
+                    let need = &job.accepted.spec.steps[step as usize].need;
+                    let idle = state.steps[step as usize].idle();
+                    *entry = entry.plus(&need.times(u64::from(idle)));
                 }
             }
         }
--- a/src/batch/scheduler/reservation.rs
+++ b/src/batch/scheduler/reservation.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::TaskId;
-use crate::batch::scheduler::{Scheduler, job, plan};
+use crate::batch::scheduler::{Scheduler, job, plan, tasks};
 use crate::batch::spec;
 use crate::batch::worker_state;
 use crate::clock;
@@ -215,7 +215,7 @@
 }
 
 /// Returns the expected time until a task leaves its worker, or `None` if it doesn't end by itself.
-fn time_left_ms(task: &job::Task, step: &spec::Step, now: clock::Instant) -> Option<u64> {
+fn time_left_ms(task: &tasks::Task, step: &spec::Step, now: clock::Instant) -> Option<u64> {
     let active = task.active.as_ref()?;
     if active.stop_reason.is_some() {
         return Some(0);
@@ -223,6 +223,9 @@
     if step.long_running {
         return None;
     }
-    let left_ms = step.estimate_ms * u64::from(100 - active.percent.min(100)) / 100;
+    let left_ms = step
+        .estimate_ms
+        .saturating_mul(u64::from(100 - active.percent.min(100)))
+        / 100;
     Some(left_ms.saturating_sub(now.since_ms(active.percent_at)))
 }
--- a/src/batch/scheduler/room.rs
+++ b/src/batch/scheduler/room.rs
@@ -7,7 +7,7 @@
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::batch::scheduler::{Scheduler, job, plan};
+use crate::batch::scheduler::{Scheduler, plan, tasks};
 use crate::batch::spec;
 use crate::batch::worker_state;
 use crate::batch::{JobId, TaskId};
@@ -308,7 +308,7 @@
 /// left over that a larger task could use. Lower is better.
 fn placement_cost(
     worker: &worker_state::Worker,
-    task: &job::Task,
+    task: &tasks::Task,
     step: &spec::Step,
     need: &Resources,
 ) -> u64 {
--- a/src/batch/scheduler/stuck.rs
+++ b/src/batch/scheduler/stuck.rs
@@ -44,7 +44,7 @@
         let Some(active) = job.task(id).and_then(|task| task.active.as_ref()) else {
             return false;
         };
-        let limit_ms = STUCK_MS.max(step.estimate_ms * STUCK_PERCENT / 100);
+        let limit_ms = STUCK_MS.max(step.estimate_ms.saturating_mul(STUCK_PERCENT) / 100);
         let is_working = active.percent >= 100 && step.long_running;
         active.confirmed_at.is_some()
             && active.stop_reason.is_none()
--- a/src/batch/scheduler/tenure.rs
+++ b/src/batch/scheduler/tenure.rs
@@ -9,7 +9,7 @@
 
 use crate::batch::predecessors;
 use crate::batch::record;
-use crate::batch::scheduler::{Scheduler, job};
+use crate::batch::scheduler::{Scheduler, job, tasks};
 use crate::clock;
 use crate::id;
 
@@ -61,7 +61,7 @@
     }
 
     /// Returns whether no successor can know more of a task's last run.
-    pub(super) fn may_start_again(&self, task: &job::Task) -> bool {
+    pub(super) fn may_start_again(&self, task: &tasks::Task) -> bool {
         task.released
             .as_ref()
             .is_none_or(|released| released.by.is_reported() || self.is_proven(released.at))
--- a/src/batch/scheduler/waiting.rs
+++ b/src/batch/scheduler/waiting.rs
@@ -14,6 +14,9 @@
 /// Interval between two log lines of one service, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Maximum number of a step's waiting tasks that are followed.
+const TASKS_FOLLOWED: usize = 256;
+
 /// The long-running tasks that wait.
 #[derive(Debug, Default)]
 pub(super) struct WaitingTasks {
@@ -74,14 +77,13 @@
             for (&occurrence, state) in &job.occurrences {
                 for (step, spec) in (0_u32..).zip(&job.accepted.spec.steps) {
                     let tasks = &state.steps[step as usize];
-                    if !spec.long_running || tasks.idle == 0 || !job.is_step_ready(occurrence, step)
+                    if !spec.long_running
+                        || tasks.idle() == 0
+                        || !job.is_step_ready(occurrence, step)
                     {
                         continue;
                     }
-                    for (index, task) in (0_u32..).zip(&tasks.tasks) {
-                        if task.done || task.active.is_some() {
-                            continue;
-                        }
+                    for (index, _) in tasks.idle_tasks().take(TASKS_FOLLOWED) {
                         let task = TaskId {
                             job: *id,
                             occurrence,
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -151,7 +151,9 @@
         let mut paths_ms: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
         for index in (0..self.steps.len()).rev() {
             for &after in &self.steps[index].after {
-                let path_ms = self.steps[after as usize].estimate_ms + paths_ms[index];
+                let path_ms = self.steps[after as usize]
+                    .estimate_ms
+                    .saturating_add(paths_ms[index]);
                 let longest_ms = &mut paths_ms[after as usize];
                 *longest_ms = (*longest_ms).max(path_ms);
             }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -125,6 +125,17 @@
         }
     }
 
+    /// Returns a multiple of the amount, at most the largest number.
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self
+                .accelerators
+                .saturating_mul(u32::try_from(count).unwrap_or(u32::MAX)),
+        }
+    }
+
     /// Returns what is left without another amount, at least nothing.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -420,6 +420,11 @@
         self.scheduler().job_state(JobId(id))
     }
 
+    /// Returns the number of stored progress rows.
+    pub fn progress_rows(&self) -> usize {
+        self.progress.len()
+    }
+
     /// Returns the tasks that are running, with their workers.
     pub fn running(&self) -> Vec<(TaskId, String)> {
         self.workers
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -33,6 +33,7 @@
 mod test_batch_release;
 mod test_batch_restarts;
 mod test_batch_room;
+mod test_batch_schedules;
 mod test_batch_slowness;
 mod test_batch_submissions;
 mod test_batch_succession;
