duty: a follower that has left the leader before bounds the wait for it

A leader that the new one had never heard may count on other followers and renew leases for 300 s without the store. The new leader therefore waited up to 305 s for each worker that it didn't reach, such as one at its limit of connections, and no job that was known before started meanwhile; each takeover began the wait anew.

A leader renews leases without the store only while all its followers confirm it. One follower that has left it is thus the proof, and the followers know: a heartbeat names the leaders that counted on its sender when it left them (predecessors::Left). The duty's row names the epochs that are unconfirmed, and once each has been left, the usual wait begins (predecessors::Wait). A row that names none, of an earlier version or undecodable, is waited for as before, and so is a leader of which every follower is lost too. A follower that stops may have said so to its leader, and counts as no proof.

--- a/measure/src/search/commits.rs
+++ b/measure/src/search/commits.rs
@@ -1,11 +1,11 @@
 //! Commits of a leader, and the lists of machines and commands that they allow.
 
-use wasabiloft::batch::{predecessors, record, waves};
+use wasabiloft::batch::{record, waves};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
 use crate::search::node::{CLOUD_TIMEOUT_MS, Call, RENEW_INTERVAL_MS, Timer};
-use crate::search::platform::Transaction;
+use crate::search::platform::{Standing, Transaction};
 use crate::search::term::LEASE_MS;
 use crate::search::world::{Answer, World};
 
@@ -36,11 +36,11 @@
         let is_due =
             now_ms - term.committed_ms >= RENEW_INTERVAL_MS || term.scheduler.awaits_commit();
         let now = Instant::from_ms(now_ms);
-        let wait_ms = term.standing.earlier.wait_ms(LEASE_MS);
-        if now.since_ms(term.began_at) >= wait_ms {
-            term.standing.earlier = predecessors::Earlier::Ended;
-        }
-        term.standing.commits_only = term.authority.commits_only(now);
+        let has_unresolved = term.scheduler.has_unresolved_workers();
+        term.standing = Standing {
+            commits_only: term.authority.commits_only(now),
+            assumed: term.wait.standing(has_unresolved, LEASE_MS, now),
+        };
         if batch.rows() == 0 && !is_due {
             if !batch.is_empty() {
                 self.batch_committed(node, &batch);
@@ -55,7 +55,7 @@
             batch,
             cpu_milli,
             releases: false,
-            standing: term.standing,
+            standing: term.standing.clone(),
         };
         term.in_flight = Some((transaction, now_ms));
         self.send_commit(node);
--- a/measure/src/search/follower.rs
+++ b/measure/src/search/follower.rs
@@ -98,7 +98,11 @@
 
     pub(super) fn follow(&mut self, node: usize) {
         let now_ms = self.now_ms;
-        let (_, holder, _) = self.nodes[node].known;
+        let (_, holder, epoch) = self.nodes[node].known;
+        let state = &mut self.nodes[node];
+        state
+            .left
+            .row_read(epoch, state.counted_on.as_ref(), Instant::from_ms(now_ms));
         let Some(holder) = holder.filter(|holder| *holder != node) else {
             let evidence = match holder {
                 None => shell::Evidence::None,
@@ -175,11 +179,15 @@
     fn heartbeat_arrives(&mut self, node: usize, holder: usize) {
         let now = self.now();
         let (confirms, incarnation) = (self.nodes[node].confirms, self.nodes[node].incarnation);
+        let left: Vec<u64> = self.nodes[node].left.epochs().collect();
         if let Some(term) = &mut self.nodes[holder].term {
             let confirms = confirms.filter(|(epoch, _)| *epoch == term.epoch);
             let confirmed_at = confirms.map(|(_, sent_at)| sent_at);
             let name = node.to_string();
             term.authority.heard(&name, incarnation, confirmed_at, now);
+            if term.wait.left(left, now) {
+                term.scheduler.earlier_bounded(now);
+            }
         }
         self.limit_leases(holder);
     }
@@ -247,7 +255,7 @@
         let state = &mut self.nodes[node];
         state.claimed = state.claimed.filter(|expected| *expected == store.version);
         state.known = (store.version, store.holder, store.epoch);
-        state.known_standing = store.standing;
+        state.known_standing = store.standing.clone();
         state.expected_cpu_milli = (store.version > 0).then_some(store.cpu_milli);
     }
 
@@ -258,15 +266,19 @@
         let row = (version > 0).then(|| record::Duty {
             epoch,
             commits_only: state.known_standing.commits_only,
-            earlier: state.known_standing.earlier,
+            earlier: state.known_standing.assumed.earlier,
+            unconfirmed: state.known_standing.assumed.unconfirmed.clone(),
             ..record::Duty::default()
         });
         let counted_on = state.counted_on.as_ref();
-        let earlier = predecessors::assume(row.as_ref(), has_ended, counted_on, now);
+        let row = row.as_ref();
+        let assumed = predecessors::assume(row, has_ended, counted_on, &state.left, now);
         let epoch = epoch + 1;
-        let claim = Claim { epoch, earlier };
-        self.nodes[node].claims = Some(epoch);
-        self.note(|| format!("n{node} claims epoch={epoch} earlier={earlier:?}"));
+        let claim = Claim { epoch };
+        let state = &mut self.nodes[node];
+        state.claims = Some(epoch);
+        state.assumed.clone_from(&assumed);
+        self.note(|| format!("n{node} claims epoch={epoch} assumed={assumed:?}"));
         let transaction = Transaction {
             node,
             version,
@@ -277,7 +289,7 @@
             releases: false,
             standing: Standing {
                 commits_only: true,
-                earlier,
+                assumed,
             },
         };
         let call = Call::Claim {
@@ -331,8 +343,12 @@
         }
         self.record_row(node);
         if self.store.holder == Some(node) && self.store.epoch == claim.epoch {
-            let earlier = claim.earlier.max(self.store.standing.earlier);
-            self.read_takeover(node, Claim { earlier, ..claim }, sent_at);
+            let stored = &self.store.standing.assumed;
+            let state = &mut self.nodes[node];
+            if stored.earlier > state.assumed.earlier {
+                state.assumed.clone_from(stored);
+            }
+            self.read_takeover(node, claim, sent_at);
         } else {
             self.claim_failed(node);
         }
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -67,8 +67,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Claim {
     pub(super) epoch: u64,
-    /// What leaders before may still do.
-    pub(super) earlier: predecessors::Earlier,
 }
 
 /// A call in progress.
@@ -146,7 +144,8 @@
     pub(super) plan_scheduled: bool,
     pub(super) registry: shell::Registry,
     pub(super) authority: authority::Authority,
-    pub(super) began_at: Instant,
+    /// The wait for leaders before this one.
+    pub(super) wait: predecessors::Wait,
     /// What the next transaction says of the leader.
     pub(super) standing: Standing,
 }
@@ -195,6 +194,10 @@
     pub(super) claimed: Option<u64>,
     /// The leader that counts on the node.
     pub(super) counted_on: Option<predecessors::CountedOn>,
+    /// Leaders that counted on the node when it left them.
+    pub(super) left: predecessors::Left,
+    /// What the node's newest claim assumes of the leaders before.
+    pub(super) assumed: predecessors::Assumed,
 }
 
 impl Node {
@@ -226,6 +229,8 @@
             confirms: None,
             claimed: None,
             counted_on: None,
+            left: predecessors::Left::default(),
+            assumed: predecessors::Assumed::default(),
         }
     }
 
--- a/measure/src/search/platform.rs
+++ b/measure/src/search/platform.rs
@@ -39,12 +39,12 @@
 }
 
 /// What the duty's row says of its leader, apart from who it is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
     /// Whether only commits prove to the leader that it leads.
     pub commits_only: bool,
-    /// What leaders before it may still do.
-    pub earlier: predecessors::Earlier,
+    /// What the next leader has to assume of those before it.
+    pub assumed: predecessors::Assumed,
 }
 
 /// The rows of the store.
@@ -121,7 +121,7 @@
         self.holder = Some(transaction.node).filter(|_| !transaction.releases);
         self.epoch = transaction.epoch;
         self.cpu_milli = transaction.cpu_milli;
-        self.standing = transaction.standing;
+        self.standing = transaction.standing.clone();
         let batch = &transaction.batch;
         self.progress.extend(batch.progress.iter().cloned());
         self.workers.extend(batch.workers_added.iter().cloned());
--- a/measure/src/search/term.rs
+++ b/measure/src/search/term.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, Settings};
-use wasabiloft::batch::{authority, queue, worker_state};
+use wasabiloft::batch::{authority, predecessors, queue, worker_state};
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -88,7 +88,8 @@
     }
 
     pub(super) fn lead(&mut self, node: usize, claim: Claim, proven_at: Instant) {
-        let Claim { epoch, earlier } = claim;
+        let Claim { epoch } = claim;
+        let assumed = self.nodes[node].assumed.clone();
         let now = self.now();
         self.note(|| format!("n{node} leads epoch={epoch}"));
         let store = &self.store;
@@ -96,7 +97,7 @@
             accepted: store.accepted.clone(),
             progress: store.progress.clone().into_iter().collect(),
             workers: store.workers.clone().into_iter().collect(),
-            earlier,
+            earlier: assumed.earlier,
             ..RecoveredState::default()
         };
         let settings = Settings {
@@ -133,10 +134,10 @@
             plan_scheduled: false,
             registry: shell::Registry::default(),
             authority: authority::Authority::new(proven_at, now),
-            began_at: now,
+            wait: predecessors::Wait::new(assumed.clone(), now),
             standing: Standing {
                 commits_only: true,
-                earlier,
+                assumed,
             },
         };
         self.nodes[node].claims = None;
--- a/node/src/batch/claim.rs
+++ b/node/src/batch/claim.rs
@@ -44,15 +44,17 @@
     shared: &shared::Shared,
     has_ended: bool,
     counted_on: Option<predecessors::CountedOn>,
+    left: &predecessors::Left,
 ) -> Outcome {
     let seen = shared.duty();
     let settings = shared.settings();
     let now = clock::since_boot();
-    let earlier = if seen.duty.is_none() && seen.version > 0 {
+    let assumed = if seen.duty.is_none() && seen.version > 0 {
         // The row can't be decoded.
-        predecessors::Earlier::Unconfirmed
+        predecessors::Assumed::unknown()
     } else {
-        predecessors::assume(seen.duty.as_ref(), has_ended, counted_on.as_ref(), now)
+        let row = seen.duty.as_ref();
+        predecessors::assume(row, has_ended, counted_on.as_ref(), left, now)
     };
     let duty = record::Duty {
         holder: settings.node.clone(),
@@ -63,7 +65,8 @@
         cpu_milli: settings.cpu_milli,
         successor: None,
         commits_only: true,
-        earlier,
+        earlier: assumed.earlier,
+        unconfirmed: assumed.unconfirmed,
     };
     let value = match serde_json::to_vec(&duty) {
         Ok(value) => value,
@@ -98,8 +101,8 @@
             log::info(
                 "duty",
                 &format!(
-                    "taken over epoch={} version={version} earlier={:?}",
-                    duty.epoch, duty.earlier
+                    "taken over epoch={} version={version} earlier={:?} unconfirmed={:?}",
+                    duty.epoch, duty.earlier, duty.unconfirmed
                 ),
             );
             shared.record_duty(shared::DutyRow {
--- a/node/src/batch/commit.rs
+++ b/node/src/batch/commit.rs
@@ -74,12 +74,12 @@
 }
 
 /// What the duty's row says of its leader, apart from who it is.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Standing {
     /// Whether only commits prove to the leader that it leads.
     pub commits_only: bool,
-    /// What leaders before it may still do.
-    pub earlier: predecessors::Earlier,
+    /// What the next leader has to assume of those before it.
+    pub assumed: predecessors::Assumed,
 }
 
 /// A batch that was committed.
@@ -103,9 +103,12 @@
     }
 
     /// Sets what the next transactions say of the leader.
-    fn set_standing(&mut self, standing: Standing) {
+    fn set_standing(&mut self, standing: &Standing) {
         self.duty.commits_only = standing.commits_only;
-        self.duty.earlier = standing.earlier;
+        self.duty.earlier = standing.assumed.earlier;
+        self.duty
+            .unconfirmed
+            .clone_from(&standing.assumed.unconfirmed);
     }
 
     /// Commits a batch in as many transactions as its rows need. Returns when the last of them was sent, with the rows that
@@ -370,7 +373,7 @@
             () = time::sleep(Duration::from_millis(RENEW_INTERVAL_MS)) => {}
         }
         let standing = leadership.standing();
-        committer.set_standing(standing);
+        committer.set_standing(&standing);
         let (mut batch, is_awaited) = {
             let mut scheduler = leadership.scheduler();
             (scheduler.take_batch(), scheduler.awaits_commit())
@@ -382,7 +385,7 @@
                 leadership.ended.cancel();
                 return;
             };
-            leadership.commit_sent(sent_at, standing);
+            leadership.commit_sent(sent_at, &standing);
             if !refused.is_empty() {
                 leadership
                     .scheduler()
--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -96,7 +96,8 @@
                     break;
                 }
                 let expected = shared.duty().version;
-                let outcome = claim::claim(&shared, has_ended, follower.counted_on).await;
+                let outcome =
+                    claim::claim(&shared, has_ended, follower.counted_on, &follower.left).await;
                 if let claim::Outcome::Unknown = outcome {
                     follower.claimed = Some(expected);
                 }
@@ -110,7 +111,10 @@
                     };
                     leadership::run(&shared, start).await;
                     shared.set_own_epoch(0);
-                    follower = Follower::default();
+                    follower = Follower {
+                        left: follower.left,
+                        ..Follower::default()
+                    };
                 } else {
                     let pause_ms = rand::random_range(CLAIM_RETRY_MS);
                     time::sleep(Duration::from_millis(pause_ms)).await;
@@ -195,6 +199,8 @@
     confirms: Option<peers::Sent>,
     /// The leader that counts on this node.
     counted_on: Option<predecessors::CountedOn>,
+    /// Leaders that counted on this node when it left them.
+    left: predecessors::Left,
     /// Version of the row that a claim without a known outcome expects; it can still be committed.
     claimed: Option<u64>,
     /// The rows that this node reads in advance, as the leader requested.
@@ -223,6 +229,9 @@
         else {
             return self.check_row(shared, Evidence::None).await;
         };
+        let epoch = seen.duty.as_ref().map_or(0, |duty| duty.epoch);
+        let counted_on = self.counted_on.as_ref();
+        self.left.row_read(epoch, counted_on, clock::since_boot());
         let own = seen
             .duty
             .as_ref()
@@ -249,6 +258,7 @@
             address,
             is_prepared,
             self.confirms,
+            &self.left,
             self.claimed.is_some(),
             HEARTBEAT_TIMEOUT_MS,
         );
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -61,8 +61,8 @@
     /// Length of the workers' leases, in milliseconds.
     pub(super) lease_ms: u64,
     pub(super) authority: Mutex<authority::Authority>,
-    /// What leaders before this one may still do, as of its beginning.
-    pub(super) earlier: predecessors::Earlier,
+    /// The wait for leaders before this one.
+    pub(super) wait: Mutex<predecessors::Wait>,
     /// What leases were last granted by.
     pub(super) proof: Mutex<authority::Proof>,
     /// Cancelled when a node with more CPU should take over the duty.
@@ -388,6 +388,10 @@
         settings.link_kbit_per_s,
         now.after_ms(lead_min_ms),
     );
+    let assumed = predecessors::Assumed {
+        earlier: duty.earlier,
+        unconfirmed: duty.unconfirmed.clone(),
+    };
     let leadership = Arc::new(Leadership {
         epoch: duty.epoch,
         scheduler: Mutex::new(scheduler),
@@ -399,7 +403,7 @@
         ended: CancellationToken::new(),
         lease_ms: scheduler_settings.lease_ms,
         authority: Mutex::new(authority::Authority::new(committed_at, now)),
-        earlier: duty.earlier,
+        wait: Mutex::new(predecessors::Wait::new(assumed, now)),
         proof: Mutex::new(authority::Proof::Commit),
         committed_ms: AtomicU64::new(committed_ms),
         step_down_requested: CancellationToken::new(),
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -14,7 +14,7 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{handover, record, relays, succession};
+use wasabiloft::batch::{handover, predecessors, record, relays, succession};
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
@@ -81,6 +81,9 @@
     /// The newest response after which the follower went on following the leader; absent if there is none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirms: Option<Sent>,
+    /// Epochs of earlier leaders that counted on the follower and that it has left, so that it confirms them no more.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<u64>,
     /// Name of the follower.
     #[serde(default)]
     pub node: String,
@@ -336,6 +339,7 @@
     address: SocketAddr,
     is_prepared: bool,
     confirms: Option<Sent>,
+    left: &predecessors::Left,
     may_lead: bool,
     timeout_ms: u64,
 ) -> Result<HeartbeatReply, call::NoAnswer> {
@@ -356,6 +360,7 @@
         peers: Some(settings.peers),
         relay: (may_lead || !shared.stop.is_cancelled()).then_some(relay),
         confirms,
+        left: left.epochs().collect(),
         offered: admission::report(shared, configured.config.as_deref()),
         node: settings.node.clone(),
         incarnation: shared.incarnation,
--- a/node/src/batch/standing.rs
+++ b/node/src/batch/standing.rs
@@ -13,23 +13,15 @@
     /// Returns what the next commit says of this leader and of those before it.
     pub fn standing(&self) -> commit::Standing {
         let now = clock::since_boot();
-        let wait_ms = self.earlier.wait_ms(self.lease_ms);
-        let earlier = if now.since_ms(self.began_at) >= wait_ms {
-            predecessors::Earlier::Ended
-        } else if self.scheduler().has_unresolved_workers() {
-            self.earlier
-        } else {
-            // All workers refuse earlier leaders.
-            self.earlier.min(predecessors::Earlier::Lapsing)
-        };
+        let has_unresolved = self.scheduler().has_unresolved_workers();
         commit::Standing {
             commits_only: self.authority().commits_only(now),
-            earlier,
+            assumed: self.wait().standing(has_unresolved, self.lease_ms, now),
         }
     }
 
     /// Records when the newest successful commit was sent, and what it said of this leader.
-    pub fn commit_sent(&self, at: wasabiloft::clock::Instant, standing: commit::Standing) {
+    pub fn commit_sent(&self, at: wasabiloft::clock::Instant, standing: &commit::Standing) {
         self.committed_ms.store(at.as_ms(), Ordering::Relaxed);
         // A commit that was sent before this process stood still doesn't confirm it.
         self.may_act();
@@ -62,9 +54,31 @@
             authority.heard(&heartbeat.node, heartbeat.incarnation, confirmed_at, now);
         }
         drop(authority);
+        if heartbeat.relay.is_some() {
+            self.follower_left(&heartbeat.left, now);
+        }
         self.limit_leases();
     }
 
+    /// Records the epochs of leaders that a follower has left. One that stops may have told them so, and isn't counted on.
+    fn follower_left(&self, epochs: &[u64], now: wasabiloft::clock::Instant) {
+        if self.wait().left(epochs.iter().copied(), now) {
+            log::info(
+                "duty",
+                &format!(
+                    "earlier leaders bounded epoch={} left={epochs:?}",
+                    self.epoch
+                ),
+            );
+            self.scheduler().earlier_bounded(now);
+            self.wake.notify_one();
+        }
+    }
+
+    fn wait(&self) -> MutexGuard<'_, predecessors::Wait> {
+        self.wait.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Passes the scheduler what proves that this node leads. Returns whether starts may have waited for that.
     pub(super) fn limit_leases(&self) -> bool {
         let authority = self.authority();
--- a/node/tests/test_lost_store.rs
+++ b/node/tests/test_lost_store.rs
@@ -187,6 +187,32 @@
     assert_eq!(started.settle().await, started.unheard);
 }
 
+/// Guards against a service that waits for minutes for one worker that its new leader doesn't reach, after a leader that the
+/// new one has never heard has lost its power: the follower of that leader says that it has left it.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_of_a_lost_leader_start_again_once_its_follower_has_left_it() {
+    let started = Unheard::start().await;
+    let scenario = &started.scenario;
+    started.cut_follower();
+    scenario.world.node(started.leader).signal(Signal::STOP);
+    let successor = scenario.leader_after(started.epoch).await;
+    assert_eq!(successor.expect("a successor").0, started.unheard);
+    scenario.join(&[Path::Store(started.follower)]);
+    let elsewhere = || {
+        let workers = scenario.world.workers.iter().enumerate();
+        let others = workers.filter(|(worker, _)| *worker != started.worker);
+        let running = others.map(|(_, proxied)| proxied.worker.state.running_count());
+        running.sum::<usize>()
+    };
+    let started_again = scenario
+        .until("the tasks start elsewhere", async || {
+            elsewhere() == TASKS as usize
+        })
+        .await;
+    started_again.expect("tasks that start again");
+    assert_never_twice(scenario);
+}
+
 /// Starts a leader with a job's tasks on a worker, and two followers; then the store refuses the leader's commits, the
 /// followers don't reach it, and it alone reaches the worker. Returns the leader with its epoch.
 async fn start_refused(scenario: &Scenario) -> (usize, u64) {
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -10,7 +10,7 @@
 //! | `machine` | `holder` | the VM | the scheduler, before each command for the VM |
 //! | `duty` | `holder` | `holder` | the scheduler, with each of its transactions |
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -231,6 +231,9 @@
     /// What leaders before this one may still do.
     #[serde(default, skip_serializing_if = "predecessors::Earlier::is_ended")]
     pub earlier: predecessors::Earlier,
+    /// Epochs of leaders before this one that may count on other followers.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub unconfirmed: BTreeSet<u64>,
 }
 
 /// The row of a worker that can run tasks.
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -75,8 +75,9 @@
     settings: Settings,
     /// Number after which this epoch numbers its starts; higher than any start of a previous leader.
     run_base: u32,
-    /// What earlier leaders may still do, as of the beginning.
+    /// What earlier leaders may still do, and since when that is known.
     earlier: predecessors::Earlier,
+    earlier_since: clock::Instant,
     /// Whether all jobs that an earlier leader may have taken up are known.
     knows_earlier_jobs: bool,
     /// Whether a previous leader had recorded workers.
@@ -159,6 +160,7 @@
             settings,
             run_base: commands::run_base(epoch),
             earlier: recovered.earlier,
+            earlier_since: now,
             knows_earlier_jobs: recovered.earlier.is_ended(),
             has_predecessor: !recovered.workers.is_empty(),
             started_at: now,
--- a/src/batch/scheduler/worker_loss.rs
+++ b/src/batch/scheduler/worker_loss.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::batch::TaskId;
+use crate::batch::predecessors;
 use crate::batch::record;
 use crate::batch::scheduler::release::Release;
 use crate::batch::scheduler::{Output, Scheduler, crashes};
@@ -186,12 +187,18 @@
         Some(crashes::at_work_ms(active, worker))
     }
 
+    /// Records that no earlier leader can renew a lease any more; the usual wait for their workers begins.
+    pub fn earlier_bounded(&mut self, now: clock::Instant) {
+        self.earlier = self.earlier.min(predecessors::Earlier::Lapsing);
+        self.earlier_since = now;
+    }
+
     pub(super) fn resolve_expired(&mut self, now: clock::Instant) {
         if self.unresolved.is_empty() {
             return;
         }
         let (lease_ms, lease_max_ms) = (self.settings.lease_ms, self.settings.lease_max_ms);
-        let (earlier, waited_ms) = (self.earlier, now.since_ms(self.started_at));
+        let (earlier, waited_ms) = (self.earlier, now.since_ms(self.earlier_since));
         let may_run = |row: &record::WorkerRow| {
             let lease_ms = if row.restarted {
                 lease_max_ms
--- a/tests/test_batch_predecessors.rs
+++ b/tests/test_batch_predecessors.rs
@@ -1,7 +1,9 @@
 //! What a new leader assumes of the leaders before it, and what follows from it.
 
+use std::collections::BTreeSet;
+
 use proptest::{prop_assert, proptest};
-use wasabiloft::batch::predecessors::{CountedOn, Earlier};
+use wasabiloft::batch::predecessors::{Assumed, CountedOn, Earlier, Left, Wait};
 use wasabiloft::batch::scheduler::{self, IncarnationEnd, Output, RecoveredState, Scheduler};
 use wasabiloft::batch::{JobId, authority, predecessors, record, worker_state};
 use wasabiloft::clock::Instant;
@@ -25,7 +27,8 @@
         at: Instant::from_ms(at_ms),
     });
     let now = Instant::from_ms(100_000);
-    predecessors::assume(Some(row), has_ended, counted_on.as_ref(), now)
+    let left = Left::default();
+    predecessors::assume(Some(row), has_ended, counted_on.as_ref(), &left, now).earlier
 }
 
 /// Guards against a usual wait of a node that the leader doesn't count on: the leader runs on while others confirm it.
@@ -48,7 +51,7 @@
         Earlier::Lapsing
     );
     assert_eq!(
-        predecessors::assume(None, false, None, Instant::ZERO),
+        predecessors::assume(None, false, None, &Left::default(), Instant::ZERO).earlier,
         Earlier::Ended
     );
 }
@@ -99,7 +102,7 @@
             }
         }
         let began_ms = committed_ms + claimed_after_ms;
-        let assumed = predecessors::assume(Some(&row), false, None, at(began_ms));
+        let assumed = predecessors::assume(Some(&row), false, None, &Left::default(), at(began_ms)).earlier;
         let acts_ms = began_ms + assumed.wait_ms(LEASE_MS);
         let left_ms = leader.leases_end(LEASE_MS).since_ms(at(granted_ms));
         let ended_ms = granted_ms + left_ms.min(LEASE_MS * 1_020 / 1_000) + 300;
@@ -132,8 +135,8 @@
         let began_ms = committed_ms + claimed_after_ms;
         let counted_on = CountedOn { epoch: 4, at: at(heard_ms) };
         let assumed = predecessors::assume(
-            Some(&row(false, Earlier::Ended)), false, Some(&counted_on), at(began_ms),
-        );
+            Some(&row(false, Earlier::Ended)), false, Some(&counted_on), &Left::default(), at(began_ms),
+        ).earlier;
         let acts_ms = began_ms + assumed.wait_ms(LEASE_MS);
         let left_ms = leader.leases_end(LEASE_MS).since_ms(at(granted_ms));
         let ended_ms = granted_ms + left_ms.min(LEASE_MS * 1_020 / 1_000) + 300;
@@ -141,6 +144,128 @@
     }
 }
 
+/// Returns what a node that leaves the leader of epoch 4 tells its successors, if that leader answered its heartbeat that was
+/// sent at `answered_ms`.
+fn leave(answered_ms: u64, left_ms: u64) -> Vec<u64> {
+    let counted_on = CountedOn {
+        epoch: 4,
+        at: Instant::from_ms(answered_ms),
+    };
+    let mut left = Left::default();
+    left.row_read(4, Some(&counted_on), Instant::from_ms(left_ms));
+    assert_eq!(left.epochs().count(), 0, "it follows that leader");
+    left.row_read(5, Some(&counted_on), Instant::from_ms(left_ms));
+    left.epochs().collect()
+}
+
+fn unconfirmed(epochs: &[u64]) -> Assumed {
+    Assumed {
+        earlier: Earlier::Unconfirmed,
+        unconfirmed: epochs.iter().copied().collect(),
+    }
+}
+
+/// Guards against a service that waits for minutes for one worker that can't be reached, although a follower of the leader
+/// before has left it.
+#[test]
+fn a_follower_that_has_left_the_leader_before_bounds_its_leases() {
+    let now = Instant::from_ms(100_000);
+    let row = row(false, Earlier::Ended);
+    let assumed = predecessors::assume(Some(&row), false, None, &Left::default(), now);
+    assert_eq!(assumed, unconfirmed(&[4]));
+    let mut wait = Wait::new(assumed.clone(), now);
+    assert!(!wait.left([3, 5], now), "other leaders");
+    assert_eq!(wait.standing(true, LEASE_MS, now), assumed);
+    let heard = now.after_ms(900);
+    assert!(wait.left(leave(99_000, 99_500), heard));
+    let usual_ms = scheduler::lease_expiry_ms(LEASE_MS);
+    let before = wait.standing(true, LEASE_MS, heard.after_ms(usual_ms - 1));
+    assert_eq!(before.earlier, Earlier::Lapsing);
+    assert_eq!(before.unconfirmed, BTreeSet::new());
+    let after = wait.standing(true, LEASE_MS, heard.after_ms(usual_ms));
+    assert_eq!(after, Assumed::default());
+}
+
+/// Guards against a leader that is forgotten between two takeovers: each one has to be left by a follower of its own.
+#[test]
+fn each_leader_before_has_to_be_left_by_a_follower() {
+    let now = Instant::from_ms(100_000);
+    let mut row = row(false, Earlier::Unconfirmed);
+    row.unconfirmed = BTreeSet::from([2]);
+    let assumed = predecessors::assume(Some(&row), false, None, &Left::default(), now);
+    assert_eq!(assumed, unconfirmed(&[2, 4]));
+    let mut wait = Wait::new(assumed, now);
+    assert!(!wait.left(leave(99_000, 99_500), now));
+    assert_eq!(wait.standing(true, LEASE_MS, now), unconfirmed(&[2]));
+    assert!(wait.left([2], now));
+
+    // What a node has left itself needs no other.
+    let counted_on = CountedOn { epoch: 2, at: now };
+    let mut left = Left::default();
+    left.row_read(3, Some(&counted_on), now);
+    let assumed = predecessors::assume(Some(&row), true, None, &left, now);
+    assert_eq!(assumed.earlier, Earlier::Lapsing);
+    assert_eq!(assumed.unconfirmed, BTreeSet::new());
+}
+
+/// Guards against a row of an earlier version, or one that can't be decoded, that names no leaders to be left.
+#[test]
+fn leaders_whose_epochs_are_not_known_are_never_bounded() {
+    let now = Instant::from_ms(100_000);
+    let row = row(true, Earlier::Unconfirmed);
+    let from_row = predecessors::assume(Some(&row), true, None, &Left::default(), now);
+    for assumed in [from_row, Assumed::unknown()] {
+        assert_eq!(assumed.earlier, Earlier::Unconfirmed);
+        let mut wait = Wait::new(assumed, now);
+        assert!(!wait.left(0..100, now));
+        assert_eq!(
+            wait.standing(true, LEASE_MS, now).earlier,
+            Earlier::Unconfirmed
+        );
+    }
+}
+
+/// Guards against a follower that the leader may have forgotten.
+#[test]
+fn a_follower_that_was_silent_for_long_has_not_left_its_leader() {
+    assert_eq!(leave(10_000, 39_999), [4]);
+    assert!(leave(10_000, 40_000).is_empty());
+}
+
+proptest! {
+    #![proptest_config(crate::fixed_seed(500))]
+
+    /// Guards against two runs of a task: a leader without the store renews a lease although a follower has left it.
+    #[test]
+    fn no_lease_outlasts_the_wait_after_a_follower_has_left(
+        outage_ms in 3_000_u64..20_000,
+        follows_ms in 0_u64..40_000,
+        heard_after_ms in 0_u64..5_000,
+        granted_after_ms in 0_u64..700_000,
+    ) {
+        let at = Instant::from_ms;
+        let mut leader = authority::Authority::new(at(990), at(1_000));
+        // The follower goes on for a while after the store is lost; another one never leaves.
+        let left_ms = outage_ms + follows_ms;
+        let heard_ms = left_ms + heard_after_ms;
+        let granted_ms = outage_ms + granted_after_ms;
+        for now_ms in (1_250..=granted_ms).step_by(250) {
+            leader.heard("n2", 7, Some(at(now_ms - 250)), at(now_ms));
+            if now_ms <= left_ms {
+                leader.heard("n3", 8, Some(at(now_ms - 250)), at(now_ms));
+            }
+            if now_ms < outage_ms {
+                leader.committed(at(now_ms), leader.commits_only(at(now_ms)));
+            }
+        }
+        prop_assert!(!leave(left_ms, left_ms).is_empty());
+        let acts_ms = heard_ms + scheduler::lease_expiry_ms(LEASE_MS);
+        let left_ms = leader.leases_end(LEASE_MS).since_ms(at(granted_ms));
+        let ended_ms = granted_ms + left_ms.min(LEASE_MS * 1_020 / 1_000) + 300;
+        prop_assert!(ended_ms <= acts_ms.max(granted_ms + 300), "{ended_ms} {acts_ms}");
+    }
+}
+
 /// A scheduler with one worker that answers, and one of earlier leaders that doesn't.
 fn successor(earlier: Earlier) -> (Scheduler, Instant) {
     let rows = RecoveredState {
@@ -210,6 +335,19 @@
     }
 }
 
+/// Guards against jobs that wait for minutes after a follower has said that it left the leader before.
+#[test]
+fn jobs_wait_for_the_usual_time_once_earlier_leaders_are_bounded() {
+    let (mut scheduler, now) = successor(Earlier::Unconfirmed);
+    scheduler.job_accepted(JobId(7), accepted(vec![step(1, &[])], 3), now.after_ms(6));
+    let bounded = now.after_ms(900);
+    scheduler.earlier_bounded(bounded);
+    let usual = bounded.after_ms(scheduler::lease_expiry_ms(LEASE_MS));
+    let before = Instant::from_ms(usual.as_ms() - 1);
+    assert_eq!(started(&mut scheduler, before), []);
+    assert_eq!(started(&mut scheduler, usual), [JobId(7)]);
+}
+
 /// Guards against tasks of a job that a leader without the store learned of after it may have been replaced.
 #[test]
 fn a_leader_takes_up_no_job_that_it_learns_of_long_after_its_newest_commit() {
