waves: a request that operators write again takes effect

A node kept the first request of a number and dropped later ones without a line in the log, while a node that started later read the newer one.

The newest request of a number counts on all nodes, and a leader applies it to a wave under way. A leader that has seen the wave reported as completed reports it as running again if a machine was added since; on condition of the row's version, so that it doesn't overwrite its successor's report.

--- a/node/src/batch/fleet/mod.rs
+++ b/node/src/batch/fleet/mod.rs
@@ -119,7 +119,12 @@
     async fn round(&mut self) -> u64 {
         for asked in self.shared.waves() {
             let number = asked.request.number;
-            if !self.waves.contains_key(&number) {
+            if let Some(wave) = self.waves.get_mut(&number) {
+                if wave.request != asked.request {
+                    log::info("fleet", &format!("wave changed wave={number}"));
+                    wave.change_request(asked.request);
+                }
+            } else {
                 let Some(store_ms) = self.shared.store_now_ms() else {
                     continue;
                 };
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -195,15 +195,21 @@
         self.successor.store(incarnation, Ordering::Relaxed);
     }
 
-    /// Records a requested wave; returns whether it is new.
+    /// Records a requested wave; returns whether it is new, or differs from what was requested before under its number.
     pub fn record_wave_request(&self, request: waves::Request) -> bool {
         let mut waves = lock(&self.waves);
-        let new = !waves.contains_key(&request.number);
-        let at = clock::since_boot();
-        waves
-            .entry(request.number)
-            .or_insert(RequestedWave { request, at });
-        new
+        match waves.get_mut(&request.number) {
+            Some(before) if before.request == request => false,
+            Some(before) => {
+                before.request = request;
+                true
+            }
+            None => {
+                let at = clock::since_boot();
+                waves.insert(request.number, RequestedWave { request, at });
+                true
+            }
+        }
     }
 
     /// Returns all requested waves.
--- a/node/tests/test_lost_machines.rs
+++ b/node/tests/test_lost_machines.rs
@@ -1,4 +1,4 @@
-//! Machines that are lost for good while they move to a pool.
+//! Machines that are lost for good while they move or in their maintenance, and machines that are added to a wave.
 
 use std::path::Path;
 
@@ -89,3 +89,25 @@
         .await;
     completed.expect("a completed wave");
 }
+
+/// Guards against a wave that is said to be completed without a machine that operators added to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_machine_that_is_added_to_a_wave_under_way_has_its_maintenance() {
+    let scenario = start(6).await;
+    let world = &scenario.world;
+    let names: Vec<String> = (0..4).map(|number| format!("m{number}")).collect();
+    world.request_wave(FIRST_WAVE, &names[..3]);
+    let begins = scenario.until("maintenance begins", async || {
+        let machines = world.machines.state.refresh();
+        machines.len() < 6
+    });
+    begins.await.expect("maintenance");
+    world.request_wave(FIRST_WAVE, &names);
+    let completed = scenario
+        .until("the wave is completed", async || {
+            world.unfinished_waves().is_empty()
+        })
+        .await;
+    completed.expect("a completed wave");
+    assert_eq!(world.violations(), Vec::<String>::new());
+}
--- a/src/batch/waves.rs
+++ b/src/batch/waves.rs
@@ -127,6 +127,8 @@
     /// State that operators see, and the version of the row that holds it, as of its newest read or write.
     status: Status,
     status_version: u64,
+    /// Whether the request was changed after this leader knew the wave to be reported as completed.
+    is_reopened: bool,
 }
 
 impl Wave {
@@ -142,9 +144,17 @@
             in_maintenance: BTreeMap::new(),
             status: Status::None,
             status_version: 0,
+            is_reopened: false,
         }
     }
 
+    /// Replaces the request by one of the same number, as operators have written it again. Machines that it no longer names
+    /// and that are in maintenance still count as such.
+    pub fn change_request(&mut self, request: Request) {
+        self.is_reopened = self.status == Status::Completed;
+        self.request = request;
+    }
+
     /// Returns the row that holds the state of a machine of the wave.
     pub fn row(&self, vm: &id::Vm) -> (Key, Record) {
         let position = self.request.vms.iter().position(|member| member == vm);
@@ -198,7 +208,7 @@
         let is_due = match self.status {
             Status::None => true,
             Status::Running => status == Status::Completed,
-            Status::Completed => false,
+            Status::Completed => self.is_reopened && status == Status::Running,
         };
         is_due.then_some((status, self.status_version))
     }
@@ -207,6 +217,7 @@
     pub fn on_status(&mut self, status: Status, version: u64) {
         self.status = status;
         self.status_version = version;
+        self.is_reopened = false;
     }
 
     /// Returns how many more machines can start maintenance now.
--- a/standins/src/hosted/machines.rs
+++ b/standins/src/hosted/machines.rs
@@ -169,14 +169,12 @@
             .count()
     }
 
-    /// Adds a maintenance wave that operators requested.
+    /// Adds a maintenance wave that operators requested, or changes it; maintenance that has started counts.
     pub fn add_wave(&self, number: u64, machines: &[String], max_concurrent: usize) {
-        let wave = (
-            machines.iter().cloned().collect(),
-            max_concurrent,
-            BTreeSet::new(),
-        );
-        lock(&self.inner).waves.insert(number, wave);
+        let mut inner = lock(&self.inner);
+        let wave = inner.waves.entry(number).or_default();
+        wave.0 = machines.iter().cloned().collect();
+        wave.1 = max_concurrent;
     }
 
     /// Returns whether maintenance has started on every machine of a wave.
--- a/tests/test_batch_waves.rs
+++ b/tests/test_batch_waves.rs
@@ -69,3 +69,31 @@
     }
     assert_eq!(merged, wave.record);
 }
+
+/// Guards against a wave that is said to be completed without a machine that operators added to it.
+#[test]
+fn a_machine_that_is_added_to_a_wave_has_its_maintenance() {
+    let vm = id::Vm::new;
+    let changed = || request(["a", "b", "c", "d"].map(vm).to_vec());
+    let mut wave = small();
+    for name in ["a", "b"] {
+        wave.on_begun(&vm(name), Instant::from_ms(10));
+    }
+    wave.change_request(changed());
+    wave.on_begun(&vm("c"), Instant::from_ms(20));
+    assert!(!wave.is_completed());
+    assert_eq!(wave.remaining().collect::<Vec<_>>(), [&vm("d")]);
+
+    // The same after the report of the smaller wave.
+    let mut wave = small();
+    for name in ["a", "b", "c"] {
+        wave.on_begun(&vm(name), Instant::from_ms(10));
+    }
+    wave.on_status(waves::Status::Completed, 31);
+    assert_eq!(wave.due_report(), None);
+    wave.change_request(changed());
+    assert_eq!(wave.due_report(), Some((waves::Status::Running, 31)));
+    // A successor has reported the larger one.
+    wave.on_status(waves::Status::Completed, 40);
+    assert_eq!(wave.due_report(), None);
+}
