workers: a stop that is not delivered also ends the lease for runs of earlier leaders

A task of a cancelled job ran on for ever after a takeover, on a worker that answers polls and takes no stop: the new leader has no active run of an ended job, so that its stop didn't count as overdue, and the lease was renewed for other tasks there. The same held for a run that no stored job has.

A worker's state keeps the reported runs that should not exist, with the moment of their first stop, until the worker acknowledges the stop or no longer reports the run. After five seconds without either, polls don't renew the lease, as for other stops.

--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -267,5 +267,9 @@
         {
             active.stop_acked_at.get_or_insert(now);
         }
+        let state = self.workers.get_mut(worker);
+        if let Some(stop) = state.and_then(|state| state.unexpected.get_mut(&(id, run))) {
+            *stop = None;
+        }
     }
 }
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -1,6 +1,6 @@
 //! Polls of workers: the runs and ends they report, and runs that are missing from both.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::batch::connections::{Connection, SHARED_POLL_WAIT_MS};
 use crate::batch::record;
@@ -92,11 +92,13 @@
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
-        worker.tasks.iter().any(|task| {
-            let task = self.jobs.get(&task.job).and_then(|job| job.task(task));
-            let active = task.and_then(|task| task.active.as_ref());
-            active.is_some_and(is_overdue)
-        })
+        let mut unexpected = worker.unexpected.values().flatten();
+        unexpected.any(|at| now.since_ms(*at) >= STOP_OVERDUE_MS)
+            || worker.tasks.iter().any(|task| {
+                let task = self.jobs.get(&task.job).and_then(|job| job.task(task));
+                let active = task.and_then(|task| task.active.as_ref());
+                active.is_some_and(is_overdue)
+            })
     }
 
     fn has_uncertain_runs(&self, id: &id::Worker) -> bool {
@@ -183,6 +185,11 @@
         self.count_unexpected(id, report);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unreserved = unreserved;
+            if report.unreadable_runs == 0 {
+                let runs = report.running.iter().map(|run| (run.task, run.run));
+                let reported: BTreeSet<(TaskId, u32)> = runs.collect();
+                worker.unexpected.retain(|run, _| reported.contains(run));
+            }
         }
         self.pace_fillers(id, now);
     }
@@ -277,12 +284,12 @@
             .get(&run.task.job)
             .is_none_or(|job| job.state.is_final());
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
-            self.stop_unexpected(id, run.task, run.run, "unknown-job");
+            self.stop_unexpected(id, run.task, run.run, "unknown-job", now);
             return;
         };
         let accepted = job.accepted.clone();
         let Some(task) = job.task_mut(&run.task) else {
-            self.stop_unexpected(id, run.task, run.run, "unknown-task");
+            self.stop_unexpected(id, run.task, run.run, "unknown-task", now);
             return;
         };
         task.last_run = task.last_run.max(run.run);
@@ -331,13 +338,23 @@
             _ => {
                 let reason = if is_over { "job-over" } else { "run-elsewhere" };
                 self.check_outlived(id, &run.task, run.run, now);
-                self.stop_unexpected(id, run.task, run.run, reason);
+                self.stop_unexpected(id, run.task, run.run, reason, now);
             }
         }
     }
 
     /// Stops a run that should not exist.
-    fn stop_unexpected(&mut self, worker: &id::Worker, task: TaskId, run: u32, reason: &str) {
+    fn stop_unexpected(
+        &mut self,
+        worker: &id::Worker,
+        task: TaskId,
+        run: u32,
+        reason: &str,
+        now: clock::Instant,
+    ) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.unexpected.entry((task, run)).or_insert(Some(now));
+        }
         self.log(format!(
             "stop unexpected run task={task} run={run} worker={worker} reason={reason}"
         ));
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -1,6 +1,6 @@
 //! The scheduler's state of one worker: capacity, lease and health.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -156,6 +156,9 @@
     pub used: Resources,
     /// Whether all rows of the newest report could be read.
     pub reports_whole: bool,
+    /// Reported runs that should not exist, each with its number and when its stop was first sent; `None` once the worker has
+    /// acknowledged the stop.
+    pub unexpected: BTreeMap<(TaskId, u32), Option<clock::Instant>>,
     /// Capacity of the other runs in the newest report; `None` if the job of one is unknown, and thus its need.
     pub unreserved: Option<Resources>,
     /// Number of the ended run up to which all were handled; 0 for none.
@@ -206,6 +209,7 @@
             tasks: BTreeSet::new(),
             used: Resources::default(),
             reports_whole: true,
+            unexpected: BTreeMap::new(),
             unreserved: Some(Resources::default()),
             handled: 0,
             handled_ahead: BTreeSet::new(),
--- a/tests/test_batch_connections.rs
+++ b/tests/test_batch_connections.rs
@@ -1,10 +1,13 @@
 //! Workers that take no further connection, and commands that don't reach a worker while polls renew its lease.
 
 use wasabiloft::batch::connections::{Connection, Connections, Exchange, SHARED_POLL_WAIT_MS};
-use wasabiloft::batch::scheduler::{Scheduler, StartOutcome};
+use wasabiloft::batch::scheduler::{RecoveredState, Scheduler, StartOutcome};
+use wasabiloft::batch::{JobId, TaskId};
 use wasabiloft::clock::Instant;
+use wasabiloft::id;
 
 use crate::fake_pair::{self, TASK};
+use crate::fake_workers::{accepted, config, listing, settings, step};
 
 /// Time after which a poll tries whether a worker takes further connections, in milliseconds.
 const TRIAL_MS: u64 = 2_000;
@@ -99,3 +102,64 @@
     scheduler.stop_answered(&worker, TASK, run, cancelled.after_ms(5_100));
     assert!(renews(&mut scheduler, 5_200));
 }
+
+/// Asserts that the lease of a worker ends if the stop of `task` is not delivered there, to a new leader that takes the task's
+/// run over from an earlier one. Another run is sound.
+fn assert_inherited_run_is_ended(recovered: RecoveredState, task: TaskId) {
+    let now = Instant::from_ms(10_000);
+    let worker = id::Worker::new("a");
+    let mut scheduler = Scheduler::new(settings(), 2, config(), recovered, now);
+    scheduler.worker_listed(listing("a"), now);
+    let batch = scheduler.take_batch();
+    scheduler.batch_committed(&batch);
+    scheduler.jobs_read(now.after_ms(1_000));
+    let runs = [(fake_pair::TASK, 1), (task, 1)];
+    let renews = |scheduler: &mut Scheduler, reported: &[(TaskId, u32)], after_ms: u64| {
+        let at = now.after_ms(after_ms);
+        scheduler.poll_answered(&worker, &fake_pair::running(reported), at, at, 0);
+        scheduler.tick(at, 0);
+        let poll = scheduler.next_poll(&worker, at).expect("a poll");
+        poll.until_ms.is_some()
+    };
+    for after_ms in (0..5_000).step_by(500) {
+        assert!(renews(&mut scheduler, &runs, after_ms), "{after_ms} ms");
+    }
+    // The second report shows that no stored job has the run.
+    assert!(!renews(&mut scheduler, &runs, 5_500));
+    // A stop that gets through keeps the lease of the other run, as does the end of the run.
+    scheduler.stop_answered(&worker, task, 1, now.after_ms(5_600));
+    assert!(renews(&mut scheduler, &runs, 5_700));
+    assert!(renews(&mut scheduler, &runs[..1], 6_200));
+}
+
+/// Guards against a cancelled task that runs for ever after a takeover: its stop isn't delivered, and the lease is renewed for
+/// other tasks of its worker.
+#[test]
+fn the_lease_is_not_renewed_for_a_cancelled_run_of_an_earlier_leader() {
+    let cancelled = JobId(2);
+    let jobs = [fake_pair::JOB, cancelled].map(|job| (job, accepted(vec![step(1, &[])], 3)));
+    let recovered = RecoveredState {
+        accepted: jobs.into(),
+        cancelled: vec![cancelled],
+        ..RecoveredState::default()
+    };
+    let task = TaskId {
+        job: cancelled,
+        ..fake_pair::TASK
+    };
+    assert_inherited_run_is_ended(recovered, task);
+}
+
+/// Guards against the same for a run of a job that is not stored.
+#[test]
+fn the_lease_is_not_renewed_for_a_run_that_no_job_knows() {
+    let recovered = RecoveredState {
+        accepted: vec![(fake_pair::JOB, accepted(vec![step(1, &[])], 3))],
+        ..RecoveredState::default()
+    };
+    let task = TaskId {
+        job: JobId(2),
+        ..fake_pair::TASK
+    };
+    assert_inherited_run_is_ended(recovered, task);
+}
