submissions: open jobs take a bounded part of a node's memory

Each accepted job stays in the memory of the leader, and of every leader after it, as it was submitted, until four minutes after its end; nothing refused any. Shown now: 12,000 jobs of 120 steps, 32 callers, took 435 MB of the leader and 312 MB of its follower, of 260 MB allowed.

The scheduler sums up what its open jobs take (batch::job_memory). The leader's replies to heartbeats tell each node its share of what is left, and a node counts what it has admitted since. A job is admitted if 32 times its size are left, so that small jobs are still accepted beside large ones. A refusal is 503 with Retry-After, after a look at whether the job is stored, as it may be a repeat; without an answer of the store it is 504. Five seconds after its committed end, a job holds its state only.

test_schedules::jobs_of_many_steps_are_refused_before_they_exceed_the_memory (real processes, small jobs beside, a takeover) failed on the commit before, [312672, 435312] KiB, and passes. test_batch_job_memory holds the decisions.

--- a/node/src/batch/admission.rs
+++ b/node/src/batch/admission.rs
@@ -16,8 +16,6 @@
 /// Wait that a caller is told whose job exceeds the account's quota, in seconds: within its attempts, the quota can
 /// have been raised.
 const QUOTA_RETRY_S: u64 = 4;
-/// Maximum time for reading whether a job that is to be rejected was stored before, in milliseconds.
-const STORED_READ_MS: u64 = 600;
 
 /// What a follower was offered, as it reports it with its heartbeats.
 #[derive(Debug, Serialize, Deserialize)]
@@ -201,7 +199,7 @@
     let rejection = reject(shared, name, account, &accepted.spec);
     if let Some(rejection) = &rejection {
         // The caller may repeat a job that was accepted before, which a rejection would deny.
-        match requests::is_stored(shared, job, deadline, STORED_READ_MS).await {
+        match requests::is_stored(shared, job, deadline, requests::STORED_READ_MS).await {
             Some(false) => {
                 if matches!(rejection, Outcome::RateExceeded { .. }) {
                     count(shared, name, account);
--- a/node/src/batch/gauges.rs
+++ b/node/src/batch/gauges.rs
@@ -67,6 +67,7 @@
             .set(waiting as f64);
     }
     set_accounts(&scheduler);
+    gauge!("wasabiloft_open_job_bytes").set(scheduler.open_job_bytes() as f64);
     gauge!("wasabiloft_unread_partitions").set(scheduler.unread_partitions() as f64);
     let (direct, relayed) = leadership.relays().counts();
     gauge!("wasabiloft_workers_routed", "route" => "direct").set(direct as f64);
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -11,6 +11,7 @@
 mod front;
 mod gauges;
 mod job_feed;
+mod job_room;
 mod lateness;
 mod leadership;
 mod peers;
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -18,7 +18,7 @@
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
-use crate::batch::{admission, forward, shared};
+use crate::batch::{admission, forward, job_room, shared};
 use crate::clock;
 
 /// Maximum time since a follower's last response from the store for it to take over from a leader that cannot reach
@@ -148,6 +148,9 @@
     /// Limits of accounts; absent if the follower reported no submissions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub admission: Option<admission::Reply>,
+    /// Memory that is left for the jobs that the follower accepts, in bytes; absent if the responding node doesn't lead.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub job_room_bytes: Option<u64>,
     /// Whether the follower must read the rows of jobs, as the leader may hand the duty over to it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub prepare: bool,
@@ -198,6 +201,7 @@
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
         }
+        reply.job_room_bytes = Some(job_room::room_bytes(&shared, &leadership));
         if heartbeat.incarnation != 0 {
             let mut handover = leadership.handover();
             handover.heard(follower(&heartbeat), now);
@@ -372,6 +376,9 @@
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
     let mut reply: HeartbeatReply = reply.json()?;
+    if let Some(room_bytes) = reply.job_room_bytes {
+        shared.job_room.replied(room_bytes);
+    }
     if let Some(limits) = reply.admission.take() {
         admission::replied(shared, limits, sent_at);
     }
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -10,7 +10,7 @@
 use wasabiloft_platform::{store, submission};
 
 use crate::batch::front::Outcome;
-use crate::batch::{forward, peers, shared, submissions};
+use crate::batch::{forward, job_room, peers, shared, submissions};
 use crate::clock;
 use crate::log;
 
@@ -20,6 +20,8 @@
 const RETRY_MS: u64 = 60;
 /// Time for which a read that failed is retried before it goes through the leader, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 120;
+/// Maximum time for reading whether a job that is to be refused was stored before, in milliseconds.
+pub const STORED_READ_MS: u64 = 600;
 /// Timeout of a call to the leader, in milliseconds; a job's state is then read from the store.
 const LEADER_TIMEOUT_MS: u64 = 400;
 
@@ -55,6 +57,18 @@
             value.len()
         ));
     }
+    if let Some(leadership) = shared.leadership() {
+        let room_bytes = job_room::room_bytes(shared, &leadership);
+        shared.job_room.replied(room_bytes);
+    }
+    let Some(mut reservation) = shared.job_room.reserve(&accepted) else {
+        // The caller may repeat a job that was accepted before, which a refusal would deny.
+        return match is_stored(shared, job, deadline, STORED_READ_MS).await {
+            Some(true) => Outcome::Done(submission::state_body(record::State::Queued)),
+            Some(false) => Outcome::NotRun("jobs-exceed-memory"),
+            None => Outcome::Unknown("store-unanswered"),
+        };
+    };
     let item = submissions::Item {
         key: record::JobKey::Accepted(job),
         value,
@@ -66,10 +80,16 @@
     match shared.submissions.write(item).await {
         Answer::Committed(_) => Outcome::Done(submission::state_body(record::State::Queued)),
         Answer::Exists => {
+            reservation.not_stored();
             log::info("front", &format!("accept again job={job}"));
             Outcome::Done(submission::state_body(record::State::Queued))
         }
-        answer => unwritten(answer),
+        answer => {
+            if matches!(answer, Answer::NotRun(_)) {
+                reservation.not_stored();
+            }
+            unwritten(answer)
+        }
     }
 }
 
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -77,6 +77,7 @@
     pub(super) forwarding: super::forward::Breaker,
     pub(super) submissions: super::submissions::Handle,
     pub(super) admission: super::admission::Admission,
+    pub(super) job_room: super::job_room::JobRoom,
     /// When the store last began to respond after an outage, in milliseconds since boot.
     store_steady_since_ms: AtomicU64,
 }
@@ -102,6 +103,7 @@
             waves: Mutex::default(),
             store_responded_ms: AtomicU64::new(clock::since_boot().as_ms()),
             store_clock: Mutex::default(),
+            job_room: super::job_room::JobRoom::new(settings.memory_mib),
             settings: Mutex::new(Arc::new(settings)),
             peers: super::peers::Clients::default(),
             config_transfers: Semaphore::new(super::peers::CONFIG_TRANSFERS_MAX),
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -10,6 +10,7 @@
 pub mod authority;
 pub mod connections;
 pub mod handover;
+pub mod job_memory;
 pub mod list_pause;
 pub mod machine_commands;
 pub mod order;
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -4,12 +4,14 @@
 //! number that wait are open, besides those with runs; finished ones are kept as numbers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::iter;
 use std::sync::Arc;
 
 use crate::batch::progress_rows;
 use crate::batch::ranges::Ranges;
 use crate::batch::record;
 use crate::batch::scheduler::tasks::{self, Occurrence, Step, Task};
+use crate::batch::spec;
 use crate::batch::{JobId, TaskId};
 use crate::clock;
 use crate::id;
@@ -339,6 +341,21 @@
         self.finished.count() > 0 || open.flat_map(|state| &state.steps).any(Step::has_started)
     }
 
+    /// Keeps only what the state of an ended job and the removal of its rows need. Returns whether it did: a run may still be
+    /// under way.
+    pub fn trim(&mut self) -> bool {
+        if self.tasks().any(|(_, task)| task.active.is_some()) {
+            return false;
+        }
+        let accepted = Arc::make_mut(&mut self.accepted);
+        accepted.spec = spec::Spec::default();
+        self.occurrences = BTreeMap::new();
+        self.finished = Ranges::default();
+        self.layout = progress_rows::Layout::new(iter::empty(), 0, 0);
+        self.critical_paths_ms = Vec::new();
+        true
+    }
+
     /// Returns a progress row that persists a part of the job's state.
     pub fn progress(&self, part: u32) -> record::Progress {
         let mut progress = record::Progress::default();
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -25,11 +25,12 @@
 mod room;
 mod stuck;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use crate::batch::account_rates;
 use crate::batch::accounts;
+use crate::batch::job_memory;
 use crate::batch::predecessors;
 use crate::batch::progress_rows;
 use crate::batch::queue;
@@ -109,6 +110,8 @@
     jobs_in_removal: BTreeSet<JobId>,
     /// Those of them that were not handed out yet.
     expired_jobs: Vec<JobId>,
+    /// Ended jobs that still hold what was submitted, with the time of their end or recovery, oldest first.
+    untrimmed: VecDeque<(clock::Instant, JobId)>,
     workers: BTreeMap<id::Worker, worker_state::Worker>,
     /// Workers recorded by the previous leader that have not answered a poll yet.
     unresolved: BTreeMap<id::Worker, record::WorkerRow>,
@@ -178,6 +181,7 @@
             held: recovered.undecodable_progress.into_iter().collect(),
             jobs_in_removal: BTreeSet::new(),
             expired_jobs: Vec::new(),
+            untrimmed: VecDeque::new(),
             workers: BTreeMap::new(),
             unresolved: recovered.workers.iter().cloned().collect(),
             missing_since: BTreeMap::new(),
@@ -261,9 +265,13 @@
             self.crashed_tasks.extend(crashed.map(|(id, _)| id));
         }
         if !job.state.is_final() {
-            self.open_jobs.insert(id, &service);
+            let bytes = job_memory::job_bytes(&job.accepted);
+            self.open_jobs.insert(id, &service, bytes);
         }
         let is_final = job.state.is_final();
+        if is_final {
+            self.untrimmed.push_back((now, id));
+        }
         self.jobs.insert(id, job);
         if self.is_held(id) {
             self.log(format!("job held job={id} reason=progress-undecodable"));
@@ -304,6 +312,7 @@
         job.state = state;
         job.ended_unix_ms = unix_ms;
         self.open_jobs.remove(id, &job.accepted.queue.service);
+        self.untrimmed.push_back((now, id));
         self.changed_rows.insert(id.into());
         self.step_tickets.retain(|(job, ..), _| *job != id);
         let active_tasks: Vec<TaskId> = job
@@ -316,6 +325,11 @@
         }
     }
 
+    /// Returns the memory that all open jobs take, in bytes.
+    pub fn open_job_bytes(&self) -> u64 {
+        self.open_jobs.bytes()
+    }
+
     /// Applies a new version of the configuration and marks all its services to be planned again.
     pub fn config_changed(&mut self, config: Arc<queue::Config>) {
         self.config = config;
@@ -365,6 +379,7 @@
             self.refused_at = now;
             self.changed_rows.retry_refused();
         }
+        self.trim_ended_jobs(now);
         self.find_expired_jobs(unix_ms);
         self.delete_obsolete_progress(unix_ms);
     }
--- a/src/batch/scheduler/removal.rs
+++ b/src/batch/scheduler/removal.rs
@@ -9,6 +9,10 @@
 use crate::batch::progress_rows;
 use crate::batch::record;
 use crate::batch::scheduler::{Scheduler, commit};
+use crate::clock;
+
+/// Time after the end of a job within which workers may still report its runs, whose needs are then known, in milliseconds.
+const TRIM_AFTER_MS: u64 = 5_000;
 
 impl Scheduler {
     /// Time for which ended jobs are kept, in milliseconds: twice the promised time, because the clocks of callers and
@@ -17,6 +21,22 @@
         self.settings.status_ms * 2
     }
 
+    /// Releases the memory of what was submitted with jobs that have ended a while ago.
+    pub(super) fn trim_ended_jobs(&mut self, now: clock::Instant) {
+        while let Some(&(ended_at, id)) = self.untrimmed.front() {
+            if now.since_ms(ended_at) < TRIM_AFTER_MS {
+                break;
+            }
+            self.untrimmed.pop_front();
+            // Until its end is committed, callers are told whether the job has started.
+            if let Some(job) = self.jobs.get_mut(&id)
+                && !(job.committed_state.is_final() && job.trim())
+            {
+                self.untrimmed.push_back((now, id));
+            }
+        }
+    }
+
     pub(super) fn find_expired_jobs(&mut self, unix_ms: u64) {
         let keep_ms = self.keep_ms();
         let expired: Vec<JobId> = self
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -13,7 +13,7 @@
 pub const TASKS_MAX: u32 = 20_000;
 
 /// A job as submitted by a caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
     /// What to run; only the workers interpret it.
     pub text: String,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -21,6 +21,7 @@
 mod test_batch_faults;
 mod test_batch_holder;
 mod test_batch_inherit;
+mod test_batch_job_memory;
 mod test_batch_live_workers;
 mod test_batch_odd_entries;
 mod test_batch_order;
