standins: processes of tests reserve the ports that they use

Two tests failed beside copies of the test binary: a daemon that was stopped found its port taken when it started again ("127.0.0.1:31986: Address already in use"), and a proxy whose target was down found another process's stand-in on its port, so that heartbeats were answered with 404. Each process probed for free ports and let go of them, and proxies had ports of the range from which the system takes those of outgoing connections.

A process now reserves blocks of ports with locked files until it ends (standins::ports); proxies take theirs from them as well.

--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -262,6 +262,25 @@
     }
 }
 
+/// Maximum number of a node's newest log lines that a failed test shows.
+const SHOWN_LINES: usize = 60;
+
+impl Drop for Cluster {
+    /// Shows the newest lines of the nodes' logs if the test fails; a failure may not come again.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for (number, node) in self.nodes.iter().enumerate() {
+            let log = node.log().unwrap_or_else(|error| error.to_string());
+            let lines = log.lines().filter(|line| !line.contains("machines listed"));
+            let mut newest: Vec<&str> = lines.rev().take(SHOWN_LINES).collect();
+            newest.reverse();
+            eprintln!("log of node {number}:\n{}", newest.join("\n"));
+        }
+    }
+}
+
 /// Sends a request; status 0 means that no response arrived.
 pub async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Response {
     call_with(address, method, path, body, &[]).await
--- a/standins/src/hosted/process.rs
+++ b/standins/src/hosted/process.rs
@@ -2,13 +2,14 @@
 
 use std::fs;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::ports;
+
 /// Ports reserved for the links between nodes; the daemon uses two of them.
 const PEER_PORTS: u16 = 4;
 
@@ -53,44 +54,10 @@
     }
 }
 
-/// First port assigned to daemons. The range lies below the system's ephemeral ports: an outgoing connection on a
-/// daemon's port would keep the daemon from starting again.
-const FIRST_PORT: u16 = 11_000;
-/// End of the range that starts at [`FIRST_PORT`].
-const LAST_PORT: u16 = 32_000;
-
-/// Distance between the first ports of processes with consecutive ids.
-const PORTS_PER_PROCESS: u32 = 512;
-
-/// Next port to try. Each process starts at a different port, as test processes run in parallel.
-static NEXT_PORT: Mutex<Option<u16>> = Mutex::new(None);
-
-/// Returns the first of `count` consecutive ports on which nothing listens.
-fn free_ports(count: u16) -> io::Result<u16> {
-    let mut next = super::lock(&NEXT_PORT);
-    let range_length = LAST_PORT - FIRST_PORT - count;
-    let offset = std::process::id().wrapping_mul(PORTS_PER_PROCESS) % u32::from(range_length);
-    let offset = u16::try_from(offset).unwrap_or(0);
-    for _ in 0..range_length {
-        let first = next.unwrap_or(FIRST_PORT + offset);
-        let end = first + count;
-        *next = Some(if end < LAST_PORT - count {
-            end
-        } else {
-            FIRST_PORT
-        });
-        let listeners = (first..end).map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
-        if listeners.collect::<io::Result<Vec<_>>>().is_ok() {
-            return Ok(first);
-        }
-    }
-    Err(io::Error::other("no free ports for a daemon"))
-}
-
 fn spawn(daemon: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
     let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
     // Until it executes the daemon, a child holds the ports that another thread probes.
-    let _probing = super::lock(&NEXT_PORT);
+    let _probing = ports::hold();
     Command::new(daemon)
         .args(["--platform", "--config"])
         .arg(settings)
@@ -111,8 +78,8 @@
         number: usize,
         platform: Platform,
     ) -> io::Result<Self> {
-        let first = free_ports(PEER_PORTS)?;
-        let (front, ready) = (free_ports(1)?, free_ports(1)?);
+        let first = ports::take(PEER_PORTS)?;
+        let (front, ready) = (ports::take(1)?, ports::take(1)?);
         let machines = platform.machines.map_or(String::new(), |address| {
             format!("[cloud]\naddress = \"{address}\"\nratePerS = 64.0\ndutyPerS = 64.0\n")
         });
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod load;
 pub mod platform;
+pub mod ports;
 pub mod proxy;
 pub mod server;
 pub mod soak;
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -10,6 +10,8 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time;
 
+use crate::ports;
+
 /// Largest number of bytes forwarded in one write.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Time from the last bytes of a connection to its end, in milliseconds.
@@ -97,13 +99,13 @@
 }
 
 impl Proxy {
-    /// Starts a proxy to `target` on a port that the system assigns.
+    /// Starts a proxy to `target` on a free port.
     ///
     /// # Errors
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((target.ip(), 0)).await?;
+        let listener = TcpListener::bind((target.ip(), ports::take(1)?)).await?;
         let address = listener.local_addr()?;
         let (fault, changes) = watch::channel(Fault::default());
         let task = tokio::spawn(accept(listener, target, changes));
