submissions: the smallest node bounds the memory of jobs, and many nodes share it as a whole

By reading, in the change before: a leader with 512 MiB accepted jobs that a successor with 160 MiB can't hold, and the division of the memory by the number of nodes would have refused jobs of ordinary size where many nodes share it.

Heartbeats name the memory of their sender, and the leader counts on the smallest node that it has heard in the last minute, as any may lead next (job_memory::Nodes). A reply names all memory that is left and the number of nodes: a job's size is compared with the former, what a node admits between two replies is bounded by its share of it.

--- a/node/src/batch/job_room.rs
+++ b/node/src/batch/job_room.rs
@@ -1,15 +1,18 @@
 //! Memory for the jobs that this node accepts: asks the leader for it with heartbeats, and refuses what exceeds it.
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use wasabiloft::batch::{job_memory, record};
 
 use crate::batch::{leadership, shared};
+use crate::clock;
 
-/// The gate of this node's submissions.
+/// The gate of this node's submissions, and the nodes with which it shares the memory while it leads.
 #[derive(Debug)]
 pub struct JobRoom {
     gate: Mutex<job_memory::Gate>,
+    nodes: Mutex<job_memory::Nodes>,
 }
 
 /// Memory that is reserved for a job while it is being stored.
@@ -27,6 +30,7 @@
         let gate = job_memory::Gate::new(job_memory::limit_bytes(memory_mib));
         Self {
             gate: Mutex::new(gate),
+            nodes: Mutex::default(),
         }
     }
 
@@ -34,9 +38,18 @@
         self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records how much memory the leader has left for jobs of this node, in bytes.
-    pub fn replied(&self, room_bytes: u64) {
-        self.gate().replied(room_bytes);
+    fn nodes(&self) -> MutexGuard<'_, job_memory::Nodes> {
+        self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a heartbeat of a follower with `memory_mib`.
+    pub fn heard(&self, address: SocketAddr, memory_mib: u64) {
+        self.nodes().heard(address, memory_mib, clock::since_boot());
+    }
+
+    /// Records how much memory the leader has left.
+    pub fn replied(&self, room: job_memory::Room) {
+        self.gate().replied(room);
     }
 
     /// Reserves memory for a job; `None` if too little is left.
@@ -64,9 +77,9 @@
     }
 }
 
-/// Returns how much memory a leader has left for the jobs of each node, in bytes.
-pub fn room_bytes(shared: &shared::Shared, leadership: &leadership::Leadership) -> u64 {
-    let limit_bytes = job_memory::limit_bytes(shared.settings().memory_mib);
+/// Returns how much memory a leader has left for jobs.
+pub fn left(shared: &shared::Shared, leadership: &leadership::Leadership) -> job_memory::Room {
     let open_bytes = leadership.scheduler().open_job_bytes();
-    limit_bytes.saturating_sub(open_bytes) / shared.submissions.nodes()
+    let own_mib = shared.settings().memory_mib;
+    shared.job_room.nodes().room(own_mib, open_bytes)
 }
--- a/node/src/batch/peers.rs
+++ b/node/src/batch/peers.rs
@@ -14,7 +14,7 @@
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::{handover, predecessors, record, relays, succession};
+use wasabiloft::batch::{handover, job_memory, predecessors, record, relays, succession};
 use wasabiloft::id;
 use wasabiloft_platform::{call, configuration};
 
@@ -69,6 +69,9 @@
     /// CPU of the follower, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// Memory of the follower, in MiB; absent from nodes of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mib: Option<u64>,
     /// Address at which other nodes reach the follower; absent from nodes of earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<SocketAddr>,
@@ -148,9 +151,9 @@
     /// Limits of accounts; absent if the follower reported no submissions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub admission: Option<admission::Reply>,
-    /// Memory that is left for the jobs that the follower accepts, in bytes; absent if the responding node doesn't lead.
+    /// Memory that is left for jobs; absent if the responding node doesn't lead.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub job_room_bytes: Option<u64>,
+    pub job_room: Option<job_memory::Room>,
     /// Whether the follower must read the rows of jobs, as the leader may hand the duty over to it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub prepare: bool,
@@ -200,8 +203,10 @@
         reply.counts_on = heartbeat.relay.is_some();
         if let Some(address) = heartbeat.peers {
             shared.submissions.heard(address, now);
+            let memory_mib = heartbeat.memory_mib.unwrap_or(u64::MAX);
+            shared.job_room.heard(address, memory_mib);
         }
-        reply.job_room_bytes = Some(job_room::room_bytes(&shared, &leadership));
+        reply.job_room = Some(job_room::left(&shared, &leadership));
         if heartbeat.incarnation != 0 {
             let mut handover = leadership.handover();
             handover.heard(follower(&heartbeat), now);
@@ -361,6 +366,7 @@
             .map_or(0, |config| config.version),
         store_silent_ms: shared.store_silent_ms(),
         cpu_milli: settings.cpu_milli,
+        memory_mib: Some(settings.memory_mib),
         peers: Some(settings.peers),
         relay: (may_lead || !shared.stop.is_cancelled()).then_some(relay),
         confirms,
@@ -376,8 +382,8 @@
     let client = shared.peers.to(address);
     let reply = client.post("/beat", &[], &heartbeat, timeout_ms).await?;
     let mut reply: HeartbeatReply = reply.json()?;
-    if let Some(room_bytes) = reply.job_room_bytes {
-        shared.job_room.replied(room_bytes);
+    if let Some(room) = reply.job_room {
+        shared.job_room.replied(room);
     }
     if let Some(limits) = reply.admission.take() {
         admission::replied(shared, limits, sent_at);
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -58,8 +58,7 @@
         ));
     }
     if let Some(leadership) = shared.leadership() {
-        let room_bytes = job_room::room_bytes(shared, &leadership);
-        shared.job_room.replied(room_bytes);
+        shared.job_room.replied(job_room::left(shared, &leadership));
     }
     let Some(mut reservation) = shared.job_room.reserve(&accepted) else {
         // The caller may repeat a job that was accepted before, which a refusal would deny.
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -112,13 +112,6 @@
         followers.insert(address, now);
     }
 
-    /// Returns the number of nodes that accept jobs, as far as this one has heard from them as the leader.
-    pub fn nodes(&self) -> u64 {
-        let followers = self.followers.lock();
-        let followers = followers.unwrap_or_else(PoisonError::into_inner);
-        followers.len() as u64 + 1
-    }
-
     /// Returns this node's view of the store's transactions.
     pub fn pace(&self) -> Pace {
         *self.pace.lock().unwrap_or_else(PoisonError::into_inner)
--- a/tests/test_batch_job_memory.rs
+++ b/tests/test_batch_job_memory.rs
@@ -1,7 +1,9 @@
 //! Memory of open jobs: what the nodes admit, and what the scheduler holds.
 
+use std::net::SocketAddr;
+
 use wasabiloft::batch::JobId;
-use wasabiloft::batch::job_memory::{self, Gate};
+use wasabiloft::batch::job_memory::{self, Gate, Nodes, Room};
 use wasabiloft::batch::record;
 use wasabiloft::batch::scheduler::{Output, RecoveredState, Scheduler};
 use wasabiloft::batch::worker_state;
@@ -12,13 +14,18 @@
 
 const MIB: u64 = 1_024 * 1_024;
 
+/// Returns the room of a node that shares it with none.
+fn alone(bytes: u64) -> Room {
+    Room { bytes, nodes: 1 }
+}
+
 /// Guards against large jobs that leave no memory for small ones.
 #[test]
 fn small_jobs_are_admitted_when_large_ones_are_not() {
     let (large_bytes, small_bytes) = (MIB, MIB / 64);
     let mut gate = Gate::new(0);
     assert!(!gate.admit(small_bytes));
-    gate.replied(64 * MIB);
+    gate.replied(alone(64 * MIB));
     let mut admitted = 0;
     while gate.admit(large_bytes) {
         gate.ended(large_bytes, true);
@@ -35,7 +42,7 @@
 #[test]
 fn jobs_without_an_outcome_count_as_stored() {
     let mut gate = Gate::new(0);
-    gate.replied(100 * MIB);
+    gate.replied(alone(100 * MIB));
     let admitted = (0..1_000).filter(|_| gate.admit(MIB)).count();
     assert!((32..100).contains(&admitted), "{admitted}");
     // What certainly wasn't stored makes room, what may be stored doesn't.
@@ -44,12 +51,55 @@
     gate.ended(MIB, false);
     assert!(gate.admit(MIB));
     // A reply counts what was stored, and not what is on its way.
-    gate.replied(100 * MIB);
+    gate.replied(alone(100 * MIB));
     assert!(gate.admit(MIB));
     let more = (0..1_000).filter(|_| gate.admit(MIB)).count();
     assert_eq!(more, 0);
 }
 
+/// Guards against a leader with much memory whose successor, with less, can't hold the jobs that were accepted.
+#[test]
+fn the_smallest_node_bounds_the_memory_that_all_share() {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let (now, mut nodes) = (Instant::from_ms(1_000), Nodes::default());
+    let limit_bytes = job_memory::limit_bytes(1_000);
+    assert_eq!(nodes.room(1_000, 0), alone(limit_bytes));
+    assert_eq!(nodes.room(1_000, limit_bytes - 1), alone(1));
+    assert_eq!(nodes.room(1_000, limit_bytes + 1), alone(0));
+    for (port, memory_mib) in [(1, 4_000), (2, 100), (1, 2_000)] {
+        nodes.heard(address(port), memory_mib, now);
+    }
+    let shared = Room {
+        bytes: job_memory::limit_bytes(100),
+        nodes: 3,
+    };
+    assert_eq!(nodes.room(1_000, 0), shared);
+    // A node that is gone for long doesn't bound it any more.
+    nodes.heard(address(1), 2_000, now.after_ms(100_000));
+    let room = nodes.room(1_000, 0);
+    assert_eq!((room.bytes, room.nodes), (limit_bytes, 2));
+}
+
+/// Guards against large jobs that are refused because many nodes share the memory, and against nodes that together admit more
+/// than is left.
+#[test]
+fn many_nodes_admit_large_jobs_and_no_more_than_is_left() {
+    let room = Room {
+        bytes: 32 * MIB,
+        nodes: 150,
+    };
+    let job_bytes = 100 * 1_024;
+    let mut admitted = 0;
+    for _ in 0..room.nodes {
+        let mut gate = Gate::new(0);
+        gate.replied(room);
+        let jobs = (0..1_000).take_while(|_| gate.admit(job_bytes)).count();
+        assert!(jobs > 0);
+        admitted += jobs as u64 * job_bytes;
+    }
+    assert!(admitted <= room.bytes, "{admitted}");
+}
+
 #[test]
 fn the_size_of_a_job_grows_with_what_was_submitted() {
     let bytes = |steps| job_memory::job_bytes(&accepted(steps, 3));
