scheduler: a poll looks at the runs of its worker once

Two loops went over all runs of a worker before each poll, and each report was copied into a set for the runs that should not exist, of which there are hardly ever any.

One loop answers both questions (Stops), and the set is built only where such runs are known.

--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -27,6 +27,15 @@
 /// Maximum number of ends in one report.
 const ENDS_MAX: usize = 500;
 
+/// How far the stops of a worker's runs have got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stops {
+    /// The worker has acknowledged the stop of a run whose end it hasn't reported.
+    has_acknowledged: bool,
+    /// The worker hasn't acknowledged a stop for so long that only the end of its lease can end the run.
+    has_overdue: bool,
+}
+
 /// Returns the number of a task's run that is under way; `None` if there is none.
 fn task_run(jobs: &HashMap<JobId, job::Job>, id: &TaskId) -> Option<u32> {
     let task = jobs.get(&id.job)?.task(id)?;
@@ -37,23 +46,22 @@
     /// Returns the contents of the next poll of a worker, or `None` if the worker is not known.
     pub fn next_poll(&mut self, id: &id::Worker, now: clock::Instant) -> Option<Poll> {
         let lease_ms = self.lease_ms(now);
-        let uncertain = self.has_uncertain_runs(id);
+        let stops = self.stops(id, now);
         let has_orphans = self.orphans.has_runs_on(id);
         let has_trial = self.has_trial(id);
-        let has_overdue_stop = self.has_overdue_stop(id, now);
         let worker = self.workers.get_mut(id)?;
         let tries_connection = worker.connections.is_trial_due(now);
         let mut until_ms = None;
         // An unanswered poll may have granted a lease. Further leases would delay the time at which all have lapsed.
         let has_runs = has_orphans || !worker.tasks.is_empty();
-        let may_renew = !worker.unanswered && !tries_connection && !has_overdue_stop;
+        let may_renew = !worker.unanswered && !tries_connection && !stops.has_overdue;
         if has_runs && may_renew && lease_ms > 0 {
             until_ms = worker.lease_end_ms(now, lease_ms);
         }
         if let Some(until_ms) = until_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
         }
-        let wait_ms = match (worker.adopted, uncertain) {
+        let wait_ms = match (worker.adopted, stops.has_acknowledged) {
             (false, _) => 0,
             (true, true) => WAIT_UNCERTAIN_MS,
             (true, false) if has_trial => WAIT_TRIAL_MS,
@@ -80,37 +88,27 @@
         })
     }
 
-    /// Returns whether a worker that answers polls has not got the stop of a run for so long that only the end of its lease can
-    /// end the run.
-    fn has_overdue_stop(&self, id: &id::Worker, now: clock::Instant) -> bool {
-        let is_overdue = |active: &job::ActiveRun| {
-            let requested_at = active.stop_requested_at;
-            active.confirmed_at.is_some()
-                && active.stop_acked_at.is_none()
-                && requested_at.is_some_and(|at| now.since_ms(at) >= STOP_OVERDUE_MS)
-        };
+    /// Returns how far the stops of a worker's runs have got.
+    fn stops(&self, id: &id::Worker, now: clock::Instant) -> Stops {
+        let mut stops = Stops::default();
         let Some(worker) = self.workers.get(id) else {
-            return false;
+            return stops;
         };
+        let is_overdue = |at: clock::Instant| now.since_ms(at) >= STOP_OVERDUE_MS;
         let mut unexpected = worker.unexpected.values().flatten();
-        unexpected.any(|at| now.since_ms(*at) >= STOP_OVERDUE_MS)
-            || worker.tasks.iter().any(|task| {
-                let task = self.jobs.get(&task.job).and_then(|job| job.task(task));
-                let active = task.and_then(|task| task.active.as_ref());
-                active.is_some_and(is_overdue)
-            })
-    }
-
-    fn has_uncertain_runs(&self, id: &id::Worker) -> bool {
-        self.workers.get(id).is_some_and(|worker| {
-            worker.tasks.iter().any(|task| {
-                self.jobs
-                    .get(&task.job)
-                    .and_then(|job| job.task(task))
-                    .and_then(|task| task.active.as_ref())
-                    .is_some_and(|active| active.stop_acked_at.is_some())
-            })
-        })
+        stops.has_overdue = unexpected.any(|at| is_overdue(*at));
+        for task in &worker.tasks {
+            let task = self.jobs.get(&task.job).and_then(|job| job.task(task));
+            let Some(active) = task.and_then(|task| task.active.as_ref()) else {
+                continue;
+            };
+            if active.stop_acked_at.is_some() {
+                stops.has_acknowledged = true;
+            } else if active.confirmed_at.is_some() {
+                stops.has_overdue |= active.stop_requested_at.is_some_and(is_overdue);
+            }
+        }
+        stops
     }
 
     /// Handles a worker's answer to the poll that was sent at `sent_at`.
@@ -185,7 +183,7 @@
         self.count_unexpected(id, report);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unreserved = unreserved;
-            if report.unreadable_runs == 0 {
+            if report.unreadable_runs == 0 && !worker.unexpected.is_empty() {
                 let runs = report.running.iter().map(|run| (run.task, run.run));
                 let reported: BTreeSet<(TaskId, u32)> = runs.collect();
                 worker.unexpected.retain(|run, _| reported.contains(run));
