--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -27,12 +27,13 @@
     pub cpu: u64,
 }
 
-/// What a spec tells a task to do: words `work=MS`, `cpu=N` and `lasts`.
+/// What a spec tells a task to do: words `work=MS`, `cpu=N`, `lasts` and `fails`.
 #[derive(Clone, Copy)]
 struct Work {
     ms: u64,
     cpu: u64,
     lasts: bool,
+    fails: bool,
 }
 
 impl Work {
@@ -41,12 +42,16 @@
             ms: 500,
             cpu: 500,
             lasts: false,
+            fails: false,
         };
         for word in spec.split(' ') {
             match word.split_once('=') {
                 Some(("work", text)) => work.ms = text.parse().unwrap_or(work.ms),
                 Some(("cpu", text)) => work.cpu = text.parse().unwrap_or(work.cpu),
-                _ => work.lasts |= word == "lasts",
+                _ => {
+                    work.lasts |= word == "lasts";
+                    work.fails |= word == "fails";
+                }
             }
         }
         work
@@ -130,7 +135,7 @@
             let how = if running.stops_at.is_some_and(|at| now >= at) {
                 "stopped"
             } else if !running.work.lasts && worked_ms >= running.work.ms {
-                "done"
+                if running.work.fails { "failed" } else { "done" }
             } else if has_lapsed {
                 "lapsed"
             } else {
@@ -285,6 +290,12 @@
         self.crash();
     }
 
+    /// Returns the processor capacity in use, in thousandths of a core.
+    pub fn used_cpu(&self) -> u64 {
+        let life = self.life.lock().unwrap();
+        life.as_ref().map_or(0, Life::used_cpu)
+    }
+
     /// Returns the stops of tasks that last and were at work, in order.
     pub fn stops(&self) -> Vec<Stopped> {
         self.stops.lock().unwrap().clone()
