review: case 11, a task runs twice after a runner's restart under its id

The store turns the leader away with 503; an idle runner starts again under its id and loses its path to the next leader for 5 s. The leader's next start carries a lease on the earlier clock, which lasts maxHoldMs on the new one; the next leader waits 4.6 s and starts the tasks again. The stand-in of the store has an address for each node now, and runs take ports further apart.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,6 +13,7 @@
 mod case_cancel;
 mod case_idle;
 mod case_kind;
+mod case_lease;
 mod case_waiting;
 
 use std::env;
@@ -44,6 +45,7 @@
     let verdict = match case.as_str() {
         "cancel" => case_cancel::run(&root, &record, has_trouble),
         "idle" => case_idle::run(&root, &record, has_trouble),
+        "lease" => case_lease::run(&root, &record, has_trouble),
         "kind" => case_kind::run(&root, &record, has_trouble),
         "waiting" => case_waiting::run(&root, &record, has_trouble),
         other => Err(io::Error::other(format!("no case {other}"))),
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -179,6 +179,8 @@
     sick: Mutex<bool>,
     /// Whether the runner reaches the store.
     registers: Mutex<bool>,
+    /// Fence of the node whose calls are lost.
+    lost_fence: Mutex<Option<u64>>,
     /// What the list of machines shows while only the runner's process is down, and its machine up.
     shown: Mutex<Option<(String, Kind)>>,
 }
@@ -207,6 +209,7 @@
             starts: Arc::clone(starts),
             sick: Mutex::new(false),
             registers: Mutex::new(true),
+            lost_fence: Mutex::new(None),
             shown: Mutex::new(None),
         });
         runner.begin(id, kind)?;
@@ -280,6 +283,26 @@
         self.crash();
     }
 
+    /// Loses all calls of the node that leads after the present leader, or of none.
+    pub fn set_cut_from_next_leader(&self, cut: bool) {
+        let life = self.life.lock().unwrap();
+        let fence = life.as_ref().map_or(0, |life| life.fence) + 1;
+        let mut lost_fence = self.lost_fence.lock().unwrap();
+        *lost_fence = cut.then_some(fence);
+        self.record.line(&format!(
+            "runner {}: calls of the next leader {}",
+            self.machine,
+            if cut { "are lost" } else { "arrive again" }
+        ));
+    }
+
+    /// Returns the tasks that run.
+    pub fn tasks(&self) -> Vec<String> {
+        let life = self.life.lock().unwrap();
+        let tasks = life.as_ref().map(|life| life.running.keys().cloned());
+        tasks.into_iter().flatten().collect()
+    }
+
     /// Returns the processor capacity in use, in thousandths of a core.
     pub fn used_cpu(&self) -> u64 {
         let life = self.life.lock().unwrap();
@@ -380,6 +403,10 @@
         let Some(body) = Json::parse(&request.body) else {
             return Reply::Answer(400, "{}".into());
         };
+        let lost_fence = *self.lost_fence.lock().unwrap();
+        if lost_fence.is_some_and(|fence| body.field("fenceToken") == fence) {
+            return Reply::Silent;
+        }
         if request.path == "/hold" {
             return self.hold(request, &body);
         }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,6 +17,9 @@
 /// Time of a transaction, in milliseconds.
 const TX_MS: u64 = 8;
 
+/// What each write of the leader's row contains.
+const DUTY: &str = "\"table\":\"duty\"";
+
 type Key = (String, String, String);
 
 #[derive(Clone)]
@@ -72,19 +76,57 @@
     Json::object(&fields)
 }
 
+/// A node's way to the store, at an address of its own. The store can turn that node away with 503.
+pub struct Door {
+    pub server: Server,
+    is_shut: Arc<AtomicBool>,
+    /// When the node wrote the duty last.
+    duty_at: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Door {
+    pub fn duty_at(&self) -> Option<Instant> {
+        *self.duty_at.lock().unwrap()
+    }
+
+    pub fn set_shut(&self, shut: bool) {
+        self.is_shut.store(shut, Ordering::SeqCst);
+    }
+}
+
 impl Store {
-    pub fn start(record: &Arc<Record>) -> io::Result<(Arc<Self>, Server)> {
-        let store = Arc::new(Self {
+    pub fn new(record: &Arc<Record>) -> Arc<Self> {
+        Arc::new(Self {
             rows: Mutex::default(),
             changed: Condvar::new(),
             since: Instant::now(),
             record: Arc::clone(record),
             late: Mutex::default(),
             counts: Mutex::default(),
-        });
-        let handler = Arc::clone(&store);
-        let server = Server::start(0, move |request| handler.handle(request))?;
-        Ok((store, server))
+        })
+    }
+
+    pub fn door(self: &Arc<Self>) -> io::Result<Door> {
+        let (handler, is_shut) = (Arc::clone(self), Arc::<AtomicBool>::default());
+        let shut = Arc::clone(&is_shut);
+        let duty_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+        let duty = Arc::clone(&duty_at);
+        let server = Server::start(0, move |request| {
+            let is_away = || shut.load(Ordering::SeqCst);
+            if is_away() {
+                thread::sleep(Duration::from_millis(ANSWER_MS));
+                return Reply::Answer(503, "{}".into());
+            }
+            if request.path == "/rows-tx" && request.body.contains(DUTY) {
+                *duty.lock().unwrap() = Some(Instant::now());
+            }
+            handler.handle(request, &is_away)
+        })?;
+        Ok(Door {
+            server,
+            is_shut,
+            duty_at,
+        })
     }
 
     /// Writes a row as the operator or a runner does; `value` is JSON text.
@@ -120,7 +162,7 @@
         page.to_string()
     }
 
-    fn handle(self: &Arc<Self>, request: &Request) -> Reply {
+    fn handle(self: &Arc<Self>, request: &Request, is_away: &dyn Fn() -> bool) -> Reply {
         thread::sleep(Duration::from_millis(ANSWER_MS));
         let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match (request.method.as_str(), request.path.as_str()) {
@@ -150,13 +192,17 @@
                     let mut found: Vec<(&Key, &Row)> = rows.rows.iter().filter(is_new).collect();
                     found.sort_by_key(|(_, row)| row.version);
                     let left = until.saturating_duration_since(Instant::now());
+                    if is_away() {
+                        return Reply::Answer(503, "{}".into());
+                    }
                     if !found.is_empty() || left.is_zero() {
                         let found = found.into_iter().map(|(key, row)| wire(key, row)).collect();
                         let version = rows.version;
                         drop(rows);
                         return Reply::Answer(200, self.page(found, false, version));
                     }
-                    rows = self.changed.wait_timeout(rows, left).unwrap().0;
+                    let wait = left.min(Duration::from_millis(50));
+                    rows = self.changed.wait_timeout(rows, wait).unwrap().0;
                 }
             }
             _ => Reply::Answer(404, "{}".into()),
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -14,7 +14,7 @@
 use crate::json::Json;
 use crate::record::Record;
 use crate::runner::{Kind, Runner, Started};
-use crate::store::Store;
+use crate::store::{Door, Store};
 
 pub const HOST: &str = "pule25.example";
 pub const PREFIX: &str = "/puxa400/";
@@ -33,6 +33,8 @@
     pub name: String,
     pub front: SocketAddr,
     ready: SocketAddr,
+    /// Its way to the store.
+    pub door: Door,
     process: Child,
 }
 
@@ -84,7 +86,7 @@
     pub fn start(root: &Path, record: Arc<Record>, plan: &Plan) -> io::Result<Self> {
         let folder = env::temp_dir().join(format!("wasabiloft-review-3-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let (store, store_server) = Store::start(&record)?;
+        let store = Store::new(&record);
         let starts: Arc<Mutex<Vec<Started>>> = Arc::default();
         let route = Json::object(&[
             ("name", Json::text("r-anu6wsj")),
@@ -160,18 +162,13 @@
             _servers: Vec::new(),
         };
         // Below the ports that the system gives to outgoing connections, and apart from those of other runs.
-        let mut next_port = 12_000 + (std::process::id() % 300 * 64) as u16;
+        let mut next_port = 12_000 + (std::process::id() % 150 * 128) as u16;
         for number in 0..plan.nodes {
-            let node = world.start_node(
-                root,
-                number,
-                &mut next_port,
-                store_server.address,
-                cloud.address,
-            )?;
+            let door = world.store.door()?;
+            let node = world.start_node(root, number, &mut next_port, door, cloud.address)?;
             world.nodes.push(node);
         }
-        world._servers.extend([store_server, cloud]);
+        world._servers.push(cloud);
         world.until("all nodes are ready", 20_000, |world| {
             let is_ready = |node: &Node| {
                 http::call(node.ready, "GET", "/ready", &[], "", 500)
@@ -189,11 +186,12 @@
         root: &Path,
         number: usize,
         next_port: &mut u16,
-        store: SocketAddr,
+        door: Door,
         cloud: SocketAddr,
     ) -> io::Result<Node> {
         let first = free_ports(next_port, 19)?;
         let name = format!("front-suva-{}", number + 1);
+        let store = door.server.address;
         let (front, ready, control) = (first + 16, first + 17, first + 18);
         let text = format!(
             r#"nodeName = "{name}"
@@ -307,6 +305,7 @@
             name,
             front: at(front),
             ready: at(ready),
+            door,
             process,
         })
     }
@@ -362,6 +361,15 @@
         })
     }
 
+    /// Returns the number of the node that wrote the duty last.
+    pub fn leader(&self) -> io::Result<usize> {
+        let of_duty = |number: &usize| self.nodes[*number].door.duty_at();
+        (0..self.nodes.len())
+            .filter(|number| of_duty(number).is_some())
+            .max_by_key(of_duty)
+            .ok_or_else(|| io::Error::other("no node leads"))
+    }
+
     /// Returns the starts of a job's tasks.
     pub fn starts_of(&self, job: &str) -> Vec<Started> {
         let starts = self.starts.lock().unwrap();
