standins: a worker's connections end with its incarnation

A stand-in worker that started again under its id went on serving the connections that its earlier incarnation had accepted. A connection is accepted by an incarnation now and closed when that ends; a request that arrives at the same moment is refused.

--- a/standins/src/hosted/mod.rs
+++ b/standins/src/hosted/mod.rs
@@ -37,12 +37,21 @@
 }
 
 async fn listen<T>(state: Arc<T>, router: Router) -> std::io::Result<Listening<T>> {
-    let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
-    let address = listener.local_addr()?;
-    let task = tokio::spawn(async move {
+    let serve = |listener, _| async move {
         // The task is aborted on drop, so a result of the server carries no information.
         let _ = axum::serve(listener, router).await;
-    });
+    };
+    listen_with(state, serve).await
+}
+
+async fn listen_with<T, F, S>(state: Arc<T>, serve: F) -> std::io::Result<Listening<T>>
+where
+    F: FnOnce(TcpListener, Arc<T>) -> S,
+    S: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(serve(listener, Arc::clone(&state)));
     Ok(Listening {
         address,
         state,
--- a/standins/src/hosted/worker/mod.rs
+++ b/standins/src/hosted/worker/mod.rs
@@ -15,13 +15,14 @@
 use axum::response::{IntoResponse, Response};
 use serde_json::{Value, json};
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
-use self::server::{Hold, Start, Stop};
+use self::server::{Accepted, Hold, Start, Stop};
 pub use self::spec::Settings;
 use self::spec::TaskSpec;
 use super::checker::Checker;
 use super::history::{Outcome, Run};
-use super::{Listening, listen, lock};
+use super::{Listening, listen_with, lock};
 
 /// Interval at which due runs are ended, in milliseconds.
 const POLL_MS: u64 = 5;
@@ -56,6 +57,8 @@
     last_end_number: u64,
     /// When the lease was last seen to have lapsed.
     lapsed_at: Option<time::Instant>,
+    /// Cancelled when the incarnation ends, with its connections.
+    ended: CancellationToken,
 }
 
 /// The end of a run, until a node acknowledges it.
@@ -81,6 +84,7 @@
             ends: Vec::new(),
             last_end_number: 0,
             lapsed_at: None,
+            ended: CancellationToken::new(),
         }
     }
 
@@ -143,9 +147,8 @@
             odd_run: Mutex::default(),
             lapsed: AtomicUsize::new(0),
         });
-        let router = server::router(&state);
         tokio::spawn(end_due_runs_until_dropped(Arc::downgrade(&state)));
-        listen(state, router).await
+        listen_with(state, server::serve).await
     }
 
     /// Returns the number of starts of each task that the worker's checker recorded.
@@ -162,10 +165,20 @@
     pub fn start_incarnation(&self, id: Option<String>) {
         let mut incarnation = lock(&self.incarnation);
         self.checker.incarnation_ended(&incarnation.name());
+        incarnation.ended.cancel();
         let born_unix_ms = incarnation.born_unix_ms + 1;
         *incarnation = Incarnation::new(id, born_unix_ms);
     }
 
+    /// Returns the incarnation that accepts a connection now.
+    fn accept(&self) -> Accepted {
+        let incarnation = lock(&self.incarnation);
+        Accepted {
+            born_unix_ms: incarnation.born_unix_ms,
+            ended: incarnation.ended.clone(),
+        }
+    }
+
     /// Returns the id and the birth time of the current incarnation.
     pub fn incarnation(&self) -> (Option<String>, u64) {
         let incarnation = lock(&self.incarnation);
@@ -222,13 +235,15 @@
         (StatusCode::CONFLICT, Json(body)).into_response()
     }
 
-    /// Returns the status for a request that the worker rejects: it is off, or the request is meant for another instance.
+    /// Returns the status for a request that the worker rejects: it is off, the request is meant for another instance, or its
+    /// connection ends as the incarnation that accepted it has ended.
     fn rejection_status(
         &self,
+        accepted: &Accepted,
         headers: &HeaderMap,
         incarnation: &Incarnation,
     ) -> Option<StatusCode> {
-        if self.off.load(Ordering::Relaxed) {
+        if self.off.load(Ordering::Relaxed) || accepted.born_unix_ms != incarnation.born_unix_ms {
             return Some(StatusCode::SERVICE_UNAVAILABLE);
         }
         let expected = headers.get("x-expect-instance")?.to_str().ok()?;
@@ -296,10 +311,10 @@
         );
     }
 
-    fn start_run(&self, headers: &HeaderMap, start: &Start) -> Response {
+    fn start_run(&self, accepted: &Accepted, headers: &HeaderMap, start: &Start) -> Response {
         self.end_due_runs();
         let mut incarnation = lock(&self.incarnation);
-        if let Some(status) = self.rejection_status(headers, &incarnation) {
+        if let Some(status) = self.rejection_status(accepted, headers, &incarnation) {
             return status.into_response();
         }
         if start.fence_token < incarnation.fence {
@@ -363,9 +378,9 @@
         Json(json!({"clockMs": now_ms})).into_response()
     }
 
-    fn stop_run(&self, headers: &HeaderMap, stop: &Stop) -> Response {
+    fn stop_run(&self, accepted: &Accepted, headers: &HeaderMap, stop: &Stop) -> Response {
         let mut incarnation = lock(&self.incarnation);
-        if let Some(status) = self.rejection_status(headers, &incarnation) {
+        if let Some(status) = self.rejection_status(accepted, headers, &incarnation) {
             return status.into_response();
         }
         if stop.fence_token < incarnation.fence {
@@ -394,10 +409,15 @@
         Json(json!({"clockMs": self.clock_ms(&incarnation)})).into_response()
     }
 
-    fn begin_poll(&self, headers: &HeaderMap, hold: &Hold) -> Option<Response> {
+    fn begin_poll(
+        &self,
+        accepted: &Accepted,
+        headers: &HeaderMap,
+        hold: &Hold,
+    ) -> Option<Response> {
         self.end_due_runs();
         let mut incarnation = lock(&self.incarnation);
-        if let Some(status) = self.rejection_status(headers, &incarnation) {
+        if let Some(status) = self.rejection_status(accepted, headers, &incarnation) {
             return Some(status.into_response());
         }
         if hold.fence_token < incarnation.fence {
@@ -431,9 +451,9 @@
         !lock(&self.incarnation).ends.is_empty()
     }
 
-    fn report(&self, headers: &HeaderMap) -> Response {
+    fn report(&self, accepted: &Accepted, headers: &HeaderMap) -> Response {
         let incarnation = lock(&self.incarnation);
-        if let Some(status) = self.rejection_status(headers, &incarnation) {
+        if let Some(status) = self.rejection_status(accepted, headers, &incarnation) {
             return status.into_response();
         }
         let percent = |running: &Running| {
--- a/standins/src/hosted/worker/server.rs
+++ b/standins/src/hosted/worker/server.rs
@@ -1,4 +1,5 @@
-//! The worker's HTTP interface, with the faults of its responses.
+//! The worker's HTTP interface, with the faults of its responses. A connection ends with the incarnation that accepted it, as
+//! that of a process does.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -7,9 +8,15 @@
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
-use axum::{Json, Router, routing};
+use axum::{Extension, Json, Router, routing};
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use super::Worker;
 
@@ -48,8 +55,44 @@
     pub(super) wait_ms: u64,
 }
 
+/// The incarnation that accepted a connection.
+#[derive(Clone, Debug)]
+pub(super) struct Accepted {
+    pub(super) born_unix_ms: u64,
+    /// Cancelled when the incarnation ends.
+    pub(super) ended: CancellationToken,
+}
+
+/// Serves connections until the task is aborted.
+pub(super) async fn serve(listener: TcpListener, worker: Arc<Worker>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve_connection(stream, Arc::clone(&worker)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, worker: Arc<Worker>) {
+    let accepted = worker.accept();
+    let ended = accepted.ended.clone();
+    let service = TowerToHyperService::new(router(&worker).layer(Extension(accepted)));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        biased;
+        () = ended.cancelled() => {}
+        // The caller may close the connection at any time.
+        _ = connection => {}
+    }
+}
+
 /// Returns the worker's routes.
-pub(super) fn router(worker: &Arc<Worker>) -> Router {
+fn router(worker: &Arc<Worker>) -> Router {
     Router::new()
         .route("/run-start", routing::post(run_start))
         .route("/run-stop", routing::post(run_stop))
@@ -98,33 +141,38 @@
 
 async fn run_start(
     State(worker): State<Arc<Worker>>,
+    Extension(accepted): Extension<Accepted>,
     headers: HeaderMap,
     Json(start): Json<Start>,
 ) -> Response {
-    execute(worker, move |worker| worker.start_run(&headers, &start)).await
+    let command = move |worker: &Worker| worker.start_run(&accepted, &headers, &start);
+    execute(worker, command).await
 }
 
 async fn run_stop(
     State(worker): State<Arc<Worker>>,
+    Extension(accepted): Extension<Accepted>,
     headers: HeaderMap,
     Json(stop): Json<Stop>,
 ) -> Response {
-    execute(worker, move |worker| worker.stop_run(&headers, &stop)).await
+    let command = move |worker: &Worker| worker.stop_run(&accepted, &headers, &stop);
+    execute(worker, command).await
 }
 
 async fn hold(
     State(worker): State<Arc<Worker>>,
+    Extension(accepted): Extension<Accepted>,
     headers: HeaderMap,
     Json(hold): Json<Hold>,
 ) -> Response {
     let until = time::Instant::now() + Duration::from_millis(hold.wait_ms);
-    if let Some(refused) = worker.begin_poll(&headers, &hold) {
+    if let Some(refused) = worker.begin_poll(&accepted, &headers, &hold) {
         return refused;
     }
     loop {
         worker.end_due_runs();
         if time::Instant::now() >= until || worker.has_ends() {
-            let response = worker.report(&headers);
+            let response = worker.report(&accepted, &headers);
             return answer(&worker, response).await;
         }
         time::sleep(Duration::from_millis(POLL_MS)).await;
