--- a/measure/src/search/network.rs
+++ b/measure/src/search/network.rs
@@ -1,6 +1,6 @@
 //! The network between nodes and workers, and what workers do with commands.
 
-use wasabiloft::batch::scheduler::Start;
+use wasabiloft::batch::scheduler::{Poll, Start};
 use wasabiloft::id;
 
 use crate::search::history::{Cut, Message};
@@ -58,6 +58,9 @@
             if node.is_some_and(|node| node != number) {
                 continue;
             }
+            for is_poll in [false, true] {
+                self.nodes[number].disconnect(vm, is_poll);
+            }
             let calls = self.nodes[number].calls_to(vm);
             for call in calls {
                 let answer = Answer::Failed { refused: false };
@@ -93,6 +96,9 @@
     }
 
     /// Sends a command to a worker.
+    ///
+    /// A connection ends at one life of the worker. On a new one, a start is sent after a poll without effect, which tells
+    /// which life that is, and a poll has no effect by itself.
     pub fn send(
         &mut self,
         node: usize,
@@ -101,43 +107,76 @@
         vm: usize,
         request: Request,
     ) {
-        let refused = Event::ToNode {
+        let failed = |refused| Event::ToNode {
             node,
             call,
-            answer: Answer::Failed { refused: true },
+            answer: Answer::Failed { refused },
         };
-        let refused_at_ms = self.now_ms + LATENCY_MS;
+        let failed_at_ms = self.now_ms + LATENCY_MS;
         let is_poll = matches!(request, Request::Poll(_));
+        let connection = self.nodes[node].connection(vm, is_poll);
         let mut held_until_ms = None;
         match self.path(node, vm) {
             Some((Cut::Refused, _)) => {
-                self.push(refused_at_ms, refused);
+                self.push(failed_at_ms, failed(true));
                 return;
             }
             // Without a connection, nothing is on its way that could arrive later.
-            Some((Cut::Silent, _)) if !self.nodes[node].is_connected(vm, is_poll) => return,
+            Some((Cut::Silent, _)) if connection.is_none() => return,
             Some((Cut::Silent, until_ms)) => held_until_ms = Some(until_ms),
             Some((Cut::OneWay, _)) | None => {}
         }
-        let Some(life) = &self.vms[vm].life else {
+        let current = self.vms[vm].life.as_ref();
+        let current = current.map(|life| (life.number, life.started_unix_ms()));
+        let Some((current, started_unix_ms)) = current else {
             if !self.vms[vm].is_silent {
-                self.push(refused_at_ms, refused);
+                self.push(failed_at_ms, failed(true));
             }
             return;
         };
+        let life = connection.unwrap_or(current);
+        let is_current = life == current;
+        if !is_current {
+            self.nodes[node].disconnect(vm, is_poll);
+        }
+        let (request, round_trips) = match request {
+            Request::Start(start) if is_current && start.started_unix_ms != started_unix_ms => {
+                self.note(|| format!("n{node}: another life answers in place of {worker}"));
+                self.nodes[node].connect(vm, is_poll, life);
+                self.push(failed_at_ms + 2 * self.latency_ms(), failed(true));
+                return;
+            }
+            Request::Start(start) if connection.is_none() => (Request::Start(start), 1),
+            Request::Poll(poll)
+                if connection.is_none()
+                    || is_current && poll.started_unix_ms != started_unix_ms =>
+            {
+                let greeting = Poll {
+                    until_ms: None,
+                    acknowledged: 0,
+                    wait_ms: 0,
+                    ..poll
+                };
+                (Request::Poll(greeting), 0)
+            }
+            request => (request, 0),
+        };
+        if is_current {
+            self.nodes[node].connect(vm, is_poll, life);
+        }
         let event = Event::ToWorker {
             node,
             call,
             epoch: self.nodes[node].epoch(),
             vm,
-            life: life.number,
+            life,
             id: worker.clone(),
             request: request.clone(),
         };
-        self.nodes[node].connect(vm, is_poll);
+        let latency_ms = (2 * round_trips + 1) * self.latency_ms();
         match held_until_ms {
-            Some(until_ms) => self.push(until_ms + self.latency_ms(), event),
-            None => self.deliver(request.message(), vm, self.latency_ms(), event),
+            Some(until_ms) => self.push(until_ms + latency_ms, event),
+            None => self.deliver(request.message(), vm, latency_ms, event),
         }
     }
 
--- a/measure/src/search/node.rs
+++ b/measure/src/search/node.rs
@@ -1,6 +1,6 @@
 //! Nodes: the term of a leader, its calls, and the followers that take over.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use wasabiloft::batch::scheduler::{Scheduler, Start};
 use wasabiloft::batch::{TaskId, authority, predecessors};
@@ -172,7 +172,8 @@
     /// When the process starts again, in milliseconds, if it stops once the duty is released.
     pub(super) stops_until_ms: Option<u64>,
     pub(super) down_until_ms: u64,
-    pub(super) connected: BTreeSet<(usize, bool)>,
+    /// Open connections by VM, and by whether they are for polls: the life at the other end.
+    pub(super) connected: BTreeMap<(usize, bool), u64>,
     pub(super) calls: BTreeMap<u64, (Option<usize>, Call)>,
     pub(super) next_call: u64,
     pub(super) turns: u64,
@@ -214,7 +215,7 @@
             store_slow: (0, 0),
             stops_until_ms: None,
             down_until_ms: 0,
-            connected: BTreeSet::new(),
+            connected: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 0,
             turns: 0,
@@ -281,14 +282,19 @@
         self.term.as_ref().map_or(0, |term| term.epoch)
     }
 
-    /// Returns whether the client of a VM's worker has a connection.
-    pub fn is_connected(&self, vm: usize, is_poll: bool) -> bool {
-        self.connected.contains(&(vm, is_poll))
+    /// Returns the life at the other end of the connection to a VM's worker; `None` if there is no connection.
+    pub fn connection(&self, vm: usize, is_poll: bool) -> Option<u64> {
+        self.connected.get(&(vm, is_poll)).copied()
     }
 
-    /// Records that a connection was opened.
-    pub fn connect(&mut self, vm: usize, is_poll: bool) {
-        self.connected.insert((vm, is_poll));
+    /// Records that a connection to a life was opened.
+    pub fn connect(&mut self, vm: usize, is_poll: bool, life: u64) {
+        self.connected.insert((vm, is_poll), life);
+    }
+
+    /// Records that a connection has ended.
+    pub fn disconnect(&mut self, vm: usize, is_poll: bool) {
+        self.connected.remove(&(vm, is_poll));
     }
 
     fn call(&mut self, target: Option<usize>, call: Call) -> u64 {
@@ -432,7 +438,8 @@
         };
         if let Some(vm) = target {
             let is_poll = matches!(what, Call::Poll { .. });
-            state.connected.remove(&(*vm, is_poll));
+            let vm = *vm;
+            state.disconnect(vm, is_poll);
         }
         self.answered(node, call, Answer::Failed { refused: false });
     }
--- a/measure/src/search/runner.rs
+++ b/measure/src/search/runner.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns the start that the life reports, in milliseconds since 1970.
+    pub fn started_unix_ms(&self) -> u64 {
+        self.born_ms + 1
+    }
+
     /// Returns the worker's clock, in milliseconds.
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         let rate_milli = if self.slow { SLOW_MILLI } else { 1_000 };
@@ -277,7 +282,7 @@
         });
         worker_state::Report {
             clock_ms: self.clock_ms(now_ms),
-            started_unix_ms: Some(self.born_ms + 1),
+            started_unix_ms: Some(self.started_unix_ms()),
             running: running.collect(),
             ended: self.ends.iter().map(|end| end.reported.clone()).collect(),
             unreadable_runs: 0,
--- a/node/src/batch/relay/message.rs
+++ b/node/src/batch/relay/message.rs
@@ -23,7 +23,10 @@
         run: u32,
         /// The job's text, which the worker gets as it was submitted; a relay knows it or reads it if it is absent.
         text: Option<Arc<str>>,
-        /// End of the lease granted with the start, in milliseconds on the worker's clock.
+        /// Incarnation of the worker that the start is for, by its start in milliseconds since 1970; 0 if it doesn't report
+        /// that.
+        started_unix_ms: u64,
+        /// End of the lease granted with the start, in milliseconds on that incarnation's clock.
         until_ms: u64,
         /// Checkpoint to continue from.
         checkpoint: Option<String>,
@@ -165,6 +168,7 @@
             task,
             run,
             text,
+            started_unix_ms,
             until_ms,
             checkpoint,
             ticket,
@@ -180,6 +184,7 @@
                 task: *task,
                 run: *run,
                 text,
+                started_unix_ms: *started_unix_ms,
                 until_ms: *until_ms,
                 checkpoint: checkpoint.as_deref(),
                 ticket: ticket.as_deref(),
--- a/node/src/batch/watch.rs
+++ b/node/src/batch/watch.rs
@@ -318,6 +318,7 @@
             task: command.task,
             run: command.run,
             text: Some(Arc::clone(&text)),
+            started_unix_ms: command.started_unix_ms,
             until_ms: command.until_ms,
             checkpoint: command.checkpoint.clone(),
             ticket: command.ticket.clone(),
--- a/src/batch/scheduler/message.rs
+++ b/src/batch/scheduler/message.rs
@@ -43,7 +43,9 @@
     pub task: TaskId,
     /// Number of this start of the task.
     pub run: u32,
-    /// End of the lease granted with the start, in milliseconds on the worker's clock.
+    /// Incarnation of the worker that the start is for, by its start in milliseconds since 1970; 0 if it doesn't report that.
+    pub started_unix_ms: u64,
+    /// End of the lease granted with the start, in milliseconds on that incarnation's clock.
     pub until_ms: u64,
     /// Checkpoint to continue from; `None` starts from the beginning.
     pub checkpoint: Option<String>,
@@ -98,9 +100,12 @@
 /// Contents of the next poll of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Poll {
-    /// New end of the lease, in milliseconds on the worker's clock; `None` does not renew it.
+    /// Incarnation of the worker that gets the lease and the acknowledgement, by its start in milliseconds since 1970; 0 if it
+    /// doesn't report that. Another one is only asked for its report.
+    pub started_unix_ms: u64,
+    /// New end of the lease, in milliseconds on the incarnation's clock; `None` does not renew it.
     pub until_ms: Option<u64>,
-    /// The worker can discard its ends up to this number.
+    /// The incarnation can discard its ends up to this number.
     pub acknowledged: u64,
     /// How long the worker can wait for a run to end before it answers, in milliseconds.
     pub wait_ms: u64,
--- a/src/batch/scheduler/plan.rs
+++ b/src/batch/scheduler/plan.rs
@@ -312,6 +312,7 @@
         state.on_start(now);
         let heard_ms = now.since_ms(state.last_response_at);
         let used_milli = state.used.cpu_milli;
+        let started_unix_ms = state.started_unix_ms;
         let Some(task) = job.task_mut(&id) else {
             return;
         };
@@ -341,6 +342,7 @@
             worker: worker.clone(),
             task: id,
             run,
+            started_unix_ms,
             until_ms,
             checkpoint,
             accepted,
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -76,6 +76,7 @@
         let is_responsive =
             !worker.unanswered && now.since_ms(worker.last_response_at) < worker_state::SILENT_MS;
         Some(Poll {
+            started_unix_ms: worker.started_unix_ms,
             until_ms,
             // A restarted worker numbers its ends from the start, so nothing is acknowledged after it was silent.
             acknowledged: if is_responsive {
