--- a/node/src/batch/forward.rs
+++ b/node/src/batch/forward.rs
@@ -163,7 +163,7 @@
     shared.leadership().is_some() && shared.store_silent_ms() < LEADER_SILENT_MS
 }
 
-/// Commits a transaction of a node of the previous version, which does not forward entries.
+/// Commits a transaction of another node.
 async fn transact(
     State(shared): State<Arc<shared::Shared>>,
     Json(forwarded): Json<Forwarded>,
@@ -266,6 +266,44 @@
     (address != shared.settings().peers && !shared.forwarding.is_paused()).then_some(address)
 }
 
+/// Commits a transaction through the leader; returns whether its checks held.
+///
+/// # Errors
+///
+/// Fails with whether the transaction may have been committed, or may still be.
+pub async fn commit(
+    shared: &shared::Shared,
+    transaction: &store::Transaction,
+    timeout_ms: u64,
+) -> Result<bool, Verdict> {
+    let Some(address) = leader(shared) else {
+        return Err(Verdict::NotRun);
+    };
+    let checks = transaction.checks.iter();
+    let writes = transaction.writes.iter();
+    let forwarded = Forwarded {
+        checks: checks
+            .map(|(name, version)| (RowName::from(name), *version))
+            .collect(),
+        // All values are JSON, which is text.
+        writes: writes
+            .map(|(name, value)| {
+                let text = String::from_utf8_lossy(value).into_owned();
+                (RowName::from(name), text)
+            })
+            .collect(),
+    };
+    let client = shared.peers.to(address);
+    let timeout_ms = timeout_ms.min(STORE_TIMEOUT_MS + HOP_MS);
+    let reply = client.post("/transact", &[], &forwarded, timeout_ms).await;
+    match decode::<WriteReply>(shared, reply) {
+        Ok(WriteReply::Applied(_)) => Ok(true),
+        Ok(WriteReply::CheckFailed) => Ok(false),
+        Ok(WriteReply::Failed(verdict)) => Err(verdict),
+        Err(error) => Err(error.verdict),
+    }
+}
+
 /// Passes entries to the leader, which writes them in transactions with the entries of other nodes.
 pub async fn submissions(
     shared: &shared::Shared,
--- a/node/src/batch/job_feed.rs
+++ b/node/src/batch/job_feed.rs
@@ -47,6 +47,7 @@
             JobsEvent::Polled(sent_at, Ok(page)) => {
                 shared.record_store_response();
                 let jobs = leadership.decode_jobs(&page.rows);
+                leadership.tombstones_read(&jobs.tombstones);
                 leadership.scheduler().jobs_undecodable(jobs.undecodable);
                 for (job, accepted) in jobs.accepted {
                     leadership.accepted(job, accepted);
@@ -79,6 +80,7 @@
         return;
     };
     let jobs = leadership.decode_jobs(&read.rows);
+    leadership.tombstones_read(&jobs.tombstones);
     let rows = PartitionRows {
         partition,
         accepted: jobs.accepted,
--- a/node/src/batch/leadership.rs
+++ b/node/src/batch/leadership.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::scheduler::{Counts, Output, Scheduler, Settings};
+use wasabiloft::batch::tombstones::Tombstones;
 use wasabiloft::batch::{JobId, authority, handover, predecessors, queue, record, relays};
 use wasabiloft::id;
 use wasabiloft_platform::{settings, store};
@@ -75,6 +76,8 @@
     pub(super) meter: Arc<lateness::Meter>,
     /// Jobs whose rows were removed, with the version and the time of the removal.
     removed: Mutex<BTreeMap<JobId, (u64, wasabiloft::clock::Instant)>>,
+    /// Tombstones in the job table that are to be removed.
+    tombstones: Mutex<Tombstones>,
     /// When the scheduler was created, after the rows were read.
     pub began_at: wasabiloft::clock::Instant,
 }
@@ -115,6 +118,21 @@
         recovery::Jobs::decode(rows, &versions.collect())
     }
 
+    /// Locks and returns the tombstones in the job table.
+    pub fn tombstones(&self) -> MutexGuard<'_, Tombstones> {
+        let tombstones = self.tombstones.lock();
+        tombstones.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records tombstones in the job table, with the versions of their rows.
+    pub fn tombstones_read(&self, read: &[(JobId, u64)]) {
+        let now = clock::since_boot();
+        let mut tombstones = self.tombstones();
+        for (job, version) in read {
+            tombstones.read(*job, *version, now);
+        }
+    }
+
     /// Returns the time since the newest commit was sent, in milliseconds.
     pub fn since_commit_ms(&self) -> u64 {
         let at = self.committed_ms.load(Ordering::Relaxed);
@@ -349,6 +367,7 @@
         }
     }
     let version = recovered.version.unwrap_or(0);
+    let tombstones = std::mem::take(&mut recovered.tombstones);
     let mut recovered = recovered.state;
     recovered.unread = reader.reads().unread_partitions().collect();
     recovered.earlier = duty.earlier;
@@ -412,8 +431,10 @@
         successor: OnceLock::new(),
         meter: Arc::clone(&shared.meter),
         removed: Mutex::default(),
+        tombstones: Mutex::default(),
         began_at: now,
     });
+    leadership.tombstones_read(&tombstones);
     leadership.limit_leases();
     leadership.configured(shared);
     (leadership, reader, version)
--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -27,6 +27,7 @@
 mod submissions;
 mod unreadable;
 mod watch;
+mod withdrawal;
 
 use std::path::Path;
 use std::sync::Arc;
--- a/node/src/batch/recovery.rs
+++ b/node/src/batch/recovery.rs
@@ -9,11 +9,12 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time;
 use wasabiloft::batch::recovery::{Part, Reads};
+use wasabiloft::batch::submissions::Found;
 use wasabiloft::batch::{JobId, progress_rows, record, recovery_pages, scheduler};
 use wasabiloft::id;
 use wasabiloft_platform::{excerpt, store};
 
-use crate::batch::shared;
+use crate::batch::{shared, submissions};
 use crate::clock;
 use crate::log;
 
@@ -29,6 +30,8 @@
     pub cancelled: Vec<JobId>,
     /// Jobs whose row cannot be decoded.
     pub undecodable: Vec<JobId>,
+    /// Jobs that were cancelled before they were stored, with the versions of their rows.
+    pub tombstones: Vec<(JobId, u64)>,
 }
 
 impl Jobs {
@@ -53,6 +56,9 @@
                 continue;
             }
             match key {
+                record::JobKey::Accepted(job) if submissions::found(row) == Found::Tombstone => {
+                    jobs.tombstones.push((job, row.version));
+                }
                 record::JobKey::Accepted(job) => match decode::<record::Accepted>(row) {
                     Some(accepted) => {
                         let row_version = row.version;
@@ -307,6 +313,8 @@
     pub state: scheduler::RecoveredState,
     /// Version after which changes of jobs must be followed.
     pub version: Option<u64>,
+    /// Jobs that were cancelled before they were stored, with the versions of their rows.
+    pub tombstones: Vec<(JobId, u64)>,
 }
 
 impl Recovered {
@@ -316,6 +324,7 @@
         recovered.state.accepted = jobs.accepted;
         recovered.state.cancelled = jobs.cancelled;
         recovered.state.undecodable = jobs.undecodable;
+        recovered.tombstones = jobs.tombstones;
         recovered.version = Some(version);
         recovered
     }
@@ -349,6 +358,7 @@
                 self.state.accepted.extend(jobs.accepted);
                 self.state.cancelled.extend(jobs.cancelled);
                 self.state.undecodable.extend(jobs.undecodable);
+                self.tombstones.extend(jobs.tombstones);
             }
         }
     }
--- a/node/src/batch/removal.rs
+++ b/node/src/batch/removal.rs
@@ -12,7 +12,7 @@
 use wasabiloft::batch::{JobId, record};
 use wasabiloft_platform::store;
 
-use crate::batch::{leadership, shared};
+use crate::batch::{leadership, requests, shared};
 use crate::clock;
 use crate::log;
 
@@ -22,6 +22,8 @@
 const TIMEOUT_MS: u64 = 1_200;
 /// Pause of a partition after a failed removal, in milliseconds.
 const RETRY_MS: u64 = 2_000;
+/// Most tombstones that are removed in a round, one after another.
+const TOMBSTONES_MAX: usize = 8;
 /// Most jobs in a transaction. Each has two rows and a condition, and the store takes 100 entries.
 const JOBS_MAX: usize = 33;
 
@@ -41,6 +43,7 @@
             () = leadership.ended.cancelled() => return,
             () = time::sleep(Duration::from_millis(INTERVAL_MS)) => {}
         }
+        remove_tombstones(&shared, &leadership).await;
         let expired = leadership.scheduler().take_expired_jobs();
         for job in expired {
             let waiting = partitions.entry(record::job_partition_number(job));
@@ -65,6 +68,33 @@
     }
 }
 
+/// Removes tombstones that are no longer needed, each on the condition that its row is the one that was read.
+async fn remove_tombstones(shared: &shared::Shared, leadership: &leadership::Leadership) {
+    let now = clock::since_boot();
+    if !leadership.may_act() {
+        return;
+    }
+    let expired = leadership.tombstones().take_expired(TOMBSTONES_MAX, now);
+    for (job, version) in expired {
+        let name = requests::job_row(job, record::JobKey::Accepted(job));
+        let transaction = store::Transaction {
+            checks: vec![(name.clone(), version)],
+            removals: vec![name],
+            ..store::Transaction::default()
+        };
+        if let Err(error) = shared.store.transact(&transaction, TIMEOUT_MS).await {
+            log::info(
+                "holder",
+                &format!("tombstone not removed job={job} reason={error}"),
+            );
+            let now = clock::since_boot();
+            leadership
+                .tombstones()
+                .put_back(job, version, RETRY_MS, now);
+        }
+    }
+}
+
 /// An ended job's row.
 struct ExpiredRow {
     job: JobId,
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -6,18 +6,18 @@
 use tokio::time;
 use wasabiloft::batch::JobId;
 use wasabiloft::batch::record;
-use wasabiloft::batch::submissions::Answer;
+use wasabiloft::batch::submissions::{Answer, Found};
 use wasabiloft_platform::{store, submission};
 
 use crate::batch::front::Outcome;
-use crate::batch::{forward, job_room, peers, shared, submissions};
+use crate::batch::{forward, job_room, peers, shared, submissions, withdrawal};
 use crate::clock;
 use crate::log;
 
 /// Timeout of a call to the store, in milliseconds; 60 times the response time without load.
 const CALL_TIMEOUT_MS: u64 = 900;
 /// Pause before a call is retried, in milliseconds.
-const RETRY_MS: u64 = 60;
+pub const RETRY_MS: u64 = 60;
 /// Time for which a read that failed is retried before it goes through the leader, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 120;
 /// Maximum time for reading whether a job that is to be refused was stored before, in milliseconds.
@@ -26,7 +26,7 @@
 const LEADER_TIMEOUT_MS: u64 = 400;
 
 /// Returns the timeout for a call before the deadline, in milliseconds; `None` if the deadline has passed.
-fn call_timeout_ms(deadline: wasabiloft::clock::Instant) -> Option<u64> {
+pub fn call_timeout_ms(deadline: wasabiloft::clock::Instant) -> Option<u64> {
     let remaining_ms = deadline.since_ms(clock::since_boot());
     (remaining_ms > 0).then_some(remaining_ms.min(CALL_TIMEOUT_MS))
 }
@@ -111,7 +111,12 @@
         deadline,
     )
     .await;
-    row.ok().map(|row| row.is_some())
+    row.ok().map(|row| is_job(row.as_ref()))
+}
+
+/// Returns whether the row of a job exists and holds no tombstone.
+fn is_job(row: Option<&store::Row>) -> bool {
+    row.is_some_and(|row| submissions::found(row) == Found::Entry)
 }
 
 /// Retries the read of a row until it succeeds or the caller's deadline has passed.
@@ -145,7 +150,8 @@
     Err(Outcome::NotRun("store-unanswered"))
 }
 
-fn job_row(job: JobId, key: record::JobKey) -> store::Name {
+/// Returns the name of a row of the job table.
+pub fn job_row(job: JobId, key: record::JobKey) -> store::Name {
     store::Name::new(record::JOB_TABLE, &record::job_partition(job), &key.text())
 }
 
@@ -189,7 +195,7 @@
     deadline: wasabiloft::clock::Instant,
 ) -> Result<Option<record::State>, Outcome> {
     let accepted = job_row(job, record::JobKey::Accepted(job));
-    if read(shared, &accepted, deadline).await?.is_none() {
+    if !is_job(read(shared, &accepted, deadline).await?.as_ref()) {
         return Ok(None);
     }
     let progress = store::Name::new(
@@ -235,9 +241,15 @@
     deadline: wasabiloft::clock::Instant,
 ) -> Outcome {
     let accepted = job_row(job, record::JobKey::Accepted(job));
-    let job_version = match read(shared, &accepted, deadline).await {
-        Ok(Some(row)) => row.version,
-        Ok(None) => return Outcome::NoJob,
+    let stored = match read(shared, &accepted, deadline).await {
+        Ok(Some(row)) => Ok(row),
+        // A submission without an answer may still be written.
+        Ok(None) => withdrawal::withdraw(shared, job, deadline).await,
+        Err(outcome) => Err(outcome),
+    };
+    let job_version = match stored {
+        Ok(row) if submissions::found(&row) == Found::Tombstone => return Outcome::NoJob,
+        Ok(row) => row.version,
         Err(outcome) => return outcome,
     };
     let item = submissions::Item {
--- a/node/src/batch/shared.rs
+++ b/node/src/batch/shared.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::queue;
 use wasabiloft::batch::record;
+use wasabiloft::batch::tombstones::Budget;
 use wasabiloft::batch::waves;
 use wasabiloft_platform::{settings, store};
 
@@ -78,6 +79,8 @@
     pub(super) submissions: super::submissions::Handle,
     pub(super) admission: super::admission::Admission,
     pub(super) job_room: super::job_room::JobRoom,
+    /// Limits the tombstones that this node writes.
+    tombstones: Mutex<Budget>,
     /// When the store last began to respond after an outage, in milliseconds since boot.
     store_steady_since_ms: AtomicU64,
 }
@@ -110,6 +113,7 @@
             forwarding: super::forward::Breaker::default(),
             submissions: super::submissions::Handle::default(),
             admission: super::admission::Admission::default(),
+            tombstones: Mutex::default(),
             store_steady_since_ms: AtomicU64::new(clock::since_boot().as_ms()),
         }
     }
@@ -129,6 +133,11 @@
         differs
     }
 
+    /// Takes one tombstone from the budget of this node; returns false if it is used up.
+    pub fn take_tombstone(&self) -> bool {
+        lock(&self.tombstones).try_take(clock::since_boot())
+    }
+
     /// Returns the newest configuration.
     pub fn current_config(&self) -> CurrentConfig {
         lock(&self.current_config).clone()
--- a/node/src/batch/standby.rs
+++ b/node/src/batch/standby.rs
@@ -31,6 +31,7 @@
     accepted: BTreeMap<JobId, record::Accepted>,
     cancelled: BTreeSet<JobId>,
     undecodable: BTreeSet<JobId>,
+    tombstones: BTreeMap<JobId, u64>,
     version: u64,
 }
 
@@ -42,6 +43,7 @@
                 match record::JobKey::parse(&row.name.key) {
                     Some(record::JobKey::Accepted(job)) => {
                         self.accepted.remove(&job);
+                        self.tombstones.remove(&job);
                     }
                     Some(record::JobKey::Cancelled(job)) => {
                         self.cancelled.remove(&job);
@@ -60,6 +62,7 @@
         self.accepted.extend(jobs.accepted);
         self.cancelled.extend(jobs.cancelled);
         self.undecodable.extend(jobs.undecodable);
+        self.tombstones.extend(jobs.tombstones);
     }
 }
 
@@ -122,6 +125,7 @@
                     accepted: rows.accepted.into_iter().collect(),
                     cancelled: rows.cancelled.into_iter().collect(),
                     undecodable: rows.undecodable.into_iter().collect(),
+                    tombstones: rows.tombstones.into_iter().collect(),
                 };
                 return Some(recovery::Recovered::with_jobs(jobs, rows.version));
             }
--- a/node/src/batch/submissions.rs
+++ b/node/src/batch/submissions.rs
@@ -14,8 +14,8 @@
 use tokio_util::sync::CancellationToken;
 use wasabiloft::batch::record;
 use wasabiloft::batch::submissions::{
-    ANNOUNCE_MS, Action, Answer, Batch, BatchId, ForwardOutcome, Outcome, POLL_MS, Pace, Path,
-    Queues, Reason, Ticket, View,
+    ANNOUNCE_MS, Action, Answer, Batch, BatchId, ForwardOutcome, Found, Outcome, POLL_MS, Pace,
+    Path, Queues, Reason, Ticket, View,
 };
 use wasabiloft::verdict::Verdict;
 use wasabiloft_platform::store;
@@ -132,7 +132,7 @@
 enum Done {
     Transaction(BatchId, Outcome),
     Forward(BatchId, ForwardOutcome),
-    Read(Ticket, Option<bool>),
+    Read(Ticket, Option<Found>),
 }
 
 struct Writer {
@@ -216,7 +216,7 @@
                     .transaction_ended(now, id, outcome, rand::random());
             }
             Ok(Done::Forward(id, outcome)) => self.queues.forward_ended(now, id, outcome),
-            Ok(Done::Read(ticket, exists)) => self.queues.read_ended(now, ticket, exists),
+            Ok(Done::Read(ticket, found)) => self.queues.read_ended(now, ticket, found),
             // The callers get an unknown outcome at their deadlines.
             Err(error) => log::warn("submissions", &format!("call failed reason={error}")),
         }
@@ -340,7 +340,7 @@
 fn label(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Committed(_) => "committed",
-        Outcome::CheckFailed(_) => "check-failed",
+        Outcome::CheckFailed { .. } => "check-failed",
         Outcome::Unavailable => "unavailable",
         Outcome::Overloaded => "overloaded",
         Outcome::Invalid => "invalid",
@@ -354,6 +354,7 @@
         Reason::StoreAway => "store-away",
         Reason::StoreRefused => "store-refused",
         Reason::DeadlineTooShort => "deadline-too-short",
+        Reason::Cancelled => "cancelled",
     }
 }
 
@@ -374,12 +375,34 @@
     }
 }
 
-/// Returns whether the check of an item failed, from the current state of all checked rows.
-fn is_failed(item: &Item, rows: &[store::Row]) -> bool {
-    check(item).is_some_and(|(name, expected)| {
+/// Returns the outcome of a transaction whose checks failed, from the current state of all checked rows.
+fn failed_checks(items: &[Arc<Item>], rows: &[store::Row]) -> Outcome {
+    let (mut existing, mut cancelled) = (Vec::new(), Vec::new());
+    for item in items {
+        let Some((name, expected)) = check(item) else {
+            continue;
+        };
         let row = rows.iter().find(|row| row.name == name && !row.removed);
-        row.map_or(0, |row| row.version) != expected
-    })
+        if row.map_or(0, |row| row.version) == expected {
+            continue;
+        }
+        match (item.key, row.map_or(Found::Nothing, found)) {
+            (record::JobKey::Accepted(_), Found::Tombstone) => cancelled.push(item.key),
+            _ => existing.push(item.key),
+        }
+    }
+    Outcome::CheckFailed {
+        existing,
+        cancelled,
+    }
+}
+
+/// Returns what a row of the job table holds.
+pub fn found(row: &store::Row) -> Found {
+    match row.value.as_deref().is_some_and(record::Tombstone::is_in) {
+        true => Found::Tombstone,
+        false => Found::Entry,
+    }
 }
 
 /// Commits items of one partition in one transaction.
@@ -400,8 +423,7 @@
         }
         Ok(store::CommitOutcome::CheckFailed(rows)) => {
             shared.record_store_response();
-            let failed = items.iter().filter(|item| is_failed(item, &rows));
-            Outcome::CheckFailed(failed.map(|item| item.key).collect())
+            failed_checks(items, &rows)
         }
         Err(error) => {
             counter!("wasabiloft_store_retries_total").increment(1);
@@ -455,9 +477,10 @@
     }
 }
 
-/// Returns whether an item's row exists; `None` if that can't be read.
-async fn read(shared: &shared::Shared, item: &Item, timeout_ms: u64) -> Option<bool> {
+/// Returns what an item's row holds; `None` if that can't be read.
+async fn read(shared: &shared::Shared, item: &Item, timeout_ms: u64) -> Option<Found> {
     let deadline = clock::since_boot().after_ms(timeout_ms);
     let row = requests::read(shared, &name(item.key), deadline).await;
-    row.ok().map(|row| row.is_some())
+    row.ok()
+        .map(|row| row.as_ref().map_or(Found::Nothing, found))
 }
--- a/node/tests/test_cancellations.rs
+++ b/node/tests/test_cancellations.rs
@@ -1,4 +1,4 @@
-//! Cancellations that the store applies late.
+//! Cancellations that the store applies late, and those of jobs whose rows it applies late.
 
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use crate::hosted::{Cluster, PREFIX, until};
 
 const ID: &str = "00000000000000c1";
+const OTHER_ID: &str = "00000000000000c2";
 /// After this time, the transaction of the cancellation is at the store, in milliseconds.
 const SENT_MS: u64 = 300;
 /// The store has applied late transactions within this time, in milliseconds.
@@ -48,3 +49,57 @@
     })
     .await;
 }
+
+/// A job whose submission the store applies late is cancelled at another node before that, and must not run (review/12).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_is_cancelled_before_its_row_is_applied_never_runs() {
+    let cluster = Cluster::start(2, 1, 60_000).await;
+    let store = &cluster.store.state;
+    store.write_late(record::JOB_TABLE, 1);
+    let path = format!("{PREFIX}{ID}");
+    let cancel = async {
+        time::sleep(Duration::from_millis(SENT_MS)).await;
+        cluster.call(1, "DELETE", &path, "").await.status
+    };
+    let (submitted, cancelled) = tokio::join!(cluster.submit(0, ID, 1), cancel);
+    assert_eq!((submitted, cancelled), (503, 410));
+    for node in 0..2 {
+        assert_eq!(cluster.submit(node, ID, 1).await, 503);
+        assert_eq!(cluster.call(node, "GET", &path, "").await.status, 410);
+        assert_eq!(cluster.call(node, "DELETE", &path, "").await.status, 410);
+    }
+    time::sleep(Duration::from_millis(LATE_MS)).await;
+    assert_eq!(cluster.workers[0].state.start_counts().len(), 0);
+    assert_eq!(cluster.call(0, "GET", &path, "").await.status, 410);
+    // The tombstone holds nothing else up.
+    assert_eq!(cluster.submit(1, OTHER_ID, 1).await, 200);
+    until("the other task runs", async || {
+        cluster.workers[0].state.running_count() == 1
+    })
+    .await;
+}
+
+/// A submission waits at its node, which the store refuses, while another node is told to cancel the job.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_is_cancelled_while_its_node_holds_it_never_runs() {
+    let cluster = Cluster::start(2, 1, 60_000).await;
+    let store = &cluster.store.state;
+    let id: JobId = ID.parse().expect("an id");
+    let part = record::job_partition(id);
+    store.refuse_parts([part].into());
+    let path = format!("{PREFIX}{ID}");
+    let cancel = async {
+        time::sleep(Duration::from_millis(SENT_MS)).await;
+        store.refuse_parts([].into());
+        cluster.call(1, "DELETE", &path, "").await.status
+    };
+    let (submitted, cancelled) = tokio::join!(cluster.submit(0, ID, 1), cancel);
+    // Whichever was first, the caller is told what holds.
+    match cancelled {
+        200 => assert_eq!(submitted, 200),
+        410 => assert_ne!(submitted, 200),
+        status => panic!("{status}"),
+    }
+    time::sleep(Duration::from_millis(LATE_MS)).await;
+    assert!(cluster.workers[0].state.is_empty());
+}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -30,6 +30,7 @@
 pub mod spec;
 pub mod submissions;
 pub mod succession;
+pub mod tombstones;
 pub mod waves;
 pub mod worker_state;
 
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -2,7 +2,7 @@
 //!
 //! | table | partition | key | written by |
 //! |---|---|---|---|
-//! | `job` | by the job's id | `ID` | any entry node, once |
+//! | `job` | by the job's id | `ID` | any entry node, once; see [`tombstones`] |
 //! | `job` | by the job's id | `ID.cancel` | any entry node |
 //! | `progress` | `holder` | `ID`, `ID.N` | the scheduler; see [`progress_rows`] |
 //! | `worker` | `holder` | the worker's id | the scheduler, before its first command to the worker |
@@ -19,6 +19,8 @@
 use crate::batch::progress_rows;
 use crate::batch::queue;
 use crate::batch::spec;
+#[expect(unused_imports, reason = "the table above links to it")]
+use crate::batch::tombstones;
 use crate::batch::waves;
 use crate::id;
 
@@ -104,6 +106,21 @@
     pub row_version: u64,
 }
 
+/// The row in the place of a job that was cancelled before it was stored; see [`tombstones`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tombstone {
+    /// Time of the cancellation on the entry node's clock, in milliseconds since 1970.
+    pub cancelled_unix_ms: u64,
+}
+
+impl Tombstone {
+    /// Returns whether a job's row holds a tombstone.
+    pub fn is_in(value: &[u8]) -> bool {
+        serde_json::from_slice::<Self>(value).is_ok()
+    }
+}
+
 /// The state of a job as reported to callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/batch/submissions.rs
+++ b/src/batch/submissions.rs
@@ -7,7 +7,7 @@
 //!
 //! A submission is written on the condition that its row is absent. It may therefore be sent again, and by several
 //! paths, without being accepted twice. Once it was part of a transaction without a response, it is never reported as
-//! not run, because the transaction may still be committed. A cancellation is written on the condition that the row of its
+//! not run, because the transaction may still be committed, unless a tombstone is found in its row. A cancellation is written on the condition that the row of its
 //! job is the one that was read, so that a late one doesn't cancel a later job of the same id.
 
 mod outcome;
@@ -17,7 +17,7 @@
 
 use crate::batch::record;
 use crate::clock;
-pub use outcome::{Answer, ForwardOutcome, Outcome, Pace, Reason};
+pub use outcome::{Answer, ForwardOutcome, Found, Outcome, Pace, Reason};
 use partition::{Durations, Entry, FORWARDED_IN_FLIGHT_MAX, InFlight, KnownRows, Partition, Terms};
 
 /// Transactions count as slow above this duration, in milliseconds; 12 times the duration without load.
@@ -313,7 +313,7 @@
             return;
         };
         let duration_ms = now.since_ms(batch.sent_at);
-        let is_taken = matches!(outcome, Outcome::Committed(_) | Outcome::CheckFailed(_));
+        let is_taken = matches!(outcome, Outcome::Committed(_) | Outcome::CheckFailed { .. });
         let is_overloaded = matches!(outcome, Outcome::Overloaded);
         if is_taken {
             partition.refusals = 0;
@@ -329,13 +329,21 @@
                     partition.exists(entry, Answer::Committed(version), &mut actions);
                 }
             }
-            Outcome::CheckFailed(rows) => {
-                let only = batch.entries.len() == 1;
+            Outcome::CheckFailed {
+                existing: rows,
+                cancelled,
+            } => {
+                let is_cancelled = |entry: &mut Entry| cancelled.contains(&entry.key);
+                let cancelled: Vec<Entry> = batch.entries.extract_if(.., is_cancelled).collect();
+                for entry in &cancelled {
+                    partition.cancelled(entry, &mut actions);
+                }
+                let only = batch.entries.len() == 1 && cancelled.is_empty();
                 let failed = |entry: &Entry| only || rows.contains(&entry.key);
                 let (existing, mut rest): (Vec<_>, Vec<_>) =
                     batch.entries.into_iter().partition(failed);
                 // Without a row to blame, each entry is checked by itself.
-                let is_unexplained = existing.is_empty();
+                let is_unexplained = existing.is_empty() && cancelled.is_empty();
                 rest.iter_mut()
                     .for_each(|entry| entry.alone |= is_unexplained);
                 // A failed check of a cancellation says nothing of its own row.
@@ -418,6 +426,9 @@
                             partition.mark_unknown(&mut entries);
                             partition.put_back(entries);
                         }
+                        Answer::NotRun(Reason::Cancelled) => {
+                            partition.cancelled(&entry, &mut actions);
+                        }
                         Answer::NotRun(reason) => partition.give_up(&entry, reason, &mut actions),
                         Answer::Unknown => {
                             entry.may_have_run = true;
@@ -436,7 +447,7 @@
     }
 
     /// Applies the outcome of reading an entry's row; `None` if the read failed.
-    pub fn read_ended(&mut self, now: clock::Instant, ticket: Ticket, exists: Option<bool>) {
+    pub fn read_ended(&mut self, now: clock::Instant, ticket: Ticket, found: Option<Found>) {
         let mut actions = std::mem::take(&mut self.actions);
         let mut existing = None;
         for partition in self.partitions.values_mut() {
@@ -447,13 +458,16 @@
             let Some(entry) = at.map(|at| partition.reading.remove(at)) else {
                 continue;
             };
-            if exists == Some(true) {
-                partition.exists(&entry, Answer::Exists, &mut actions);
-                existing = Some(entry.key);
-            } else if entry.last_read {
-                partition.give_up(&entry, Reason::StoreRefused, &mut actions);
-            } else {
-                partition.waiting.push(entry);
+            match found {
+                Some(Found::Entry) => {
+                    partition.exists(&entry, Answer::Exists, &mut actions);
+                    existing = Some(entry.key);
+                }
+                Some(Found::Tombstone) => partition.cancelled(&entry, &mut actions),
+                Some(Found::Nothing) | None if entry.last_read => {
+                    partition.give_up(&entry, Reason::StoreRefused, &mut actions);
+                }
+                Some(Found::Nothing) | None => partition.waiting.push(entry),
             }
         }
         self.known.extend(now, existing);
--- a/src/batch/submissions/outcome.rs
+++ b/src/batch/submissions/outcome.rs
@@ -14,6 +14,8 @@
     StoreRefused,
     /// A transaction takes longer than the caller waits.
     DeadlineTooShort,
+    /// The job was cancelled before it was stored.
+    Cancelled,
 }
 
 /// Outcome of an entry.
@@ -37,9 +39,13 @@
 pub enum Outcome {
     /// All entries were written, at this version.
     Committed(u64),
-    /// Nothing was written, since the checks of these entries failed: the row of a submission exists, or the job of a
-    /// cancellation has been removed.
-    CheckFailed(Vec<record::JobKey>),
+    /// Nothing was written, since checks failed.
+    CheckFailed {
+        /// Entries whose row exists, and cancellations whose job has been removed.
+        existing: Vec<record::JobKey>,
+        /// Submissions whose row holds a tombstone.
+        cancelled: Vec<record::JobKey>,
+    },
     /// Nothing was written: the store is unavailable.
     Unavailable,
     /// Nothing was written: too many transactions or calls are waiting.
@@ -50,6 +56,17 @@
     NoResponse,
 }
 
+/// What the row of an entry holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// There is no row.
+    Nothing,
+    /// The entry was written.
+    Entry,
+    /// The job of a submission was cancelled before it was stored.
+    Tombstone,
+}
+
 /// Outcome of a call to the writer.
 #[derive(Clone, Debug)]
 pub enum ForwardOutcome {
--- a/src/batch/submissions/partition.rs
+++ b/src/batch/submissions/partition.rs
@@ -337,11 +337,22 @@
 
     /// Answers an entry whose row is known to exist, and all others of the same row.
     pub(super) fn exists(&mut self, entry: &Entry, answer: Answer, actions: &mut Vec<Action>) {
+        self.settle(entry, answer, Answer::Exists, actions);
+    }
+
+    /// Answers a submission whose row is known to hold a tombstone, and all others of the same row. No earlier attempt was
+    /// written, and none will be.
+    pub(super) fn cancelled(&mut self, entry: &Entry, actions: &mut Vec<Action>) {
+        let answer = Answer::NotRun(Reason::Cancelled);
+        self.settle(entry, answer, answer, actions);
+    }
+
+    fn settle(&mut self, entry: &Entry, answer: Answer, others: Answer, actions: &mut Vec<Action>) {
         if !entry.answered {
             actions.push(Action::Answer(entry.ticket, answer));
         }
         let same = self.waiting.extract_if(.., |other| other.key == entry.key);
-        actions.extend(same.map(|other| Action::Answer(other.ticket, Answer::Exists)));
+        actions.extend(same.map(|other| Action::Answer(other.ticket, others)));
     }
 
     pub(super) fn put_back(&mut self, entries: Vec<Entry>) {
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -163,7 +163,13 @@
             match self.rng.random_range(0..10) {
                 0..5 => {
                     let queue = self.rng.random_range(0..QUEUES.len());
-                    jobs.push(self.submit(queue, false).await);
+                    let mut job = self.submit(queue, false).await;
+                    // Half of the jobs whose submission may still be written; without a draw, so that seeds stay the same.
+                    if job.submission == Submission::Uncertain && job.id.ends_with(is_even) {
+                        job.cancelled = true;
+                        self.cancel(&job).await;
+                    }
+                    jobs.push(job);
                 }
                 5..9 if !jobs.is_empty() => {
                     let index = self.rng.random_range(0..jobs.len());
@@ -334,13 +340,25 @@
                 Vec::new(),
                 key.as_deref(),
             );
-            if let Some((200 | 410, _)) = response.await {
-                return;
+            match response.await {
+                Some((200, _)) => return,
+                // No such job is stored, and none will be.
+                Some((410, _)) => {
+                    let checker = &self.world.checker;
+                    checker.submission_ended(&job.id, Submission::Refused);
+                    return;
+                }
+                _ => {}
             }
         }
     }
 }
 
+/// Returns whether a hexadecimal digit is even.
+fn is_even(digit: char) -> bool {
+    digit.to_digit(16).is_some_and(|digit| digit % 2 == 0)
+}
+
 /// Returns the key that a caller of an account uses now.
 fn key(world: &World, account: Option<usize>) -> Option<String> {
     account.map(|account| world.accounts.current(account))
--- a/tests/fake_submissions.rs
+++ b/tests/fake_submissions.rs
@@ -8,8 +8,8 @@
 use wasabiloft::batch::JobId;
 use wasabiloft::batch::record::JobKey;
 use wasabiloft::batch::submissions::{
-    ANNOUNCE_MS, Action, Answer, Batch, BatchId, ForwardOutcome, Outcome, POLL_MS, Pace, Path,
-    Queues, Ticket, View, WRITER_HOLD_MS,
+    ANNOUNCE_MS, Action, Answer, Batch, BatchId, ForwardOutcome, Found, Outcome, POLL_MS, Pace,
+    Path, Queues, Ticket, View, WRITER_HOLD_MS,
 };
 use wasabiloft::clock::Instant;
 
@@ -98,7 +98,10 @@
             .map(|job| JobKey::Accepted(*job))
             .collect();
         if !existing.is_empty() {
-            return Outcome::CheckFailed(existing);
+            return Outcome::CheckFailed {
+                existing,
+                cancelled: Vec::new(),
+            };
         }
         self.version += 1;
         for job in jobs {
@@ -293,10 +296,11 @@
             }
             Event::Read(node, incarnation, ticket, job) => {
                 if self.is_current(node, incarnation) {
-                    let exists = self.store.rows.contains_key(&job);
-                    self.nodes[node]
-                        .queues
-                        .read_ended(now, ticket, Some(exists));
+                    let found = match self.store.rows.contains_key(&job) {
+                        true => Found::Entry,
+                        false => Found::Nothing,
+                    };
+                    self.nodes[node].queues.read_ended(now, ticket, Some(found));
                     self.poll(node);
                 }
             }
