--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -216,9 +216,9 @@
     if read(shared, &cancelled, deadline).await?.is_some() {
         return Ok(Some(record::State::Cancelled));
     }
-    Ok(Some(
-        progress.map_or(record::State::Queued, |_| record::State::Running),
-    ))
+    Ok(Some(progress.map_or(record::State::Queued, |progress| {
+        progress.told_state()
+    })))
 }
 
 fn read_progress(job: JobId, value: &[u8]) -> Option<record::Progress> {
--- a/src/batch/record.rs
+++ b/src/batch/record.rs
@@ -168,6 +168,20 @@
     pub submitted_unix_ms: u64,
 }
 
+impl Progress {
+    /// Returns the state that callers are told. Rows of earlier versions don't say that a job runs, but hold what its runs
+    /// have left.
+    pub fn told_state(&self) -> State {
+        let has_begun = self.finished_below > 0
+            || !self.done.is_empty()
+            || self.tasks.iter().any(TaskRecord::has_begun);
+        match self.state {
+            State::Queued if has_begun => State::Running,
+            state => state,
+        }
+    }
+}
+
 fn is_none_finished(finished_below: &u32) -> bool {
     *finished_below == 0
 }
@@ -206,6 +220,15 @@
     pub crashes: Vec<Crash>,
 }
 
+impl TaskRecord {
+    /// Returns whether a run of the task has begun. A crash is also held against a task whose start wasn't confirmed.
+    pub fn has_begun(&self) -> bool {
+        !self.failed_runs.is_empty()
+            || self.checkpoint.is_some()
+            || self.crashes.iter().any(|crash| crash.confirmed)
+    }
+}
+
 /// The crash of a worker, held against a task that ran there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/src/batch/scheduler/commands.rs
+++ b/src/batch/scheduler/commands.rs
@@ -163,6 +163,7 @@
             StartOutcome::Started => {
                 active.confirmed_at.get_or_insert(now);
                 active.percent_at = now;
+                task.has_begun = true;
                 if let Some(state) = self.workers.get_mut(worker) {
                     state.on_start_confirmed(now);
                 }
--- a/src/batch/scheduler/job.rs
+++ b/src/batch/scheduler/job.rs
@@ -335,10 +335,12 @@
         })
     }
 
-    /// Returns whether any task has been started.
-    pub fn has_started(&self) -> bool {
+    /// Returns whether a run of any task has begun, as far as is known. A start that was refused, or wasn't answered, is none.
+    pub fn has_begun(&self) -> bool {
         let open = self.occurrences.values();
-        self.finished.count() > 0 || open.flat_map(|state| &state.steps).any(Step::has_started)
+        self.state == record::State::Running
+            || self.finished.count() > 0
+            || open.flat_map(|state| &state.steps).any(Step::has_begun)
     }
 
     /// Keeps only what the state of an ended job and the removal of its rows need. Returns whether it did: a run may still be
@@ -361,6 +363,9 @@
         let mut progress = record::Progress::default();
         if part == 0 {
             progress.state = self.state;
+            if !self.state.is_final() && self.has_begun() {
+                progress.state = record::State::Running;
+            }
             progress.ended_unix_ms = self.ended_unix_ms;
             if !self.state.is_final() {
                 progress.finished_below = self.finished.first_missing();
@@ -494,6 +499,7 @@
                 index: saved.index,
             };
             if let Some(task) = self.task_mut(&id).filter(|task| !task.done) {
+                task.has_begun = saved.has_begun();
                 task.failed_runs.clone_from(&saved.failed_runs);
                 task.checkpoint.clone_from(&saved.checkpoint);
                 task.crashes.clone_from(&saved.crashes);
--- a/src/batch/scheduler/mod.rs
+++ b/src/batch/scheduler/mod.rs
@@ -456,19 +456,19 @@
         if job.state == record::State::Cancelled {
             return Some(record::State::Cancelled);
         }
-        if job.has_started() {
+        if job.has_begun() {
             Some(record::State::Running)
         } else {
             Some(record::State::Queued)
         }
     }
 
-    /// Returns the number of accepted jobs in a queue of which no task has started.
+    /// Returns the number of accepted jobs in a queue of which no task has begun.
     pub fn waiting_jobs(&self, queue: &str) -> usize {
         self.open_jobs
             .iter()
             .filter_map(|id| self.jobs.get(id))
-            .filter(|job| job.accepted.queue.name == queue && !job.has_started())
+            .filter(|job| job.accepted.queue.name == queue && !job.has_begun())
             .count()
     }
 
--- a/src/batch/scheduler/quotas.rs
+++ b/src/batch/scheduler/quotas.rs
@@ -124,7 +124,7 @@
             };
             let is_late = job.beyond_rate
                 && !late.contains(account)
-                && !job.has_started()
+                && !job.has_begun()
                 && job
                     .occurrences
                     .keys()
--- a/src/batch/scheduler/reports.rs
+++ b/src/batch/scheduler/reports.rs
@@ -292,6 +292,7 @@
             return;
         };
         task.last_run = task.last_run.max(run.run);
+        task.has_begun = true;
         if let Some(checkpoint) = run.checkpoint.as_ref().filter(|text| !text.is_empty()) {
             task.checkpoint = Some(checkpoint.clone());
         }
@@ -436,6 +437,7 @@
             return false;
         };
         task.last_run = task.last_run.max(end.run);
+        task.has_begun = true;
         let was_active = task
             .active
             .as_ref()
--- a/src/batch/scheduler/tasks.rs
+++ b/src/batch/scheduler/tasks.rs
@@ -16,8 +16,10 @@
 /// Scheduling state of a task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
-    /// Highest run number used so far; 0 before the first start.
+    /// Highest run number used so far; 0 before the first start was sent. A start that was sent may have been refused.
     pub last_run: u32,
+    /// Whether a worker has confirmed or reported a run of the task.
+    pub has_begun: bool,
     /// The run that can be under way; `None` if there is none.
     pub active: Option<ActiveRun>,
     /// Whether a run of the task has completed; it is never started again.
@@ -45,6 +47,7 @@
     const fn without_runs(done: bool) -> Self {
         Self {
             last_run: 0,
+            has_begun: false,
             active: None,
             done,
             failed_runs: Vec::new(),
@@ -106,13 +109,9 @@
         self.idle
     }
 
-    /// Returns whether a task was started or is done.
-    pub fn has_started(&self) -> bool {
-        self.done.count() > 0
-            || self
-                .known
-                .values()
-                .any(|task| task.last_run > 0 || task.active.is_some())
+    /// Returns whether a run of a task has begun, as far as is known.
+    pub fn has_begun(&self) -> bool {
+        self.done.count() > 0 || self.known.values().any(|task| task.has_begun)
     }
 
     /// Returns a task, if the step has it.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -13,6 +13,7 @@
 mod test_batch_admission_limit;
 mod test_batch_arrivals;
 mod test_batch_authority;
+mod test_batch_begun;
 mod test_batch_budget;
 mod test_batch_capacity;
 mod test_batch_connections;
