node tests: the leader is asked for once a log names it

Traced with the logs that a failed test shows now: of 24 runs beside a build, two failed, one with epoch 2 in place of 1 and one with {"state":"completed"} in place of 503. In both, no log said yet that a node leads (the lines are written by a thread of their own, and a busy disk delays them), so that the test took the last node for the leader, with epoch 0, and killed that one. The first asserts the wrong epoch, the second asks a leader that was never lost.

A cluster has started once a log names its leader. The bounds and what is asserted are the same.

--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -111,6 +111,9 @@
         for node in 0..nodes {
             cluster.until_ready(node).await;
         }
+        if nodes > 0 {
+            cluster.until_led().await;
+        }
         cluster
     }
 
@@ -254,6 +257,11 @@
             .unwrap_or(0)
     }
 
+    /// Waits until a node's log says that it leads the duty, which can be a while after it does.
+    pub async fn until_led(&self) {
+        until("a node leads", async || self.epoch(self.leader()) > 0).await;
+    }
+
     /// Returns the node that leads the duty, by its log.
     pub fn leader(&self) -> usize {
         (0..self.nodes.len())
