succession: refused reads don't hide the loss of a leader

By its log the followers went on reading the row, refused or not, and never claimed.

Cause: the leader had led for 0.3 s, so that no follower was counted on by it, and refused connections are no reason to claim then. What is left is a row that is unchanged for 0.8 s, and each refused read began that time anew.

Change: the time counts in which reads succeed one after the other; refused reads stop it and don't reset it, and are repeated soon. Reads without an answer reset it as before. A store that turns a node away for seconds still proves nothing.

The state that the test needs isn't part of the code before.

--- a/node/src/batch/duty.rs
+++ b/node/src/batch/duty.rs
@@ -189,9 +189,7 @@
 /// Observations of a follower about the leader.
 #[derive(Default)]
 struct Follower {
-    version: u64,
-    /// When the row was first seen at this version.
-    since: wasabiloft::clock::Instant,
+    row: succession::RowWatch,
     refusals: u32,
     /// When the newest heartbeat failed without a refused connection.
     unresponsive_at: Option<wasabiloft::clock::Instant>,
@@ -332,7 +330,11 @@
             Ok(row) => row,
             Err(error) => {
                 log::info("duty", &format!("cannot read the row reason={error}"));
-                self.version = 0;
+                if !matches!(error, store::Error::Refused { .. }) {
+                    self.row.unanswered();
+                } else if self.row.refused(clock::since_boot()) {
+                    return Step::Recheck;
+                }
                 return Step::Follow;
             }
         };
@@ -372,9 +374,7 @@
                 has_ended: evidence == Evidence::NotLeading,
             };
         }
-        if version != self.version {
-            self.version = version;
-            self.since = now;
+        if self.row.read(version, now) {
             return Step::Recheck;
         }
         let unchanged_ms = if slow {
@@ -382,7 +382,7 @@
         } else {
             UNCHANGED_LIMIT_MS
         };
-        if sent_at.since_ms(self.since) >= unchanged_ms {
+        if self.row.unchanged_ms(version, sent_at) >= unchanged_ms {
             self.log_claim(shared, "unchanged", now);
             return Step::Claim { has_ended: false };
         }
@@ -393,11 +393,7 @@
     fn log_claim(&self, shared: &shared::Shared, reason: &str, now: wasabiloft::clock::Instant) {
         let row = shared.duty();
         let epoch = row.duty.as_ref().map_or(0, |duty| duty.epoch);
-        let unchanged_ms = if row.version == self.version {
-            now.since_ms(self.since)
-        } else {
-            0
-        };
+        let unchanged_ms = self.row.unchanged_ms(row.version, now);
         let holder = row.duty.map(|duty| duty.holder).unwrap_or_default();
         log::info(
             "duty",
--- a/src/batch/succession.rs
+++ b/src/batch/succession.rs
@@ -1,4 +1,7 @@
-//! Election of the node that leads the batch duty: among nodes of unequal CPU capacity a strong one.
+//! Election of the node that leads the batch duty: among nodes of unequal CPU capacity a strong one, once the duty's row shows
+//! that the leader commits nothing any more.
+
+use crate::clock;
 
 /// A node counts as strong as another if it has at least this share of the other's CPU capacity, in thousandths; the
 /// capacities of one kind of VM differ by less.
@@ -17,6 +20,8 @@
 /// Heartbeat interval of a weaker node that the store answers, in milliseconds. Hundreds of such nodes would otherwise
 /// take a tenth of the leader's processor.
 const HEARTBEAT_IDLE_MS: u64 = 2_000;
+/// Reads of the duty's row that are refused are repeated at once for this long after one that succeeded, in milliseconds.
+const REFUSED_REPEAT_MS: u64 = 2_000;
 /// Minimum time that a leader leads before it steps down for a stronger node, in milliseconds; a change of leader
 /// takes about a second.
 const STEP_DOWN_AFTER_MS: u64 = 3_000;
@@ -28,6 +33,58 @@
 /// a weaker node, after which only slow nodes remain.
 const SLOW_DELAY_MS: u64 = 1_500;
 
+/// Observations of the duty's row, which a leader writes several times a second.
+///
+/// Only time counts in which the store answers this node: a leader that the store turns away can't write the row either. A
+/// store that refuses most calls at random would else hide the loss of a leader, as no leader's row is read without a
+/// refusal for long enough.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RowWatch {
+    version: u64,
+    /// When the row was first seen at this version; later by the time around reads that were refused.
+    since: clock::Instant,
+    read_at: clock::Instant,
+    /// Whether a read was refused since.
+    was_refused: bool,
+}
+
+impl RowWatch {
+    /// Records that the row was read; returns whether it has changed since it was read before.
+    pub fn read(&mut self, version: u64, now: clock::Instant) -> bool {
+        let has_changed = version != self.version;
+        if has_changed {
+            self.version = version;
+            self.since = now;
+        } else if self.was_refused {
+            self.since = self.since.after_ms(now.since_ms(self.read_at));
+        }
+        self.read_at = now;
+        self.was_refused = false;
+        has_changed
+    }
+
+    /// Records that the store refused a read; returns whether the read is worth being repeated soon, as one succeeded just
+    /// before.
+    pub fn refused(&mut self, now: clock::Instant) -> bool {
+        self.was_refused = true;
+        self.version != 0 && now.since_ms(self.read_at) < REFUSED_REPEAT_MS
+    }
+
+    /// Records that the store didn't answer a read: what was seen before tells nothing.
+    pub fn unanswered(&mut self) {
+        self.version = 0;
+    }
+
+    /// Returns for how long the row has had this version, in milliseconds; 0 if it was last seen at another one.
+    pub fn unchanged_ms(&self, version: u64, now: clock::Instant) -> u64 {
+        if version == self.version {
+            now.since_ms(self.since)
+        } else {
+            0
+        }
+    }
+}
+
 /// The successor that a released duty names, from the view of one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Successor {
--- a/tests/test_batch_succession.rs
+++ b/tests/test_batch_succession.rs
@@ -1,6 +1,9 @@
 //! Which node claims the batch duty first, and when a leader steps down.
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use wasabiloft::batch::succession;
+use wasabiloft::clock::Instant;
 
 const STRONG: u64 = 500;
 const WEAK: u64 = 120;
@@ -62,3 +65,48 @@
     // The configuration is proved often enough by the leader alone, within three quarters of two seconds.
     assert!(succession::heartbeat_ms(120, Some(500), false) <= 1_500 / 2 + 100);
 }
+
+/// Returns after how many milliseconds a row that nobody writes has been unchanged for 0.8 s, while some of the reads are
+/// refused, in thousandths.
+fn noticed_after_ms(refused_milli: u32, seed: u64) -> u64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut row = succession::RowWatch::default();
+    let mut now = Instant::from_ms(10_000);
+    let began_at = now;
+    while row.unchanged_ms(7, now) < 800 && now.since_ms(began_at) < 60_000 {
+        let is_soon = if rng.random_range(0..1_000) < refused_milli {
+            row.refused(now)
+        } else {
+            row.read(7, now);
+            true
+        };
+        now = now.after_ms(if is_soon { 100 } else { 250 });
+    }
+    now.since_ms(began_at)
+}
+
+/// Guards against a lost leader that nobody replaces for as long as the store refuses most calls, as each refused read hid
+/// how long the row had been unchanged.
+#[test]
+fn a_lost_leader_is_noticed_while_most_reads_are_refused() {
+    for seed in 0..1_000 {
+        let after_ms = noticed_after_ms(600, seed);
+        assert!(after_ms < 20_000, "{after_ms} ms with seed {seed}");
+    }
+    assert_eq!(noticed_after_ms(0, 1), 800);
+}
+
+/// Guards against a leader that is taken for lost since the store refused this node all reads for a while.
+#[test]
+fn the_time_around_refused_reads_does_not_count() {
+    let mut row = succession::RowWatch::default();
+    let now = Instant::from_ms(10_000);
+    assert!(row.read(7, now));
+    assert!(row.refused(now.after_ms(100)));
+    assert!(!row.refused(now.after_ms(5_000)));
+    assert!(!row.read(7, now.after_ms(9_000)));
+    assert_eq!(row.unchanged_ms(7, now.after_ms(9_100)), 100);
+    assert!(row.read(8, now.after_ms(9_200)));
+    row.unanswered();
+    assert!(row.read(8, now.after_ms(20_000)));
+}
