--- a/measure/src/batch.rs
+++ b/measure/src/batch.rs
@@ -239,6 +239,7 @@
                 labels: Vec::new(),
                 rack: None,
                 leaving: false,
+                started_unix_ms: None,
             },
             now,
         );
--- a/measure/src/search/runner.rs
+++ b/measure/src/search/runner.rs
@@ -112,6 +112,7 @@
             labels: Vec::new(),
             rack: None,
             leaving: self.leaving,
+            started_unix_ms: Some(self.started_unix_ms()),
         }
     }
 
--- a/node/tests/hosted.rs
+++ b/node/tests/hosted.rs
@@ -135,9 +135,10 @@
     /// Returns a worker's registry entry.
     pub fn entry(&self, worker: usize) -> serde_json::Value {
         let Listening { address, state, .. } = &self.workers[worker];
+        let (_, born) = state.incarnation();
         json!({
             "service": "counter", "address": address, "zone": "andes", "version": "v1",
-            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1, "clockMs": 1,
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": born, "clockMs": 1,
             "capacity": {"cpu": state.cpu_milli(), "memMb": 16_000, "gpu": 0}, "labels": ["a", "r1"],
         })
     }
--- a/src/batch/worker_state.rs
+++ b/src/batch/worker_state.rs
@@ -45,6 +45,8 @@
     pub rack: Option<id::Rack>,
     /// Whether the worker has announced its stop.
     pub leaving: bool,
+    /// Incarnation that wrote the entry, by its start in milliseconds since 1970; absent if the entry doesn't tell.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// A run in progress on a worker.
@@ -332,12 +334,21 @@
         self.last_response_at < at && self.start_at < at
     }
 
+    /// Returns whether the newest registry entry was written by the incarnation that responded last. An entry of another one
+    /// tells nothing of its labels and its capacity.
+    pub fn is_entry_current(&self) -> bool {
+        let written_by = self.listing.started_unix_ms;
+        let is_known = self.started_unix_ms != 0;
+        written_by.is_none_or(|written_by| !is_known || written_by == self.started_unix_ms)
+    }
+
     /// Returns whether nothing but the pause of a suspect worker keeps the worker from getting new tasks.
     fn is_open(&self, now: clock::Instant) -> bool {
         self.adopted
             && self.recorded
             && self.listed
             && self.readable
+            && self.is_entry_current()
             && !self.listing.leaving
             && !self.draining
             && now >= self.paused_until
@@ -399,6 +410,7 @@
         self.adopted
             && self.listed
             && self.readable
+            && self.is_entry_current()
             && !self.listing.leaving
             && !self.is_suspect()
             && self.silent_ms(now) < SILENT_MS
--- a/tests/fake_workers.rs
+++ b/tests/fake_workers.rs
@@ -125,6 +125,7 @@
         labels: vec!["a".into(), "r1".into()],
         rack: Some(id::Rack::new("r1")),
         leaving: false,
+        started_unix_ms: None,
     }
 }
 
--- a/tests/test_batch_restarts.rs
+++ b/tests/test_batch_restarts.rs
@@ -5,6 +5,7 @@
 
 use wasabiloft::batch::record;
 use wasabiloft::batch::scheduler::{RecoveredState, Scheduler};
+use wasabiloft::batch::worker_state;
 use wasabiloft::clock::Instant;
 use wasabiloft::id;
 
@@ -145,3 +146,42 @@
     let after_ms = started_after_ms(&mut second, end).expect("a start");
     assert!(after_ms <= ORDINARY_MS, "started after {after_ms} ms");
 }
+
+/// Guards against a task that requires what the earlier incarnation of a worker was, or that has no room on the next one: until its
+/// registry entry is its own, nothing is known of its labels and its capacity (review/13).
+#[test]
+fn a_worker_that_started_again_gets_no_task_before_its_entry_is_its_own() {
+    let now = Instant::from_ms(1_000);
+    let mut rows = Rows::new();
+    let mut scheduler = Scheduler::new(settings(), 1, config(), RecoveredState::default(), now);
+    let entry_of = |started_unix_ms, kind: &str| worker_state::Listing {
+        labels: vec![kind.to_owned(), "r1".to_owned()],
+        started_unix_ms: Some(started_unix_ms),
+        ..listing("a")
+    };
+    scheduler.worker_listed(entry_of(1, "large"), now);
+    commit(&mut scheduler, &mut rows);
+    let a = id::Worker::new("a");
+    scheduler.poll_answered(&a, &fake_pair::of_incarnation(1, &[]), now, now, 0);
+    let required = |kind: &str| {
+        let mut step = step(1, &[]);
+        step.label = Some(kind.to_owned());
+        accepted(vec![step], 3)
+    };
+    scheduler.job_accepted(JOB, required("large"), now);
+    scheduler.plan(now, 0);
+    assert_eq!(starts(&mut scheduler).len(), 1);
+
+    let later = now.after_ms(500);
+    scheduler.poll_answered(&a, &fake_pair::of_incarnation(2, &[]), later, later, 0);
+    commit(&mut scheduler, &mut rows);
+    for (job, kind) in [(2, "large"), (3, "small")] {
+        scheduler.job_accepted(wasabiloft::batch::JobId(job), required(kind), later);
+    }
+    scheduler.plan(later, 0);
+    assert_eq!(starts(&mut scheduler), []);
+
+    scheduler.worker_listed(entry_of(2, "small"), later);
+    scheduler.plan(later, 0);
+    assert_eq!(starts(&mut scheduler).len(), 1);
+}
--- a/tests/test_batch_slowness.rs
+++ b/tests/test_batch_slowness.rs
@@ -550,6 +550,7 @@
         labels: Vec::new(),
         rack: None,
         leaving: false,
+        started_unix_ms: None,
     };
     let heard_at = Instant::from_ms(10_000);
     let mut worker = worker_state::Worker::new(listing, heard_at);
