node tests: an entry's line in the log is waited for

Since a cluster has started once a node leads, so that the test's entries reach the leader by the feed, up to 120 ms later, and no longer with its first read; its log line is written 20 ms after that.

The line has to come as before; the test waits for it.

--- a/node/tests/test_hosted.rs
+++ b/node/tests/test_hosted.rs
@@ -206,7 +206,10 @@
     cluster.store.state.put("servers", "i-bytes", "////");
     assert_eq!(cluster.submit(0, ID, 2).await, 200);
     cluster.until_state(0, ID, "completed").await;
-    assert!(cluster.log(0).contains("entry i-strange can't be used"));
+    until("the entry is named in the log", async || {
+        cluster.log(0).contains("entry i-strange can't be used")
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
