--- a/node/src/batch/mod.rs
+++ b/node/src/batch/mod.rs
@@ -25,9 +25,9 @@
 mod standby;
 mod standing;
 mod submissions;
+mod tombstones;
 mod unreadable;
 mod watch;
-mod withdrawal;
 
 use std::path::Path;
 use std::sync::Arc;
--- a/node/src/batch/requests.rs
+++ b/node/src/batch/requests.rs
@@ -10,7 +10,7 @@
 use wasabiloft_platform::{store, submission};
 
 use crate::batch::front::Outcome;
-use crate::batch::{forward, job_room, peers, shared, submissions, withdrawal};
+use crate::batch::{forward, job_room, peers, shared, submissions, tombstones};
 use crate::clock;
 use crate::log;
 
@@ -244,7 +244,7 @@
     let stored = match read(shared, &accepted, deadline).await {
         Ok(Some(row)) => Ok(row),
         // A submission without an answer may still be written.
-        Ok(None) => withdrawal::withdraw(shared, job, deadline).await,
+        Ok(None) => tombstones::write(shared, job, deadline).await,
         Err(outcome) => Err(outcome),
     };
     let job_version = match stored {
--- a/node/src/batch/tombstones.rs
+++ b/node/src/batch/tombstones.rs
@@ -1,4 +1,4 @@
-//! Cancellations of jobs that aren't stored, whose submissions may still be written.
+//! Writes tombstones: cancellations of jobs that aren't stored, whose submissions may still be written.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +29,7 @@
 /// # Errors
 ///
 /// Fails with the outcome for the caller if no such row is known to exist before the deadline.
-pub async fn withdraw(
+pub async fn write(
     shared: &Arc<shared::Shared>,
     job: JobId,
     deadline: wasabiloft::clock::Instant,
--- a/src/batch/submissions.rs
+++ b/src/batch/submissions.rs
@@ -7,8 +7,9 @@
 //!
 //! A submission is written on the condition that its row is absent. It may therefore be sent again, and by several
 //! paths, without being accepted twice. Once it was part of a transaction without a response, it is never reported as
-//! not run, because the transaction may still be committed, unless a tombstone is found in its row. A cancellation is written on the condition that the row of its
-//! job is the one that was read, so that a late one doesn't cancel a later job of the same id.
+//! not run, because the transaction may still be committed, unless a tombstone is found in its row. A cancellation is
+//! written on the condition that the row of its job is the one that was read, so that a late one doesn't cancel a later
+//! job of the same id.
 
 mod outcome;
 mod partition;
